--- /dev/null
+++ b/gen.sh
@@ -0,0 +1,9 @@
+#!/usr/bin/env bash
+# Regenerates the code that comes from the schema and the enum names.
+set -eu
+cd "$(dirname "$0")"
+tool() { go tool -modfile=tools/go.mod "$@"; }
+rm -rf internal/gen
+tool buf generate --template schema/buf.gen.yaml
+go generate ./pkg/...
+gofmt -w internal/gen
