--- /dev/null
+++ b/pkg/answer/doc.go
@@ -0,0 +1,2 @@
+// Package answer holds an answer that can be given again.
+package answer
--- /dev/null
+++ b/pkg/ask/doc.go
@@ -0,0 +1,2 @@
+// Package ask describes a request for credits.
+package ask
--- /dev/null
+++ b/pkg/backof/doc.go
@@ -0,0 +1,2 @@
+// Package backof paces tries after failures.
+package backof
--- /dev/null
+++ b/pkg/bucket/bucket.go
@@ -0,0 +1,194 @@
+package bucket
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/balsamvale/balsamvale/pkg/answer"
+	"github.com/balsamvale/balsamvale/pkg/claim"
+	"github.com/balsamvale/balsamvale/pkg/grant"
+	"github.com/balsamvale/balsamvale/pkg/state"
+	"github.com/balsamvale/balsamvale/pkg/tune"
+	"github.com/balsamvale/balsamvale/pkg/verb"
+)
+
+// Bucket is an entry's side of one store key that holds many claims; its owner locks it.
+//
+// The store's value decides who holds a key. The bucket keeps the last value seen, adds its
+// claims, and swaps; when a swap fails or its answer is lost, it reads and starts over, and
+// knows its own writes by owner and attempt.
+type Bucket struct {
+	owner    string
+	known    bool
+	revision int64
+	claims   map[uint64]claim.Claim
+	asks     []*ask
+	settles  []claim.Claim
+	// writing is the value under way to the store, with the first settling settles in it.
+	writing  []claim.Claim
+	settling int
+}
+
+type ask struct {
+	claim claim.Claim
+	// fresh is set once the store was read after the ask came.
+	fresh bool
+	done  func(grant.Grant, answer.Answer)
+}
+
+// New returns the bucket of an entry, which is named by owner for each of its starts.
+func New(owner string) *Bucket {
+	return &Bucket{owner: owner, claims: map[uint64]claim.Claim{}}
+}
+
+// Ask claims a key until a time; done is called once from a later method.
+func (b *Bucket) Ask(key, attempt uint64, until time.Time, done func(grant.Grant, answer.Answer)) {
+	c := claim.Claim{Key: key, Owner: b.owner, Attempt: attempt, State: state.Running, Until: until}
+	b.asks = append(b.asks, &ask{claim: c, done: done})
+}
+
+// Settle records the end of a call that held a key.
+func (b *Bucket) Settle(key, attempt uint64, st state.State, until time.Time, a answer.Answer) {
+	c := claim.Claim{Key: key, Owner: b.owner, Attempt: attempt, State: st, Until: until, Answer: a}
+	b.settles = append(b.settles, c)
+}
+
+// Abandon gives up an ask whose caller no longer waits, and frees the key if it was written.
+func (b *Bucket) Abandon(now time.Time, key, attempt uint64) {
+	for i, a := range b.asks {
+		if a.claim.Key == key && a.claim.Attempt == attempt {
+			b.asks = append(b.asks[:i:i], b.asks[i+1:]...)
+			break
+		}
+	}
+	b.Settle(key, attempt, state.NotRun, now.Add(tune.ClaimLife), answer.Answer{})
+}
+
+// Plan returns the next store call: Get, Swap with the value and the revision it expects, or none.
+func (b *Bucket) Plan(now time.Time) (v verb.Verb, value []claim.Claim, expect int64, ok bool) {
+	if len(b.asks)+len(b.settles) == 0 {
+		return 0, nil, 0, false
+	}
+	if !b.known {
+		return verb.Get, nil, 0, true
+	}
+	changed, stale := b.resolve(now)
+	if stale {
+		b.known = false
+		return verb.Get, nil, 0, true
+	}
+	if !changed {
+		return 0, nil, 0, false
+	}
+	b.writing = b.merged(now)
+	b.settling = len(b.settles)
+	return verb.Swap, b.writing, b.revision, true
+}
+
+// Got takes in what a Get returned, and reports whether it is no older than what is known.
+//
+// A missing key has revision 0.
+func (b *Bucket) Got(revision int64, value []claim.Claim) bool {
+	if revision < b.revision {
+		return false
+	}
+	b.set(revision, value)
+	for _, a := range b.asks {
+		a.fresh = true
+	}
+	return true
+}
+
+// Swapped takes in that the store took the value of the last Plan at a revision.
+func (b *Bucket) Swapped(revision int64) {
+	b.set(revision, b.writing)
+	b.settles = b.settles[b.settling:]
+	var rest []*ask
+	for _, a := range b.asks {
+		if b.mine(a.claim) {
+			a.done(grant.Mine, answer.Answer{})
+			continue
+		}
+		rest = append(rest, a)
+	}
+	b.asks = rest
+}
+
+// Failed takes in that a swap was refused, or that a call's outcome is not known.
+func (b *Bucket) Failed() { b.known = false }
+
+// Fail ends all asks as unavailable, as when the store stays unreachable.
+func (b *Bucket) Fail() {
+	asks := b.asks
+	b.asks = nil
+	for _, a := range asks {
+		a.done(grant.Unavailable, answer.Answer{})
+	}
+}
+
+// resolve answers the asks that the known value decides, and reports what is left to do.
+func (b *Bucket) resolve(now time.Time) (changed, stale bool) {
+	changed = len(b.settles) > 0
+	var rest []*ask
+	for _, a := range b.asks {
+		held, ok := b.claims[a.claim.Key]
+		switch {
+		case !ok || held.State == state.NotRun || !now.Before(held.Until):
+			rest = append(rest, a)
+			changed = true
+		case b.mine(a.claim):
+			a.done(grant.Mine, answer.Answer{})
+		case held.State == state.Answered && held.Answer.Status != 0:
+			a.done(grant.Answered, held.Answer)
+		case !a.fresh:
+			rest = append(rest, a)
+			stale = true
+		default:
+			a.done(grant.Unknown, answer.Answer{})
+		}
+	}
+	b.asks = rest
+	return changed, stale
+}
+
+// merged returns the known claims with the settles and asks put in, and lapsed ones left out.
+func (b *Bucket) merged(now time.Time) []claim.Claim {
+	next := make(map[uint64]claim.Claim, len(b.claims)+len(b.asks))
+	for k, c := range b.claims {
+		if now.Before(c.Until) {
+			next[k] = c
+		}
+	}
+	for _, c := range b.settles {
+		if held, ok := next[c.Key]; ok && held.Owner == c.Owner && held.Attempt == c.Attempt {
+			next[c.Key] = c
+		}
+	}
+	for _, a := range b.asks {
+		held, ok := next[a.claim.Key]
+		if !ok || held.State == state.NotRun {
+			next[a.claim.Key] = a.claim
+		}
+	}
+	value := make([]claim.Claim, 0, len(next))
+	for _, c := range next {
+		value = append(value, c)
+	}
+	slices.SortFunc(value, func(x, y claim.Claim) int { return cmp.Compare(x.Key, y.Key) })
+	return value
+}
+
+// mine reports whether the known value holds this very claim.
+func (b *Bucket) mine(c claim.Claim) bool {
+	held, ok := b.claims[c.Key]
+	return ok && held.Owner == c.Owner && held.Attempt == c.Attempt && held.State == state.Running
+}
+
+func (b *Bucket) set(revision int64, value []claim.Claim) {
+	b.known, b.revision = true, revision
+	b.claims = make(map[uint64]claim.Claim, len(value))
+	for _, c := range value {
+		b.claims[c.Key] = c
+	}
+}
--- /dev/null
+++ b/pkg/bucket/doc.go
@@ -0,0 +1,2 @@
+// Package bucket commits claims of idempotency keys in groups, under compare-and-swap.
+package bucket
--- /dev/null
+++ b/pkg/budget/budget.go
@@ -0,0 +1,26 @@
+package budget
+
+// Budget is a token bucket that calls fill and retries empty; the owner locks it.
+type Budget struct {
+	tokens float64
+	burst  float64
+}
+
+// New returns a full budget that saves up to burst retries.
+func New(burst int) *Budget {
+	return &Budget{tokens: float64(burst), burst: float64(burst)}
+}
+
+// Earn adds one call's worth of retries at a rate in percent.
+func (b *Budget) Earn(percent int) {
+	b.tokens = min(b.burst, b.tokens+float64(percent)/100)
+}
+
+// Spend takes one retry and reports whether there was one.
+func (b *Budget) Spend() bool {
+	if b.tokens < 1 {
+		return false
+	}
+	b.tokens--
+	return true
+}
--- /dev/null
+++ b/pkg/budget/doc.go
@@ -0,0 +1,2 @@
+// Package budget bounds retries to a share of calls.
+package budget
--- /dev/null
+++ b/pkg/call/doc.go
@@ -0,0 +1,2 @@
+// Package call describes one call of a caller.
+package call
--- /dev/null
+++ b/pkg/catlog/catalog.go
@@ -0,0 +1,154 @@
+package catlog
+
+import (
+	"slices"
+	"sort"
+
+	"github.com/balsamvale/balsamvale/pkg/change"
+	"github.com/balsamvale/balsamvale/pkg/item"
+	"github.com/balsamvale/balsamvale/pkg/tune"
+)
+
+// Catalog is the state of the control keys at one revision; its owner locks it.
+type Catalog struct {
+	upto  int64
+	items map[string]item.Item
+	// log lists writes in the order of their revisions; superseded ones are dropped now and then.
+	log []write
+	// floor is the newest revision of a removal that is no longer remembered.
+	floor int64
+	gone  int
+}
+
+type write struct {
+	revision int64
+	key      string
+}
+
+// New returns an empty catalog at revision 0.
+func New() *Catalog { return &Catalog{items: map[string]item.Item{}} }
+
+// Upto returns the revision up to which the catalog is complete.
+func (c *Catalog) Upto() int64 { return c.upto }
+
+// Get returns an item, and whether the key is there.
+func (c *Catalog) Get(key string) (item.Item, bool) {
+	it, ok := c.items[key]
+	return it, ok && !it.Gone
+}
+
+// Len returns the number of keys, removed ones that are remembered included.
+func (c *Catalog) Len() int { return len(c.items) }
+
+// Install takes in changes that join on to what is known, and returns the items that are news.
+//
+// A run that ends at or before the catalog's revision is stale, and one that starts after it
+// has a gap; both are left out.
+func (c *Catalog) Install(ch change.Change) []item.Item {
+	if ch.Upto <= c.upto || (!ch.Full && ch.Base > c.upto) {
+		return nil
+	}
+	items := ch.Items
+	if ch.Full {
+		items = append(c.missing(ch), items...)
+	}
+	slices.SortStableFunc(items, func(a, b item.Item) int { return int(a.Revision - b.Revision) })
+	var news []item.Item
+	for _, it := range items {
+		if c.put(it) {
+			news = append(news, it)
+		}
+	}
+	c.upto = ch.Upto
+	c.compact()
+	return news
+}
+
+// missing lists removals for the keys that a full listing no longer has.
+func (c *Catalog) missing(ch change.Change) []item.Item {
+	have := make(map[string]bool, len(ch.Items))
+	for _, it := range ch.Items {
+		have[it.Key] = true
+	}
+	var out []item.Item
+	for key, it := range c.items {
+		if !it.Gone && !have[key] {
+			out = append(out, item.Item{Key: key, Revision: ch.Upto, Gone: true})
+		}
+	}
+	return out
+}
+
+func (c *Catalog) put(it item.Item) bool {
+	old, ok := c.items[it.Key]
+	if ok && old.Revision >= it.Revision {
+		return false
+	}
+	if ok && old.Gone {
+		c.gone--
+	}
+	if it.Gone {
+		c.gone++
+	}
+	c.items[it.Key] = it
+	c.log = append(c.log, write{it.Revision, it.Key})
+	return true
+}
+
+// Since returns the changes after a revision, at most limit of them.
+func (c *Catalog) Since(revision int64, limit int) change.Change {
+	ch := change.Change{Base: revision, Upto: c.upto}
+	if revision >= c.upto {
+		return ch
+	}
+	if revision < c.floor {
+		return c.all()
+	}
+	i := sort.Search(len(c.log), func(i int) bool { return c.log[i].revision > revision })
+	for ; i < len(c.log); i++ {
+		w := c.log[i]
+		if len(ch.Items) >= limit && w.revision > ch.Items[len(ch.Items)-1].Revision {
+			ch.Upto = ch.Items[len(ch.Items)-1].Revision
+			return ch
+		}
+		if it := c.items[w.key]; it.Revision == w.revision {
+			ch.Items = append(ch.Items, it)
+		}
+	}
+	return ch
+}
+
+func (c *Catalog) all() change.Change {
+	ch := change.Change{Upto: c.upto, Full: true}
+	for _, w := range c.log {
+		if it := c.items[w.key]; it.Revision == w.revision && !it.Gone {
+			ch.Items = append(ch.Items, it)
+		}
+	}
+	return ch
+}
+
+// compact drops superseded writes, and the oldest removals when there are many.
+func (c *Catalog) compact() {
+	if len(c.log) < 2*len(c.items)+logSlack && c.gone <= tune.Tombstones {
+		return
+	}
+	var keep []write
+	for _, w := range c.log {
+		it, ok := c.items[w.key]
+		if !ok || it.Revision != w.revision {
+			continue
+		}
+		if it.Gone && c.gone > tune.Tombstones/2 {
+			delete(c.items, w.key)
+			c.gone--
+			c.floor = max(c.floor, w.revision)
+			continue
+		}
+		keep = append(keep, w)
+	}
+	c.log = keep
+}
+
+// logSlack is how many superseded writes are kept before a compaction.
+const logSlack = 256
--- /dev/null
+++ b/pkg/cause/doc.go
@@ -0,0 +1,2 @@
+// Package cause names the ways in which an attempt ends.
+package cause
--- /dev/null
+++ b/pkg/change/doc.go
@@ -0,0 +1,2 @@
+// Package change describes a run of changes in the store.
+package change
--- /dev/null
+++ b/pkg/choice/choice.go
@@ -0,0 +1,30 @@
+package choice
+
+import (
+	"time"
+
+	"github.com/balsamvale/balsamvale/pkg/reason"
+	"github.com/balsamvale/balsamvale/pkg/stage"
+	"github.com/balsamvale/balsamvale/pkg/target"
+)
+
+// Choice is the decision to send, hold or refuse a call.
+type Choice struct {
+	// Stage is Send, Wait or Refuse.
+	Stage  stage.Stage
+	Reason reason.Reason
+	// Target is the upstream chosen; nil unless Stage is Send.
+	Target *target.Target
+	// At is the time of the decision.
+	At time.Time
+	// Wait is the predicted time until the answer.
+	Wait time.Duration
+	// Credit is the credit spent on a cold upstream; 0 for none.
+	Credit uint64
+	// Limit is the time at which the credit lapses; zero for none.
+	Limit time.Time
+	// Bulk is set when the call gives way to interactive ones.
+	Bulk bool
+	// Out, Leaving, Cold, Open, Conns, Busy and Tried count the upstreams filtered out.
+	Out, Leaving, Cold, Open, Conns, Busy, Tried int
+}
--- /dev/null
+++ b/pkg/choice/doc.go
@@ -0,0 +1,2 @@
+// Package choice describes one routing decision.
+package choice
--- /dev/null
+++ b/pkg/circ/breaker.go
@@ -0,0 +1,56 @@
+package circ
+
+import (
+	"time"
+
+	"github.com/balsamvale/balsamvale/pkg/tune"
+)
+
+// Breaker opens after failures in a row and lets single trials through; the owner locks it.
+type Breaker struct {
+	failures int
+	pause    time.Duration
+	until    time.Time
+	trial    bool
+}
+
+// Allows reports whether a call may pass, and whether it would be a trial.
+func (b *Breaker) Allows(now time.Time) (pass, trial bool) {
+	if b.pause == 0 {
+		return true, false
+	}
+	if b.trial || now.Before(b.until) {
+		return false, false
+	}
+	return true, true
+}
+
+// Try marks the trial of an open circuit as running.
+func (b *Breaker) Try() {
+	if b.pause > 0 {
+		b.trial = true
+	}
+}
+
+// Succeed closes the circuit.
+func (b *Breaker) Succeed() { *b = Breaker{} }
+
+// Cancel ends a trial that told nothing.
+func (b *Breaker) Cancel() { b.trial = false }
+
+// Fail counts a failure and opens the circuit when there were enough in a row.
+func (b *Breaker) Fail(now time.Time) {
+	b.failures++
+	b.trial = false
+	if b.failures < tune.OpenFailures {
+		return
+	}
+	if now.Before(b.until) {
+		return
+	}
+	b.pause = min(max(2*b.pause, tune.OpenFirst), tune.OpenMost)
+	b.until = now.Add(b.pause)
+}
+
+// Open reports whether the circuit is open.
+func (b *Breaker) Open() bool { return b.pause > 0 }
--- /dev/null
+++ b/pkg/circ/doc.go
@@ -0,0 +1,2 @@
+// Package circ keeps traffic from an upstream that fails.
+package circ
--- /dev/null
+++ b/pkg/claim/doc.go
@@ -0,0 +1,2 @@
+// Package claim describes the claim of an idempotency key.
+package claim
--- /dev/null
+++ b/pkg/class/doc.go
@@ -0,0 +1,2 @@
+// Package class ranks calls by how long they may wait.
+package class
--- /dev/null
+++ b/pkg/clock/doc.go
@@ -0,0 +1,2 @@
+// Package clock gives the time to everything that needs it.
+package clock
--- /dev/null
+++ b/pkg/config/config.go
@@ -0,0 +1,334 @@
+package config
+
+import (
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/balsamvale/balsamvale/pkg/domrec"
+	"github.com/balsamvale/balsamvale/pkg/fleet"
+	"github.com/balsamvale/balsamvale/pkg/item"
+	"github.com/balsamvale/balsamvale/pkg/member"
+	"github.com/balsamvale/balsamvale/pkg/movrec"
+	"github.com/balsamvale/balsamvale/pkg/phase"
+	"github.com/balsamvale/balsamvale/pkg/progrs"
+	"github.com/balsamvale/balsamvale/pkg/record"
+	"github.com/balsamvale/balsamvale/pkg/reject"
+	"github.com/balsamvale/balsamvale/pkg/share"
+	"github.com/balsamvale/balsamvale/pkg/svcrec"
+	"github.com/balsamvale/balsamvale/pkg/target"
+	"github.com/balsamvale/balsamvale/pkg/tenure"
+	"github.com/balsamvale/balsamvale/pkg/upsrec"
+	"github.com/balsamvale/balsamvale/pkg/value"
+)
+
+// Config is the decoded state of the control keys; its owner locks it.
+type Config struct {
+	// Decode turns an item into a value; it fails on what this release does not know.
+	Decode func(item.Item) (value.Value, error)
+
+	Services  map[string]*svcrec.Service
+	Upstreams map[string]*upsrec.Upstream
+	Domains   map[string]*domrec.Domain
+	Moves     map[string]*movrec.Move
+	Members   map[string]*member.Member
+	// Tenures is keyed by the store key of the shard.
+	Tenures  map[string]*tenure.Tenure
+	Progress map[string]*progrs.Progress
+	Rejects  map[string]reject.Reject
+
+	// Revision is that of the newest record in force.
+	Revision int64
+
+	keys      map[string]value.Value
+	byService map[string]map[string]bool
+	cold      map[string]time.Time
+	dirty     map[string]bool
+	home      string
+}
+
+// New returns an empty configuration of an entry that stands in the failure domain home.
+func New(home string, decode func(item.Item) (value.Value, error)) *Config {
+	return &Config{
+		Decode:    decode,
+		Services:  map[string]*svcrec.Service{},
+		Upstreams: map[string]*upsrec.Upstream{},
+		Domains:   map[string]*domrec.Domain{},
+		Moves:     map[string]*movrec.Move{},
+		Members:   map[string]*member.Member{},
+		Tenures:   map[string]*tenure.Tenure{},
+		Progress:  map[string]*progrs.Progress{},
+		Rejects:   map[string]reject.Reject{},
+		keys:      map[string]value.Value{},
+		byService: map[string]map[string]bool{},
+		cold:      map[string]time.Time{},
+		dirty:     map[string]bool{},
+		home:      home,
+	}
+}
+
+// Apply puts an item in force. With warmup, upstreams that are new or come back start cold.
+func (c *Config) Apply(now time.Time, it item.Item, warmup bool) {
+	var v value.Value
+	if !it.Gone {
+		var err error
+		if v, err = c.Decode(it); err != nil {
+			c.Rejects[it.Key] = reject.Reject{Key: it.Key, Revision: it.Revision, Err: err}
+			return
+		}
+	}
+	delete(c.Rejects, it.Key)
+	old := c.keys[it.Key]
+	c.keys[it.Key] = v
+	c.drop(it.Key, old)
+	c.put(now, it.Key, old, v, warmup)
+	if isRecord(old) || isRecord(v) {
+		c.Revision = max(c.Revision, it.Revision)
+	}
+	if v == (value.Value{}) {
+		delete(c.keys, it.Key)
+	}
+}
+
+func isRecord(v value.Value) bool { return v.Record != nil }
+
+// drop takes an old value out.
+func (c *Config) drop(key string, v value.Value) {
+	switch {
+	case v.Member != nil:
+		delete(c.Members, v.Member.Name)
+	case v.Tenure != nil:
+		delete(c.Tenures, key)
+	case v.Progress != nil:
+		c.touchMove(v.Progress.Move)
+		delete(c.Progress, v.Progress.Move)
+	case v.Record != nil:
+		c.dropRecord(v.Record)
+	}
+}
+
+func (c *Config) dropRecord(r *record.Record) {
+	switch {
+	case r.Service != nil:
+		delete(c.Services, r.Service.Name)
+		c.dirty[r.Service.Name] = true
+	case r.Upstream != nil:
+		delete(c.Upstreams, r.Upstream.Name)
+		delete(c.byService[r.Upstream.Service], r.Upstream.Name)
+		c.dirty[r.Upstream.Service] = true
+	case r.Domain != nil:
+		delete(c.Domains, r.Domain.Name)
+		c.touchDomain(r.Domain.Name)
+	case r.Move != nil:
+		delete(c.Moves, r.Move.Name)
+		c.dirty[r.Move.Service] = true
+	}
+}
+
+// put takes a new value in.
+func (c *Config) put(now time.Time, key string, old, v value.Value, warmup bool) {
+	switch {
+	case v.Member != nil:
+		c.Members[v.Member.Name] = v.Member
+	case v.Tenure != nil:
+		c.Tenures[key] = v.Tenure
+	case v.Progress != nil:
+		c.Progress[v.Progress.Move] = v.Progress
+		c.touchMove(v.Progress.Move)
+	case v.Record != nil:
+		c.putRecord(now, old.Record, v.Record, warmup)
+	}
+}
+
+func (c *Config) putRecord(now time.Time, old, r *record.Record, warmup bool) {
+	switch {
+	case r.Service != nil:
+		c.Services[r.Service.Name] = r.Service
+		c.dirty[r.Service.Name] = true
+	case r.Upstream != nil:
+		c.putUpstream(now, old, r.Upstream, warmup)
+	case r.Domain != nil:
+		c.Domains[r.Domain.Name] = r.Domain
+		c.touchDomain(r.Domain.Name)
+		if old != nil && old.Domain != nil && old.Domain.Out && !r.Domain.Out {
+			c.chillDomain(now, r.Domain.Name)
+		}
+	case r.Move != nil:
+		c.Moves[r.Move.Name] = r.Move
+		c.dirty[r.Move.Service] = true
+	}
+}
+
+func (c *Config) putUpstream(now time.Time, old *record.Record, u *upsrec.Upstream, warmup bool) {
+	c.Upstreams[u.Name] = u
+	if c.byService[u.Service] == nil {
+		c.byService[u.Service] = map[string]bool{}
+	}
+	c.byService[u.Service][u.Name] = true
+	c.dirty[u.Service] = true
+	known := old != nil && old.Upstream != nil && old.Upstream.Addr == u.Addr && !old.Upstream.Leave
+	if warmup && !known {
+		c.chill(now, u.Name)
+	}
+}
+
+// chill marks an upstream cold for the warm-up time of its service.
+func (c *Config) chill(now time.Time, name string) {
+	u := c.Upstreams[name]
+	warm := defaultWarm
+	if s := c.Services[u.Service]; s != nil {
+		warm = s.Warm
+	}
+	c.cold[name] = now.Add(warm)
+	c.dirty[u.Service] = true
+}
+
+// defaultWarm is the warm-up of an upstream whose service is not known yet.
+const defaultWarm = 10 * time.Second
+
+func (c *Config) chillDomain(now time.Time, domain string) {
+	for name, u := range c.Upstreams {
+		if u.Domain == domain {
+			c.chill(now, name)
+		}
+	}
+}
+
+// ChillAll marks every upstream cold, as when nothing is known of any.
+func (c *Config) ChillAll(now time.Time) {
+	for name := range c.Upstreams {
+		c.chill(now, name)
+	}
+}
+
+func (c *Config) touchDomain(domain string) {
+	for _, u := range c.Upstreams {
+		if u.Domain == domain {
+			c.dirty[u.Service] = true
+		}
+	}
+}
+
+func (c *Config) touchMove(move string) {
+	if m := c.Moves[move]; m != nil {
+		c.dirty[m.Service] = true
+	}
+}
+
+// Touch marks a service as changed.
+func (c *Config) Touch(service string) { c.dirty[service] = true }
+
+// TouchAll marks every service as changed, as when the number of entries changed.
+func (c *Config) TouchAll() {
+	for name := range c.Services {
+		c.dirty[name] = true
+	}
+}
+
+// Dirty returns and clears the services that changed, in order.
+func (c *Config) Dirty() []string {
+	names := make([]string, 0, len(c.dirty))
+	for n := range c.dirty {
+		names = append(names, n)
+	}
+	clear(c.dirty)
+	slices.Sort(names)
+	return names
+}
+
+// Live returns the names of the members that do not leave, in order.
+func (c *Config) Live() []string {
+	names := make([]string, 0, len(c.Members))
+	for n, m := range c.Members {
+		if !m.Leave {
+			names = append(names, n)
+		}
+	}
+	slices.Sort(names)
+	return names
+}
+
+// Fleet builds the traffic side's view of a service, or nil when there is none.
+func (c *Config) Fleet(service string, reverted func(move string) bool) *fleet.Fleet {
+	s := c.Services[service]
+	if s == nil {
+		return nil
+	}
+	f := &fleet.Fleet{Service: *s, Entries: max(1, len(c.Members)), Shares: c.shares(service, reverted)}
+	names := make([]string, 0, len(c.byService[service]))
+	for n := range c.byService[service] {
+		names = append(names, n)
+	}
+	slices.Sort(names)
+	f.Targets = make([]target.Target, 0, len(names))
+	for _, n := range names {
+		f.Targets = append(f.Targets, c.target(c.Upstreams[n]))
+	}
+	return f
+}
+
+func (c *Config) target(u *upsrec.Upstream) target.Target {
+	t := target.Target{Upstream: *u, Leaving: u.Leave, Cold: c.cold[u.Name]}
+	if d := c.Domains[u.Domain]; d != nil {
+		t.Out = d.Out
+		t.Delay = c.delay(d)
+	}
+	return t
+}
+
+// delay is the one-way delay from this entry's failure domain to another.
+func (c *Config) delay(d *domrec.Domain) time.Duration {
+	if d.Name == c.home {
+		return 0
+	}
+	h := c.Domains[c.home]
+	if h != nil && h.Region != d.Region {
+		return regionDelay
+	}
+	return d.Delay
+}
+
+// regionDelay is the assumed one-way delay between regions.
+const regionDelay = 30 * time.Millisecond
+
+// shares splits the calls of a service by the move that is under way.
+func (c *Config) shares(service string, reverted func(move string) bool) []share.Share {
+	m := c.current(service)
+	if m == nil {
+		return nil
+	}
+	part := 0
+	if p := c.Progress[m.Name]; p != nil {
+		part = p.Share
+		if p.Phase == phase.Reverted {
+			part = 0
+		}
+	}
+	if reverted(m.Name) {
+		part = 0
+	}
+	return []share.Share{
+		{Version: m.From, Weight: wholeShare - part},
+		{Version: m.To, Weight: part},
+	}
+}
+
+// wholeShare is the weight of all calls, in thousandths.
+const wholeShare = 1000
+
+// current returns the newest move of a service by its start time.
+func (c *Config) current(service string) *movrec.Move {
+	var best *movrec.Move
+	for _, m := range c.Moves {
+		if m.Service != service {
+			continue
+		}
+		if best == nil || m.Start.After(best.Start) || (m.Start.Equal(best.Start) && strings.Compare(m.Name, best.Name) > 0) {
+			best = m
+		}
+	}
+	return best
+}
+
+// Current returns the move that decides the versions of a service, or nil.
+func (c *Config) Current(service string) *movrec.Move { return c.current(service) }
--- /dev/null
+++ b/pkg/config/doc.go
@@ -0,0 +1,2 @@
+// Package config holds the decoded records, members and duties, and builds what traffic reads.
+package config
--- /dev/null
+++ b/pkg/contrl/duties.go
@@ -0,0 +1,134 @@
+package contrl
+
+import (
+	"github.com/balsamvale/balsamvale/pkg/ask"
+	"time"
+
+	"github.com/balsamvale/balsamvale/pkg/credit"
+	"github.com/balsamvale/balsamvale/pkg/deed"
+	"github.com/balsamvale/balsamvale/pkg/effect"
+	"github.com/balsamvale/balsamvale/pkg/event"
+	"github.com/balsamvale/balsamvale/pkg/keys"
+	"github.com/balsamvale/balsamvale/pkg/note"
+	"github.com/balsamvale/balsamvale/pkg/order"
+	"github.com/balsamvale/balsamvale/pkg/shard"
+	"github.com/balsamvale/balsamvale/pkg/tenure"
+	"github.com/balsamvale/balsamvale/pkg/tune"
+	"github.com/balsamvale/balsamvale/pkg/upsrec"
+	"github.com/balsamvale/balsamvale/pkg/value"
+	"github.com/balsamvale/balsamvale/pkg/verb"
+	"github.com/balsamvale/balsamvale/pkg/what"
+)
+
+// trackDuties compares the shards' holders with what this entry thought it held.
+func (c *Control) trackDuties() {
+	for s := range shard.Shard(tune.Shards) {
+		t := c.config.Tenures[keys.Duty(s)]
+		mine := t != nil && t.Owner == c.me.Name && t.Boot == c.me.Boot
+		taken, lost := c.duties.See(c.now, s, t != nil, mine)
+		if taken {
+			c.log(note.Note{What: what.Duty, Subject: keys.Duty(s), Reason: "first of the live members"})
+		}
+		if lost {
+			c.log(note.Note{What: what.Yield, Subject: keys.Duty(s), Reason: "another entry is to hold it"})
+		}
+	}
+}
+
+// takeDuty issues the swap that takes or gives up one shard.
+func (c *Control) takeDuty() {
+	if !c.keeper.Valid(c.now) || !c.introduced {
+		return
+	}
+	s, take, ok := c.duties.Next(c.now, c.me.Name, c.config.Live())
+	if !ok {
+		return
+	}
+	it, _ := c.catalog.Get(keys.Duty(s))
+	o := order.Order{ID: c.id(), Verb: verb.Swap, Key: keys.Duty(s), Expect: it.Revision, Gone: !take}
+	if take {
+		o.Lease = c.keeper.ID()
+		o.Value = value.Value{Tenure: &tenure.Tenure{Owner: c.me.Name, Boot: c.me.Boot}}
+	}
+	c.duties.Sent(o)
+	c.call(o)
+}
+
+// owns reports whether the duty for a name is surely this entry's, and has been for at least wait.
+func (c *Control) owns(name string, wait time.Duration) bool {
+	return c.keeper.Valid(c.now) && c.duties.Holds(c.now, shard.Of(name), wait)
+}
+
+// asked answers a peer's request for credits.
+func (c *Control) asked(ev event.Event) {
+	a := ev.Ask
+	c.ledger.Back(a.Upstream, a.Back)
+	e := effect.Effect{Deed: deed.Give, Tag: ev.Tag, TTL: tune.CreditLife}
+	u := c.config.Upstreams[a.Upstream]
+	if u != nil && a.Want > 0 && c.owns(a.Upstream, tune.CreditLife) {
+		e.Credits = c.grant(u, a.Boot, a.Want)
+	}
+	c.emit(e)
+}
+
+func (c *Control) grant(u *upsrec.Upstream, boot uint64, want int) []credit.Credit {
+	s := c.config.Services[u.Service]
+	if s == nil {
+		return nil
+	}
+	return c.ledger.Grant(c.now, u.Name, boot, min(want, tune.CreditMost), s.Cold, tune.CreditLife)
+}
+
+// owner returns the entry that hands out the credits of an upstream, as far as is known.
+func (c *Control) owner(upstream string) string {
+	t := c.config.Tenures[keys.Duty(shard.Of(upstream))]
+	if t == nil {
+		return ""
+	}
+	return t.Owner
+}
+
+// wanted turns the traffic side's demand for credits into a request to their owner.
+func (c *Control) wanted(a ask.Ask) {
+	a.From = c.me.Name
+	owner := c.owner(a.Upstream)
+	if owner == c.me.Name {
+		c.grantOwn(a)
+		return
+	}
+	if m := c.config.Members[owner]; m != nil {
+		c.emit(effect.Effect{Deed: deed.Ask, Peer: owner, Addr: m.Peer, Ask: a})
+	}
+}
+
+// grantOwn serves this entry's own demand without a message.
+func (c *Control) grantOwn(a ask.Ask) {
+	c.ledger.Back(a.Upstream, a.Back)
+	u := c.config.Upstreams[a.Upstream]
+	if u == nil || a.Want == 0 || !c.owns(a.Upstream, tune.CreditLife) {
+		return
+	}
+	if cs := c.grant(u, a.Boot, a.Want); len(cs) > 0 {
+		c.emit(effect.Effect{Deed: deed.Credit, Ask: a, Credits: cs})
+	}
+}
+
+// probes spends the measuring budget of the upstreams in this entry's care.
+func (c *Control) probes() {
+	if c.Stale == nil || !c.keeper.Valid(c.now) {
+		return
+	}
+	for name, u := range c.config.Upstreams {
+		if !c.duties.Holds(c.now, shard.Of(name), time.Second) {
+			continue
+		}
+		s := c.config.Services[u.Service]
+		if s == nil || u.Leave {
+			continue
+		}
+		age, doubt := c.Stale(c.now, u.Service, name)
+		if c.planner.Due(c.now, name, s.Budget, age, doubt) {
+			c.emit(effect.Effect{Deed: deed.Probe, Service: u.Service, Upstream: name, Addr: u.Addr})
+		}
+	}
+}
--- /dev/null
+++ b/pkg/contrl/peers.go
@@ -0,0 +1,226 @@
+package contrl
+
+import (
+	"slices"
+	"time"
+
+	"github.com/balsamvale/balsamvale/pkg/change"
+	"github.com/balsamvale/balsamvale/pkg/deed"
+	"github.com/balsamvale/balsamvale/pkg/digest"
+	"github.com/balsamvale/balsamvale/pkg/effect"
+	"github.com/balsamvale/balsamvale/pkg/event"
+	"github.com/balsamvale/balsamvale/pkg/fact"
+	"github.com/balsamvale/balsamvale/pkg/item"
+	"github.com/balsamvale/balsamvale/pkg/keys"
+	"github.com/balsamvale/balsamvale/pkg/note"
+	"github.com/balsamvale/balsamvale/pkg/shard"
+	"github.com/balsamvale/balsamvale/pkg/topic"
+	"github.com/balsamvale/balsamvale/pkg/tune"
+	"github.com/balsamvale/balsamvale/pkg/what"
+)
+
+func memberKey(name string) string { return keys.Member(name) }
+
+// watches reports whether this entry follows the store itself rather than its peers.
+func (c *Control) watches() bool {
+	if !c.synced || c.now.Sub(c.heardAt) > tune.WatchLag {
+		return true
+	}
+	return shard.Shard(0).Rank(c.config.Live(), c.me.Name) < tune.Watchers
+}
+
+// install takes in changes of the control keys, and passes news on.
+func (c *Control) install(ch change.Change) {
+	base := c.catalog.Upto()
+	news := c.catalog.Install(ch)
+	fleet := len(c.config.Members)
+	for _, it := range news {
+		c.apply(it)
+	}
+	if len(c.config.Members) != fleet && c.introduced {
+		c.config.TouchAll()
+	}
+	c.trackDuties()
+	if !c.synced && c.catalog.Upto() > 0 {
+		c.synced, c.syncedAt, c.heardAt = true, c.now, c.now
+	}
+	c.introduce()
+	if len(news) > 0 && c.introduced {
+		c.push(digest.Digest{Change: change.Change{Items: news, Base: base, Upto: c.catalog.Upto()}})
+	}
+}
+
+// apply puts one item in force and logs what it means.
+func (c *Control) apply(it item.Item) {
+	before := c.placement(it.Key)
+	c.config.Apply(c.now, it, c.introduced)
+	if rej, ok := c.config.Rejects[it.Key]; ok && rej.Revision == it.Revision {
+		c.log(note.Note{What: what.Reject, Subject: it.Key, Reason: rej.Err.Error()})
+		return
+	}
+	after := c.placement(it.Key)
+	if after != before && after.Subject != "" {
+		c.log(after)
+	} else if before.What == what.Join && after.Subject == "" {
+		c.log(note.Note{What: what.Dead, Subject: before.Subject, Reason: "its lease lapsed or it left"})
+	}
+}
+
+// placement describes what a key places, for comparing before and after a change.
+func (c *Control) placement(key string) note.Note {
+	for _, d := range c.config.Domains {
+		if keys.Record("domain", d.Name) != key {
+			continue
+		}
+		if d.Out {
+			return note.Note{What: what.Out, Subject: d.Name, Reason: "record"}
+		}
+		return note.Note{What: what.Back, Subject: d.Name, Reason: "record"}
+	}
+	for _, m := range c.config.Members {
+		if keys.Member(m.Name) == key {
+			return note.Note{What: what.Join, Subject: m.Name, Reason: "member key"}
+		}
+	}
+	return note.Note{}
+}
+
+// introduce ends the wait for what peers know of cold upstreams.
+func (c *Control) introduce() {
+	if c.introduced || !c.synced {
+		return
+	}
+	alone := true
+	for name := range c.config.Members {
+		if name != c.me.Name {
+			alone = false
+		}
+	}
+	if !alone && c.now.Sub(c.syncedAt) < introduceWait {
+		return
+	}
+	c.config.ChillAll(c.now)
+	c.enter("no peer could tell which upstreams are cold")
+}
+
+// introduceWait is how long a new entry waits for a peer's facts.
+const introduceWait = 2 * tune.PeerTimeout
+
+func (c *Control) enter(why string) {
+	c.introduced = true
+	c.config.TouchAll()
+	c.log(note.Note{What: what.Synced, Subject: c.me.Name, Reason: why})
+}
+
+// gossip exchanges digests with one random peer.
+func (c *Control) gossip() {
+	c.gossipAt = c.now.Add(tune.Gossip/2 + time.Duration(c.rand.Int64N(int64(tune.Gossip))))
+	for _, p := range c.peers(1) {
+		d := digest.Digest{Facts: c.rumor.Live(c.now, tune.FactsMost)}
+		if rev, ok := c.revisions[p]; ok && rev < c.catalog.Upto() {
+			d.Change = c.catalog.Since(rev, tune.ChangesMost)
+		}
+		c.send(p, d)
+	}
+}
+
+// push sends news to a few peers at once.
+func (c *Control) push(d digest.Digest) {
+	for _, p := range c.peers(tune.Fanout) {
+		c.send(p, d)
+	}
+}
+
+func (c *Control) send(peer string, d digest.Digest) {
+	m := c.config.Members[peer]
+	if m == nil {
+		return
+	}
+	d.From, d.Revision = c.me.Name, c.catalog.Upto()
+	c.emit(effect.Effect{Deed: deed.Send, Peer: peer, Addr: m.Peer, Digest: d})
+}
+
+// peers returns up to n other members, at random.
+func (c *Control) peers(n int) []string {
+	names := make([]string, 0, len(c.config.Members))
+	for name := range c.config.Members {
+		if name != c.me.Name {
+			names = append(names, name)
+		}
+	}
+	slices.Sort(names)
+	c.rand.Shuffle(len(names), func(i, j int) { names[i], names[j] = names[j], names[i] })
+	return names[:min(n, len(names))]
+}
+
+// heard takes in a peer's digest and answers with what the peer lacks.
+func (c *Control) heard(ev event.Event) {
+	c.learn(ev.Digest)
+	d := digest.Digest{From: c.me.Name, Revision: c.catalog.Upto(), Facts: c.rumor.Live(c.now, tune.FactsMost)}
+	if ev.Digest.Revision < c.catalog.Upto() {
+		d.Change = c.catalog.Since(ev.Digest.Revision, tune.ChangesMost)
+	}
+	c.emit(effect.Effect{Deed: deed.Answer, Tag: ev.Tag, Digest: d})
+}
+
+// told takes in a peer's answer.
+func (c *Control) told(ev event.Event) {
+	c.learn(ev.Digest)
+	if c.synced && !c.introduced {
+		c.enter("facts from " + ev.Digest.From)
+	}
+}
+
+// learn takes in facts and changes from a peer.
+func (c *Control) learn(d digest.Digest) {
+	if d.From != "" {
+		c.revisions[d.From] = d.Revision
+	}
+	for _, f := range d.Facts {
+		c.noted(f)
+	}
+	if d.Change.Upto > c.catalog.Upto() {
+		c.heardAt = c.now
+		c.install(d.Change)
+	}
+	if d.Revision >= c.catalog.Upto() && c.synced {
+		c.heardAt = c.now
+	}
+}
+
+// noted takes in a fact, hands it to the traffic side, and passes it on while it is news.
+func (c *Control) noted(f fact.Fact) {
+	if f.From == "" {
+		f.From = c.me.Name
+	}
+	if !c.rumor.Add(c.now, f) {
+		return
+	}
+	c.emit(effect.Effect{Deed: deed.Spread, Fact: f, Service: c.serviceOf(f)})
+	c.log(note.Note{What: factWhat(f.Topic), Subject: f.Subject, Reason: "seen by " + f.From})
+	c.push(digest.Digest{Facts: []fact.Fact{f}})
+	if f.Topic == topic.Reverted {
+		if m := c.config.Moves[f.Subject]; m != nil {
+			c.config.Touch(m.Service)
+		}
+	}
+}
+
+func (c *Control) serviceOf(f fact.Fact) string {
+	if u := c.config.Upstreams[f.Subject]; u != nil {
+		return u.Service
+	}
+	return ""
+}
+
+func factWhat(t topic.Topic) what.What {
+	switch t {
+	case topic.Leaving:
+		return what.Leaving
+	case topic.Poison:
+		return what.Poison
+	case topic.Reverted:
+		return what.Reverted
+	}
+	return what.Cold
+}
--- /dev/null
+++ b/pkg/credit/doc.go
@@ -0,0 +1,2 @@
+// Package credit describes permission for one call to a cold upstream.
+package credit
--- /dev/null
+++ b/pkg/deed/doc.go
@@ -0,0 +1,2 @@
+// Package deed names the kinds of effects that control has.
+package deed
--- /dev/null
+++ b/pkg/digest/digest.go
@@ -0,0 +1,15 @@
+package digest
+
+import (
+	"github.com/balsamvale/balsamvale/pkg/change"
+	"github.com/balsamvale/balsamvale/pkg/fact"
+)
+
+// Digest is an entry's revision, its live facts, and changes that its peer lacks.
+type Digest struct {
+	From string
+	// Revision is that up to which the sender's catalog is complete.
+	Revision int64
+	Facts    []fact.Fact
+	Change   change.Change
+}
--- /dev/null
+++ b/pkg/digest/doc.go
@@ -0,0 +1,2 @@
+// Package digest describes what entries tell each other in one message.
+package digest
--- /dev/null
+++ b/pkg/domrec/doc.go
@@ -0,0 +1,2 @@
+// Package domrec describes a failure domain as operators write it.
+package domrec
--- /dev/null
+++ b/pkg/domrec/domain.go
@@ -0,0 +1,13 @@
+package domrec
+
+import "time"
+
+// Domain is a failure domain.
+type Domain struct {
+	Name   string
+	Region string
+	// Out is set when the failure domain gets no new work.
+	Out bool
+	// Delay is the one-way delay to the other failure domains of the region.
+	Delay time.Duration
+}
--- /dev/null
+++ b/pkg/duty/doc.go
@@ -0,0 +1,2 @@
+// Package duty decides which shards of the duties an entry takes and gives up.
+package duty
--- /dev/null
+++ b/pkg/effect/doc.go
@@ -0,0 +1,2 @@
+// Package effect describes what control wants done.
+package effect
--- /dev/null
+++ b/pkg/event/doc.go
@@ -0,0 +1,2 @@
+// Package event describes what happens to control.
+package event
--- /dev/null
+++ b/pkg/fact/doc.go
@@ -0,0 +1,2 @@
+// Package fact describes short-lived news that entries tell each other.
+package fact
--- /dev/null
+++ b/pkg/fact/fact.go
@@ -0,0 +1,18 @@
+package fact
+
+import (
+	"time"
+
+	"github.com/balsamvale/balsamvale/pkg/topic"
+)
+
+// Fact is news about one subject that holds until a time.
+type Fact struct {
+	Topic   topic.Topic
+	Subject string
+	// Value is a start identity, or a count of crashes.
+	Value uint64
+	// From is the entry that saw it first.
+	From  string
+	Until time.Time
+}
--- /dev/null
+++ b/pkg/feed/feed.go
@@ -0,0 +1,89 @@
+package feed
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"github.com/balsamvale/balsamvale/pkg/backof"
+	"github.com/balsamvale/balsamvale/pkg/change"
+	"github.com/balsamvale/balsamvale/pkg/item"
+	"github.com/balsamvale/balsamvale/pkg/keys"
+	"github.com/balsamvale/balsamvale/pkg/order"
+	"github.com/balsamvale/balsamvale/pkg/reply"
+	"github.com/balsamvale/balsamvale/pkg/tune"
+	"github.com/balsamvale/balsamvale/pkg/verb"
+)
+
+// Feed issues one order at a time; control owns it.
+type Feed struct {
+	rand    *rand.Rand
+	backoff backof.Backoff
+	// current is the order under way; its ID is 0 when there is none.
+	current order.Order
+	relist  bool
+	// listed are the pages of a listing so far, and base the revision of the first.
+	listed []item.Item
+	base   int64
+	after  string
+	// goodAt is when the store last answered.
+	goodAt time.Time
+}
+
+// New returns a feed that begins with a listing.
+func New(rnd *rand.Rand) *Feed { return &Feed{rand: rnd, relist: true} }
+
+// Next returns the next order once the last has ended, and whether there is one.
+func (f *Feed) Next(now time.Time, id uint64, upto int64) (order.Order, bool) {
+	if f.current.ID != 0 || !f.backoff.Ready(now) {
+		return order.Order{}, false
+	}
+	o := order.Order{ID: id, Verb: verb.Watch, Key: keys.Control, Since: upto, Wait: tune.WatchWait}
+	if f.relist {
+		o = order.Order{ID: id, Verb: verb.List, Key: keys.Control, After: f.after}
+	}
+	f.current = o
+	return o, true
+}
+
+// Owns reports whether a reply is for the order under way.
+func (f *Feed) Owns(id uint64) bool { return f.current.ID != 0 && f.current.ID == id }
+
+// Reply takes in the outcome of the order, and returns the change it brings if any.
+func (f *Feed) Reply(now time.Time, r reply.Reply) (change.Change, bool) {
+	o := f.current
+	f.current = order.Order{}
+	if r.Failed || r.Revision < o.Since {
+		f.backoff.Fail(now, f.rand)
+		return change.Change{}, false
+	}
+	f.backoff.Succeed()
+	f.goodAt = now
+	if o.Verb == verb.List {
+		return f.page(o, r)
+	}
+	if r.Lost {
+		f.relist = true
+		return change.Change{}, false
+	}
+	return change.Change{Items: r.Items, Base: o.Since, Upto: r.Revision}, true
+}
+
+// page takes in one page of a listing.
+func (f *Feed) page(o order.Order, r reply.Reply) (change.Change, bool) {
+	if o.After == "" {
+		f.base, f.listed = r.Revision, nil
+	}
+	f.listed = append(f.listed, r.Items...)
+	if r.More && len(r.Items) > 0 {
+		f.after = r.Items[len(r.Items)-1].Key
+		return change.Change{}, false
+	}
+	ch := change.Change{Items: f.listed, Upto: f.base, Full: true}
+	f.relist, f.after, f.listed = false, "", nil
+	return ch, true
+}
+
+// Healthy reports whether the store answered within the time of two watches.
+func (f *Feed) Healthy(now time.Time) bool {
+	return !f.goodAt.IsZero() && now.Sub(f.goodAt) < 2*tune.WatchWait
+}
--- /dev/null
+++ b/pkg/fleet/fleet.go
@@ -0,0 +1,17 @@
+package fleet
+
+import (
+	"github.com/balsamvale/balsamvale/pkg/share"
+	"github.com/balsamvale/balsamvale/pkg/svcrec"
+	"github.com/balsamvale/balsamvale/pkg/target"
+)
+
+// Fleet is an immutable view of one service.
+type Fleet struct {
+	Service svcrec.Service
+	Targets []target.Target
+	// Shares splits the calls among versions; empty treats all versions alike.
+	Shares []share.Share
+	// Entries is the number of entries that share the upstreams.
+	Entries int
+}
--- /dev/null
+++ b/pkg/grant/doc.go
@@ -0,0 +1,2 @@
+// Package grant describes the outcome of claiming an idempotency key.
+package grant
--- /dev/null
+++ b/pkg/grant/grant.go
@@ -0,0 +1,18 @@
+package grant
+
+//go:generate go tool -modfile=../../tools/go.mod stringer -type Grant -linecomment
+
+// Grant is the outcome of claiming an idempotency key.
+type Grant int
+
+// Values of Grant.
+const (
+	// Mine means that this call may run under the key.
+	Mine Grant = iota // mine
+	// Answered means that an earlier call's answer is remembered.
+	Answered // answered
+	// Unknown means that an earlier call may have run, or still runs.
+	Unknown // unknown
+	// Unavailable means that the claim could not be made.
+	Unavailable // unavailable
+)
--- /dev/null
+++ b/pkg/keys/doc.go
@@ -0,0 +1,2 @@
+// Package keys names the keys of the store.
+package keys
--- /dev/null
+++ b/pkg/member/doc.go
@@ -0,0 +1,2 @@
+// Package member describes a running entry.
+package member
--- /dev/null
+++ b/pkg/movrec/doc.go
@@ -0,0 +1,2 @@
+// Package movrec describes a planned version move as operators write it.
+package movrec
--- /dev/null
+++ b/pkg/note/doc.go
@@ -0,0 +1,2 @@
+// Package note describes a placement decision for the log.
+package note
--- /dev/null
+++ b/pkg/order/doc.go
@@ -0,0 +1,2 @@
+// Package order describes a call to the store.
+package order
--- /dev/null
+++ b/pkg/phase/doc.go
@@ -0,0 +1,2 @@
+// Package phase names the stages of a version move.
+package phase
--- /dev/null
+++ b/pkg/poison/doc.go
@@ -0,0 +1,2 @@
+// Package poison remembers the fingerprints of calls that crash upstreams.
+package poison
--- /dev/null
+++ b/pkg/policy/doc.go
@@ -0,0 +1,2 @@
+// Package policy names the ways to choose among upstreams.
+package policy
--- /dev/null
+++ b/pkg/pool/choose.go
@@ -0,0 +1,222 @@
+package pool
+
+import (
+	"slices"
+	"time"
+
+	"github.com/balsamvale/balsamvale/pkg/call"
+	"github.com/balsamvale/balsamvale/pkg/choice"
+	"github.com/balsamvale/balsamvale/pkg/class"
+	"github.com/balsamvale/balsamvale/pkg/policy"
+	"github.com/balsamvale/balsamvale/pkg/reason"
+	"github.com/balsamvale/balsamvale/pkg/stage"
+	"github.com/balsamvale/balsamvale/pkg/tune"
+)
+
+const (
+	// fullShare is the weight of a version that gets all calls, in thousandths.
+	fullShare = 1000
+	// mainShare is the weight from which a version may stand in for another.
+	mainShare = 500
+)
+
+// candidate is the best upstream found so far.
+type candidate struct {
+	server *server
+	score  time.Duration
+	trial  bool
+}
+
+// choose picks an upstream or says why there is none; Wait means that all are busy.
+func (p *Pool) choose(now time.Time, c *call.Call, tried []string) choice.Choice {
+	ch := choice.Choice{At: now, Bulk: c.Class == class.Bulk}
+	first := p.draw()
+	best := p.search(now, c, tried, first, &ch)
+	for i := range p.groups {
+		if best.server != nil {
+			break
+		}
+		if i != first && p.groups[i].weight >= mainShare {
+			best = p.search(now, c, tried, i, &ch)
+		}
+	}
+	if best.server == nil {
+		return p.nobody(ch)
+	}
+	if best.score > c.Left(now, best.score) {
+		ch.Stage, ch.Reason, ch.Wait = stage.Refuse, reason.Late, best.score
+		return ch
+	}
+	return p.send(now, c, best, ch)
+}
+
+// nobody explains why no upstream was found.
+func (p *Pool) nobody(ch choice.Choice) choice.Choice {
+	ch.Stage, ch.Reason = stage.Refuse, reason.Empty
+	switch {
+	case ch.Busy+ch.Cold+ch.Conns+ch.Open > 0:
+		ch.Stage, ch.Reason = stage.Wait, reason.Full
+	case ch.Tried > 0:
+		ch.Reason = reason.Retries
+	}
+	return ch
+}
+
+// send reserves the best candidate.
+func (p *Pool) send(now time.Time, c *call.Call, best candidate, ch choice.Choice) choice.Choice {
+	s := best.server
+	ch.Stage, ch.Reason, ch.Target, ch.Wait = stage.Send, reason.Lowest, &s.target, best.score
+	if best.trial {
+		ch.Reason = reason.Trial
+		s.circuit.Try()
+	}
+	if s.cold(now) {
+		cr, ok := s.wallet.Take(now, s.need(p, now, c))
+		if !ok {
+			return p.nobody(choice.Choice{At: now, Cold: 1})
+		}
+		ch.Reason, ch.Credit, ch.Limit = reason.Credit, cr.ID, cr.Until
+	}
+	s.reserve(now, ch.Bulk)
+	return ch
+}
+
+// draw picks a version group by weight.
+func (p *Pool) draw() int {
+	if len(p.groups) < 2 {
+		return 0
+	}
+	total := 0
+	for i := range p.groups {
+		total += p.groups[i].weight
+	}
+	if total == 0 {
+		return 0
+	}
+	n := p.rand.IntN(total)
+	for i := range p.groups {
+		if n -= p.groups[i].weight; n < 0 {
+			return i
+		}
+	}
+	return 0
+}
+
+// search looks for the best upstream of one group: in a sample, then among all.
+func (p *Pool) search(now time.Time, c *call.Call, tried []string, gi int, ch *choice.Choice) candidate {
+	if gi >= len(p.groups) {
+		return candidate{}
+	}
+	g := &p.groups[gi]
+	ch.Out += g.total - len(g.members)
+	n := len(g.members)
+	if n == 0 {
+		return candidate{}
+	}
+	k := p.sample(n)
+	var best candidate
+	for i := range k {
+		j := i + p.rand.IntN(n-i)
+		g.members[i], g.members[j] = g.members[j], g.members[i]
+		p.weigh(now, c, tried, g.members[i], &best, ch)
+	}
+	for i := k; i < n && best.server == nil; i++ {
+		p.weigh(now, c, tried, g.members[i], &best, ch)
+	}
+	return best
+}
+
+// sample returns how many upstreams the policy compares.
+func (p *Pool) sample(n int) int {
+	switch p.policy {
+	case policy.Random:
+		return 1
+	case policy.TwoChoices:
+		return min(n, 2)
+	case policy.RoundRobin, policy.LeastInFlight:
+		return n
+	}
+	return min(n, tune.Sample)
+}
+
+// weigh compares one upstream with the best so far.
+func (p *Pool) weigh(now time.Time, c *call.Call, tried []string, s *server, best *candidate, ch *choice.Choice) {
+	trial, ok := p.admit(now, c, tried, s, ch)
+	if !ok {
+		return
+	}
+	score := p.score(now, s)
+	if best.server == nil || score < best.score {
+		*best = candidate{s, score, trial}
+	}
+}
+
+// admit applies the filters in order and counts what they stop.
+func (p *Pool) admit(now time.Time, c *call.Call, tried []string, s *server, ch *choice.Choice) (trial, ok bool) {
+	if slices.Contains(tried, s.target.Name) {
+		ch.Tried++
+		return false, false
+	}
+	if now.Before(s.leaveUntil) {
+		ch.Leaving++
+		return false, false
+	}
+	if s.cold(now) && !s.credited(p, now, c) {
+		ch.Cold++
+		return false, false
+	}
+	pass, trial := s.circuit.Allows(now)
+	if !pass {
+		ch.Open++
+		return false, false
+	}
+	if s.own >= p.connLimit() {
+		ch.Conns++
+		return false, false
+	}
+	if p.full(now, c, s) {
+		ch.Busy++
+		return false, false
+	}
+	return trial, true
+}
+
+// connLimit is this entry's part of the connections that an upstream takes.
+func (p *Pool) connLimit() int {
+	return max(1, p.fleet.Service.Conns/max(1, p.fleet.Entries))
+}
+
+// full reports whether an upstream has as much work as it should get from calls of this class.
+func (p *Pool) full(now time.Time, c *call.Call, s *server) bool {
+	if p.policy != policy.Predicted {
+		return false
+	}
+	limit := p.fleet.Service.Slots + tune.Backlog
+	if c.Class == class.Bulk {
+		limit = max(1, p.fleet.Service.Slots-1)
+	}
+	return int(s.load(p, now)) >= limit
+}
+
+// score predicts the time until an upstream answers, or ranks it as the policy does.
+func (p *Pool) score(now time.Time, s *server) time.Duration {
+	switch p.policy {
+	case policy.Random:
+		return 0
+	case policy.RoundRobin:
+		return time.Duration(s.turn)
+	case policy.LeastInFlight, policy.TwoChoices:
+		return time.Duration(s.own)
+	}
+	run := s.runTime(p, now)
+	slots := float64(p.fleet.Service.Slots)
+	wait := s.load(p, now) + 1 - slots
+	if wait < 0 {
+		wait = 0
+	}
+	ahead := wait/slots + tieBreak*s.load(p, now)/slots
+	return run + time.Duration(ahead*float64(run)) + 2*s.target.Delay
+}
+
+// tieBreak spreads calls over upstreams that are all predicted to have a free slot.
+const tieBreak = 0.25
--- /dev/null
+++ b/pkg/pool/doc.go
@@ -0,0 +1,2 @@
+// Package pool chooses upstreams for the calls of one service and keeps what this entry knows of them.
+package pool
--- /dev/null
+++ b/pkg/pool/pool.go
@@ -0,0 +1,280 @@
+package pool
+
+import (
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/balsamvale/balsamvale/pkg/budget"
+	"github.com/balsamvale/balsamvale/pkg/call"
+	"github.com/balsamvale/balsamvale/pkg/cause"
+	"github.com/balsamvale/balsamvale/pkg/choice"
+	"github.com/balsamvale/balsamvale/pkg/class"
+	"github.com/balsamvale/balsamvale/pkg/credit"
+	"github.com/balsamvale/balsamvale/pkg/fact"
+	"github.com/balsamvale/balsamvale/pkg/fleet"
+	"github.com/balsamvale/balsamvale/pkg/policy"
+	"github.com/balsamvale/balsamvale/pkg/queue"
+	"github.com/balsamvale/balsamvale/pkg/reason"
+	"github.com/balsamvale/balsamvale/pkg/result"
+	"github.com/balsamvale/balsamvale/pkg/stage"
+	"github.com/balsamvale/balsamvale/pkg/tune"
+)
+
+// Pool is the traffic state of one service in one entry; it is safe for concurrent use.
+type Pool struct {
+	// Note, when set, is told what the pool learns about an upstream; it must not block.
+	Note func(fact.Fact)
+
+	mu     sync.Mutex
+	rand   *rand.Rand
+	policy policy.Policy
+	now    time.Time
+	fleet  *fleet.Fleet
+	ups    []*server
+	byName map[string]*server
+	groups []group
+	queue  *queue.Queue[*waiter]
+	budget *budget.Budget
+	// others is the average number of other entries' calls at an upstream.
+	others float64
+	// run is the average run time of the service.
+	run time.Duration
+	// gap is the average time between ends of this entry's calls.
+	gap     time.Duration
+	lastEnd time.Time
+	// facts and woken are passed on once the lock is free.
+	facts []fact.Fact
+	woken []*waiter
+}
+
+// group is the set of upstreams that may get work, by version.
+type group struct {
+	version string
+	weight  int
+	members []*server
+	total   int
+}
+
+// New returns a pool without upstreams.
+func New(rnd *rand.Rand, p policy.Policy) *Pool {
+	return &Pool{
+		rand:   rnd,
+		policy: p,
+		byName: map[string]*server{},
+		queue:  queue.New[*waiter](),
+		budget: budget.New(tune.RetryBurst),
+		run:    tune.RunFirst,
+	}
+}
+
+// Install puts a new view of the service in force and keeps what is known of its upstreams.
+func (p *Pool) Install(now time.Time, f *fleet.Fleet) {
+	p.mu.Lock()
+	defer p.unlock()
+	p.step(now)
+	p.fleet = f
+	old := p.byName
+	p.byName = make(map[string]*server, len(f.Targets))
+	p.ups = make([]*server, 0, len(f.Targets))
+	for i := range f.Targets {
+		t := &f.Targets[i]
+		s := old[t.Name]
+		if s == nil || s.target.Addr != t.Addr {
+			s = &server{}
+		}
+		s.install(p, t)
+		p.byName[t.Name] = s
+		p.ups = append(p.ups, s)
+	}
+	p.regroup()
+}
+
+// regroup sorts the upstreams that may get work by version.
+func (p *Pool) regroup() {
+	p.groups = p.groups[:0]
+	if len(p.fleet.Shares) == 0 {
+		p.groups = append(p.groups, group{weight: fullShare})
+	}
+	for _, sh := range p.fleet.Shares {
+		p.groups = append(p.groups, group{version: sh.Version, weight: sh.Weight})
+	}
+	for _, s := range p.ups {
+		for i := range p.groups {
+			g := &p.groups[i]
+			if g.version != "" && g.version != s.target.Version {
+				continue
+			}
+			g.total++
+			if s.open() {
+				g.members = append(g.members, s)
+			}
+		}
+	}
+}
+
+// Pick decides where a call goes and, when that is an upstream, counts it as in flight there.
+//
+// When the choice is to wait, wake is called once with the later choice, unless Leave came first.
+func (p *Pool) Pick(now time.Time, c *call.Call, tried []string, wake func(choice.Choice)) choice.Choice {
+	p.mu.Lock()
+	defer p.unlock()
+	now = p.step(now)
+	if p.fleet == nil {
+		return refusal(now, reason.Absent)
+	}
+	if len(tried) == 0 {
+		p.budget.Earn(p.fleet.Service.Retry)
+	}
+	if len(tried) == 0 && p.behind(c) {
+		return p.enqueue(now, c, tried, wake, choice.Choice{At: now})
+	}
+	ch := p.choose(now, c, tried)
+	if ch.Stage != stage.Wait {
+		return ch
+	}
+	return p.enqueue(now, c, tried, wake, ch)
+}
+
+// behind reports whether calls of the same or a higher class are waiting already.
+func (p *Pool) behind(c *call.Call) bool {
+	if p.queue.Len() == 0 {
+		return false
+	}
+	if _, ok := p.queue.Peek(class.Interactive); ok {
+		return true
+	}
+	return c.Class == class.Bulk
+}
+
+// Retry takes one retry from the service's budget and reports whether there was one.
+func (p *Pool) Retry() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.budget.Spend()
+}
+
+// Heard learns from the head of an answer, or from the lack of one.
+func (p *Pool) Heard(now time.Time, ch *choice.Choice, r *result.Result) {
+	p.mu.Lock()
+	defer p.unlock()
+	now = p.step(now)
+	s := p.byName[ch.Target.Name]
+	if s == nil {
+		return
+	}
+	s.learn(p, now, ch, r)
+}
+
+// End releases the place of a call that Pick counted, and lets waiting calls move up.
+func (p *Pool) End(now time.Time, ch *choice.Choice) {
+	p.mu.Lock()
+	defer p.unlock()
+	now = p.step(now)
+	p.ended(now)
+	if s := p.byName[ch.Target.Name]; s != nil {
+		s.release(ch)
+	}
+	p.pump(now)
+}
+
+// ended updates the average time between ends of calls.
+func (p *Pool) ended(now time.Time) {
+	if !p.lastEnd.IsZero() {
+		p.gap += time.Duration(tune.RunWeight * float64(now.Sub(p.lastEnd)-p.gap))
+	}
+	p.lastEnd = now
+}
+
+// Probed learns from a probe of an upstream; r is nil when the probe failed.
+func (p *Pool) Probed(now time.Time, upstream string, r *result.Result) {
+	p.mu.Lock()
+	defer p.unlock()
+	now = p.step(now)
+	s := p.byName[upstream]
+	if s == nil {
+		return
+	}
+	s.hear(p, now, r.Report)
+	if r.Cause != cause.None {
+		s.circuit.Fail(now)
+	}
+}
+
+// Merge takes over what another entry found out about an upstream.
+func (p *Pool) Merge(now time.Time, f fact.Fact) {
+	p.mu.Lock()
+	defer p.unlock()
+	now = p.step(now)
+	if s := p.byName[f.Subject]; s != nil {
+		s.merge(p, now, f)
+	}
+}
+
+// Grant adds credits for a cold upstream and lets waiting calls use them.
+func (p *Pool) Grant(now time.Time, upstream string, boot uint64, cs []credit.Credit) {
+	p.mu.Lock()
+	defer p.unlock()
+	now = p.step(now)
+	s := p.byName[upstream]
+	if s != nil && s.boot == boot {
+		s.wallet.Add(cs...)
+	}
+	p.pump(now)
+}
+
+// Wants lists the cold upstreams that lack credits, through visit.
+func (p *Pool) Wants(now time.Time, visit func(upstream string, boot uint64, want int, back []uint64)) {
+	p.mu.Lock()
+	defer p.unlock()
+	now = p.step(now)
+	for _, s := range p.ups {
+		want, back := s.wallet.Wanted()
+		if !s.cold(now) {
+			want = 0
+		}
+		if want > 0 || len(back) > 0 {
+			visit(s.target.Name, s.boot, want, back)
+		}
+	}
+}
+
+// Stale returns the age of the newest report of an upstream, and whether it needs proof of its state.
+func (p *Pool) Stale(now time.Time, upstream string) (age time.Duration, doubt bool) {
+	p.mu.Lock()
+	defer p.unlock()
+	now = p.step(now)
+	s := p.byName[upstream]
+	if s == nil {
+		return 0, false
+	}
+	return now.Sub(s.heardAt), s.cold(now) || s.circuit.Open()
+}
+
+// step keeps time from going backwards, whatever the caller passes.
+func (p *Pool) step(now time.Time) time.Time {
+	if now.After(p.now) {
+		p.now = now
+	}
+	return p.now
+}
+
+// unlock gives the lock back and then passes on news and choices, which may take their time.
+func (p *Pool) unlock() {
+	facts, woken := p.facts, p.woken
+	p.facts, p.woken = nil, nil
+	p.mu.Unlock()
+	for _, w := range woken {
+		w.wake(w.later)
+	}
+	if p.Note == nil {
+		return
+	}
+	for _, f := range facts {
+		p.Note(f)
+	}
+}
+
+func refusal(now time.Time, why reason.Reason) choice.Choice {
+	return choice.Choice{Stage: stage.Refuse, Reason: why, At: now}
+}
--- /dev/null
+++ b/pkg/pool/server.go
@@ -0,0 +1,239 @@
+package pool
+
+import (
+	"math"
+	"slices"
+	"time"
+
+	"github.com/balsamvale/balsamvale/pkg/call"
+	"github.com/balsamvale/balsamvale/pkg/cause"
+	"github.com/balsamvale/balsamvale/pkg/choice"
+	"github.com/balsamvale/balsamvale/pkg/circ"
+	"github.com/balsamvale/balsamvale/pkg/class"
+	"github.com/balsamvale/balsamvale/pkg/fact"
+	"github.com/balsamvale/balsamvale/pkg/report"
+	"github.com/balsamvale/balsamvale/pkg/result"
+	"github.com/balsamvale/balsamvale/pkg/target"
+	"github.com/balsamvale/balsamvale/pkg/topic"
+	"github.com/balsamvale/balsamvale/pkg/tune"
+	"github.com/balsamvale/balsamvale/pkg/wallet"
+)
+
+// server is what this entry knows of one upstream.
+type server struct {
+	target target.Target
+	// own is the number of this entry's calls in flight.
+	own int
+	// starts are the times at which the interactive ones among them were sent.
+	starts []time.Time
+	turn   int
+
+	run   time.Duration
+	runAt time.Time
+	fails float64
+
+	// busy and busyOwn are from the last report, and heardAt is its time.
+	busy    int
+	busyOwn int
+	heardAt time.Time
+
+	boot       uint64
+	started    time.Time
+	coldUntil  time.Time
+	leaveUntil time.Time
+	circuit    circ.Breaker
+	wallet     wallet.Wallet
+}
+
+func (s *server) install(p *Pool, t *target.Target) {
+	if s.target.Name == "" {
+		s.run = p.run
+		s.busyOwn = -1
+	}
+	if t.Cold.After(s.coldUntil) && (t.Boot == 0 || t.Boot != s.boot || s.target.Cold != t.Cold) {
+		s.coldUntil = t.Cold
+	}
+	s.target = *t
+}
+
+func (s *server) open() bool { return s.target.Open() }
+
+func (s *server) cold(now time.Time) bool { return now.Before(s.coldUntil) }
+
+// credited reports whether a call may go to the cold upstream, and counts the demand if not.
+func (s *server) credited(p *Pool, now time.Time, c *call.Call) bool {
+	if c.Class == class.Bulk {
+		return false
+	}
+	if s.wallet.Has(now, s.need(p, now, c)) {
+		return true
+	}
+	s.wallet.Miss()
+	return false
+}
+
+// need is how long a credit must stay valid for a call.
+func (s *server) need(p *Pool, now time.Time, c *call.Call) time.Duration {
+	left := min(p.fleet.Service.Timeout, c.Left(now, p.fleet.Service.Timeout))
+	if c.Repeat {
+		return min(left, tune.CreditLife/2)
+	}
+	return left
+}
+
+func (s *server) reserve(now time.Time, bulk bool) {
+	s.own++
+	s.turn++
+	if !bulk {
+		s.starts = append(s.starts, now)
+	}
+}
+
+func (s *server) release(ch *choice.Choice) {
+	s.own = max(0, s.own-1)
+	if i := slices.Index(s.starts, ch.At); i >= 0 {
+		s.starts = slices.Delete(s.starts, i, i+1)
+	}
+	if ch.Credit != 0 {
+		s.wallet.Back(ch.Credit)
+	}
+}
+
+// load predicts the calls at the upstream: own ones, and others' by the age of the last report.
+func (s *server) load(p *Pool, now time.Time) float64 {
+	if s.heardAt.IsZero() {
+		return float64(s.own) + p.others
+	}
+	w := math.Exp(-float64(now.Sub(s.heardAt)) / float64(tune.ReportDecay))
+	seen := float64(max(0, s.busy-s.busyOwn))
+	return float64(s.own) + w*seen + (1-w)*p.others
+}
+
+// runTime predicts how long a call runs, from answers and from calls that are overdue.
+func (s *server) runTime(p *Pool, now time.Time) time.Duration {
+	w := math.Exp(-float64(now.Sub(s.runAt)) / float64(tune.RunForget))
+	run := p.run + time.Duration(w*float64(s.run-p.run))
+	if len(s.starts) > 0 {
+		run = max(run, now.Sub(s.starts[0])/tune.Overdue)
+	}
+	if s.fails > 0 {
+		run = time.Duration(float64(run) / max(1-s.fails, minSuccess))
+	}
+	return run
+}
+
+// minSuccess bounds how far failures can raise the predicted run time.
+const minSuccess = 0.05
+
+// learn takes in the end of an attempt.
+func (s *server) learn(p *Pool, now time.Time, ch *choice.Choice, r *result.Result) {
+	if r.Report != nil {
+		s.hear(p, now, r.Report)
+		s.busyOwn = s.own - 1
+	}
+	switch r.Cause {
+	case cause.Canceled:
+		s.circuit.Cancel()
+	case cause.Shed:
+		s.circuit.Cancel()
+		s.fails += tune.FailWeight * (1 - s.fails)
+	case cause.None:
+		s.circuit.Succeed()
+		s.fails -= tune.FailWeight * s.fails
+		if !ch.Bulk {
+			s.observe(p, now, r.Took)
+		}
+	default:
+		s.circuit.Fail(now)
+		s.fails += tune.FailWeight * (1 - s.fails)
+	}
+}
+
+// observe takes the time of one answer into the averages.
+func (s *server) observe(p *Pool, now time.Time, took time.Duration) {
+	run := max(0, took-2*s.target.Delay)
+	over := float64(s.busy+1) / float64(p.fleet.Service.Slots)
+	if over > 1 && s.heardAt.Equal(now) {
+		run = time.Duration(float64(run) / over)
+	}
+	w := math.Exp(-float64(now.Sub(s.runAt)) / float64(tune.RunForget))
+	base := p.run + time.Duration(w*float64(s.run-p.run))
+	s.run = base + time.Duration(tune.RunWeight*float64(run-base))
+	s.runAt = now
+	p.run += time.Duration(tune.RunWeight / float64(len(p.ups)) * float64(run-p.run))
+}
+
+// hear takes in a load report.
+func (s *server) hear(p *Pool, now time.Time, r *report.Report) {
+	if r == nil {
+		return
+	}
+	if !s.identify(p, now, r) {
+		return
+	}
+	s.busy, s.busyOwn, s.heardAt = r.Busy, s.own, now
+	p.others += tune.RunWeight / float64(len(p.ups)) * (float64(max(0, s.busy-s.busyOwn)) - p.others)
+	if r.Leave && !now.Before(s.leaveUntil) {
+		s.leaveUntil = now.Add(tune.LeaveLife)
+		p.tell(fact.Fact{Topic: topic.Leaving, Subject: s.target.Name, Until: s.leaveUntil})
+	}
+}
+
+// identify follows the start identity, and reports whether the report is of the current start.
+func (s *server) identify(p *Pool, now time.Time, r *report.Report) bool {
+	if r.Boot == 0 {
+		return true
+	}
+	started := now.Add(-r.Age)
+	if r.Boot != s.boot {
+		if s.boot != 0 && started.Before(s.started) {
+			return false
+		}
+		known := s.boot != 0
+		s.boot, s.started = r.Boot, started
+		s.wallet.Clear()
+		if known || s.cold(now) || r.Cold {
+			s.chill(p, now, r)
+		}
+		return true
+	}
+	if r.Cold && !s.cold(now) {
+		s.chill(p, now, r)
+	}
+	if !r.Cold && r.Age >= p.fleet.Service.Warm {
+		s.coldUntil = time.Time{}
+	}
+	return true
+}
+
+// chill marks the upstream cold for the rest of its warm-up and tells the other entries.
+func (s *server) chill(p *Pool, now time.Time, r *report.Report) {
+	left := p.fleet.Service.Warm - r.Age
+	if r.Cold {
+		left = max(left, p.fleet.Service.Warm/2)
+	}
+	if left <= 0 {
+		s.coldUntil = time.Time{}
+		return
+	}
+	s.coldUntil = now.Add(left)
+	p.tell(fact.Fact{Topic: topic.Cold, Subject: s.target.Name, Value: s.boot, Until: s.coldUntil})
+}
+
+// merge takes in another entry's news.
+func (s *server) merge(p *Pool, now time.Time, f fact.Fact) {
+	switch f.Topic {
+	case topic.Cold:
+		if f.Value == s.boot || !f.Until.After(now) {
+			return
+		}
+		s.boot, s.started = f.Value, f.Until.Add(-p.fleet.Service.Warm)
+		s.coldUntil = f.Until
+		s.wallet.Clear()
+	case topic.Leaving:
+		s.leaveUntil = f.Until
+	}
+}
+
+// tell keeps news until the lock is given back.
+func (p *Pool) tell(f fact.Fact) { p.facts = append(p.facts, f) }
--- /dev/null
+++ b/pkg/probe/doc.go
@@ -0,0 +1,2 @@
+// Package probe spends the measuring budget of upstreams.
+package probe
--- /dev/null
+++ b/pkg/progrs/doc.go
@@ -0,0 +1,2 @@
+// Package progrs describes how far a move has come.
+package progrs
--- /dev/null
+++ b/pkg/queue/doc.go
@@ -0,0 +1,2 @@
+// Package queue orders the calls that wait for an upstream.
+package queue
--- /dev/null
+++ b/pkg/reason/doc.go
@@ -0,0 +1,2 @@
+// Package reason names why a routing decision came out as it did.
+package reason
--- /dev/null
+++ b/pkg/record/doc.go
@@ -0,0 +1,2 @@
+// Package record holds any one record that operators write.
+package record
--- /dev/null
+++ b/pkg/reject/doc.go
@@ -0,0 +1,2 @@
+// Package reject describes a record that was not put in force.
+package reject
--- /dev/null
+++ b/pkg/repeat/doc.go
@@ -0,0 +1,2 @@
+// Package repeat says which calls may be sent again.
+package repeat
--- /dev/null
+++ b/pkg/reply/doc.go
@@ -0,0 +1,2 @@
+// Package reply describes the outcome of a store call.
+package reply
--- /dev/null
+++ b/pkg/report/doc.go
@@ -0,0 +1,2 @@
+// Package report describes the load that an upstream reports.
+package report
--- /dev/null
+++ b/pkg/result/doc.go
@@ -0,0 +1,2 @@
+// Package result describes how one attempt ended.
+package result
--- /dev/null
+++ b/pkg/rumor/doc.go
@@ -0,0 +1,2 @@
+// Package rumor keeps the facts that entries tell each other.
+package rumor
--- /dev/null
+++ b/pkg/rumor/rumor.go
@@ -0,0 +1,71 @@
+package rumor
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/balsamvale/balsamvale/pkg/fact"
+	"github.com/balsamvale/balsamvale/pkg/topic"
+)
+
+// Rumor is the set of live facts; control owns it.
+type Rumor struct {
+	facts map[ident]fact.Fact
+}
+
+type ident struct {
+	topic   topic.Topic
+	subject string
+	from    string
+}
+
+// New returns a set without facts.
+func New() *Rumor { return &Rumor{facts: map[ident]fact.Fact{}} }
+
+// Add takes in a fact, and reports whether it is news.
+func (r *Rumor) Add(now time.Time, f fact.Fact) bool {
+	if !f.Until.After(now) {
+		return false
+	}
+	id := ident{f.Topic, f.Subject, ""}
+	if f.Topic == topic.Poison {
+		id.from = f.From
+	}
+	old, ok := r.facts[id]
+	if ok && old.Until.After(now) && old.Value == f.Value {
+		return false
+	}
+	if ok && f.Topic == topic.Poison && old.Until.After(now) && old.Value > f.Value {
+		return false
+	}
+	r.facts[id] = f
+	return true
+}
+
+// Has reports whether a live fact about a subject is known.
+func (r *Rumor) Has(now time.Time, t topic.Topic, subject string) bool {
+	f, ok := r.facts[ident{t, subject, ""}]
+	return ok && f.Until.After(now)
+}
+
+// Live returns up to most facts, the most lasting effects first.
+func (r *Rumor) Live(now time.Time, most int) []fact.Fact {
+	var out []fact.Fact
+	for id, f := range r.facts {
+		if !f.Until.After(now) {
+			delete(r.facts, id)
+			continue
+		}
+		out = append(out, f)
+	}
+	slices.SortFunc(out, func(a, b fact.Fact) int {
+		return cmp.Or(
+			cmp.Compare(b.Topic, a.Topic),
+			b.Until.Compare(a.Until),
+			cmp.Compare(a.Subject, b.Subject),
+			cmp.Compare(a.From, b.From),
+		)
+	})
+	return out[:min(most, len(out))]
+}
--- /dev/null
+++ b/pkg/share/doc.go
@@ -0,0 +1,2 @@
+// Package share weighs the versions of a service.
+package share
--- /dev/null
+++ b/pkg/share/share.go
@@ -0,0 +1,8 @@
+package share
+
+// Share is the part of a service's calls that one version gets.
+type Share struct {
+	Version string
+	// Weight is the part in thousandths.
+	Weight int
+}
--- /dev/null
+++ b/pkg/signal/doc.go
@@ -0,0 +1,2 @@
+// Package signal names the kinds of events that control takes.
+package signal
--- /dev/null
+++ b/pkg/snap/doc.go
@@ -0,0 +1,2 @@
+// Package snap holds the immutable configuration that traffic reads.
+package snap
--- /dev/null
+++ b/pkg/snap/snapshot.go
@@ -0,0 +1,9 @@
+package snap
+
+import "github.com/balsamvale/balsamvale/pkg/fleet"
+
+// Snapshot is the configuration in force at one revision.
+type Snapshot struct {
+	Revision int64
+	Fleets   map[string]*fleet.Fleet
+}
--- /dev/null
+++ b/pkg/stage/doc.go
@@ -0,0 +1,2 @@
+// Package stage names the steps of a call.
+package stage
--- /dev/null
+++ b/pkg/state/doc.go
@@ -0,0 +1,2 @@
+// Package state names how far a claimed call has come.
+package state
--- /dev/null
+++ b/pkg/status/doc.go
@@ -0,0 +1,2 @@
+// Package status describes what is in force on an entry.
+package status
--- /dev/null
+++ b/pkg/step/step.go
@@ -0,0 +1,25 @@
+package step
+
+import (
+	"time"
+
+	"github.com/balsamvale/balsamvale/pkg/choice"
+	"github.com/balsamvale/balsamvale/pkg/fate"
+	"github.com/balsamvale/balsamvale/pkg/reason"
+	"github.com/balsamvale/balsamvale/pkg/stage"
+)
+
+// Step is one instruction of a flow to its driver.
+type Step struct {
+	Stage stage.Stage
+	// Attempt numbers the attempt to send or to deliver.
+	Attempt int
+	// Choice is the routing decision behind Send and Refuse.
+	Choice choice.Choice
+	// Alarm is when the driver calls Alarm unless something else happens first; zero for never.
+	Alarm  time.Time
+	Fate   fate.Fate
+	Reason reason.Reason
+	// Final is set when the caller should not retry.
+	Final bool
+}
--- /dev/null
+++ b/pkg/svcrec/doc.go
@@ -0,0 +1,2 @@
+// Package svcrec describes a service as operators write it.
+package svcrec
--- /dev/null
+++ b/pkg/svcrec/service.go
@@ -0,0 +1,46 @@
+package svcrec
+
+import (
+	"strings"
+	"time"
+
+	"github.com/balsamvale/balsamvale/pkg/route"
+)
+
+// Service is a group of upstreams that answer the same requests.
+type Service struct {
+	Name string
+	// Slots is the number of calls that one upstream runs at once.
+	Slots int
+	// Conns is the number of connections that one upstream takes from all entries.
+	Conns   int
+	Timeout time.Duration
+	// Cold is the number of calls at once that a cold upstream bears.
+	Cold int
+	Warm time.Duration
+	// Budget is the number of probes a second that one upstream may cost.
+	Budget int
+	// Retry is the number of retries for each hundred calls.
+	Retry int
+	// Queue is the number of calls that may wait in one entry.
+	Queue  int
+	Routes []route.Route
+}
+
+// Route returns the rules for a path: those of the longest prefix that matches.
+func (s *Service) Route(path string) route.Route {
+	best := route.Route{Path: "/"}
+	for _, r := range s.Routes {
+		if covers(r.Path, path) && len(r.Path) >= len(best.Path) {
+			best = r
+		}
+	}
+	return best
+}
+
+func covers(prefix, path string) bool {
+	if !strings.HasPrefix(path, prefix) {
+		return false
+	}
+	return len(path) == len(prefix) || strings.HasSuffix(prefix, "/") || path[len(prefix)] == '/'
+}
--- /dev/null
+++ b/pkg/target/doc.go
@@ -0,0 +1,2 @@
+// Package target describes an upstream as the traffic side sees it.
+package target
--- /dev/null
+++ b/pkg/tenure/doc.go
@@ -0,0 +1,2 @@
+// Package tenure describes which entry holds a shard of the duties.
+package tenure
--- /dev/null
+++ b/pkg/topic/doc.go
@@ -0,0 +1,2 @@
+// Package topic names what entries tell each other.
+package topic
--- /dev/null
+++ b/pkg/tune/constants.go
@@ -0,0 +1,137 @@
+package tune
+
+import "time"
+
+// Choosing an upstream.
+const (
+	// Sample is the number of upstreams that one choice compares.
+	Sample = 6
+	// ReportDecay is the time in which the weight of a load report falls to 1/e.
+	ReportDecay = 40 * time.Millisecond
+	// RunWeight is the weight of a new run time in the moving average.
+	RunWeight = 0.1
+	// RunFirst is the assumed run time of an upstream that has not answered yet.
+	RunFirst = 5 * time.Millisecond
+	// Overdue is how many run times a call may take before its age counts as evidence.
+	Overdue = 3
+	// RunForget is the time in which an old run time falls back to that of the service.
+	RunForget = time.Second
+	// FailWeight is the weight of a new outcome in the moving failure rate.
+	FailWeight = 0.2
+	// Backlog is the number of calls beyond its slots that an upstream is predicted to bear.
+	Backlog = 8
+)
+
+// Attempts of one call.
+const (
+	// MaxAttempts bounds the upstreams that one call is sent to.
+	MaxAttempts = 4
+	// MaxDepth is the number of nested services after which nothing is retried.
+	MaxDepth = 16
+	// HedgeFloor is the shortest delay before a second attempt runs beside the first.
+	HedgeFloor = 10 * time.Millisecond
+	// HedgeRuns is the delay of a hedge in run times of the upstream.
+	HedgeRuns = 6
+	// RetryBurst is the number of retries that a service saves up for.
+	RetryBurst = 20
+	// QueuePoll is the interval at which waiting calls look for an upstream anew.
+	QueuePoll = 2 * time.Millisecond
+	// MinWork is the shortest remaining time with which a call is worth sending.
+	MinWork = time.Millisecond
+)
+
+// Circuits, crashes and connections.
+const (
+	// OpenFailures is the number of failures in a row that opens a circuit.
+	OpenFailures = 3
+	// OpenFirst is the first time that a circuit stays open.
+	OpenFirst = 200 * time.Millisecond
+	// OpenMost is the longest time that a circuit stays open.
+	OpenMost = 5 * time.Second
+	// MaxCrashes is the number of upstreams that one fingerprint may crash.
+	MaxCrashes = 2
+	// PoisonLife is how long a fingerprint stays refused.
+	PoisonLife = time.Minute
+	// ProvenLive is the age up to which the last byte read proves a connection live.
+	ProvenLive = 500 * time.Millisecond
+	// IdleConn is how long an unused connection is kept.
+	IdleConn = 10 * time.Second
+	// DialTimeout bounds the opening of a connection.
+	DialTimeout = time.Second
+	// ReplayBody is the largest request body in bytes that is kept for a second attempt.
+	ReplayBody = 64 << 10
+)
+
+// Duties, credits and probes.
+const (
+	// Shards is the number of parts into which the duties are split.
+	Shards = 32
+	// LeaseTTL is the life of an entry's lease in the store.
+	LeaseTTL = 6 * time.Second
+	// LeaseRenew is the interval of lease renewals.
+	LeaseRenew = 2 * time.Second
+	// LeaseFleet is the number of entries from which leases grow longer with the fleet.
+	LeaseFleet = 32
+	// LeaseMargin is the part of a lease that its holder does not use.
+	LeaseMargin = time.Second
+	// CreditLife is how long a credit may be used, and so how long a new owner grants none.
+	CreditLife = 2 * time.Second
+	// CreditMost bounds the credits that one request may bring.
+	CreditMost = 4
+	// Watchers is the number of entries that watch the store; others hear from them.
+	Watchers = 24
+	// WatchLag is how long an entry hears nothing before it watches the store itself.
+	WatchLag = 5 * time.Second
+	// ProbeTimeout bounds a probe.
+	ProbeTimeout = time.Second
+	// ProbeIdle is the age of the last report at which a healthy upstream is probed.
+	ProbeIdle = 5 * time.Second
+	// LeaveLife is how long word of a leaving upstream lasts.
+	LeaveLife = 30 * time.Second
+)
+
+// Control and exchange.
+const (
+	// Tick is the interval of control's timer.
+	Tick = 50 * time.Millisecond
+	// Gossip is the interval of exchanges with a random peer.
+	Gossip = time.Second
+	// Fanout is the number of peers that urgent facts go to at once.
+	Fanout = 3
+	// FactsMost bounds the facts in one message.
+	FactsMost = 64
+	// ChangesMost bounds the changes in one message.
+	ChangesMost = 512
+	// Tombstones is the number of removed keys that are remembered.
+	Tombstones = 4096
+	// PageMost bounds the items in one page of a listing.
+	PageMost = 1000
+	// WatchWait is how long a watch waits for a change.
+	WatchWait = 10 * time.Second
+	// StoreTimeout bounds a store call other than a watch.
+	StoreTimeout = time.Second
+	// BackoffFirst and BackoffMost bound the pause after a failed store call.
+	BackoffFirst = 50 * time.Millisecond
+	// BackoffMost is the longest pause after a failed store call.
+	BackoffMost = 2 * time.Second
+	// PauseMost is the longest step of the clock that does not count as a pause.
+	PauseMost = time.Second
+	// PeerTimeout bounds an exchange.
+	PeerTimeout = time.Second
+	// ReportQueue is the number of reports that wait for control before more are dropped.
+	ReportQueue = 1024
+)
+
+// Claims of idempotency keys.
+const (
+	// Buckets is the number of store keys that the claims of a service share.
+	Buckets = 16
+	// ClaimLife is how long a claim and its answer are remembered.
+	ClaimLife = 10 * time.Minute
+	// ClaimTries bounds the compare-and-swaps that one group of claims may take.
+	ClaimTries = 8
+	// ClaimTimeout bounds the time for making a claim.
+	ClaimTimeout = 2 * time.Second
+	// AnswerMost is the largest answer body in bytes that a claim remembers.
+	AnswerMost = 4 << 10
+)
--- /dev/null
+++ b/pkg/upsrec/doc.go
@@ -0,0 +1,2 @@
+// Package upsrec describes an upstream as operators write it.
+package upsrec
--- /dev/null
+++ b/pkg/value/doc.go
@@ -0,0 +1,2 @@
+// Package value holds any one value that the control keys hold.
+package value
--- /dev/null
+++ b/pkg/what/doc.go
@@ -0,0 +1,2 @@
+// Package what names the placement decisions that are logged.
+package what
