--- /dev/null
+++ b/internal/back/back.go
@@ -0,0 +1,193 @@
+package back
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptrace"
+	"net/textproto"
+	"net/url"
+	"sync/atomic"
+	"time"
+
+	"github.com/balsamvale/balsamvale/internal/outreq"
+	"github.com/balsamvale/balsamvale/internal/wire"
+	"github.com/balsamvale/balsamvale/pkg/cause"
+	"github.com/balsamvale/balsamvale/pkg/clock"
+	"github.com/balsamvale/balsamvale/pkg/result"
+	"github.com/balsamvale/balsamvale/pkg/tune"
+)
+
+// Back holds the connections to upstreams; it is safe for concurrent use.
+type Back struct {
+	clock  clock.Clock
+	pooled *http.Transport
+	// fresh opens a connection for each attempt.
+	fresh *http.Transport
+}
+
+// idlePerHost bounds the idle connections to one upstream.
+const idlePerHost = 32
+
+// New returns a back without connections.
+func New(c clock.Clock) *Back {
+	b := &Back{clock: c}
+	b.pooled = b.transport()
+	b.fresh = b.transport()
+	b.fresh.DisableKeepAlives = true
+	return b
+}
+
+func (b *Back) transport() *http.Transport {
+	return &http.Transport{
+		DialContext:           b.dial,
+		MaxIdleConnsPerHost:   idlePerHost,
+		IdleConnTimeout:       tune.IdleConn,
+		DisableCompression:    true,
+		ExpectContinueTimeout: time.Second,
+	}
+}
+
+// dial opens a connection whose use is followed.
+func (b *Back) dial(ctx context.Context, network, addr string) (net.Conn, error) {
+	d := net.Dialer{Timeout: tune.DialTimeout}
+	c, err := d.DialContext(ctx, network, addr)
+	if err != nil {
+		return nil, err
+	}
+	return newConn(c, b.clock), nil
+}
+
+// trip follows one attempt through the transport.
+type trip struct {
+	back  *Back
+	req   *outreq.Request
+	conn  atomic.Pointer[conn]
+	start int64
+	stale bool
+}
+
+// Send makes an attempt and returns the head of the answer, or nil with the reason in the result.
+//
+// The caller closes the answer's body, and ends the context to give the attempt up.
+func (b *Back) Send(ctx context.Context, r *outreq.Request) (*http.Response, result.Result) {
+	tr := b.pooled
+	if !r.Repeat && !r.Buffered {
+		tr = b.fresh
+	}
+	res, out, stale := b.try(ctx, tr, r)
+	if stale && out.Cause == cause.Unsent && ctx.Err() == nil {
+		res, out, _ = b.try(ctx, b.fresh, r)
+	}
+	return res, out
+}
+
+// try makes an attempt over one transport, and reports whether a stale connection stopped it.
+func (b *Back) try(ctx context.Context, rt http.RoundTripper, r *outreq.Request) (*http.Response, result.Result, bool) {
+	t := &trip{back: b, req: r}
+	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
+		GotConn:        t.gotConn,
+		Got1xxResponse: t.early,
+	})
+	req := b.request(ctx, r)
+	res, err := rt.RoundTrip(req)
+	took := b.clock.Now().Sub(r.Sent)
+	if err != nil {
+		return nil, result.Result{Cause: t.failure(ctx), Took: took}, t.stale
+	}
+	out := judge(res, r.ID)
+	out.Took = took
+	if out.Cause == cause.Mismatch {
+		_ = res.Body.Close()
+		return nil, out, false
+	}
+	return res, out, false
+}
+
+// request builds the outgoing request.
+func (b *Back) request(ctx context.Context, r *outreq.Request) *http.Request {
+	u := &url.URL{Scheme: "http", Host: r.Addr.String()}
+	req := &http.Request{
+		Method: r.Method, URL: u, Host: r.Host, Header: r.Header.Clone(),
+		Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1,
+	}
+	if parsed, err := url.ParseRequestURI(r.Target); err == nil {
+		u.Path, u.RawPath, u.RawQuery = parsed.Path, parsed.RawPath, parsed.RawQuery
+	}
+	req.Header.Set(wire.Attempt, r.ID)
+	// net/http repeats requests that carry this header by its usual name; the other
+	// spelling means the same to the upstream and keeps repeats to this package.
+	if key, ok := req.Header[wire.Key]; ok {
+		delete(req.Header, wire.Key)
+		req.Header["idempotency-key"] = key
+	}
+	if r.Buffered {
+		req.ContentLength = int64(len(r.Body))
+		req.Body = &once{Reader: bytes.NewReader(r.Body)}
+	} else {
+		req.ContentLength = r.Length
+		req.Body = r.Stream
+		req.Trailer = r.Trailer
+	}
+	return req.WithContext(ctx)
+}
+
+// once is a body that net/http cannot send twice, so that it never repeats a request by itself.
+type once struct{ io.Reader }
+
+func (*once) Close() error { return nil }
+
+// gotConn refuses a connection that was not proven live lately to a call that must not repeat.
+func (t *trip) gotConn(info httptrace.GotConnInfo) {
+	c, ok := info.Conn.(*conn)
+	if !ok {
+		return
+	}
+	t.conn.Store(c)
+	t.start = c.written.Load()
+	if info.Reused && !t.req.Repeat && c.quiet() > tune.ProvenLive {
+		t.stale = true
+		_ = c.Close()
+	}
+}
+
+func (t *trip) early(code int, h textproto.MIMEHeader) error {
+	if t.req.Early != nil && code != http.StatusContinue {
+		t.req.Early(code, http.Header(h))
+	}
+	return nil
+}
+
+// failure says how an attempt without an answer ended.
+func (t *trip) failure(ctx context.Context) cause.Cause {
+	c := t.conn.Load()
+	if c == nil || c.written.Load() == t.start {
+		return cause.Unsent
+	}
+	switch {
+	case errors.Is(ctx.Err(), context.DeadlineExceeded):
+		return cause.Timeout
+	case ctx.Err() != nil, t.req.Failed != nil && t.req.Failed():
+		return cause.Canceled
+	}
+	return cause.Broken
+}
+
+// judge reads the head of an answer.
+func judge(res *http.Response, id string) result.Result {
+	out := result.Result{Status: res.StatusCode, Report: wire.ParseReport(res.Header.Get(wire.Load))}
+	out.Final = res.Header.Get(wire.Retry) == wire.RetryNo
+	echo := res.Header.Get(wire.Attempt)
+	switch {
+	case echo != "" && echo != id:
+		out.Cause = cause.Mismatch
+	case res.StatusCode >= 500 && res.Header.Get(wire.Run) == wire.RunNone:
+		out.Cause = cause.Shed
+	case res.StatusCode >= 500:
+		out.Cause = cause.Error
+	}
+	return out
+}
--- /dev/null
+++ b/internal/back/conn.go
@@ -0,0 +1,50 @@
+package back
+
+import (
+	"net"
+	"sync/atomic"
+	"time"
+
+	"github.com/balsamvale/balsamvale/pkg/clock"
+)
+
+// conn counts what it writes and remembers when it last read.
+type conn struct {
+	net.Conn
+	clock   clock.Clock
+	written atomic.Int64
+	readAt  atomic.Pointer[time.Time]
+}
+
+func newConn(c net.Conn, cl clock.Clock) *conn {
+	out := &conn{Conn: c, clock: cl}
+	out.mark()
+	return out
+}
+
+func (c *conn) mark() {
+	now := c.clock.Now()
+	c.readAt.Store(&now)
+}
+
+// quiet returns the time since the last byte that was read.
+func (c *conn) quiet() time.Duration { return c.clock.Now().Sub(*c.readAt.Load()) }
+
+// Read marks the connection as live.
+func (c *conn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	if n > 0 {
+		c.mark()
+	}
+	return n, err
+}
+
+// Write counts bytes before they go out, so that a count of none is sure.
+func (c *conn) Write(p []byte) (int, error) {
+	c.written.Add(1)
+	n, err := c.Conn.Write(p)
+	if n == 0 && err != nil {
+		c.written.Add(-1)
+	}
+	return n, err
+}
--- /dev/null
+++ b/internal/back/doc.go
@@ -0,0 +1,2 @@
+// Package back sends attempts to upstreams.
+package back
--- /dev/null
+++ b/internal/claims/doc.go
@@ -0,0 +1,2 @@
+// Package claims claims idempotency keys in the platform's service.
+package claims
--- /dev/null
+++ b/internal/cmds/demo.go
@@ -0,0 +1,80 @@
+package cmds
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"os"
+	"strings"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"github.com/urfave/cli/v3"
+
+	"github.com/balsamvale/balsamvale/internal/demo"
+)
+
+// Sizes of a demo.
+const (
+	demoEntries = 4
+	demoCallers = 16
+	demoLongest = 10 * time.Minute
+)
+
+func (a *App) demo() *cli.Command {
+	return &cli.Command{
+		Name: "demo", Usage: "run a store, upstreams, entries and callers on loopback",
+		Description: example("demo --for 5s") + "\n   balsamvale demo --for 12s --fault domain-out",
+		Flags: []cli.Flag{
+			&cli.DurationFlag{Name: "for", Value: 5 * time.Second, Usage: "how long callers make calls"},
+			&cli.StringFlag{Name: "fault", Usage: "what goes wrong after a third of the time"},
+			&cli.BoolFlag{Name: "faults", Usage: "list the faults"},
+			&cli.StringFlag{Name: "logs", Usage: "file for the entries' logs"},
+			outputFlag(),
+		},
+		Action: a.doDemo,
+	}
+}
+
+func (a *App) doDemo(ctx context.Context, cmd *cli.Command) error {
+	if cmd.Bool("faults") {
+		fmt.Fprintln(a.Out, strings.Join(demo.Faults(), "\n"))
+		return nil
+	}
+	length := cmd.Duration("for")
+	if length <= 0 || length > demoLongest {
+		return eris.Wrapf(errInvalid, "--for %v; allowed: up to %v", length, demoLongest)
+	}
+	binary, err := os.Executable()
+	if err != nil {
+		return eris.Wrap(demo.ErrDemo, err.Error())
+	}
+	logs := io.Discard
+	if file := cmd.String("logs"); file != "" {
+		f, err := os.Create(file)
+		if err != nil {
+			return eris.Wrap(errInvalid, err.Error())
+		}
+		defer func() { _ = f.Close() }()
+		logs = f
+	}
+	d := &demo.Demo{For: length, Fault: cmd.String("fault"), Entries: demoEntries, Callers: demoCallers, Binary: binary, Logs: logs}
+	r, err := d.Run(ctx)
+	if err != nil {
+		return err
+	}
+	if cmd.String("output") == "json" {
+		err = json.NewEncoder(a.Out).Encode(r)
+	} else {
+		err = r.Table(a.Out)
+	}
+	if err == nil && len(r.Broken) > 0 {
+		err = eris.Wrap(errBroken, r.Broken[0])
+	}
+	return err
+}
+
+func (a *App) replay() *cli.Command {
+	return &cli.Command{Name: "replay", Usage: "run traces against their stated outcomes", ArgsUsage: "DIR"}
+}
--- /dev/null
+++ b/internal/cmds/doc.go
@@ -0,0 +1,2 @@
+// Package cmds is the command line.
+package cmds
--- /dev/null
+++ b/internal/cmds/records.go
@@ -0,0 +1,287 @@
+package cmds
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"net/netip"
+	"os"
+
+	"github.com/rotisserie/eris"
+	"github.com/urfave/cli/v3"
+	"google.golang.org/protobuf/encoding/protojson"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/balsamvale/balsamvale/internal/codec"
+	pb "github.com/balsamvale/balsamvale/internal/gen/balsamvale/v1"
+	"github.com/balsamvale/balsamvale/internal/option"
+	"github.com/balsamvale/balsamvale/internal/store"
+	"github.com/balsamvale/balsamvale/internal/tomlpb"
+	"github.com/balsamvale/balsamvale/pkg/item"
+	"github.com/balsamvale/balsamvale/pkg/keys"
+)
+
+func storeFlag() cli.Flag {
+	return &cli.StringSliceFlag{Name: "store", Usage: "address of the store, such as 10.0.0.1:7000", Required: true}
+}
+
+// client returns a client for the addresses of the store flag.
+func client(cmd *cli.Command) (*store.Client, error) {
+	var addrs []netip.AddrPort
+	for _, s := range cmd.StringSlice("store") {
+		ap, err := netip.ParseAddrPort(s)
+		if err != nil {
+			return nil, eris.Wrapf(errInvalid, "--store %q is not an IP address and port", s)
+		}
+		addrs = append(addrs, ap)
+	}
+	return store.New(&http.Client{}, addrs), nil
+}
+
+func (a *App) check() *cli.Command {
+	return &cli.Command{
+		Name: "check", Usage: "check settings and record files without changing anything", ArgsUsage: "FILE...",
+		Description: "A file with a top-level key \"schema\" holds settings; any other holds records.\n\n" + example("check examples/oyelaran/records.toml"),
+		Action:      a.doCheck,
+	}
+}
+
+func (a *App) doCheck(_ context.Context, cmd *cli.Command) error {
+	if cmd.NArg() == 0 {
+		return eris.Wrap(errInvalid, "check takes at least one file")
+	}
+	for _, file := range cmd.Args().Slice() {
+		data, err := os.ReadFile(file)
+		if err != nil {
+			return eris.Wrap(errInvalid, err.Error())
+		}
+		kind, err := checkFile(file, data)
+		if err != nil {
+			return err
+		}
+		fmt.Fprintf(a.Out, "%s: %s are valid\n", file, kind)
+	}
+	return nil
+}
+
+// checkFile checks one file and says what it holds.
+func checkFile(file string, data []byte) (string, error) {
+	if isSettings(data) {
+		_, err := option.Parse(file, data)
+		return "settings", err
+	}
+	recs, err := codec.ReadRecords(file, data)
+	if err != nil {
+		return "", err
+	}
+	return fmt.Sprintf("%d records", len(recs)), codec.CheckSet(file, recs, nil)
+}
+
+// isSettings tells settings from records by their first key.
+func isSettings(data []byte) bool {
+	f, err := tomlpb.Parse("", data)
+	return err == nil && f.Has("schema")
+}
+
+func (a *App) apply() *cli.Command {
+	return &cli.Command{
+		Name: "apply", Usage: "write the records of a file to the store", ArgsUsage: "FILE",
+		Description: "Each record is written only if nobody changed it meanwhile.\n\n" + example("apply --store 10.0.0.1:7000 records.toml"),
+		Flags: []cli.Flag{
+			storeFlag(),
+			&cli.BoolFlag{Name: "dry-run", Usage: "show what would change, and write nothing"},
+			&cli.Int64Flag{Name: "expect", Usage: "refuse if a record of the file changed after this revision", Value: -1},
+		},
+		Action: a.doApply,
+	}
+}
+
+func (a *App) doApply(ctx context.Context, cmd *cli.Command) error {
+	if cmd.NArg() != 1 {
+		return eris.Wrap(errInvalid, "apply takes one file")
+	}
+	file := cmd.Args().First()
+	data, err := os.ReadFile(file)
+	if err != nil {
+		return eris.Wrap(errInvalid, err.Error())
+	}
+	recs, err := codec.ReadRecords(file, data)
+	if err != nil {
+		return err
+	}
+	c, err := client(cmd)
+	if err != nil {
+		return err
+	}
+	known, err := c.All(ctx, keys.Records)
+	if err != nil {
+		return eris.Wrap(errStore, err.Error())
+	}
+	if err := codec.CheckSet(file, recs, known); err != nil {
+		return err
+	}
+	w := &writer{out: a.Out, client: c, dry: cmd.Bool("dry-run"), expect: cmd.Int64("expect"), known: map[string]item.Item{}}
+	for _, it := range known {
+		w.known[it.Key] = it
+	}
+	for _, r := range recs {
+		if err := w.write(ctx, r); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// writer writes records one by one under compare-and-swap.
+type writer struct {
+	out    interface{ Write([]byte) (int, error) }
+	client *store.Client
+	known  map[string]item.Item
+	dry    bool
+	expect int64
+}
+
+func (w *writer) write(ctx context.Context, r *pb.Record) error {
+	key := keys.Record(r.GetKind(), r.GetName())
+	data, err := proto.MarshalOptions{Deterministic: true}.Marshal(r)
+	if err != nil {
+		return eris.Wrap(errInvalid, err.Error())
+	}
+	old := w.known[key]
+	if bytes.Equal(old.Value, data) {
+		fmt.Fprintf(w.out, "%s %s unchanged at revision %d\n", r.GetKind(), r.GetName(), old.Revision)
+		return nil
+	}
+	if w.expect >= 0 && old.Revision > w.expect {
+		return eris.Wrapf(errRefused, "%s %s changed at revision %d, after the expected %d", r.GetKind(), r.GetName(), old.Revision, w.expect)
+	}
+	if w.dry {
+		return w.show(r, old)
+	}
+	return w.swap(ctx, r, item.Item{Key: key, Value: data}, old.Revision)
+}
+
+// show prints what would change.
+func (w *writer) show(r *pb.Record, old item.Item) error {
+	fmt.Fprintf(w.out, "%s %s would change from revision %d:\n", r.GetKind(), r.GetName(), old.Revision)
+	before, err := text(old.Value)
+	if err != nil {
+		return err
+	}
+	after, err := codec.Body(r)
+	if err != nil {
+		return err
+	}
+	printDiff(w.out, before, tomlpb.Format(r.GetKind(), after))
+	return nil
+}
+
+// swap writes one record, and knows its own write again when the answer was lost.
+func (w *writer) swap(ctx context.Context, r *pb.Record, it item.Item, expect int64) error {
+	for range swapTries {
+		done, now, err := w.client.Swap(ctx, it, expect, 0)
+		if err == nil && done {
+			fmt.Fprintf(w.out, "%s %s written at revision %d\n", r.GetKind(), r.GetName(), now.Revision)
+			return nil
+		}
+		if err != nil {
+			if now, err = w.client.Get(ctx, it.Key); err != nil {
+				continue
+			}
+		}
+		if now.Revision != expect && bytes.Equal(now.Value, it.Value) {
+			fmt.Fprintf(w.out, "%s %s written at revision %d\n", r.GetKind(), r.GetName(), now.Revision)
+			return nil
+		}
+		if now.Revision != expect {
+			return eris.Wrapf(errRefused, "%s %s was changed by somebody else at revision %d; nothing of it was written", r.GetKind(), r.GetName(), now.Revision)
+		}
+	}
+	return eris.Wrapf(errStore, "%s %s may or may not be written; run apply again", r.GetKind(), r.GetName())
+}
+
+// swapTries bounds the tries at one write.
+const swapTries = 5
+
+// text returns a stored record as TOML, or nothing for a missing one.
+func text(value []byte) (string, error) {
+	if len(value) == 0 {
+		return "", nil
+	}
+	var r pb.Record
+	if err := proto.Unmarshal(value, &r); err != nil {
+		return "", eris.Wrap(errInvalid, err.Error())
+	}
+	m, err := codec.Body(&r)
+	if err != nil {
+		return "", err
+	}
+	return tomlpb.Format(r.GetKind(), m), nil
+}
+
+func (a *App) get() *cli.Command {
+	return &cli.Command{
+		Name: "get", Usage: "print records from the store", ArgsUsage: "[KIND [NAME]]",
+		Description: "The output can be changed and applied again.\n\n" + example("get --store 10.0.0.1:7000 service lookup"),
+		Flags:       []cli.Flag{storeFlag(), outputFlag()},
+		Action:      a.doGet,
+	}
+}
+
+func (a *App) doGet(ctx context.Context, cmd *cli.Command) error {
+	c, err := client(cmd)
+	if err != nil {
+		return err
+	}
+	prefix := keys.Records
+	if kind := cmd.Args().Get(0); kind != "" {
+		prefix += kind + "/"
+	}
+	name := cmd.Args().Get(1)
+	items, err := c.All(ctx, prefix+name)
+	if err != nil {
+		return eris.Wrap(errStore, err.Error())
+	}
+	found := 0
+	for _, it := range items {
+		if name != "" && it.Key != prefix+name {
+			continue
+		}
+		found++
+		if err := a.print(it, cmd.String("output")); err != nil {
+			return err
+		}
+	}
+	if found == 0 {
+		return eris.Errorf("no such record in the store: %s", prefix+name)
+	}
+	return nil
+}
+
+func (a *App) print(it item.Item, output string) error {
+	if output == "text" {
+		s, err := text(it.Value)
+		if err != nil {
+			return err
+		}
+		fmt.Fprintf(a.Out, "# revision %d\n%s\n", it.Revision, s)
+		return nil
+	}
+	var r pb.Record
+	if err := proto.Unmarshal(it.Value, &r); err != nil {
+		return eris.Wrap(errInvalid, err.Error())
+	}
+	m, err := codec.Body(&r)
+	if err != nil {
+		return err
+	}
+	body, err := protojson.Marshal(m)
+	if err != nil {
+		return eris.Wrap(errInvalid, err.Error())
+	}
+	return json.NewEncoder(a.Out).Encode(map[string]any{
+		"kind": r.GetKind(), "revision": it.Revision, "record": json.RawMessage(body),
+	})
+}
--- /dev/null
+++ b/internal/cmds/status.go
@@ -0,0 +1,180 @@
+package cmds
+
+import (
+	"cmp"
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"net/netip"
+	"slices"
+	"text/tabwriter"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"github.com/urfave/cli/v3"
+	"google.golang.org/protobuf/encoding/protojson"
+
+	"github.com/balsamvale/balsamvale/internal/codec"
+	pb "github.com/balsamvale/balsamvale/internal/gen/balsamvale/v1"
+	"github.com/balsamvale/balsamvale/internal/peers"
+	"github.com/balsamvale/balsamvale/pkg/clock"
+	"github.com/balsamvale/balsamvale/pkg/keys"
+	"github.com/balsamvale/balsamvale/pkg/phase"
+)
+
+func (a *App) status() *cli.Command {
+	return &cli.Command{
+		Name: "status", Usage: "print what is in force on each entry",
+		Description: "The entries are those that the store lists, or those given with --peer.\n\n" + example("status --store 10.0.0.1:7000"),
+		Flags: []cli.Flag{
+			&cli.StringSliceFlag{Name: "store", Usage: "address of the store"},
+			&cli.StringSliceFlag{Name: "peer", Usage: "peer address of an entry, for when the store is down"},
+			outputFlag(),
+		},
+		Action: a.doStatus,
+	}
+}
+
+func (a *App) doStatus(ctx context.Context, cmd *cli.Command) error {
+	states, err := inquire(ctx, cmd)
+	if err != nil {
+		return err
+	}
+	if cmd.String("output") == "json" {
+		for _, s := range states {
+			b, err := protojson.Marshal(s)
+			if err != nil {
+				return eris.Wrap(errInvalid, err.Error())
+			}
+			if err := json.NewEncoder(a.Out).Encode(json.RawMessage(b)); err != nil {
+				return err
+			}
+		}
+		return nil
+	}
+	return a.table(states)
+}
+
+// table prints the states for a person.
+func (a *App) table(states []*pb.StatusResponse) error {
+	tw := tabwriter.NewWriter(a.Out, 0, 0, 2, ' ', 0)
+	fmt.Fprintln(tw, "ENTRY\tDOMAIN\tREADY\tREVISION\tSINCE\tSTORE\tMEMBERS\tDUTIES")
+	for _, s := range states {
+		since := "-"
+		if s.GetSince() != nil {
+			since = s.GetSince().AsTime().Format(time.RFC3339)
+		}
+		fmt.Fprintf(tw, "%s\t%s\t%v\t%d\t%s\t%v\t%d\t%d\n", s.GetName(), s.GetDomain(), s.GetReady(),
+			s.GetRevision(), since, s.GetStore(), s.GetMembers(), len(s.GetDuty()))
+	}
+	if err := tw.Flush(); err != nil {
+		return err
+	}
+	for _, s := range states {
+		for _, r := range s.GetRejected() {
+			fmt.Fprintf(a.Out, "%s: %s at revision %d is not in force: %s\n", s.GetName(), r.GetKey(), r.GetRevision(), r.GetReason())
+		}
+		for _, m := range s.GetMove() {
+			fmt.Fprintf(a.Out, "%s: move %s is %s at %.1f%%: %s\n", s.GetName(), m.GetName(), m.GetPhase(), float64(m.GetShare())/10, m.GetReason())
+		}
+	}
+	return nil
+}
+
+// inquire asks each entry for its status.
+func inquire(ctx context.Context, cmd *cli.Command) ([]*pb.StatusResponse, error) {
+	addrs, err := entries(ctx, cmd)
+	if err != nil {
+		return nil, err
+	}
+	svc := peers.New(clock.Wall(), &http.Client{})
+	var states []*pb.StatusResponse
+	for _, addr := range addrs {
+		s, err := svc.Inquire(ctx, addr)
+		if err != nil {
+			s = &pb.StatusResponse{Name: addr.String() + " (no answer)"}
+		}
+		states = append(states, s)
+	}
+	slices.SortFunc(states, func(x, y *pb.StatusResponse) int { return cmp.Compare(x.GetName(), y.GetName()) })
+	return states, nil
+}
+
+// entries lists the peer addresses of the entries.
+func entries(ctx context.Context, cmd *cli.Command) ([]netip.AddrPort, error) {
+	var addrs []netip.AddrPort
+	for _, s := range cmd.StringSlice("peer") {
+		ap, err := netip.ParseAddrPort(s)
+		if err != nil {
+			return nil, eris.Wrapf(errInvalid, "--peer %q is not an IP address and port", s)
+		}
+		addrs = append(addrs, ap)
+	}
+	if len(addrs) > 0 {
+		return addrs, nil
+	}
+	if len(cmd.StringSlice("store")) == 0 {
+		return nil, eris.Wrap(errInvalid, "either --store or --peer must be given")
+	}
+	c, err := client(cmd)
+	if err != nil {
+		return nil, err
+	}
+	items, err := c.All(ctx, keys.Members)
+	if err != nil {
+		return nil, eris.Wrap(errStore, err.Error())
+	}
+	for _, it := range items {
+		if v, err := codec.Decode(it); err == nil && v.Member != nil {
+			addrs = append(addrs, v.Member.Peer)
+		}
+	}
+	return addrs, nil
+}
+
+func (a *App) wait() *cli.Command {
+	return &cli.Command{
+		Name: "wait", Usage: "wait until a move is done or taken back", ArgsUsage: "MOVE",
+		Description: "Exits with 0 when the move is done, 3 when it was taken back, and 1 when it is overdue.\n\n" + example("wait --store 10.0.0.1:7000 lookup-v2"),
+		Flags:       []cli.Flag{storeFlag(), &cli.DurationFlag{Name: "for", Value: time.Hour, Usage: "longest wait"}},
+		Action:      a.doWait,
+	}
+}
+
+func (a *App) doWait(ctx context.Context, cmd *cli.Command) error {
+	if cmd.NArg() != 1 {
+		return eris.Wrap(errInvalid, "wait takes the name of one move")
+	}
+	c, err := client(cmd)
+	if err != nil {
+		return err
+	}
+	ctx, cancel := context.WithTimeout(ctx, cmd.Duration("for"))
+	defer cancel()
+	name := cmd.Args().First()
+	since := int64(0)
+	for ctx.Err() == nil {
+		it, err := c.Get(ctx, keys.Move(name))
+		if err != nil {
+			continue
+		}
+		if v, derr := codec.Decode(it); derr == nil && it.Revision > 0 && v.Progress != nil {
+			switch v.Progress.Phase {
+			case phase.Done:
+				fmt.Fprintf(a.Out, "move %s is done: %s\n", name, v.Progress.Reason)
+				return nil
+			case phase.Reverted:
+				return eris.Wrapf(errRefused, "move %s was taken back: %s", name, v.Progress.Reason)
+			}
+		}
+		_, rev, err := c.Wait(ctx, keys.Move(name), max(since, it.Revision), waitStep)
+		if err == nil {
+			since = rev
+		}
+	}
+	return eris.Errorf("move %s is overdue", name)
+}
+
+// waitStep is the longest single wait for a change.
+const waitStep = 10 * time.Second
--- /dev/null
+++ b/internal/codec/record.go
@@ -0,0 +1,163 @@
+package codec
+
+import (
+	"net/netip"
+
+	"github.com/rotisserie/eris"
+	"google.golang.org/protobuf/proto"
+
+	pb "github.com/balsamvale/balsamvale/internal/gen/balsamvale/v1"
+	pb2 "github.com/balsamvale/balsamvale/internal/gen/balsamvale/v2"
+	"github.com/balsamvale/balsamvale/internal/tomlpb"
+	"github.com/balsamvale/balsamvale/pkg/domrec"
+	"github.com/balsamvale/balsamvale/pkg/keys"
+	"github.com/balsamvale/balsamvale/pkg/movrec"
+	"github.com/balsamvale/balsamvale/pkg/record"
+	"github.com/balsamvale/balsamvale/pkg/upsrec"
+)
+
+// ErrSchema is what the errors match about a record whose schema version is not known.
+var ErrSchema = eris.New("schema version is not known to this release")
+
+// ErrRecord is what the errors match about a record that does not check.
+var ErrRecord = eris.New("record does not check")
+
+// Kinds lists the kinds of records in the order in which they are written.
+func Kinds() []string { return []string{"domain", "service", "upstream", "move"} }
+
+// blank returns an empty message for a kind and schema version, or nil.
+func blank(kind string, schema int64) proto.Message {
+	switch {
+	case kind == "service" && schema == 1:
+		return &pb.Service{}
+	case kind == "service" && schema == 2:
+		return &pb2.Service{}
+	case kind == "upstream" && schema == 1:
+		return &pb.Upstream{}
+	case kind == "domain" && schema == 1:
+		return &pb.Domain{}
+	case kind == "move" && schema == 1:
+		return &pb.Move{}
+	}
+	return nil
+}
+
+// ReadRecords reads the records of a TOML file; errors match tomlpb.ErrInvalid.
+func ReadRecords(name string, data []byte) ([]*pb.Record, error) {
+	f, err := tomlpb.Parse(name, data)
+	if err != nil {
+		return nil, err
+	}
+	if err := f.Only(Kinds()...); err != nil {
+		return nil, err
+	}
+	var out []*pb.Record
+	seen := map[string]bool{}
+	for _, kind := range Kinds() {
+		pick := func(schema int64) proto.Message { return blank(kind, schema) }
+		err := f.Each(kind, pick, func(m proto.Message) error {
+			r, err := Envelope(kind, m)
+			if err != nil {
+				return err
+			}
+			key := keys.Record(kind, r.GetName())
+			if seen[key] {
+				return eris.Errorf("%s %q stands twice", kind, r.GetName())
+			}
+			seen[key] = true
+			out = append(out, r)
+			return nil
+		})
+		if err != nil {
+			return nil, err
+		}
+	}
+	return out, nil
+}
+
+// Envelope puts a checked message of a kind in its envelope; errors match ErrRecord.
+func Envelope(kind string, m proto.Message) (*pb.Record, error) {
+	named, ok := m.(interface {
+		GetName() string
+		GetSchema() uint32
+	})
+	if !ok {
+		return nil, eris.Wrapf(ErrRecord, "kind %s", kind)
+	}
+	body, err := proto.MarshalOptions{Deterministic: true}.Marshal(m)
+	if err != nil {
+		return nil, eris.Wrap(ErrRecord, err.Error())
+	}
+	r := &pb.Record{Kind: kind, Name: named.GetName(), Schema: named.GetSchema(), Body: body}
+	if _, err := ToRecord(r); err != nil {
+		return nil, err
+	}
+	return r, nil
+}
+
+// Body returns the message inside an envelope; errors match ErrSchema or ErrRecord.
+func Body(r *pb.Record) (proto.Message, error) {
+	m := blank(r.GetKind(), int64(r.GetSchema()))
+	if m == nil {
+		return nil, eris.Wrapf(ErrSchema, "%s %q has schema %d", r.GetKind(), r.GetName(), r.GetSchema())
+	}
+	if err := proto.Unmarshal(r.GetBody(), m); err != nil {
+		return nil, eris.Wrap(ErrRecord, err.Error())
+	}
+	return m, nil
+}
+
+// ToRecord converts an envelope; errors match ErrSchema or ErrRecord.
+func ToRecord(r *pb.Record) (*record.Record, error) {
+	m, err := Body(r)
+	if err != nil {
+		return nil, err
+	}
+	switch m := m.(type) {
+	case *pb.Service:
+		return serviceRecord(Upgrade(m))
+	case *pb2.Service:
+		return serviceRecord(m)
+	case *pb.Upstream:
+		return upstreamRecord(m)
+	case *pb.Domain:
+		return &record.Record{Domain: &domrec.Domain{
+			Name: m.GetName(), Region: m.GetRegion(), Out: m.GetOut(), Delay: m.GetDelay().AsDuration(),
+		}}, nil
+	case *pb.Move:
+		return moveRecord(m)
+	}
+	return nil, eris.Wrapf(ErrRecord, "kind %s", r.GetKind())
+}
+
+func serviceRecord(s *pb2.Service) (*record.Record, error) {
+	if err := checkService(s); err != nil {
+		return nil, eris.Wrap(ErrRecord, err.Error())
+	}
+	return &record.Record{Service: toService(s)}, nil
+}
+
+func upstreamRecord(u *pb.Upstream) (*record.Record, error) {
+	ap, err := netip.ParseAddrPort(u.GetAddr())
+	if err != nil {
+		return nil, eris.Wrap(ErrRecord, err.Error())
+	}
+	return &record.Record{Upstream: &upsrec.Upstream{
+		Name: u.GetName(), Service: u.GetService(), Domain: u.GetDomain(),
+		Addr: ap, Version: u.GetVersion(), Leave: u.GetLeave(),
+	}}, nil
+}
+
+func moveRecord(m *pb.Move) (*record.Record, error) {
+	out := &movrec.Move{
+		Name: m.GetName(), Service: m.GetService(), From: m.GetFrom(), To: m.GetTo(),
+		Start: m.GetStart().AsTime(), Deadline: m.GetDeadline().AsTime(),
+	}
+	if !out.Deadline.After(out.Start) {
+		return nil, eris.Wrap(ErrRecord, "the deadline must lie after the start")
+	}
+	if out.From == out.To {
+		return nil, eris.Wrap(ErrRecord, "from and to must differ")
+	}
+	return &record.Record{Move: out}, nil
+}
--- /dev/null
+++ b/internal/codec/service.go
@@ -0,0 +1,102 @@
+package codec
+
+import (
+	"time"
+
+	"github.com/rotisserie/eris"
+	"google.golang.org/protobuf/types/known/durationpb"
+
+	pb "github.com/balsamvale/balsamvale/internal/gen/balsamvale/v1"
+	pb2 "github.com/balsamvale/balsamvale/internal/gen/balsamvale/v2"
+	"github.com/balsamvale/balsamvale/pkg/class"
+	"github.com/balsamvale/balsamvale/pkg/repeat"
+	"github.com/balsamvale/balsamvale/pkg/route"
+	"github.com/balsamvale/balsamvale/pkg/svcrec"
+)
+
+// ErrLossy is what the errors match about a record that an older schema version cannot hold.
+var ErrLossy = eris.New("the older schema version cannot hold the record")
+
+// Defaults of schema version 2 for what version 1 does not say.
+const (
+	defaultRetry = 10
+	defaultQueue = 256
+)
+
+// Upgrade converts a service record of schema version 1 to version 2.
+func Upgrade(s *pb.Service) *pb2.Service {
+	out := &pb2.Service{
+		Schema: 2, Name: s.GetName(), Slots: s.GetSlots(), Conns: s.GetConns(),
+		Timeout: s.GetTimeout(), Cold: s.GetCold(), Warm: s.GetWarm(), Budget: s.GetBudget(),
+		Retry: defaultRetry, Queue: defaultQueue,
+	}
+	cl := pb2.Class_INTERACTIVE
+	if s.GetBulk() {
+		cl = pb2.Class_BULK
+		out.Route = append(out.Route, &pb2.Route{Path: "/", Class: cl})
+	}
+	for _, path := range s.GetOnce() {
+		out.Route = append(out.Route, &pb2.Route{Path: path, Class: cl, Repeat: pb2.Repeat_NEVER})
+	}
+	return out
+}
+
+// Downgrade converts a service record of schema version 2 to version 1, or fails with ErrLossy.
+func Downgrade(s *pb2.Service) (*pb.Service, error) {
+	out := &pb.Service{
+		Schema: 1, Name: s.GetName(), Slots: s.GetSlots(), Conns: s.GetConns(),
+		Timeout: s.GetTimeout(), Cold: s.GetCold(), Warm: s.GetWarm(), Budget: s.GetBudget(),
+	}
+	if s.GetRetry() != defaultRetry || s.GetQueue() != defaultQueue {
+		return nil, eris.Wrap(ErrLossy, "retry and queue")
+	}
+	for _, r := range s.GetRoute() {
+		if r.GetPath() == "/" && r.GetRepeat() == pb2.Repeat_METHOD {
+			out.Bulk = r.GetClass() == pb2.Class_BULK
+		}
+	}
+	for _, r := range s.GetRoute() {
+		if (r.GetClass() == pb2.Class_BULK) != out.Bulk || r.GetRepeat() == pb2.Repeat_ALWAYS {
+			return nil, eris.Wrapf(ErrLossy, "route %s", r.GetPath())
+		}
+		if r.GetRepeat() == pb2.Repeat_NEVER {
+			out.Once = append(out.Once, r.GetPath())
+		}
+	}
+	return out, nil
+}
+
+// toService converts a checked record.
+func toService(s *pb2.Service) *svcrec.Service {
+	out := &svcrec.Service{
+		Name: s.GetName(), Slots: int(s.GetSlots()), Conns: int(s.GetConns()),
+		Timeout: s.GetTimeout().AsDuration(), Cold: int(s.GetCold()), Warm: s.GetWarm().AsDuration(),
+		Budget: int(s.GetBudget()), Retry: int(s.GetRetry()), Queue: int(s.GetQueue()),
+	}
+	for _, r := range s.GetRoute() {
+		out.Routes = append(out.Routes, route.Route{
+			Path: r.GetPath(), Class: class.Class(r.GetClass()), Repeat: repeat.Repeat(r.GetRepeat()),
+		})
+	}
+	return out
+}
+
+// checkService checks what the schema's limits cannot say.
+func checkService(s *pb2.Service) error {
+	if s.GetCold() > s.GetSlots() {
+		return eris.Errorf("cold is %d and slots is %d; a cold upstream bears no more than a warm one", s.GetCold(), s.GetSlots())
+	}
+	if s.GetTimeout().AsDuration() <= 0 {
+		return eris.New("timeout must be above 0")
+	}
+	seen := map[string]bool{}
+	for _, r := range s.GetRoute() {
+		if seen[r.GetPath()] {
+			return eris.Errorf("route %s stands twice", r.GetPath())
+		}
+		seen[r.GetPath()] = true
+	}
+	return nil
+}
+
+func duration(d time.Duration) *durationpb.Duration { return durationpb.New(d) }
--- /dev/null
+++ b/internal/codec/value.go
@@ -0,0 +1,153 @@
+package codec
+
+import (
+	"net/netip"
+	"strings"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"google.golang.org/protobuf/proto"
+	"google.golang.org/protobuf/types/known/timestamppb"
+
+	pb "github.com/balsamvale/balsamvale/internal/gen/balsamvale/v1"
+	"github.com/balsamvale/balsamvale/pkg/answer"
+	"github.com/balsamvale/balsamvale/pkg/claim"
+	"github.com/balsamvale/balsamvale/pkg/item"
+	"github.com/balsamvale/balsamvale/pkg/keys"
+	"github.com/balsamvale/balsamvale/pkg/member"
+	"github.com/balsamvale/balsamvale/pkg/phase"
+	"github.com/balsamvale/balsamvale/pkg/progrs"
+	"github.com/balsamvale/balsamvale/pkg/state"
+	"github.com/balsamvale/balsamvale/pkg/tenure"
+	"github.com/balsamvale/balsamvale/pkg/value"
+)
+
+// ErrValue is what the errors match about a store value that cannot be read.
+var ErrValue = eris.New("store value cannot be read")
+
+// Decode turns an item of the control keys into a value; errors match ErrValue, ErrSchema or ErrRecord.
+func Decode(it item.Item) (value.Value, error) {
+	switch {
+	case strings.HasPrefix(it.Key, keys.Records):
+		return decodeRecord(it)
+	case strings.HasPrefix(it.Key, keys.Members):
+		return decodeMember(it)
+	case strings.HasPrefix(it.Key, keys.Duties):
+		var d pb.Duty
+		err := unmarshal(it, &d)
+		return value.Value{Tenure: &tenure.Tenure{Owner: d.GetOwner(), Boot: d.GetBoot()}}, err
+	case strings.HasPrefix(it.Key, keys.Moves):
+		var p pb.Progress
+		err := unmarshal(it, &p)
+		return value.Value{Progress: toProgress(&p)}, err
+	}
+	return value.Value{}, eris.Wrapf(ErrValue, "key %s", it.Key)
+}
+
+func unmarshal(it item.Item, m proto.Message) error {
+	if err := proto.Unmarshal(it.Value, m); err != nil {
+		return eris.Wrapf(ErrValue, "key %s: %v", it.Key, err)
+	}
+	return nil
+}
+
+func decodeRecord(it item.Item) (value.Value, error) {
+	var r pb.Record
+	if err := unmarshal(it, &r); err != nil {
+		return value.Value{}, err
+	}
+	if r.GetGone() {
+		return value.Value{}, nil
+	}
+	if keys.Record(r.GetKind(), r.GetName()) != it.Key {
+		return value.Value{}, eris.Wrapf(ErrRecord, "%s %q is stored under %s", r.GetKind(), r.GetName(), it.Key)
+	}
+	rec, err := ToRecord(&r)
+	if err != nil {
+		return value.Value{}, err
+	}
+	return value.Value{Record: rec}, nil
+}
+
+func decodeMember(it item.Item) (value.Value, error) {
+	var m pb.Member
+	if err := unmarshal(it, &m); err != nil {
+		return value.Value{}, err
+	}
+	ap, err := netip.ParseAddrPort(m.GetPeer())
+	if err != nil {
+		return value.Value{}, eris.Wrapf(ErrValue, "key %s: %v", it.Key, err)
+	}
+	return value.Value{Member: &member.Member{
+		Name: m.GetName(), Domain: m.GetDomain(), Peer: ap, Boot: m.GetBoot(), Leave: m.GetLeave(),
+	}}, nil
+}
+
+func toProgress(p *pb.Progress) *progrs.Progress {
+	return &progrs.Progress{
+		Move: p.GetMove(), Share: int(p.GetShare()), Phase: phase.Phase(p.GetPhase()),
+		Driver: p.GetDriver(), Since: p.GetSince().AsTime(), Reason: p.GetReason(),
+	}
+}
+
+// Encode turns a member, tenure or progress into a store value; errors match ErrValue.
+func Encode(v value.Value) ([]byte, error) {
+	var m proto.Message
+	switch {
+	case v.Member != nil:
+		m = &pb.Member{
+			Name: v.Member.Name, Domain: v.Member.Domain, Peer: v.Member.Peer.String(),
+			Boot: v.Member.Boot, Leave: v.Member.Leave,
+		}
+	case v.Tenure != nil:
+		m = &pb.Duty{Owner: v.Tenure.Owner, Boot: v.Tenure.Boot}
+	case v.Progress != nil:
+		p := v.Progress
+		m = &pb.Progress{
+			Move: p.Move, Share: uint32(p.Share), Phase: pb.Progress_Phase(p.Phase),
+			Driver: p.Driver, Since: timestamppb.New(p.Since), Reason: p.Reason,
+		}
+	default:
+		return nil, nil
+	}
+	b, err := proto.Marshal(m)
+	if err != nil {
+		return nil, eris.Wrap(ErrValue, err.Error())
+	}
+	return b, nil
+}
+
+// DecodeClaims reads a bucket of claims; errors match ErrValue.
+func DecodeClaims(data []byte) ([]claim.Claim, error) {
+	var cs pb.Claims
+	if err := proto.Unmarshal(data, &cs); err != nil {
+		return nil, eris.Wrap(ErrValue, err.Error())
+	}
+	out := make([]claim.Claim, 0, len(cs.GetClaim()))
+	for _, c := range cs.GetClaim() {
+		out = append(out, claim.Claim{
+			Key: c.GetKey(), Owner: c.GetOwner(), Attempt: c.GetAttempt(),
+			State: state.State(c.GetState()), Until: c.GetUntil().AsTime(),
+			Answer: answer.Answer{Status: int(c.GetStatus()), Type: c.GetType(), Body: c.GetBody()},
+		})
+	}
+	return out, nil
+}
+
+// EncodeClaims writes a bucket of claims; errors match ErrValue.
+func EncodeClaims(cs []claim.Claim) ([]byte, error) {
+	m := &pb.Claims{Claim: make([]*pb.Claim, 0, len(cs))}
+	for _, c := range cs {
+		m.Claim = append(m.Claim, &pb.Claim{
+			Key: c.Key, Owner: c.Owner, Attempt: c.Attempt, State: pb.Claim_State(c.State),
+			Until: stamp(c.Until), Status: uint32(c.Answer.Status), Type: c.Answer.Type, Body: c.Answer.Body,
+		})
+	}
+	b, err := proto.Marshal(m)
+	if err != nil {
+		return nil, eris.Wrap(ErrValue, err.Error())
+	}
+	return b, nil
+}
+
+func stamp(t time.Time) *timestamppb.Timestamp { return timestamppb.New(t) }
--- /dev/null
+++ b/internal/core/core.go
@@ -0,0 +1,399 @@
+package core
+
+/*
+                     +----------------- Core.loop owns contrl.Control -----------------+
+ store  --replies--> |                                                                 | --orders--> errand.run --> store
+ peers  --digests--> |  events --> Step --> effects                                    | --digests-> errand.run --> peers
+ pools  --news-----> |                                                                 | --probes--> errand.run --> upstreams
+ ticker -----------> |                                                                 | --install-> pools (traffic)
+                     +-----------------------------------------------------------------+
+ Core.pump moves up the calls that wait in the pools; the front's handlers run beside both.
+*/
+
+import (
+	"context"
+	"math/rand/v2"
+	"net/http"
+	"net/netip"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/balsamvale/balsamvale/internal/codec"
+	"github.com/balsamvale/balsamvale/internal/logs"
+	"github.com/balsamvale/balsamvale/internal/wire"
+	"github.com/balsamvale/balsamvale/pkg/ask"
+	"github.com/balsamvale/balsamvale/pkg/cause"
+	"github.com/balsamvale/balsamvale/pkg/clock"
+	"github.com/balsamvale/balsamvale/pkg/contrl"
+	"github.com/balsamvale/balsamvale/pkg/credit"
+	"github.com/balsamvale/balsamvale/pkg/deed"
+	"github.com/balsamvale/balsamvale/pkg/digest"
+	"github.com/balsamvale/balsamvale/pkg/effect"
+	"github.com/balsamvale/balsamvale/pkg/event"
+	"github.com/balsamvale/balsamvale/pkg/fact"
+	"github.com/balsamvale/balsamvale/pkg/member"
+	"github.com/balsamvale/balsamvale/pkg/order"
+	"github.com/balsamvale/balsamvale/pkg/poison"
+	"github.com/balsamvale/balsamvale/pkg/policy"
+	"github.com/balsamvale/balsamvale/pkg/pool"
+	"github.com/balsamvale/balsamvale/pkg/reply"
+	"github.com/balsamvale/balsamvale/pkg/result"
+	"github.com/balsamvale/balsamvale/pkg/signal"
+	"github.com/balsamvale/balsamvale/pkg/snap"
+	"github.com/balsamvale/balsamvale/pkg/status"
+	"github.com/balsamvale/balsamvale/pkg/svcrec"
+	"github.com/balsamvale/balsamvale/pkg/topic"
+	"github.com/balsamvale/balsamvale/pkg/tune"
+)
+
+// ErrStopped is what the errors match about an entry whose control has ended.
+var ErrStopped = eris.New("control has stopped")
+
+// Core holds the control state and the pools of one entry.
+type Core struct {
+	// Do carries out a call to the store.
+	Do func(ctx context.Context, o order.Order) reply.Reply
+	// Tell exchanges digests with a peer, and Ask asks one for credits.
+	Tell func(ctx context.Context, addr netip.AddrPort, d digest.Digest) (digest.Digest, error)
+	Ask  func(ctx context.Context, addr netip.AddrPort, a ask.Ask) ([]credit.Credit, error)
+
+	clock   clock.Clock
+	log     *logs.Log
+	poison  *poison.Table
+	control *contrl.Control
+	me      member.Member
+	seeds   []netip.AddrPort
+	events  chan event.Event
+	asks    chan question
+	looks   chan chan status.Status
+	answers map[uint64]question
+	nextTag uint64
+	done    chan struct{}
+	errands sync.WaitGroup
+	rand    *rand.Rand
+	prober  *http.Client
+	ready   atomic.Bool
+	table   atomic.Pointer[table]
+	// Dropped counts the news that control had no room for.
+	Dropped atomic.Uint64
+}
+
+// table is what the traffic side reads.
+type table struct {
+	snapshot *snap.Snapshot
+	pools    map[string]*pool.Pool
+}
+
+// question is an event whose effect somebody waits for.
+type question struct {
+	event  event.Event
+	answer chan effect.Effect
+}
+
+// New returns a core; seeds are peers to ask while the store cannot be reached.
+func New(c clock.Clock, log *logs.Log, me member.Member, seeds []netip.AddrPort, seed uint64) *Core {
+	rnd := rand.New(rand.NewPCG(seed, me.Boot))
+	co := &Core{
+		clock:   c,
+		log:     log,
+		poison:  poison.New(),
+		control: contrl.New(me, rnd, codec.Decode),
+		me:      me,
+		seeds:   seeds,
+		events:  make(chan event.Event, tune.ReportQueue),
+		asks:    make(chan question),
+		looks:   make(chan chan status.Status),
+		answers: map[uint64]question{},
+		done:    make(chan struct{}),
+		rand:    rand.New(rand.NewPCG(me.Boot, seed)),
+		prober:  &http.Client{Timeout: tune.ProbeTimeout},
+	}
+	co.table.Store(&table{snapshot: &snap.Snapshot{}, pools: map[string]*pool.Pool{}})
+	co.control.Stale = co.stale
+	co.poison.Note = co.crashed
+	return co
+}
+
+// Poison returns the fingerprints that the traffic side consults.
+func (co *Core) Poison() *poison.Table { return co.poison }
+
+// Service looks up a service and its pool; both are nil when it is not known.
+func (co *Core) Service(name string) (*svcrec.Service, *pool.Pool) {
+	t := co.table.Load()
+	f := t.snapshot.Fleets[name]
+	if f == nil {
+		return nil, nil
+	}
+	return &f.Service, t.pools[name]
+}
+
+// Ready reports whether callers should be sent here.
+func (co *Core) Ready() bool { return co.ready.Load() }
+
+// Start begins the loops; they end with the context.
+func (co *Core) Start(ctx context.Context) {
+	go co.loop(ctx)
+	go co.pump(ctx)
+	for _, s := range co.seeds {
+		co.errands.Add(1)
+		go (&errand{core: co, ctx: ctx, effect: effect.Effect{Deed: deed.Send, Addr: s, Digest: digest.Digest{From: co.me.Name}}}).run()
+	}
+}
+
+// loop owns the control state.
+func (co *Core) loop(ctx context.Context) {
+	defer close(co.done)
+	for {
+		tick, stop := co.clock.Timer(tune.Tick)
+		select {
+		case ev := <-co.events:
+			co.step(ctx, ev)
+		case q := <-co.asks:
+			co.nextTag++
+			q.event.Tag = co.nextTag
+			co.answers[co.nextTag] = q
+			co.step(ctx, q.event)
+		case look := <-co.looks:
+			look <- co.control.Status()
+		case <-tick:
+			co.tick(ctx)
+		case <-ctx.Done():
+			stop()
+			return
+		}
+		stop()
+	}
+}
+
+// tick passes time on, and the traffic side's need for credits.
+func (co *Core) tick(ctx context.Context) {
+	co.step(ctx, event.Event{Signal: signal.Tick})
+	now := co.clock.Now()
+	co.poison.Sweep(now)
+	for service, p := range co.table.Load().pools {
+		p.Wants(now, func(upstream string, boot uint64, want int, back []uint64) {
+			a := ask.Ask{Service: service, Upstream: upstream, Boot: boot, Want: want, Back: back}
+			co.post(event.Event{Signal: signal.Wanted, Ask: a})
+		})
+	}
+}
+
+func (co *Core) step(ctx context.Context, ev event.Event) {
+	for _, e := range co.control.Step(co.clock.Now(), ev) {
+		co.perform(ctx, e)
+	}
+}
+
+// perform carries out one effect: at once where it is quick, else by an errand.
+func (co *Core) perform(ctx context.Context, e effect.Effect) {
+	switch e.Deed {
+	case deed.Publish:
+		co.publish(e)
+	case deed.Spread:
+		co.spread(e)
+	case deed.Answer, deed.Give:
+		if q, ok := co.answers[e.Tag]; ok {
+			delete(co.answers, e.Tag)
+			q.answer <- e
+		}
+	case deed.Credit:
+		co.credit(e.Ask, e.Credits)
+	case deed.Log:
+		co.log.Place(e.Note)
+	default:
+		co.errands.Add(1)
+		go (&errand{core: co, ctx: ctx, effect: e}).run()
+	}
+}
+
+// publish puts a snapshot in force.
+func (co *Core) publish(e effect.Effect) {
+	now := co.clock.Now()
+	old := co.table.Load()
+	next := &table{snapshot: e.Snapshot, pools: make(map[string]*pool.Pool, len(e.Snapshot.Fleets))}
+	for name := range e.Snapshot.Fleets {
+		next.pools[name] = old.pools[name]
+		if next.pools[name] == nil {
+			next.pools[name] = co.newPool()
+		}
+	}
+	for _, name := range e.Changed {
+		if f := e.Snapshot.Fleets[name]; f != nil {
+			next.pools[name].Install(now, f)
+		}
+	}
+	co.table.Store(next)
+	co.ready.Store(co.control.Ready())
+}
+
+func (co *Core) newPool() *pool.Pool {
+	p := pool.New(rand.New(rand.NewPCG(co.rand.Uint64(), co.rand.Uint64())), policy.Predicted)
+	p.Note = co.noted
+	return p
+}
+
+// spread hands a fact to the traffic side.
+func (co *Core) spread(e effect.Effect) {
+	now := co.clock.Now()
+	if e.Fact.Topic == topic.Poison {
+		if fp, ok := parsePrint(e.Fact.Subject); ok && e.Fact.From != co.me.Name {
+			co.poison.Merge(fp, e.Fact.From, e.Fact.Value, e.Fact.Until)
+		}
+		return
+	}
+	if p := co.table.Load().pools[e.Service]; p != nil {
+		p.Merge(now, e.Fact)
+	}
+}
+
+func (co *Core) credit(a ask.Ask, cs []credit.Credit) {
+	if p := co.table.Load().pools[a.Service]; p != nil {
+		p.Grant(co.clock.Now(), a.Upstream, a.Boot, cs)
+	}
+}
+
+// noted takes in the traffic side's news without holding it up.
+func (co *Core) noted(f fact.Fact) {
+	co.post(event.Event{Signal: signal.Noted, Fact: f})
+}
+
+func (co *Core) crashed(fp, crashes uint64, until time.Time) {
+	co.noted(fact.Fact{Topic: topic.Poison, Subject: formatPrint(fp), Value: crashes, Until: until})
+}
+
+// post hands an event to control, or counts it as dropped when control is behind.
+func (co *Core) post(ev event.Event) {
+	select {
+	case co.events <- ev:
+	default:
+		co.Dropped.Add(1)
+	}
+}
+
+func (co *Core) stale(now time.Time, service, upstream string) (time.Duration, bool) {
+	if p := co.table.Load().pools[service]; p != nil {
+		return p.Stale(now, upstream)
+	}
+	return 0, false
+}
+
+// Post hands an event to control and returns the effect that answers it; errors match ErrStopped.
+func (co *Core) Post(ctx context.Context, ev event.Event) (effect.Effect, error) {
+	q := question{event: ev, answer: make(chan effect.Effect, 1)}
+	select {
+	case co.asks <- q:
+	case <-co.done:
+		return effect.Effect{}, ErrStopped
+	case <-ctx.Done():
+		return effect.Effect{}, eris.Wrap(ErrStopped, ctx.Err().Error())
+	}
+	select {
+	case e := <-q.answer:
+		return e, nil
+	case <-co.done:
+		return effect.Effect{}, ErrStopped
+	}
+}
+
+// Status describes what is in force; errors match ErrStopped.
+func (co *Core) Status(ctx context.Context) (status.Status, error) {
+	look := make(chan status.Status, 1)
+	select {
+	case co.looks <- look:
+	case <-co.done:
+		return status.Status{}, ErrStopped
+	case <-ctx.Done():
+		return status.Status{}, eris.Wrap(ErrStopped, ctx.Err().Error())
+	}
+	return <-look, nil
+}
+
+// Leave begins the planned stop.
+func (co *Core) Leave() {
+	co.ready.Store(false)
+	select {
+	case co.events <- event.Event{Signal: signal.Stop}:
+	case <-co.done:
+	}
+}
+
+// pump lets waiting calls look for an upstream anew.
+func (co *Core) pump(ctx context.Context) {
+	for {
+		tick, stop := co.clock.Timer(tune.QueuePoll)
+		select {
+		case <-tick:
+		case <-ctx.Done():
+			stop()
+			return
+		}
+		now := co.clock.Now()
+		for _, p := range co.table.Load().pools {
+			p.Pump(now)
+		}
+	}
+}
+
+// errand is one effect that takes its time; its run method is a goroutine.
+type errand struct {
+	core   *Core
+	ctx    context.Context
+	effect effect.Effect
+}
+
+func (e *errand) run() {
+	defer e.core.errands.Done()
+	ef := &e.effect
+	switch ef.Deed {
+	case deed.Call:
+		e.reply(e.core.Do(e.ctx, ef.Order))
+	case deed.Send:
+		e.send()
+	case deed.Ask:
+		if cs, err := e.core.Ask(e.ctx, ef.Addr, ef.Ask); err == nil && len(cs) > 0 {
+			e.core.credit(ef.Ask, cs)
+		}
+	case deed.Probe:
+		e.probe()
+	}
+}
+
+// reply hands a reply to control; it is never dropped, since an order waits for it.
+func (e *errand) reply(r reply.Reply) {
+	select {
+	case e.core.events <- event.Event{Signal: signal.Reply, Reply: r}:
+	case <-e.core.done:
+	}
+}
+
+func (e *errand) send() {
+	d, err := e.core.Tell(e.ctx, e.effect.Addr, e.effect.Digest)
+	if err != nil {
+		e.core.post(event.Event{Signal: signal.Missed, Peer: e.effect.Peer})
+		return
+	}
+	e.core.post(event.Event{Signal: signal.Told, Digest: d})
+}
+
+// probe asks an upstream for its load.
+func (e *errand) probe() {
+	p := e.core.table.Load().pools[e.effect.Service]
+	if p == nil {
+		return
+	}
+	req, err := http.NewRequestWithContext(e.ctx, http.MethodGet, "http://"+e.effect.Addr.String()+"/load", nil)
+	if err != nil {
+		return
+	}
+	res, err := e.core.prober.Do(req)
+	if err != nil {
+		p.Probed(e.core.clock.Now(), e.effect.Upstream, &result.Result{Cause: cause.Broken})
+		return
+	}
+	defer func() { _ = res.Body.Close() }()
+	r := &result.Result{Status: res.StatusCode, Report: wire.ParseReport(res.Header.Get(wire.Load))}
+	p.Probed(e.core.clock.Now(), e.effect.Upstream, r)
+}
--- /dev/null
+++ b/internal/daemon/daemon.go
@@ -0,0 +1,224 @@
+package daemon
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"net/netip"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/rotisserie/eris"
+	"go.uber.org/zap"
+	"google.golang.org/protobuf/types/known/timestamppb"
+
+	"github.com/balsamvale/balsamvale/internal/back"
+	"github.com/balsamvale/balsamvale/internal/claims"
+	"github.com/balsamvale/balsamvale/internal/core"
+	"github.com/balsamvale/balsamvale/internal/front"
+	pb "github.com/balsamvale/balsamvale/internal/gen/balsamvale/v1"
+	"github.com/balsamvale/balsamvale/internal/logs"
+	"github.com/balsamvale/balsamvale/internal/option"
+	"github.com/balsamvale/balsamvale/internal/peers"
+	"github.com/balsamvale/balsamvale/internal/store"
+	"github.com/balsamvale/balsamvale/pkg/clock"
+	"github.com/balsamvale/balsamvale/pkg/member"
+)
+
+// ErrListen is what the errors match about an address that cannot be listened on.
+var ErrListen = eris.New("cannot listen")
+
+// Daemon is one entry.
+type Daemon struct {
+	options *option.Options
+	clock   clock.Clock
+	log     *logs.Log
+	core    *core.Core
+	peers   *peers.Service
+	metrics *metrics.Set
+	store   *store.Client
+	front   *http.Server
+	peer    *http.Server
+	admin   *http.Server
+	errs    chan error
+}
+
+// New wires an entry; boot identifies this start of it.
+func New(o *option.Options, c clock.Clock, log *logs.Log, boot uint64) *Daemon {
+	d := &Daemon{options: o, clock: c, log: log, metrics: metrics.NewSet(), errs: make(chan error, servers)}
+	me := member.Member{Name: o.Name, Domain: o.Domain, Peer: o.Peer, Boot: boot}
+	d.core = core.New(c, log, me, o.Seeds, boot)
+	d.store = store.New(&http.Client{}, o.Store)
+	d.peers = peers.New(c, &http.Client{})
+	d.core.Do = d.store.Do
+	d.core.Tell = d.peers.Tell
+	d.core.Ask = d.peers.Ask
+	d.peers.Post = d.core.Post
+	d.peers.State = d.state
+	d.serveFront(boot)
+	d.servePeer()
+	d.serveAdmin()
+	return d
+}
+
+// servers is the number of listeners of an entry.
+const servers = 3
+
+// serveFront builds the server that callers reach.
+func (d *Daemon) serveFront(boot uint64) {
+	o := d.options
+	k := claims.New(d.clock, fmt.Sprintf("%s.%d", o.Name, boot))
+	k.Get, k.Swap = d.store.Get, d.store.Swap
+	f := &front.Front{
+		Service: d.core.Service, Send: back.New(d.clock).Send, Claim: k.Claim, Settle: k.Settle,
+		Clock: d.clock, Log: d.log, Poison: d.core.Poison(), Name: o.Name, Boot: boot, Body: o.Body,
+	}
+	f.Init(d.metrics)
+	d.metrics.NewGauge("balsamvale_store_reads_total", func() float64 { return float64(d.store.Reads.Load()) })
+	d.metrics.NewGauge("balsamvale_store_writes_total", func() float64 { return float64(d.store.Writes.Load()) })
+	d.metrics.NewGauge("balsamvale_news_dropped_total", func() float64 { return float64(d.core.Dropped.Load()) })
+	d.front = &http.Server{Handler: f, ReadHeaderTimeout: o.Read, MaxHeaderBytes: o.Header, Protocols: bothProtocols()}
+}
+
+func bothProtocols() *http.Protocols {
+	p := &http.Protocols{}
+	p.SetHTTP1(true)
+	p.SetUnencryptedHTTP2(true)
+	return p
+}
+
+func (d *Daemon) servePeer() {
+	mux := http.NewServeMux()
+	mux.Handle(d.peers.Handler())
+	d.peer = &http.Server{Handler: mux, ReadHeaderTimeout: d.options.Read}
+}
+
+func (d *Daemon) serveAdmin() {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /metrics", func(w http.ResponseWriter, _ *http.Request) {
+		d.metrics.WritePrometheus(w)
+		metrics.WriteProcessMetrics(w)
+	})
+	mux.HandleFunc("GET /live", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusNoContent) })
+	mux.HandleFunc("GET /ready", func(w http.ResponseWriter, _ *http.Request) {
+		if !d.core.Ready() {
+			http.Error(w, "not ready", http.StatusServiceUnavailable)
+			return
+		}
+		w.WriteHeader(http.StatusNoContent)
+	})
+	d.admin = &http.Server{Handler: mux, ReadHeaderTimeout: d.options.Read}
+}
+
+// listener serves one address; its run method is a goroutine.
+type listener struct {
+	server *http.Server
+	on     net.Listener
+	errs   chan<- error
+}
+
+func (l *listener) run() {
+	if err := l.server.Serve(l.on); !eris.Is(err, http.ErrServerClosed) {
+		l.errs <- eris.Wrap(ErrListen, err.Error())
+	}
+}
+
+func (d *Daemon) listen(s *http.Server, addr netip.AddrPort) error {
+	on, err := net.Listen("tcp", addr.String())
+	if err != nil {
+		return eris.Wrap(ErrListen, err.Error())
+	}
+	go (&listener{s, on, d.errs}).run()
+	return nil
+}
+
+// Run serves until stop is done, and then until the calls in flight have ended; errors match ErrListen.
+func (d *Daemon) Run(stop context.Context) error {
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	if err := d.listen(d.admin, d.options.Admin); err != nil {
+		return err
+	}
+	if err := d.listen(d.peer, d.options.Peer); err != nil {
+		return err
+	}
+	d.core.Start(ctx)
+	if err := d.listen(d.front, d.options.Front); err != nil {
+		return err
+	}
+	d.log.Info("started", zap.String("name", d.options.Name), zap.Stringer("front", d.options.Front))
+	select {
+	case <-stop.Done():
+	case err := <-d.errs:
+		return err
+	}
+	return d.stop()
+}
+
+// stop tells that the entry leaves, serves on while the balancer notices, and finishes all calls.
+func (d *Daemon) stop() error {
+	d.log.Info("stopping")
+	d.core.Leave()
+	d.front.SetKeepAlivesEnabled(false)
+	lag, cancel := d.clock.Timer(d.options.Lag)
+	defer cancel()
+	<-lag
+	ctx := context.Background()
+	if d.options.Wait > 0 {
+		var end context.CancelFunc
+		ctx, end = context.WithTimeout(ctx, d.options.Wait)
+		defer end()
+	}
+	err := d.front.Shutdown(ctx)
+	if err != nil {
+		d.log.Warn("calls were cut by the limit in stop.wait", zap.Error(err))
+	}
+	d.handover()
+	_ = d.peer.Close()
+	_ = d.admin.Close()
+	d.log.Info("stopped")
+	return nil
+}
+
+// handover waits until other entries have been left the duties, for a bounded time.
+func (d *Daemon) handover() {
+	until := d.clock.Now().Add(handoverMost)
+	for d.clock.Now().Before(until) {
+		s, err := d.core.Status(context.Background())
+		if err != nil || len(s.Duties) == 0 || s.Members < 2 {
+			return
+		}
+		t, stop := d.clock.Timer(handoverPoll)
+		<-t
+		stop()
+	}
+}
+
+const (
+	// handoverMost bounds the wait for duties to be given up.
+	handoverMost = 3 * time.Second
+	handoverPoll = 20 * time.Millisecond
+)
+
+// state describes what is in force, for the peer service.
+func (d *Daemon) state(ctx context.Context) (*pb.StatusResponse, error) {
+	s, err := d.core.Status(ctx)
+	if err != nil {
+		return nil, err
+	}
+	out := &pb.StatusResponse{
+		Name: s.Name, Domain: s.Domain, Revision: s.Revision, Ready: s.Ready,
+		Store: s.Store, Members: uint32(s.Members), Duty: s.Duties,
+	}
+	if !s.Since.IsZero() {
+		out.Since = timestamppb.New(s.Since)
+	}
+	for _, r := range s.Rejects {
+		out.Rejected = append(out.Rejected, &pb.Rejected{Key: r.Key, Revision: r.Revision, Reason: r.Err.Error()})
+	}
+	for _, m := range s.Moves {
+		out.Move = append(out.Move, &pb.MoveStatus{Name: m.Move, Phase: m.Phase.String(), Share: uint32(m.Share), Reason: m.Reason})
+	}
+	return out, nil
+}
--- /dev/null
+++ b/internal/demo/demo.go
@@ -0,0 +1,263 @@
+package demo
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/netip"
+	"os"
+	"path/filepath"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/balsamvale/balsamvale/internal/codec"
+	rpc "github.com/balsamvale/balsamvale/internal/gen/balsamvale/v1/balsamvalev1connect"
+	"github.com/balsamvale/balsamvale/internal/kvsim"
+	"github.com/balsamvale/balsamvale/internal/store"
+	"github.com/balsamvale/balsamvale/internal/upsim"
+	"github.com/balsamvale/balsamvale/pkg/clock"
+	"github.com/balsamvale/balsamvale/pkg/item"
+	"github.com/balsamvale/balsamvale/pkg/keys"
+)
+
+// ErrDemo is what the errors match about a demo that could not be carried out.
+var ErrDemo = eris.New("the demo could not be carried out")
+
+// Demo is one run of a fleet under a bounded load.
+type Demo struct {
+	// For is how long callers make calls.
+	For time.Duration
+	// Fault names what goes wrong after a third of the time; empty for nothing.
+	Fault string
+	// Entries is the number of entries.
+	Entries int
+	// Callers is the number of callers, each with one call at a time.
+	Callers int
+	// Binary is the program whose serve command runs an entry.
+	Binary string
+	// Logs is where the entries' logs go.
+	Logs io.Writer
+
+	clock     clock.Clock
+	dir       string
+	kv        *kvsim.Server
+	kvAddr    netip.AddrPort
+	client    *store.Client
+	upstreams []*backend
+	entries   []*process
+	load      *load
+	servers   []*http.Server
+	began     time.Time
+}
+
+// backend is a stand-in upstream with its address and place.
+type backend struct {
+	*upsim.Upstream
+	addr    netip.AddrPort
+	domain  string
+	service string
+	net     *listener
+}
+
+// Sizes of the demo.
+const (
+	lookups   = 8
+	payouts   = 4
+	domains   = 4
+	slots     = 4
+	callTime  = 2 * time.Millisecond
+	warmTime  = time.Second
+	readyWait = 20 * time.Second
+	readyPoll = 50 * time.Millisecond
+)
+
+// Run carries the demo out and returns what was seen; errors match ErrDemo.
+func (d *Demo) Run(ctx context.Context) (*Result, error) {
+	d.clock = clock.Wall()
+	dir, err := os.MkdirTemp("", "balsamvale-demo-")
+	if err != nil {
+		return nil, eris.Wrap(ErrDemo, err.Error())
+	}
+	d.dir = dir
+	defer func() { _ = os.RemoveAll(dir) }()
+	defer d.close()
+	if err := d.start(ctx); err != nil {
+		return nil, err
+	}
+	f, err := pickFault(d.Fault)
+	if err != nil {
+		return nil, err
+	}
+	d.load = newLoad(d)
+	d.began = d.clock.Now()
+	go f.run(ctx, d)
+	d.load.wait(ctx)
+	res := d.load.result()
+	f.judge(d, res)
+	return res, nil
+}
+
+// start brings up the store, the upstreams, the records and the entries.
+func (d *Demo) start(ctx context.Context) error {
+	d.kv = kvsim.New(d.clock, 1)
+	mux := http.NewServeMux()
+	mux.Handle(rpc.NewStoreHandler(d.kv))
+	var err error
+	if d.kvAddr, _, err = d.listen(mux); err != nil {
+		return err
+	}
+	d.client = store.New(&http.Client{}, []netip.AddrPort{d.kvAddr})
+	for i := range lookups + payouts {
+		if err := d.startUpstream(i); err != nil {
+			return err
+		}
+	}
+	if err := d.Apply(ctx, d.records()); err != nil {
+		return err
+	}
+	for i := range d.Entries {
+		if err := d.startEntry(i); err != nil {
+			return err
+		}
+	}
+	return d.ready(ctx)
+}
+
+// listen serves a handler on a free port.
+func (d *Demo) listen(h http.Handler) (netip.AddrPort, *listener, error) {
+	on, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return netip.AddrPort{}, nil, eris.Wrap(ErrDemo, err.Error())
+	}
+	l := &listener{Listener: on}
+	s := &http.Server{Handler: h, ReadHeaderTimeout: readyWait}
+	d.servers = append(d.servers, s)
+	go (&server{s, l}).run()
+	return netip.MustParseAddrPort(on.Addr().String()), l, nil
+}
+
+// server serves one listener; its run method is a goroutine.
+type server struct {
+	http *http.Server
+	on   net.Listener
+}
+
+func (s *server) run() { _ = s.http.Serve(s.on) }
+
+func (d *Demo) startUpstream(i int) error {
+	b := &backend{service: "lookup", domain: fmt.Sprintf("zone-%d", i%domains+1)}
+	name := fmt.Sprintf("lookup-%d", i+1)
+	if i >= lookups {
+		b.service, name = "payout", fmt.Sprintf("payout-%d", i-lookups+1)
+	}
+	b.Upstream = &upsim.Upstream{
+		Name: name, Version: "v1", Slots: slots, Backlog: 3 * slots, Time: callTime,
+		Cold: 1, Warm: warmTime, Clock: d.clock,
+	}
+	b.Start(uint64(i + 1))
+	b.Age()
+	addr, l, err := d.listen(b.Upstream)
+	if err != nil {
+		return err
+	}
+	b.addr, b.net = addr, l
+	d.upstreams = append(d.upstreams, b)
+	return nil
+}
+
+// records writes the operators' records of the demo.
+func (d *Demo) records() string {
+	s := ""
+	for i := range domains {
+		s += fmt.Sprintf("[[domain]]\nschema = 1\nname = \"zone-%d\"\nregion = \"demo\"\ndelay = \"0s\"\n", i+1)
+	}
+	for _, name := range []string{"lookup", "payout"} {
+		s += fmt.Sprintf("[[service]]\nschema = 2\nname = %q\nslots = %d\nconns = 260\ntimeout = \"1s\"\ncold = 1\nwarm = %q\n", name, slots, warmTime)
+	}
+	for _, b := range d.upstreams {
+		s += fmt.Sprintf("[[upstream]]\nschema = 1\nname = %q\nservice = %q\ndomain = %q\naddr = %q\nversion = %q\n",
+			b.Name, b.service, b.domain, b.addr, b.Version)
+	}
+	return s
+}
+
+// Apply writes records to the store as the apply command does.
+func (d *Demo) Apply(ctx context.Context, text string) error {
+	recs, err := codec.ReadRecords("demo", []byte(text))
+	if err != nil {
+		return eris.Wrap(ErrDemo, err.Error())
+	}
+	for _, r := range recs {
+		data, err := proto.Marshal(r)
+		if err != nil {
+			return eris.Wrap(ErrDemo, err.Error())
+		}
+		key := keys.Record(r.GetKind(), r.GetName())
+		old, err := d.client.Get(ctx, key)
+		if err != nil {
+			return eris.Wrap(ErrDemo, err.Error())
+		}
+		done, _, err := d.client.Swap(ctx, item.Item{Key: key, Value: data}, old.Revision, 0)
+		if err != nil || !done {
+			return eris.Wrapf(ErrDemo, "record %s was not written", key)
+		}
+	}
+	return nil
+}
+
+// startEntry runs one entry as a process of its own.
+func (d *Demo) startEntry(i int) error {
+	ports := make([]netip.AddrPort, 3)
+	for j := range ports {
+		on, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			return eris.Wrap(ErrDemo, err.Error())
+		}
+		ports[j] = netip.MustParseAddrPort(on.Addr().String())
+		defer func() { _ = on.Close() }()
+	}
+	text := fmt.Sprintf("schema = 1\nname = \"entry-%d\"\ndomain = \"zone-%d\"\nfront = %q\npeer = %q\nadmin = %q\nstore = [%q]\n[log]\nsample = 1\n[stop]\nlag = \"1s\"\n",
+		i+1, i%domains+1, ports[0], ports[1], ports[2], d.kvAddr)
+	file := filepath.Join(d.dir, fmt.Sprintf("entry-%d.toml", i+1))
+	if err := os.WriteFile(file, []byte(text), 0o600); err != nil {
+		return eris.Wrap(ErrDemo, err.Error())
+	}
+	p := &process{name: fmt.Sprintf("entry-%d", i+1), front: ports[0], admin: ports[2], done: make(chan struct{})}
+	d.entries = append(d.entries, p)
+	return p.start(d.Binary, file, d.Logs)
+}
+
+// ready waits until all entries are ready and every upstream has ended its warm-up.
+func (d *Demo) ready(ctx context.Context) error {
+	until := d.clock.Now().Add(readyWait)
+	for _, p := range d.entries {
+		for !p.poll() {
+			if d.clock.Now().After(until) || ctx.Err() != nil {
+				return eris.Wrapf(ErrDemo, "%s did not become ready", p.name)
+			}
+			pause(d.clock, readyPoll)
+		}
+	}
+	pause(d.clock, warmTime+warmTime/2)
+	return nil
+}
+
+func pause(c clock.Clock, t time.Duration) {
+	ch, stop := c.Timer(t)
+	defer stop()
+	<-ch
+}
+
+// close ends what the demo started.
+func (d *Demo) close() {
+	for _, p := range d.entries {
+		p.end()
+	}
+	for _, s := range d.servers {
+		_ = s.Close()
+	}
+}
--- /dev/null
+++ b/internal/demo/fault.go
@@ -0,0 +1,158 @@
+package demo
+
+import (
+	"context"
+	"fmt"
+	"sort"
+	"syscall"
+	"time"
+
+	"github.com/rotisserie/eris"
+)
+
+// fault is something that goes wrong during a demo, and what must hold all the same.
+type fault struct {
+	help string
+	// act brings the fault about after a third of the time.
+	act func(ctx context.Context, d *Demo) error
+	// verify checks what must hold at the end.
+	verify func(d *Demo, r *Result)
+	err    error
+	done   chan struct{}
+}
+
+// grace is the time in which an operator's word takes effect on new work.
+const grace = 3 * time.Second
+
+func faults() map[string]*fault {
+	return map[string]*fault{
+		"":                  {act: nothing, verify: func(*Demo, *Result) {}},
+		"domain-out":        domainOut(),
+		"store-down":        {help: "the store is down until the end", act: storeDown, verify: mostAnswered(0.70)},
+		"entry-killed":      {help: "an entry is killed", act: entryKilled, verify: mostAnswered(0.95)},
+		"cold-upstream":     coldUpstream(),
+		"silent-connection": {help: "all open connections to the upstreams go silent", act: silence, verify: mostAnswered(0.95)},
+		"planned-stop":      {help: "an entry gets SIGTERM", act: plannedStop, verify: stopped},
+	}
+}
+
+// Faults lists the names of the faults with a line of help each.
+func Faults() []string {
+	var out []string
+	for name, f := range faults() {
+		if name != "" {
+			out = append(out, fmt.Sprintf("%-18s %s", name, f.help))
+		}
+	}
+	sort.Strings(out)
+	return out
+}
+
+func pickFault(name string) (*fault, error) {
+	f := faults()[name]
+	if f == nil {
+		return nil, eris.Wrapf(ErrDemo, "fault %q is not known", name)
+	}
+	f.done = make(chan struct{})
+	return f, nil
+}
+
+// run brings the fault about after a third of the time.
+func (f *fault) run(ctx context.Context, d *Demo) {
+	defer close(f.done)
+	pause(d.clock, d.For/3)
+	f.err = f.act(ctx, d)
+}
+
+// judge checks what must hold at the end.
+func (f *fault) judge(d *Demo, r *Result) {
+	<-f.done
+	r.check(f.err == nil, fmt.Sprintf("the fault could not be brought about: %v", f.err))
+	f.verify(d, r)
+}
+
+func nothing(context.Context, *Demo) error { return nil }
+
+func mostAnswered(share float64) func(*Demo, *Result) {
+	return func(_ *Demo, r *Result) {
+		r.check(float64(r.Answered) >= share*float64(r.Calls), fmt.Sprintf("fewer than %.0f%% of the calls were answered", 100*share))
+	}
+}
+
+func storeDown(_ context.Context, d *Demo) error {
+	d.kv.Down(true)
+	return nil
+}
+
+func entryKilled(_ context.Context, d *Demo) error {
+	d.entries[0].signal(syscall.SIGKILL)
+	return nil
+}
+
+func silence(_ context.Context, d *Demo) error {
+	for _, b := range d.upstreams {
+		b.net.mute()
+	}
+	return nil
+}
+
+func plannedStop(_ context.Context, d *Demo) error {
+	d.entries[0].signal(syscall.SIGTERM)
+	return nil
+}
+
+// stopped checks that the entry ended well and that no call was cut or lost.
+func stopped(d *Demo, r *Result) {
+	<-d.entries[0].done
+	r.check(d.entries[0].code.Load() == 0, "the stopped entry did not exit with 0")
+	r.check(r.Failed == 0 && r.Cut == 0, "a call was cut by a planned stop")
+}
+
+// domainOut takes a failure domain out by its record.
+func domainOut() *fault {
+	before := map[string]int{}
+	runs := func(d *Demo) map[string]int {
+		out := map[string]int{}
+		for _, b := range d.upstreams {
+			for _, n := range b.Runs() {
+				if b.domain == "zone-1" {
+					out[b.Name] += n
+				}
+			}
+		}
+		return out
+	}
+	return &fault{
+		help: "operators take a failure domain out; new work there must end within 3s",
+		act: func(ctx context.Context, d *Demo) error {
+			err := d.Apply(ctx, "[[domain]]\nschema = 1\nname = \"zone-1\"\nregion = \"demo\"\nout = true\n")
+			d.load.steer("zone-1")
+			pause(d.clock, grace)
+			before = runs(d)
+			return err
+		},
+		verify: func(d *Demo, r *Result) {
+			for name, n := range runs(d) {
+				r.check(n == before[name], fmt.Sprintf("%s got new work after its failure domain was out", name))
+			}
+		},
+	}
+}
+
+// coldUpstream restarts an upstream without a word.
+func coldUpstream() *fault {
+	before := 0
+	return &fault{
+		help: "an upstream turns cold without warning; what it bears must not be exceeded once noticed",
+		act: func(_ context.Context, d *Demo) error {
+			d.load.steer("zone-1")
+			d.upstreams[0].Restart()
+			pause(d.clock, warmTime/2)
+			before = d.upstreams[0].Over()
+			return nil
+		},
+		verify: func(d *Demo, r *Result) {
+			r.check(d.upstreams[0].Over() == before, "a cold upstream got more than it bears")
+		},
+	}
+}
--- /dev/null
+++ b/internal/front/doc.go
@@ -0,0 +1,2 @@
+// Package front serves callers over HTTP by driving a flow for each call.
+package front
--- /dev/null
+++ b/internal/front/front.go
@@ -0,0 +1,168 @@
+package front
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/balsamvale/balsamvale/internal/logs"
+	"github.com/balsamvale/balsamvale/internal/outreq"
+	"github.com/balsamvale/balsamvale/internal/wire"
+	"github.com/balsamvale/balsamvale/pkg/answer"
+	"github.com/balsamvale/balsamvale/pkg/call"
+	"github.com/balsamvale/balsamvale/pkg/class"
+	"github.com/balsamvale/balsamvale/pkg/clock"
+	"github.com/balsamvale/balsamvale/pkg/fate"
+	"github.com/balsamvale/balsamvale/pkg/flow"
+	"github.com/balsamvale/balsamvale/pkg/grant"
+	"github.com/balsamvale/balsamvale/pkg/poison"
+	"github.com/balsamvale/balsamvale/pkg/pool"
+	"github.com/balsamvale/balsamvale/pkg/repeat"
+	"github.com/balsamvale/balsamvale/pkg/result"
+	"github.com/balsamvale/balsamvale/pkg/state"
+	"github.com/balsamvale/balsamvale/pkg/svcrec"
+)
+
+// Front is the HTTP handler that callers reach.
+type Front struct {
+	// Service and Pool look up what is in force for a service.
+	Service func(name string) (*svcrec.Service, *pool.Pool)
+	// Send makes an attempt.
+	Send func(ctx context.Context, r *outreq.Request) (*http.Response, result.Result)
+	// Claim and Settle keep idempotency keys.
+	Claim  func(ctx context.Context, service string, key, attempt uint64, until time.Time) (grant.Grant, answer.Answer)
+	Settle func(service string, key, attempt uint64, st state.State, a answer.Answer)
+
+	Clock  clock.Clock
+	Log    *logs.Log
+	Poison *poison.Table
+	// Name and Boot make the identities of attempts unique.
+	Name string
+	Boot uint64
+	// Body is the largest request body in bytes.
+	Body int64
+
+	next    atomic.Uint64
+	metrics *metrics.Set
+	counts  [3]*metrics.Counter
+	took    *metrics.Histogram
+}
+
+// Init registers the metrics of the front.
+func (f *Front) Init(set *metrics.Set) {
+	f.metrics = set
+	for ft := fate.Answered; ft <= fate.Unknown; ft++ {
+		f.counts[ft] = set.NewCounter(`balsamvale_calls_total{fate="` + ft.String() + `"}`)
+	}
+	f.took = set.NewHistogram("balsamvale_call_seconds")
+}
+
+// ServeHTTP serves one call.
+func (f *Front) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if r.Method == http.MethodConnect || strings.Contains(strings.ToLower(r.Header.Get("Connection")), "upgrade") && r.Header.Get("Upgrade") != "h2c" {
+		http.Error(w, "upgrades and tunnels are not served", http.StatusNotImplemented)
+		return
+	}
+	name, path, _ := strings.Cut(strings.TrimPrefix(r.URL.EscapedPath(), "/"), "/")
+	svc, p := f.Service(name)
+	if svc == nil || p == nil {
+		w.Header().Set(wire.Fate, fate.NotRun.String())
+		http.Error(w, "service "+strconvQuote(name)+" is not known", http.StatusNotFound)
+		return
+	}
+	if r.ContentLength > f.Body {
+		w.Header().Set(wire.Fate, fate.NotRun.String())
+		http.Error(w, "the body is too large", http.StatusRequestEntityTooLarge)
+		return
+	}
+	target := "/" + path
+	if r.URL.RawQuery != "" {
+		target += "?" + r.URL.RawQuery
+	}
+	e := &exchange{front: f, w: w, r: r, service: svc, target: target}
+	if err := e.read(); err != nil {
+		e.badBody(err)
+		return
+	}
+	e.call = f.call(r, svc, "/"+path, e.body, e.buffered)
+	e.flow = flow.New(e.call, p, f.Poison)
+	e.serve()
+}
+
+// call builds what decisions need to know of a request.
+func (f *Front) call(r *http.Request, svc *svcrec.Service, path string, body []byte, buffered bool) *call.Call {
+	now := f.Clock.Now()
+	rt := svc.Route(path)
+	c := &call.Call{
+		ID: f.next.Add(1), Service: svc.Name, Route: rt.Path, Caller: caller(r), Class: rt.Class,
+		Repeat: repeats(rt.Repeat, r.Method), Buffered: buffered, Arrived: now,
+		Depth: wire.ParseCount(r.Header.Get(wire.Depth)), Attempt: wire.ParseCount(r.Header.Get(wire.Try)),
+	}
+	c.Deadline = deadline(now, r.Header.Get(wire.Deadline), svc, rt.Class)
+	key := r.Header.Get(wire.Key)
+	c.Print = fingerprint(svc.Name, r, key, body)
+	if key != "" && !c.Repeat {
+		c.Key = max(1, xxhash.Sum64String(svc.Name+"\x00"+key))
+	}
+	return c
+}
+
+// deadline is the caller's own, but no later than the service allows to interactive calls.
+func deadline(now time.Time, header string, svc *svcrec.Service, cl class.Class) time.Time {
+	left, err := time.ParseDuration(header)
+	if err != nil || left <= 0 {
+		left = 0
+	}
+	if cl == class.Interactive && (left == 0 || left > svc.Timeout) {
+		left = svc.Timeout
+	}
+	if left == 0 {
+		return time.Time{}
+	}
+	return now.Add(left)
+}
+
+// repeats reports whether a call may be sent again.
+func repeats(rule repeat.Repeat, method string) bool {
+	switch rule {
+	case repeat.Always:
+		return true
+	case repeat.Never:
+		return false
+	}
+	switch method {
+	case http.MethodGet, http.MethodHead, http.MethodOptions, http.MethodTrace, http.MethodPut, http.MethodDelete:
+		return true
+	}
+	return false
+}
+
+// caller names who made a request: the client that the platform's balancer saw, or the peer.
+func caller(r *http.Request) string {
+	if first, _, _ := strings.Cut(r.Header.Get("X-Forwarded-For"), ","); first != "" {
+		return strings.TrimSpace(first)
+	}
+	host, _, err := net.SplitHostPort(r.RemoteAddr)
+	if err != nil {
+		return r.RemoteAddr
+	}
+	return host
+}
+
+// fingerprint identifies a request by everything of it that is at hand.
+func fingerprint(service string, r *http.Request, key string, body []byte) uint64 {
+	d := xxhash.New()
+	for _, s := range []string{service, r.Method, r.URL.RequestURI(), key} {
+		// Write on a digest never fails.
+		_, _ = d.WriteString(s)
+		_, _ = d.Write([]byte{0})
+	}
+	_, _ = d.Write(body)
+	return d.Sum64()
+}
--- /dev/null
+++ b/internal/logs/doc.go
@@ -0,0 +1,2 @@
+// Package logs writes the structured log of an entry.
+package logs
--- /dev/null
+++ b/internal/option/doc.go
@@ -0,0 +1,2 @@
+// Package option reads the settings of an entry.
+package option
--- /dev/null
+++ b/internal/outreq/doc.go
@@ -0,0 +1,2 @@
+// Package outreq describes a request to an upstream.
+package outreq
--- /dev/null
+++ b/internal/peers/doc.go
@@ -0,0 +1,2 @@
+// Package peers serves and calls the service between entries.
+package peers
--- /dev/null
+++ b/internal/peers/service.go
@@ -0,0 +1,124 @@
+package peers
+
+import (
+	"context"
+	"net/http"
+	"net/netip"
+
+	"connectrpc.com/connect"
+	"github.com/rotisserie/eris"
+	"google.golang.org/protobuf/types/known/durationpb"
+
+	"github.com/balsamvale/balsamvale/internal/codec"
+	pb "github.com/balsamvale/balsamvale/internal/gen/balsamvale/v1"
+	rpc "github.com/balsamvale/balsamvale/internal/gen/balsamvale/v1/balsamvalev1connect"
+	"github.com/balsamvale/balsamvale/pkg/ask"
+	"github.com/balsamvale/balsamvale/pkg/clock"
+	"github.com/balsamvale/balsamvale/pkg/credit"
+	"github.com/balsamvale/balsamvale/pkg/digest"
+	"github.com/balsamvale/balsamvale/pkg/effect"
+	"github.com/balsamvale/balsamvale/pkg/event"
+	"github.com/balsamvale/balsamvale/pkg/signal"
+	"github.com/balsamvale/balsamvale/pkg/tune"
+)
+
+// ErrPeer is what the errors match about a peer that did not answer.
+var ErrPeer = eris.New("peer did not answer")
+
+// Service is one entry's side of the peer protocol; it is safe for concurrent use.
+type Service struct {
+	// Post hands an event to control and returns the effect that answers it.
+	Post func(ctx context.Context, ev event.Event) (effect.Effect, error)
+	// State describes what is in force.
+	State func(ctx context.Context) (*pb.StatusResponse, error)
+
+	clock clock.Clock
+	http  *http.Client
+}
+
+// New returns a service that calls peers through h.
+func New(c clock.Clock, h *http.Client) *Service { return &Service{clock: c, http: h} }
+
+// Handler returns the path and the handler under which peers reach the service.
+func (s *Service) Handler() (string, http.Handler) { return rpc.NewPeerHandler(s) }
+
+// Exchange takes in a peer's digest and answers with what it lacks.
+func (s *Service) Exchange(ctx context.Context, req *connect.Request[pb.Digest]) (*connect.Response[pb.Digest], error) {
+	ev := event.Event{Signal: signal.Heard, Digest: codec.ToDigest(s.clock.Now(), req.Msg)}
+	e, err := s.Post(ctx, ev)
+	if err != nil {
+		return nil, connect.NewError(connect.CodeUnavailable, err)
+	}
+	return connect.NewResponse(codec.FromDigest(s.clock.Now(), e.Digest)), nil
+}
+
+// Credit grants calls to a cold upstream.
+func (s *Service) Credit(ctx context.Context, req *connect.Request[pb.CreditRequest]) (*connect.Response[pb.CreditResponse], error) {
+	m := req.Msg
+	ev := event.Event{Signal: signal.Asked, Ask: ask.Ask{
+		From: m.GetFrom(), Upstream: m.GetUpstream(), Boot: m.GetBoot(), Want: int(m.GetWant()), Back: m.GetBack(),
+	}}
+	e, err := s.Post(ctx, ev)
+	if err != nil {
+		return nil, connect.NewError(connect.CodeUnavailable, err)
+	}
+	res := &pb.CreditResponse{Ttl: durationpb.New(e.TTL)}
+	for _, c := range e.Credits {
+		res.Grant = append(res.Grant, c.ID)
+	}
+	return connect.NewResponse(res), nil
+}
+
+// Status tells what is in force on the entry.
+func (s *Service) Status(ctx context.Context, _ *connect.Request[pb.StatusRequest]) (*connect.Response[pb.StatusResponse], error) {
+	res, err := s.State(ctx)
+	if err != nil {
+		return nil, connect.NewError(connect.CodeUnavailable, err)
+	}
+	return connect.NewResponse(res), nil
+}
+
+func (s *Service) client(addr netip.AddrPort) rpc.PeerClient {
+	return rpc.NewPeerClient(s.http, "http://"+addr.String())
+}
+
+// Tell sends a digest to a peer and returns its answer; errors match ErrPeer.
+func (s *Service) Tell(ctx context.Context, addr netip.AddrPort, d digest.Digest) (digest.Digest, error) {
+	ctx, cancel := context.WithTimeout(ctx, tune.PeerTimeout)
+	defer cancel()
+	res, err := s.client(addr).Exchange(ctx, connect.NewRequest(codec.FromDigest(s.clock.Now(), d)))
+	if err != nil {
+		return digest.Digest{}, eris.Wrap(ErrPeer, err.Error())
+	}
+	return codec.ToDigest(s.clock.Now(), res.Msg), nil
+}
+
+// Ask asks a peer for credits, whose life counts from before the request; errors match ErrPeer.
+func (s *Service) Ask(ctx context.Context, addr netip.AddrPort, a ask.Ask) ([]credit.Credit, error) {
+	ctx, cancel := context.WithTimeout(ctx, tune.PeerTimeout)
+	defer cancel()
+	sent := s.clock.Now()
+	res, err := s.client(addr).Credit(ctx, connect.NewRequest(&pb.CreditRequest{
+		From: a.From, Upstream: a.Upstream, Boot: a.Boot, Want: uint32(a.Want), Back: a.Back,
+	}))
+	if err != nil {
+		return nil, eris.Wrap(ErrPeer, err.Error())
+	}
+	until := sent.Add(res.Msg.GetTtl().AsDuration())
+	var out []credit.Credit
+	for _, id := range res.Msg.GetGrant() {
+		out = append(out, credit.Credit{ID: id, Until: until})
+	}
+	return out, nil
+}
+
+// Inquire asks an entry for its status; errors match ErrPeer.
+func (s *Service) Inquire(ctx context.Context, addr netip.AddrPort) (*pb.StatusResponse, error) {
+	ctx, cancel := context.WithTimeout(ctx, tune.PeerTimeout)
+	defer cancel()
+	res, err := s.client(addr).Status(ctx, connect.NewRequest(&pb.StatusRequest{}))
+	if err != nil {
+		return nil, eris.Wrap(ErrPeer, err.Error())
+	}
+	return res.Msg, nil
+}
--- /dev/null
+++ b/internal/store/client.go
@@ -0,0 +1,174 @@
+package store
+
+import (
+	"context"
+	"net/http"
+	"net/netip"
+	"sync/atomic"
+	"time"
+
+	"connectrpc.com/connect"
+	"github.com/rotisserie/eris"
+	"google.golang.org/protobuf/types/known/durationpb"
+
+	"github.com/balsamvale/balsamvale/internal/codec"
+	pb "github.com/balsamvale/balsamvale/internal/gen/balsamvale/v1"
+	rpc "github.com/balsamvale/balsamvale/internal/gen/balsamvale/v1/balsamvalev1connect"
+	"github.com/balsamvale/balsamvale/pkg/item"
+	"github.com/balsamvale/balsamvale/pkg/order"
+	"github.com/balsamvale/balsamvale/pkg/reply"
+	"github.com/balsamvale/balsamvale/pkg/tune"
+	"github.com/balsamvale/balsamvale/pkg/verb"
+)
+
+// ErrCall is what the errors about calls match whose outcome is not known.
+var ErrCall = eris.New("store call failed")
+
+// Client calls the store, at the next address after a failure; it is safe for concurrent use.
+type Client struct {
+	clients []rpc.StoreClient
+	next    atomic.Uint32
+	// Reads and Writes count the calls made.
+	Reads  atomic.Uint64
+	Writes atomic.Uint64
+}
+
+// New returns a client for the given addresses.
+func New(h *http.Client, addrs []netip.AddrPort) *Client {
+	c := &Client{}
+	for _, a := range addrs {
+		c.clients = append(c.clients, rpc.NewStoreClient(h, "http://"+a.String()))
+	}
+	return c
+}
+
+func (c *Client) client() rpc.StoreClient {
+	return c.clients[int(c.next.Load())%len(c.clients)]
+}
+
+// failed moves on to the next address and hides the layer below.
+func (c *Client) failed(err error) error {
+	c.next.Add(1)
+	return eris.Wrap(ErrCall, err.Error())
+}
+
+// Do carries out an order of control; a failed call gives a reply that says so.
+func (c *Client) Do(ctx context.Context, o order.Order) reply.Reply {
+	timeout := tune.StoreTimeout
+	if o.Verb == verb.Watch {
+		timeout += o.Wait
+	}
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	r, err := c.do(ctx, o)
+	if err != nil {
+		return reply.Reply{ID: o.ID, Failed: true}
+	}
+	r.ID = o.ID
+	return r
+}
+
+func (c *Client) do(ctx context.Context, o order.Order) (reply.Reply, error) {
+	switch o.Verb {
+	case verb.List:
+		items, rev, more, err := c.List(ctx, o.Key, o.After)
+		return reply.Reply{Items: items, Revision: rev, More: more, Done: true}, err
+	case verb.Watch:
+		return c.watch(ctx, o)
+	case verb.Lease:
+		return c.lease(ctx, o)
+	case verb.Swap:
+		data, err := codec.Encode(o.Value)
+		if err != nil {
+			return reply.Reply{}, eris.Wrap(ErrCall, err.Error())
+		}
+		done, it, err := c.Swap(ctx, item.Item{Key: o.Key, Value: data, Gone: o.Gone}, o.Expect, o.Lease)
+		return reply.Reply{Done: done, Revision: it.Revision}, err
+	}
+	it, err := c.Get(ctx, o.Key)
+	return reply.Reply{Items: []item.Item{it}, Revision: it.Revision, Done: true}, err
+}
+
+// Get reads a key; a missing one has revision 0. Errors match ErrCall.
+func (c *Client) Get(ctx context.Context, key string) (item.Item, error) {
+	c.Reads.Add(1)
+	res, err := c.client().Get(ctx, connect.NewRequest(&pb.GetRequest{Key: key}))
+	if err != nil {
+		return item.Item{}, c.failed(err)
+	}
+	if res.Msg.GetItem() == nil {
+		return item.Item{Key: key}, nil
+	}
+	return codec.ToItem(res.Msg.GetItem()), nil
+}
+
+// Swap writes a key if its revision is the expected one, and returns the item that then holds.
+//
+// An error matches ErrCall and means that the write may have taken effect.
+func (c *Client) Swap(ctx context.Context, it item.Item, expect, lease int64) (bool, item.Item, error) {
+	c.Writes.Add(1)
+	req := &pb.SwapRequest{Key: it.Key, Value: it.Value, Expect: expect, Lease: lease, Gone: it.Gone}
+	res, err := c.client().Swap(ctx, connect.NewRequest(req))
+	if err != nil {
+		return false, item.Item{}, c.failed(err)
+	}
+	return res.Msg.GetDone(), codec.ToItem(res.Msg.GetItem()), nil
+}
+
+// List reads a page of the keys under a prefix, with the store's revision. Errors match ErrCall.
+func (c *Client) List(ctx context.Context, prefix, after string) (items []item.Item, revision int64, more bool, err error) {
+	c.Reads.Add(1)
+	req := &pb.ListRequest{Prefix: prefix, After: after, Limit: tune.PageMost}
+	res, err := c.client().List(ctx, connect.NewRequest(req))
+	if err != nil {
+		return nil, 0, false, c.failed(err)
+	}
+	return codec.ToItems(res.Msg.GetItem()), res.Msg.GetRevision(), res.Msg.GetMore(), nil
+}
+
+// All reads all keys under a prefix. Errors match ErrCall.
+func (c *Client) All(ctx context.Context, prefix string) ([]item.Item, error) {
+	var out []item.Item
+	after := ""
+	for {
+		page, _, more, err := c.List(ctx, prefix, after)
+		if err != nil {
+			return nil, err
+		}
+		out = append(out, page...)
+		if !more || len(page) == 0 {
+			return out, nil
+		}
+		after = page[len(page)-1].Key
+	}
+}
+
+func (c *Client) watch(ctx context.Context, o order.Order) (reply.Reply, error) {
+	c.Reads.Add(1)
+	req := &pb.WatchRequest{Prefix: []string{o.Key}, After: o.Since, Wait: durationpb.New(o.Wait)}
+	res, err := c.client().Watch(ctx, connect.NewRequest(req))
+	if err != nil {
+		return reply.Reply{}, c.failed(err)
+	}
+	m := res.Msg
+	return reply.Reply{Items: codec.ToItems(m.GetItem()), Revision: m.GetRevision(), Lost: m.GetLost(), Done: true}, nil
+}
+
+func (c *Client) lease(ctx context.Context, o order.Order) (reply.Reply, error) {
+	c.Writes.Add(1)
+	req := &pb.LeaseRequest{Id: o.Lease, Ttl: durationpb.New(o.TTL)}
+	res, err := c.client().Lease(ctx, connect.NewRequest(req))
+	if connect.CodeOf(err) == connect.CodeNotFound {
+		return reply.Reply{}, nil
+	}
+	if err != nil {
+		return reply.Reply{}, c.failed(err)
+	}
+	return reply.Reply{Done: true, Lease: res.Msg.GetId()}, nil
+}
+
+// Wait watches a prefix for changes after a revision. Errors match ErrCall.
+func (c *Client) Wait(ctx context.Context, prefix string, since int64, wait time.Duration) ([]item.Item, int64, error) {
+	r, err := c.watch(ctx, order.Order{Key: prefix, Since: since, Wait: wait})
+	return r.Items, r.Revision, err
+}
--- /dev/null
+++ b/internal/store/doc.go
@@ -0,0 +1,2 @@
+// Package store calls the platform's key-value service.
+package store
--- /dev/null
+++ b/internal/tomlpb/format.go
@@ -0,0 +1,76 @@
+package tomlpb
+
+import (
+	"fmt"
+	"strconv"
+	"strings"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+	"google.golang.org/protobuf/reflect/protoreflect"
+	"google.golang.org/protobuf/types/known/durationpb"
+	"google.golang.org/protobuf/types/known/timestamppb"
+)
+
+// Format writes a message as one table of an array, in the form that Parse reads.
+func Format(kind string, m proto.Message) string {
+	var b strings.Builder
+	write(&b, kind, m.ProtoReflect())
+	return b.String()
+}
+
+func write(b *strings.Builder, table string, m protoreflect.Message) {
+	fmt.Fprintf(b, "[[%s]]\n", table)
+	fields := m.Descriptor().Fields()
+	var nested []protoreflect.FieldDescriptor
+	for i := range fields.Len() {
+		fd := fields.Get(i)
+		if !m.Has(fd) && !limitOf(fd).GetNeed() && limitOf(fd).GetPreset() == "" {
+			continue
+		}
+		if fd.IsList() && fd.Message() != nil {
+			nested = append(nested, fd)
+			continue
+		}
+		if fd.Message() != nil && !m.Has(fd) {
+			continue
+		}
+		fmt.Fprintf(b, "%s = %s\n", fd.Name(), literal(fd, m.Get(fd)))
+	}
+	for _, fd := range nested {
+		l := m.Get(fd).List()
+		for i := range l.Len() {
+			b.WriteString("\n")
+			write(b, table+"."+string(fd.Name()), l.Get(i).Message())
+		}
+	}
+}
+
+func literal(fd protoreflect.FieldDescriptor, v protoreflect.Value) string {
+	if fd.IsList() {
+		var els []string
+		for i := range v.List().Len() {
+			els = append(els, scalarLiteral(fd, v.List().Get(i)))
+		}
+		return "[" + strings.Join(els, ", ") + "]"
+	}
+	return scalarLiteral(fd, v)
+}
+
+func scalarLiteral(fd protoreflect.FieldDescriptor, v protoreflect.Value) string {
+	switch fd.Kind() {
+	case protoreflect.StringKind:
+		return strconv.Quote(v.String())
+	case protoreflect.EnumKind:
+		name := string(fd.Enum().Values().ByNumber(v.Enum()).Name())
+		return strconv.Quote(strings.ToLower(name))
+	case protoreflect.MessageKind:
+		switch t := v.Message().Interface().(type) {
+		case *durationpb.Duration:
+			return strconv.Quote(t.AsDuration().String())
+		case *timestamppb.Timestamp:
+			return t.AsTime().Format(time.RFC3339Nano)
+		}
+	}
+	return v.String()
+}
--- /dev/null
+++ b/internal/upsim/doc.go
@@ -0,0 +1,2 @@
+// Package upsim stands in for an upstream, with faults on demand.
+package upsim
--- /dev/null
+++ b/main.go
@@ -0,0 +1,14 @@
+// Balsamvale is a load balancer for servers whose load shifts in milliseconds.
+package main
+
+import (
+	"context"
+	"os"
+
+	"github.com/balsamvale/balsamvale/internal/cmds"
+)
+
+func main() {
+	app := &cmds.App{Out: os.Stdout, Err: os.Stderr}
+	os.Exit(app.Run(context.Background(), os.Args))
+}
