Claims: settle lazily, keep a write budget, join running calls

Before: record not written, new work in the failure domain. Ruled out: the lease renewals, which take 2 writes a second at 4 entries.

--- a/internal/claims/keeper.go
+++ b/internal/claims/keeper.go
@@ -24,11 +24,15 @@
 	// Get and Swap call the store.
 	Get  func(ctx context.Context, key string) (item.Item, error)
 	Swap func(ctx context.Context, it item.Item, expect, lease int64) (bool, item.Item, error)
+	// Entries, when set, tells how many entries share the store's writes.
+	Entries func() int
 
 	clock   clock.Clock
 	owner   string
 	mu      sync.Mutex
 	workers map[string]*worker
+	// paid is the time up to which writes have been taken from the budget.
+	paid time.Time
 }
 
 // New returns a keeper for an entry, which is named by owner for each of its starts.
@@ -43,6 +47,7 @@
 	mu     sync.Mutex
 	bucket *bucket.Bucket
 	busy   bool
+	news   chan struct{}
 }
 
 type outcome struct {
@@ -67,9 +72,12 @@
 	case <-ctx.Done():
 	}
 	w.mu.Lock()
-	w.bucket.Abandon(k.clock.Now(), key, attempt)
+	held := w.bucket.Abandon(k.clock.Now(), key, attempt)
 	w.mu.Unlock()
 	w.kick()
+	if held {
+		return grant.Unknown, answer.Answer{}
+	}
 	return grant.Unavailable, answer.Answer{}
 }
 
@@ -77,7 +85,7 @@
 func (k *Keeper) Settle(service string, key, attempt uint64, st state.State, a answer.Answer) {
 	w := k.worker(service, key)
 	w.mu.Lock()
-	w.bucket.Settle(key, attempt, st, k.clock.Now().Add(tune.ClaimLife), a)
+	w.bucket.Settle(k.clock.Now(), key, attempt, st, a)
 	w.mu.Unlock()
 	w.kick()
 }
@@ -88,7 +96,7 @@
 	defer k.mu.Unlock()
 	w := k.workers[name]
 	if w == nil {
-		w = &worker{keeper: k, key: name, bucket: bucket.New(k.owner)}
+		w = &worker{keeper: k, key: name, bucket: bucket.New(k.owner), news: make(chan struct{}, 1)}
 		k.workers[name] = w
 	}
 	return w
@@ -101,6 +109,11 @@
 	if !w.busy {
 		w.busy = true
 		go w.run()
+		return
+	}
+	select {
+	case w.news <- struct{}{}:
+	default:
 	}
 }
 
@@ -108,26 +121,75 @@
 func (w *worker) run() {
 	tries := 0
 	for {
+		now := w.keeper.clock.Now()
 		w.mu.Lock()
-		v, value, expect, ok := w.bucket.Plan(w.keeper.clock.Now())
-		if ok && tries >= tune.ClaimTries {
+		if tries >= tune.ClaimTries {
 			w.bucket.Fail()
+			tries = 0
 		}
-		if !ok || tries >= tune.ClaimTries {
+		v, value, expect, ok := w.bucket.Plan(now)
+		next, later := w.bucket.Next(now)
+		if !ok && !later {
 			w.busy = false
 			w.mu.Unlock()
 			return
 		}
 		w.mu.Unlock()
-		if w.step(v, value, expect) {
+		switch {
+		case !ok:
+			w.sleep(next.Sub(now))
+		case w.step(v, value, expect):
 			tries = 0
-			continue
+		default:
+			tries++
+			w.sleep(jitter(tries))
 		}
-		tries++
-		w.pause(tries)
 	}
 }
 
+// sleep waits, but not past a new claim.
+func (w *worker) sleep(d time.Duration) {
+	t, stop := w.keeper.clock.Timer(d)
+	defer stop()
+	select {
+	case <-t:
+	case <-w.news:
+	}
+}
+
+// jitter is the pause after a failure, which doubles with each.
+func jitter(tries int) time.Duration {
+	most := min(tune.BackoffFirst<<min(tries, 8), tune.BackoffMost) / 4
+	return time.Duration(rand.Int64N(int64(most))) + time.Millisecond
+}
+
+// take waits for the right to make one write.
+func (k *Keeper) take() {
+	k.mu.Lock()
+	now := k.clock.Now()
+	entries := 1
+	if k.Entries != nil {
+		entries = max(1, k.Entries())
+	}
+	gap := time.Second * time.Duration(entries) / tune.ClaimWrites
+	k.paid = later(k.paid, now.Add(-gap*tune.ClaimBurst)).Add(gap)
+	wait := k.paid.Sub(now)
+	k.mu.Unlock()
+	if wait <= 0 {
+		return
+	}
+	t, stop := k.clock.Timer(wait)
+	defer stop()
+	<-t
+}
+
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
 // step makes one store call, and reports whether it brought the bucket on.
 func (w *worker) step(v verb.Verb, value []claim.Claim, expect int64) bool {
 	ctx, cancel := context.WithTimeout(context.Background(), tune.StoreTimeout)
@@ -135,6 +197,7 @@
 	if v == verb.Get {
 		return w.get(ctx)
 	}
+	w.keeper.take()
 	data, err := codec.EncodeClaims(value)
 	if err != nil {
 		return false
@@ -163,11 +226,3 @@
 	defer w.mu.Unlock()
 	return w.bucket.Got(it.Revision, value)
 }
-
-// pause waits a jittered time that doubles with each failure.
-func (w *worker) pause(tries int) {
-	most := min(tune.BackoffFirst<<min(tries, 8), tune.BackoffMost) / 4
-	t, stop := w.keeper.clock.Timer(time.Duration(rand.Int64N(int64(most))) + time.Millisecond)
-	defer stop()
-	<-t
-}
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -130,6 +130,14 @@
 	return &f.Service, t.pools[name]
 }
 
+// Entries returns the number of entries in the fleet as far as is known.
+func (co *Core) Entries() int {
+	for _, f := range co.table.Load().snapshot.Fleets {
+		return f.Entries
+	}
+	return 1
+}
+
 // Ready reports whether callers should be sent here.
 func (co *Core) Ready() bool { return co.ready.Load() }
 
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -69,7 +69,7 @@
 func (d *Daemon) serveFront(boot uint64) {
 	o := d.options
 	k := claims.New(d.clock, fmt.Sprintf("%s.%d", o.Name, boot))
-	k.Get, k.Swap = d.store.Get, d.store.Swap
+	k.Get, k.Swap, k.Entries = d.store.Get, d.store.Swap, d.core.Entries
 	f := &front.Front{
 		Service: d.core.Service, Send: back.New(d.clock).Send, Claim: k.Claim, Settle: k.Settle,
 		Clock: d.clock, Log: d.log, Poison: d.core.Poison(), Name: o.Name, Boot: boot, Body: o.Body,
--- a/pkg/bucket/bucket.go
+++ b/pkg/bucket/bucket.go
@@ -25,6 +25,8 @@
 	claims   map[uint64]claim.Claim
 	asks     []*ask
 	settles  []claim.Claim
+	// settleAt is when the oldest settle has to be written.
+	settleAt time.Time
 	// writing is the value under way to the store, with the first settling settles in it.
 	writing  []claim.Claim
 	settling int
@@ -34,6 +36,8 @@
 	claim claim.Claim
 	// fresh is set once the store was read after the ask came.
 	fresh bool
+	// again is when a duplicate looks for the running call's answer anew; zero at first.
+	again time.Time
 	done  func(grant.Grant, answer.Answer)
 }
 
@@ -48,26 +52,52 @@
 	b.asks = append(b.asks, &ask{claim: c, done: done})
 }
 
-// Settle records the end of a call that held a key.
-func (b *Bucket) Settle(key, attempt uint64, st state.State, until time.Time, a answer.Answer) {
-	c := claim.Claim{Key: key, Owner: b.owner, Attempt: attempt, State: st, Until: until, Answer: a}
+// Settle records the end of a call that held a key; it is written along with later claims, or on its own.
+func (b *Bucket) Settle(now time.Time, key, attempt uint64, st state.State, a answer.Answer) {
+	c := claim.Claim{Key: key, Owner: b.owner, Attempt: attempt, State: st, Until: now.Add(tune.ClaimLife), Answer: a}
+	if len(b.settles) == 0 {
+		b.settleAt = now.Add(tune.SettleDelay)
+	}
 	b.settles = append(b.settles, c)
 }
 
 // Abandon gives up an ask whose caller no longer waits, and frees the key if it was written.
-func (b *Bucket) Abandon(now time.Time, key, attempt uint64) {
+//
+// It reports whether the key was seen to be held by another call.
+func (b *Bucket) Abandon(now time.Time, key, attempt uint64) (held bool) {
 	for i, a := range b.asks {
 		if a.claim.Key == key && a.claim.Attempt == attempt {
 			b.asks = append(b.asks[:i:i], b.asks[i+1:]...)
+			if !a.again.IsZero() {
+				return true
+			}
 			break
 		}
 	}
-	b.Settle(key, attempt, state.NotRun, now.Add(tune.ClaimLife), answer.Answer{})
+	b.Settle(now, key, attempt, state.NotRun, answer.Answer{})
+	return false
+}
+
+// Next returns when Plan has work, and whether it ever will without further calls.
+func (b *Bucket) Next(now time.Time) (time.Time, bool) {
+	if len(b.asks)+len(b.settles) == 0 {
+		return time.Time{}, false
+	}
+	at := now.Add(tune.ClaimTimeout)
+	if len(b.settles) > 0 {
+		at = b.settleAt
+	}
+	for _, a := range b.asks {
+		if a.again.Before(at) {
+			at = a.again
+		}
+	}
+	return at, true
 }
 
 // Plan returns the next store call: Get, Swap with the value and the revision it expects, or none.
 func (b *Bucket) Plan(now time.Time) (v verb.Verb, value []claim.Claim, expect int64, ok bool) {
-	if len(b.asks)+len(b.settles) == 0 {
+	if at, ok := b.Next(now); !ok || now.Before(at) {
 		return 0, nil, 0, false
 	}
 	if !b.known {
@@ -129,7 +159,7 @@
 
 // resolve answers the asks that the known value decides, and reports what is left to do.
 func (b *Bucket) resolve(now time.Time) (changed, stale bool) {
-	changed = len(b.settles) > 0
+	changed = len(b.settles) > 0 && !now.Before(b.settleAt)
 	var rest []*ask
 	for _, a := range b.asks {
 		held, ok := b.claims[a.claim.Key]
@@ -141,9 +171,12 @@
 			a.done(grant.Mine, answer.Answer{})
 		case held.State == state.Answered && held.Answer.Status != 0:
 			a.done(grant.Answered, held.Answer)
+		case held.State == state.Running && a.fresh:
+			a.fresh, a.again = false, now.Add(tune.JoinPoll)
+			rest = append(rest, a)
 		case !a.fresh:
 			rest = append(rest, a)
-			stale = true
+			stale = stale || !now.Before(a.again)
 		default:
 			a.done(grant.Unknown, answer.Answer{})
 		}
--- a/pkg/config/config.go
+++ b/pkg/config/config.go
@@ -14,10 +14,12 @@
 	"github.com/balsamvale/balsamvale/pkg/progrs"
 	"github.com/balsamvale/balsamvale/pkg/record"
 	"github.com/balsamvale/balsamvale/pkg/reject"
+	"github.com/balsamvale/balsamvale/pkg/shard"
 	"github.com/balsamvale/balsamvale/pkg/share"
 	"github.com/balsamvale/balsamvale/pkg/svcrec"
 	"github.com/balsamvale/balsamvale/pkg/target"
 	"github.com/balsamvale/balsamvale/pkg/tenure"
+	"github.com/balsamvale/balsamvale/pkg/tune"
 	"github.com/balsamvale/balsamvale/pkg/upsrec"
 	"github.com/balsamvale/balsamvale/pkg/value"
 )
@@ -42,9 +44,11 @@
 
 	keys      map[string]value.Value
 	byService map[string]map[string]bool
-	cold      map[string]time.Time
-	dirty     map[string]bool
-	home      string
+	// byShard lists the upstreams of each shard, in order.
+	byShard [tune.Shards][]string
+	cold    map[string]time.Time
+	dirty   map[string]bool
+	home    string
 }
 
 // New returns an empty configuration of an entry that stands in the failure domain home.
@@ -114,6 +118,7 @@
 		c.dirty[r.Service.Name] = true
 	case r.Upstream != nil:
 		delete(c.Upstreams, r.Upstream.Name)
+		c.index(r.Upstream.Name, false)
 		delete(c.byService[r.Upstream.Service], r.Upstream.Name)
 		c.dirty[r.Upstream.Service] = true
 	case r.Domain != nil:
@@ -161,6 +166,7 @@
 
 func (c *Config) putUpstream(now time.Time, old *record.Record, u *upsrec.Upstream, warmup bool) {
 	c.Upstreams[u.Name] = u
+	c.index(u.Name, true)
 	if c.byService[u.Service] == nil {
 		c.byService[u.Service] = map[string]bool{}
 	}
@@ -172,6 +178,21 @@
 	}
 }
 
+// index puts an upstream in the list of its shard, or takes it out.
+func (c *Config) index(name string, in bool) {
+	list := &c.byShard[shard.Of(name)]
+	i, found := slices.BinarySearch(*list, name)
+	switch {
+	case in && !found:
+		*list = slices.Insert(*list, i, name)
+	case !in && found:
+		*list = slices.Delete(*list, i, i+1)
+	}
+}
+
+// Shard lists the upstreams that belong to a shard, in order.
+func (c *Config) Shard(s shard.Shard) []string { return c.byShard[s] }
+
 // chill marks an upstream cold for the warm-up time of its service.
 func (c *Config) chill(now time.Time, name string) {
 	u := c.Upstreams[name]
--- a/pkg/contrl/duties.go
+++ b/pkg/contrl/duties.go
@@ -118,17 +118,24 @@
 	if c.Stale == nil || !c.keeper.Valid(c.now) {
 		return
 	}
-	for name, u := range c.config.Upstreams {
-		if !c.duties.Holds(c.now, shard.Of(name), time.Second) {
+	for _, sh := range c.duties.Held() {
+		if !c.duties.Holds(c.now, sh, time.Second) {
 			continue
 		}
-		s := c.config.Services[u.Service]
-		if s == nil || u.Leave {
-			continue
-		}
-		age, doubt := c.Stale(c.now, u.Service, name)
-		if c.planner.Due(c.now, name, s.Budget, age, doubt) {
-			c.emit(effect.Effect{Deed: deed.Probe, Service: u.Service, Upstream: name, Addr: u.Addr})
+		for _, name := range c.config.Shard(sh) {
+			c.probe(c.config.Upstreams[name])
 		}
 	}
 }
+
+// probe probes one upstream if its budget and the age of its last report call for it.
+func (c *Control) probe(u *upsrec.Upstream) {
+	s := c.config.Services[u.Service]
+	if s == nil || u.Leave {
+		return
+	}
+	age, doubt := c.Stale(c.now, u.Service, u.Name)
+	if c.planner.Due(c.now, u.Name, s.Budget, age, doubt) {
+		c.emit(effect.Effect{Deed: deed.Probe, Service: u.Service, Upstream: u.Name, Addr: u.Addr})
+	}
+}
