--- a/internal/cmds/demo.go
+++ b/internal/cmds/demo.go
@@ -74,7 +74,3 @@
 	}
 	return err
 }
-
-func (a *App) replay() *cli.Command {
-	return &cli.Command{Name: "replay", Usage: "run traces against their stated outcomes", ArgsUsage: "DIR"}
-}
--- /dev/null
+++ b/internal/replay/call.go
@@ -0,0 +1,369 @@
+package replay
+
+import (
+	"fmt"
+	"math"
+	"time"
+
+	"github.com/balsamvale/balsamvale/pkg/answer"
+	"github.com/balsamvale/balsamvale/pkg/call"
+	"github.com/balsamvale/balsamvale/pkg/cause"
+	"github.com/balsamvale/balsamvale/pkg/choice"
+	"github.com/balsamvale/balsamvale/pkg/class"
+	"github.com/balsamvale/balsamvale/pkg/fate"
+	"github.com/balsamvale/balsamvale/pkg/flow"
+	"github.com/balsamvale/balsamvale/pkg/grant"
+	"github.com/balsamvale/balsamvale/pkg/reason"
+	"github.com/balsamvale/balsamvale/pkg/result"
+	"github.com/balsamvale/balsamvale/pkg/stage"
+	"github.com/balsamvale/balsamvale/pkg/state"
+	"github.com/balsamvale/balsamvale/pkg/step"
+	"github.com/balsamvale/balsamvale/pkg/tune"
+)
+
+// simCall is what a caller wants done, over all its sendings.
+type simCall struct {
+	id     uint64
+	caller string
+	once   bool
+	keyed  bool
+	bulk   bool
+	deadly bool
+	at     time.Time
+	runs   int
+	// fates are the outcomes of its sendings.
+	fates  []fate.Fate
+	took   time.Duration
+	ended  bool
+	resent int
+}
+
+// sending is one arrival of a call at an entry.
+type sending struct {
+	call   *simCall
+	entry  *entry
+	spec   *call.Call
+	flow   *flow.Flow
+	visits []*visit
+	ended  bool
+	// turn tells an alarm whether it is still the last one that was set.
+	turn int
+}
+
+// arrivals schedules the calls of all callers.
+func (s *Sim) arrivals() {
+	f, l := s.trace.GetFleet(), s.trace.GetLoad()
+	capacity := float64(f.GetUpstreams()*f.GetSlots()) / f.GetRun().AsDuration().Seconds()
+	mix := 1 + float64(l.GetBulk())/100*(bulkFactor-1)
+	rate := capacity * float64(l.GetPercent()) / 100 / mix
+	s.arrive(rate, 0)
+}
+
+// arrive schedules the next call of a Poisson stream.
+func (s *Sim) arrive(rate float64, n uint64) {
+	gap := time.Duration(s.rand.ExpFloat64() / rate * float64(time.Second))
+	s.agenda.after(gap, func() {
+		if s.agenda.now.Sub(s.began) >= s.trace.GetLength().AsDuration() {
+			return
+		}
+		c := s.draw(n + 1)
+		s.calls = append(s.calls, c)
+		if s.oracle {
+			s.consult(c)
+		} else {
+			s.send(c, s.anyEntry())
+			s.doubt(c)
+		}
+		s.arrive(rate, n+1)
+	})
+}
+
+// draw makes up the next call.
+func (s *Sim) draw(n uint64) *simCall {
+	l := s.trace.GetLoad()
+	c := &simCall{id: n, at: s.agenda.now}
+	c.caller = fmt.Sprintf("caller-%d", s.rand.IntN(int(l.GetCallers())))
+	if s.hits(l.GetGreedy()) {
+		c.caller = "caller-0"
+	}
+	c.once = s.hits(l.GetOnce())
+	c.keyed = c.once && s.hits(l.GetKeyed())
+	c.bulk = !c.once && s.hits(l.GetBulk())
+	return c
+}
+
+func (s *Sim) hits(percent uint32) bool { return s.rand.IntN(100) < int(percent) }
+
+// doubt lets impatient callers send the same call again through another entry.
+func (s *Sim) doubt(c *simCall) {
+	if (c.keyed || !c.once) && s.hits(s.trace.GetLoad().GetTwice()) {
+		s.agenda.after(time.Duration(s.rand.Int64N(int64(doubtTime))), func() { s.send(c, s.anyEntry()) })
+	}
+}
+
+// doubtTime is the longest patience of callers who send a call twice.
+const doubtTime = 50 * time.Millisecond
+
+// anyEntry picks a living entry, as the platform's balancer does.
+func (s *Sim) anyEntry() *entry {
+	for range 1000 {
+		if e := s.entries[s.rand.IntN(len(s.entries))]; !e.dead {
+			return e
+		}
+	}
+	return s.entries[0]
+}
+
+// send brings a call to an entry.
+func (s *Sim) send(c *simCall, e *entry) {
+	e.live(func() {
+		if e.service == nil {
+			c.end(s, fate.NotRun, s.agenda.now)
+			return
+		}
+		x := &sending{call: c, entry: e}
+		x.spec = e.spec(c)
+		x.flow = flow.New(x.spec, e.pool, e.poison)
+		x.flow.Wake = func(ch choice.Choice) { e.later(0, func() { x.woken(ch) }) }
+		x.follow(x.flow.Start(e.now()))
+	})
+}
+
+func (e *entry) spec(c *simCall) *call.Call {
+	e.next++
+	now := e.now()
+	out := &call.Call{
+		ID: e.next, Service: serviceName, Caller: c.caller, Repeat: !c.once, Buffered: true,
+		Print: c.id, Arrived: now, Deadline: now.Add(e.service.Timeout),
+	}
+	if c.bulk {
+		out.Class, out.Deadline = class.Bulk, time.Time{}
+	}
+	if c.keyed {
+		out.Key = c.id
+	}
+	return out
+}
+
+// follow carries out a step of the flow.
+func (x *sending) follow(s step.Step) {
+	if x.ended {
+		return
+	}
+	switch s.Stage {
+	case stage.Claim:
+		x.claim()
+	case stage.Send:
+		x.attempt(s)
+		x.alarm(s.Alarm)
+	case stage.Wait:
+		x.entry.watchQueue()
+		x.alarm(s.Alarm)
+	case stage.Deliver:
+		x.deliver(s)
+	case stage.Replay:
+		x.finish(fate.Answered)
+	case stage.Refuse:
+		x.refuse(s)
+	}
+}
+
+func (x *sending) alarm(at time.Time) {
+	x.turn++
+	if at.IsZero() {
+		return
+	}
+	turn := x.turn
+	x.entry.later(max(0, at.Sub(x.entry.now())), func() {
+		if turn == x.turn && !x.ended {
+			x.follow(x.flow.Alarm(x.entry.now()))
+		}
+	})
+}
+
+func (x *sending) woken(ch choice.Choice) {
+	if x.ended {
+		x.flow.Reclaim(x.entry.now(), ch)
+		return
+	}
+	x.follow(x.flow.Woken(x.entry.now(), ch))
+}
+
+// claim claims the key through the entry's bucket.
+func (x *sending) claim() {
+	e, k := x.entry, x.entry.keeper(x.spec.Key)
+	answered := false
+	take := func(g grant.Grant) {
+		if !answered {
+			answered = true
+			x.follow(x.flow.Claimed(e.now(), g))
+		}
+	}
+	k.bucket.Ask(x.spec.Key, x.spec.ID, x.spec.Deadline.Add(tune.ClaimLife), func(g grant.Grant, _ answer.Answer) {
+		e.later(0, func() { take(g) })
+	})
+	k.kick()
+	e.later(tune.ClaimTimeout, func() {
+		if answered {
+			return
+		}
+		g := grant.Unavailable
+		if k.bucket.Abandon(e.now(), x.spec.Key, x.spec.ID) {
+			g = grant.Unknown
+		}
+		take(g)
+		k.kick()
+	})
+}
+
+// attempt sends the call to an upstream and schedules what comes back.
+func (x *sending) attempt(s step.Step) {
+	e, u := x.entry, x.entry.sim.byName[s.Choice.Target.Name]
+	e.sim.figures.attempts++
+	e.sim.watch(u)
+	e.sim.log("%s send call %d attempt %d to %s (%v)", e.name, x.call.id, s.Attempt, u.name, s.Reason)
+	v := &visit{call: x.call, attempt: s.Attempt, sent: e.now(), entry: e}
+	x.visits = append(x.visits, v)
+	d := e.sim.delay(e, u)
+	v.done = func(r result.Result) {
+		v.done = func(result.Result) {}
+		e.later(d, func() { x.headed(v, r) })
+	}
+	if e.silent[u.index] && x.spec.Repeat {
+		return
+	}
+	e.sim.agenda.after(d, func() {
+		if !v.gone {
+			u.arrive(v)
+		}
+	})
+	x.limit(v, s)
+}
+
+// limit gives an attempt up at the time that its credit lapses.
+func (x *sending) limit(v *visit, s step.Step) {
+	if s.Choice.Limit.IsZero() {
+		return
+	}
+	x.entry.later(s.Choice.Limit.Sub(x.entry.now()), func() {
+		if !v.gone {
+			x.cancel(v)
+			v.done(result.Result{Cause: cause.Timeout})
+		}
+	})
+}
+
+// headed hands the outcome of an attempt to the flow.
+func (x *sending) headed(v *visit, r result.Result) {
+	if x.ended || v.gone {
+		return
+	}
+	v.gone = true
+	r.Took = x.entry.now().Sub(v.sent)
+	if x.entry.sim.figures.crossed(x.entry.sim, r.Cause) {
+		r = result.Result{Cause: cause.Mismatch, Took: r.Took}
+	}
+	x.follow(x.flow.Headed(x.entry.now(), v.attempt, r))
+}
+
+// cancel gives an attempt up at the upstream, and its connection with it.
+func (x *sending) cancel(v *visit) {
+	v.gone = true
+	e := x.entry
+	for _, u := range e.sim.upstreams {
+		if x.flow != nil && u.name == x.target(v) {
+			delete(e.silent, u.index)
+			e.sim.agenda.after(e.sim.delay(e, u), func() { u.cancel(v) })
+		}
+	}
+}
+
+func (x *sending) target(v *visit) string { return x.flow.Target(v.attempt) }
+
+func (x *sending) deliver(s step.Step) {
+	x.drop(s.Attempt)
+	x.flow.Close(x.entry.now(), s.Attempt)
+	if x.spec.Key != 0 {
+		x.settle(state.Answered, answer.Answer{Status: 200})
+	}
+	x.finish(fate.Answered)
+}
+
+func (x *sending) refuse(s step.Step) {
+	x.drop(-1)
+	if x.spec.Key != 0 && s.Reason != reason.Claim && s.Reason != reason.Duplicate && s.Reason != reason.Poisoned {
+		st := state.Unknown
+		if s.Fate == fate.NotRun {
+			st = state.NotRun
+		}
+		x.settle(st, answer.Answer{})
+	}
+	x.entry.sim.log("%s refuse call %d: %v, %v", x.entry.name, x.call.id, s.Reason, s.Fate)
+	x.finish(s.Fate)
+}
+
+func (x *sending) settle(st state.State, a answer.Answer) {
+	k := x.entry.keeper(x.spec.Key)
+	k.bucket.Settle(x.entry.now(), x.spec.Key, x.spec.ID, st, a)
+	k.kick()
+}
+
+// drop gives up the attempts that did not win.
+func (x *sending) drop(but int) {
+	for _, v := range x.visits {
+		if !v.gone && v.attempt != but {
+			x.cancel(v)
+		}
+	}
+	x.flow.Drop(x.entry.now(), but)
+}
+
+func (x *sending) finish(f fate.Fate) {
+	x.ended = true
+	x.entry.sim.log("%s end call %d: %v", x.entry.name, x.call.id, f)
+	x.call.end(x.entry.sim, f, x.entry.now())
+}
+
+// end notes the outcome of a sending; callers send a deadly call again.
+func (c *simCall) end(s *Sim, f fate.Fate, now time.Time) {
+	c.fates = append(c.fates, f)
+	if f == fate.Answered && !c.ended {
+		c.ended = true
+		c.took = now.Sub(c.at)
+	}
+	if c.deadly && c.resent < resendMost {
+		c.resent++
+		s.agenda.after(resendTime, func() { s.send(c, s.anyEntry()) })
+	}
+}
+
+const (
+	// resendMost is how often the caller of a deadly call sends it again.
+	resendMost = 30
+	resendTime = 100 * time.Millisecond
+)
+
+// consult serves a call as a balancer would that knew every queue.
+func (s *Sim) consult(c *simCall) {
+	best, least := -1, math.Inf(1)
+	for i, u := range s.upstreams {
+		ahead := float64(max(0, u.running+len(u.queue)+1-u.slots())) * u.factor * u.noise
+		if w := ahead + u.factor*u.noise + float64(u.running)/oracleTie; w < least && !u.down && !u.leaving {
+			best, least = i, w
+		}
+	}
+	if best < 0 {
+		return
+	}
+	u := s.upstreams[best]
+	v := &visit{call: c, sent: s.agenda.now}
+	v.done = func(r result.Result) {
+		if r.Cause == cause.None {
+			s.agenda.after(nearDelay, func() { c.end(s, fate.Answered, s.agenda.now) })
+		}
+	}
+	s.agenda.after(nearDelay, func() { u.arrive(v) })
+}
+
+// oracleTie lets the oracle prefer idle upstreams among those with a free slot.
+const oracleTie = 1000
--- /dev/null
+++ b/internal/replay/claims.go
@@ -0,0 +1,109 @@
+package replay
+
+import (
+	"time"
+
+	"github.com/balsamvale/balsamvale/internal/codec"
+	"github.com/balsamvale/balsamvale/pkg/item"
+	"github.com/balsamvale/balsamvale/pkg/order"
+	"github.com/balsamvale/balsamvale/pkg/reply"
+	"github.com/balsamvale/balsamvale/pkg/tune"
+	"github.com/balsamvale/balsamvale/pkg/verb"
+)
+
+// kick does what the bucket plans, with one store call at a time.
+func (k *keeper) kick() {
+	if k.busy {
+		return
+	}
+	k.turn++
+	now := k.entry.now()
+	if k.tries >= tune.ClaimTries {
+		k.bucket.Fail()
+		k.tries = 0
+	}
+	v, value, expect, ok := k.bucket.Plan(now)
+	if !ok {
+		if next, later := k.bucket.Next(now); later {
+			k.wait(next.Sub(now))
+		}
+		return
+	}
+	k.busy = true
+	if v == verb.Get {
+		k.entry.sim.store.do(order.Order{Verb: verb.Get, Key: k.key}, k.entry.cut(), func(r reply.Reply) {
+			k.entry.live(func() { k.got(r) })
+		})
+		return
+	}
+	data, err := codec.EncodeClaims(value)
+	if err != nil {
+		return
+	}
+	k.entry.sim.store.swapClaims(item.Item{Key: k.key, Value: data}, expect, k.entry.cut(), func(r reply.Reply) {
+		k.entry.live(func() { k.swapped(r) })
+	})
+}
+
+// wait comes back after a time, unless something else kicks the keeper first.
+func (k *keeper) wait(d time.Duration) {
+	k.turn++
+	turn := k.turn
+	k.entry.later(max(d, time.Millisecond), func() {
+		if turn == k.turn {
+			k.kick()
+		}
+	})
+}
+
+func (k *keeper) got(r reply.Reply) {
+	k.busy = false
+	if r.Failed {
+		k.again()
+		return
+	}
+	cs, err := codec.DecodeClaims(r.Items[0].Value)
+	if err != nil || !k.bucket.Got(r.Revision, cs) {
+		k.again()
+		return
+	}
+	k.tries = 0
+	k.kick()
+}
+
+func (k *keeper) swapped(r reply.Reply) {
+	k.busy = false
+	if r.Failed || !r.Done {
+		k.bucket.Failed()
+		k.again()
+		return
+	}
+	k.tries = 0
+	k.bucket.Swapped(r.Revision)
+	k.kick()
+}
+
+// again tries once more after a growing pause.
+func (k *keeper) again() {
+	k.tries++
+	most := min(tune.BackoffFirst<<k.tries, tune.BackoffMost) / 4
+	k.wait(time.Duration(k.entry.sim.rand.Int64N(int64(most))))
+}
+
+// swapClaims carries out the swap of a bucket of claims.
+func (st *storage) swapClaims(it item.Item, expect int64, cut bool, done func(reply.Reply)) {
+	fail := func() { done(reply.Reply{Failed: true}) }
+	if st.down || cut {
+		st.sim.agenda.after(tune.StoreTimeout, fail)
+		return
+	}
+	st.sim.agenda.after(storeDelay/2, func() {
+		st.writes++
+		r := st.swap(it, expect, 0)
+		if st.lost && st.sim.rand.Float64() < lostPart {
+			st.sim.agenda.after(tune.StoreTimeout, fail)
+			return
+		}
+		st.sim.agenda.after(storeDelay/2, func() { done(r) })
+	})
+}
--- /dev/null
+++ b/internal/replay/entry.go
@@ -0,0 +1,264 @@
+package replay
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"net/netip"
+	"strings"
+	"time"
+
+	"github.com/balsamvale/balsamvale/internal/codec"
+	"github.com/balsamvale/balsamvale/pkg/ask"
+	"github.com/balsamvale/balsamvale/pkg/bucket"
+	"github.com/balsamvale/balsamvale/pkg/cause"
+	"github.com/balsamvale/balsamvale/pkg/contrl"
+	"github.com/balsamvale/balsamvale/pkg/credit"
+	"github.com/balsamvale/balsamvale/pkg/deed"
+	"github.com/balsamvale/balsamvale/pkg/effect"
+	"github.com/balsamvale/balsamvale/pkg/event"
+	"github.com/balsamvale/balsamvale/pkg/fact"
+	"github.com/balsamvale/balsamvale/pkg/member"
+	"github.com/balsamvale/balsamvale/pkg/poison"
+	"github.com/balsamvale/balsamvale/pkg/pool"
+	"github.com/balsamvale/balsamvale/pkg/reply"
+	"github.com/balsamvale/balsamvale/pkg/result"
+	"github.com/balsamvale/balsamvale/pkg/signal"
+	"github.com/balsamvale/balsamvale/pkg/svcrec"
+	"github.com/balsamvale/balsamvale/pkg/topic"
+	"github.com/balsamvale/balsamvale/pkg/tune"
+)
+
+// entry is one entry: the product's control, pool and claims, with the replay as its carrier.
+type entry struct {
+	sim     *Sim
+	index   int
+	name    string
+	domain  int
+	boot    uint64
+	control *contrl.Control
+	pool    *pool.Pool
+	poison  *poison.Table
+	service *svcrec.Service
+	buckets map[int]*keeper
+	dead    bool
+	// paused is the time until which the entry does nothing.
+	paused time.Time
+	pumped bool
+	// silent marks the upstreams whose open connections went silent.
+	silent map[int]bool
+	next   uint64
+	// revision is that of the last snapshot, which must not fall.
+	revision int64
+}
+
+// startEntry brings up an entry; a name that ran before gets a new boot.
+func (s *Sim) startEntry(i int) *entry {
+	e := &entry{
+		sim: s, index: i, name: fmt.Sprintf("entry-%02d", i), domain: i % int(s.trace.GetFleet().GetDomains()),
+		boot: s.rand.Uint64() >> 1, poison: poison.New(), buckets: map[int]*keeper{}, silent: map[int]bool{},
+	}
+	me := member.Member{Name: e.name, Domain: fmt.Sprintf("zone-%d", e.domain), Boot: e.boot}
+	me.Peer = netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 1, 0, byte(i)}), peerPort)
+	e.control = contrl.New(me, rand.New(rand.NewPCG(e.boot, 1)), codec.Decode)
+	e.pool = pool.New(rand.New(rand.NewPCG(e.boot, 2)), s.policy)
+	e.control.Stale = func(now time.Time, _, up string) (time.Duration, bool) { return e.pool.Stale(now, up) }
+	e.pool.Note = func(f fact.Fact) { e.step(event.Event{Signal: signal.Noted, Fact: f}) }
+	e.poison.Note = func(print, n uint64, until time.Time) {
+		f := fact.Fact{Topic: topic.Poison, Subject: fmt.Sprint(print), Value: n, Until: until}
+		e.step(event.Event{Signal: signal.Noted, Fact: f})
+	}
+	if i < len(s.entries) {
+		s.entries[i] = e
+	} else {
+		s.entries = append(s.entries, e)
+	}
+	e.later(time.Duration(s.rand.Int64N(int64(tune.Tick))), e.tick)
+	return e
+}
+
+const peerPort = 7000
+
+// later schedules something at the entry; a pause puts it off and death drops it.
+func (e *entry) later(d time.Duration, do func()) {
+	e.sim.agenda.after(d, func() { e.live(do) })
+}
+
+func (e *entry) live(do func()) {
+	now := e.sim.agenda.now
+	switch {
+	case e.dead:
+	case now.Before(e.paused):
+		e.sim.agenda.after(e.paused.Sub(now), func() { e.live(do) })
+	default:
+		do()
+	}
+}
+
+func (e *entry) now() time.Time { return e.sim.agenda.now }
+
+// tick does what the core's loop does.
+func (e *entry) tick() {
+	e.later(tune.Tick, e.tick)
+	e.step(event.Event{Signal: signal.Tick})
+	e.poison.Sweep(e.now())
+	var asks []ask.Ask
+	e.pool.Wants(e.now(), func(up string, boot uint64, want int, back []uint64) {
+		asks = append(asks, ask.Ask{Service: serviceName, Upstream: up, Boot: boot, Want: want, Back: back})
+	})
+	for _, a := range asks {
+		e.step(event.Event{Signal: signal.Wanted, Ask: a})
+	}
+}
+
+func (e *entry) step(ev event.Event) {
+	for _, ef := range e.control.Step(e.now(), ev) {
+		e.perform(ef)
+	}
+}
+
+func (e *entry) perform(ef effect.Effect) {
+	switch ef.Deed {
+	case deed.Call:
+		e.sim.store.do(ef.Order, e.cut(), func(r reply.Reply) {
+			e.live(func() { e.step(event.Event{Signal: signal.Reply, Reply: r}) })
+		})
+	case deed.Send:
+		e.send(ef)
+	case deed.Publish:
+		e.install(ef)
+	case deed.Spread:
+		e.spread(ef.Fact)
+	case deed.Probe:
+		e.probe(ef.Upstream)
+	case deed.Ask:
+		e.ask(ef)
+	case deed.Credit:
+		e.pool.Grant(e.now(), ef.Ask.Upstream, ef.Ask.Boot, ef.Credits)
+	case deed.Log:
+		e.sim.log("%s place %v %s: %s", e.name, ef.Note.What, ef.Note.Subject, ef.Note.Reason)
+	}
+}
+
+// cut reports whether the entry is cut off from the store.
+func (e *entry) cut() bool { return e.sim.split && e.index%2 == 1 }
+
+func (e *entry) install(ef effect.Effect) {
+	if ef.Snapshot.Revision < e.revision {
+		e.sim.figures.reverts++
+	}
+	e.revision = ef.Snapshot.Revision
+	f := ef.Snapshot.Fleets[serviceName]
+	if f == nil {
+		return
+	}
+	e.service = &f.Service
+	e.pool.Install(e.now(), f)
+}
+
+func (e *entry) spread(f fact.Fact) {
+	if f.Topic != topic.Poison {
+		e.pool.Merge(e.now(), f)
+		return
+	}
+	var print uint64
+	if _, err := fmt.Sscan(f.Subject, &print); err == nil && f.From != e.name {
+		e.poison.Merge(print, f.From, f.Value, f.Until)
+	}
+}
+
+// peer finds an entry that a message can reach.
+func (e *entry) peer(name string) *entry {
+	for _, p := range e.sim.entries {
+		if p.name == name && !p.dead && (!e.sim.split || p.index%2 == e.index%2) {
+			return p
+		}
+	}
+	return nil
+}
+
+func (e *entry) send(ef effect.Effect) {
+	p := e.peer(ef.Peer)
+	if p == nil {
+		e.later(tune.PeerTimeout, func() { e.step(event.Event{Signal: signal.Missed, Peer: ef.Peer}) })
+		return
+	}
+	p.later(farDelay, func() {
+		for _, out := range p.control.Step(p.now(), event.Event{Signal: signal.Heard, Digest: ef.Digest}) {
+			if out.Deed != deed.Answer {
+				p.perform(out)
+				continue
+			}
+			e.later(farDelay, func() { e.step(event.Event{Signal: signal.Told, Digest: out.Digest}) })
+		}
+	})
+}
+
+func (e *entry) ask(ef effect.Effect) {
+	p := e.peer(ef.Peer)
+	if p == nil {
+		return
+	}
+	sent := e.now()
+	p.later(farDelay, func() {
+		for _, out := range p.control.Step(p.now(), event.Event{Signal: signal.Asked, Ask: ef.Ask}) {
+			if out.Deed != deed.Give {
+				p.perform(out)
+				continue
+			}
+			var cs []credit.Credit
+			for _, c := range out.Credits {
+				cs = append(cs, credit.Credit{ID: c.ID, Until: sent.Add(out.TTL)})
+			}
+			e.later(farDelay, func() { e.pool.Grant(e.now(), ef.Ask.Upstream, ef.Ask.Boot, cs) })
+		}
+	})
+}
+
+// probeTime is how long a probe takes.
+const probeTime = 6 * time.Millisecond
+
+func (e *entry) probe(name string) {
+	u := e.sim.byName[name]
+	u.probes = append(u.probes, e.now())
+	e.later(probeTime, func() {
+		r := &result.Result{Status: 200, Report: u.report()}
+		if u.down {
+			r = &result.Result{Cause: cause.Broken}
+		}
+		e.pool.Probed(e.now(), name, r)
+	})
+}
+
+// watchQueue lets waiting calls look anew while there are any.
+func (e *entry) watchQueue() {
+	if e.pumped {
+		return
+	}
+	e.pumped = true
+	e.later(tune.QueuePoll, func() {
+		e.pumped = false
+		if e.pool.Pump(e.now()) > 0 {
+			e.watchQueue()
+		}
+	})
+}
+
+// keeper serves one bucket of claims.
+type keeper struct {
+	entry  *entry
+	key    string
+	bucket *bucket.Bucket
+	busy   bool
+	tries  int
+	// turn tells a wait whether it is still the last one.
+	turn int
+}
+
+func (e *entry) keeper(key uint64) *keeper {
+	n := int(key % tune.Buckets)
+	if e.buckets[n] == nil {
+		name := strings.Join([]string{"claim", fmt.Sprint(n)}, "/")
+		e.buckets[n] = &keeper{entry: e, key: name, bucket: bucket.New(fmt.Sprintf("%s.%d", e.name, e.boot))}
+	}
+	return e.buckets[n]
+}
--- /dev/null
+++ b/internal/replay/figures.go
@@ -0,0 +1,174 @@
+package replay
+
+import (
+	"slices"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	pb "github.com/balsamvale/balsamvale/internal/gen/balsamvale/v1"
+	"github.com/balsamvale/balsamvale/pkg/cause"
+	"github.com/balsamvale/balsamvale/pkg/fate"
+)
+
+// figures are what a run counts as it goes.
+type figures struct {
+	attempts int
+	crashes  int
+	poisoned int
+	// cold is the most calls in flight beyond what a cold upstream bears.
+	cold    int
+	out     int
+	reverts int
+	// crossing makes some answers come with another attempt's identity.
+	crossing bool
+	turn     int
+	// watched and total count the attempts while an upstream was slow or failing.
+	watched int
+	total   int
+}
+
+func (f *figures) init() { f.cold = -1 << 20 }
+
+// crossed decides whether an answer crosses with another.
+func (f *figures) crossed(_ *Sim, c cause.Cause) bool {
+	if !f.crossing || c != cause.None {
+		return false
+	}
+	f.turn++
+	return f.turn%crossedEvery == 0
+}
+
+// crossedEvery is the number of answers of which one is crossed while that fault lasts.
+const crossedEvery = 50
+
+// Limits of the latency histograms in microseconds.
+const (
+	lowestLatency  = 1
+	highestLatency = 120_000_000
+	digits         = 3
+)
+
+// sum works out the figures of the run.
+func (s *Sim) sum() map[pb.Bound_Figure]float64 {
+	out := map[pb.Bound_Figure]float64{
+		pb.Bound_OUT:     float64(s.figures.out),
+		pb.Bound_COLD:    max(0, float64(s.figures.cold)),
+		pb.Bound_CRASHED: float64(s.figures.poisoned),
+		pb.Bound_PROBES:  float64(s.overProbed()),
+		pb.Bound_REVERTS: float64(s.figures.reverts),
+	}
+	if s.figures.total > 0 {
+		fair := float64(s.figures.total) * float64(s.watchedUpstreams()) / float64(len(s.upstreams))
+		out[pb.Bound_SHARE] = float64(s.figures.watched) / fair
+	}
+	s.latencies(out)
+	s.outcomes(out)
+	return out
+}
+
+// outcomes counts what callers were told against what ran.
+func (s *Sim) outcomes(out map[pb.Bound_Figure]float64) {
+	counted, answered := 0, 0
+	for _, c := range s.calls {
+		if c.once && c.runs > 1 {
+			out[pb.Bound_REPEATED] += float64(c.runs - 1)
+		}
+		if c.claimsNotRun() && c.runs > 0 {
+			out[pb.Bound_FALSE]++
+		}
+		if c.at.Sub(s.began) < s.trace.GetSkip().AsDuration() {
+			continue
+		}
+		counted++
+		if c.ended {
+			answered++
+			if c.took > s.trace.GetLoad().GetTimeout().AsDuration() && !c.bulk {
+				out[pb.Bound_LATE]++
+			}
+		}
+	}
+	out[pb.Bound_CALLS] = float64(counted)
+	if counted > 0 {
+		out[pb.Bound_ANSWERED] = float64(answered) / float64(counted)
+		out[pb.Bound_RETRIES] = float64(s.figures.attempts)/float64(len(s.calls)) - 1
+	}
+}
+
+// claimsNotRun reports whether the last word to the caller was that the call did not run.
+func (c *simCall) claimsNotRun() bool {
+	return len(c.fates) > 0 && c.fates[len(c.fates)-1] == fate.NotRun && !c.ended
+}
+
+// latencies works out the tails, in milliseconds.
+func (s *Sim) latencies(out map[pb.Bound_Figure]float64) {
+	all := hdrhistogram.New(lowestLatency, highestLatency, digits)
+	others := hdrhistogram.New(lowestLatency, highestLatency, digits)
+	bulk := hdrhistogram.New(lowestLatency, highestLatency, digits)
+	for _, c := range s.calls {
+		if !c.ended || c.at.Sub(s.began) < s.trace.GetSkip().AsDuration() {
+			continue
+		}
+		h := all
+		if c.bulk {
+			h = bulk
+		}
+		// Times above the range of the histogram cannot occur within a trace.
+		_ = h.RecordValue(min(c.took.Microseconds(), highestLatency))
+		if !c.bulk && c.caller != "caller-0" {
+			_ = others.RecordValue(min(c.took.Microseconds(), highestLatency))
+		}
+	}
+	ms := func(h *hdrhistogram.Histogram, q float64) float64 {
+		return float64(h.ValueAtQuantile(q)) / float64(time.Millisecond/time.Microsecond)
+	}
+	out[pb.Bound_P99], out[pb.Bound_P999] = ms(all, 99), ms(all, 99.9)
+	out[pb.Bound_STARVED], out[pb.Bound_BULK] = ms(others, 99), ms(bulk, 99)
+}
+
+// overProbed returns the most probes of an upstream in any second beyond its budget.
+func (s *Sim) overProbed() int {
+	over := 0
+	budget := int(s.trace.GetFleet().GetBudget())
+	for _, u := range s.upstreams {
+		first := 0
+		for i, at := range u.probes {
+			for at.Sub(u.probes[first]) >= time.Second {
+				first++
+			}
+			over = max(over, i-first+1-budget)
+		}
+	}
+	return over
+}
+
+// watch counts an attempt while an upstream was slow or failing for longer than it takes to notice.
+func (s *Sim) watch(u *upstream) {
+	if !slices.ContainsFunc(s.upstreams, func(o *upstream) bool { return o.badFor() > badNotice }) {
+		return
+	}
+	s.figures.total++
+	if u.bad {
+		s.figures.watched++
+	}
+}
+
+// badNotice is the time in which an upstream that turned bad must have lost its share.
+const badNotice = 50 * time.Millisecond
+
+func (u *upstream) badFor() time.Duration {
+	if !u.bad || (u.factor == 1 && !u.failing) {
+		return 0
+	}
+	return u.sim.agenda.now.Sub(u.badAt)
+}
+
+func (s *Sim) watchedUpstreams() int {
+	n := 0
+	for _, u := range s.upstreams {
+		if u.bad {
+			n++
+		}
+	}
+	return n
+}
--- /dev/null
+++ b/internal/replay/sim.go
@@ -0,0 +1,150 @@
+package replay
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/balsamvale/balsamvale/internal/codec"
+	pb "github.com/balsamvale/balsamvale/internal/gen/balsamvale/v1"
+	"github.com/balsamvale/balsamvale/pkg/item"
+	"github.com/balsamvale/balsamvale/pkg/keys"
+	"github.com/balsamvale/balsamvale/pkg/policy"
+)
+
+// ErrTrace is what the errors match about a trace that cannot be run.
+var ErrTrace = eris.New("the trace cannot be run")
+
+// Sim is one run of a trace: entries, upstreams, a store and callers on one agenda.
+type Sim struct {
+	trace     *pb.Trace
+	policy    policy.Policy
+	agenda    *agenda
+	rand      *rand.Rand
+	store     *storage
+	upstreams []*upstream
+	byName    map[string]*upstream
+	entries   []*entry
+	figures   figures
+	calls     []*simCall
+	split     bool
+	began     time.Time
+	oracle    bool
+	// Log, when set, is told each decision and event, for golden sessions.
+	Log func(at time.Duration, line string)
+}
+
+// serviceName is the service of every trace.
+const serviceName = "svc"
+
+// settle is the time in which a fleet comes up before calls arrive.
+const settleTime = 6 * time.Second
+
+// New prepares the run of a trace under a policy.
+func New(t *pb.Trace, p policy.Policy) *Sim {
+	s := &Sim{
+		trace: t, policy: p, agenda: newAgenda(), byName: map[string]*upstream{},
+		rand: rand.New(rand.NewPCG(t.GetSeed(), seedStream)),
+	}
+	s.figures.init()
+	s.store = newStorage(s)
+	return s
+}
+
+// seedStream separates the random numbers of traces from others of the same seed.
+const seedStream = 0xba15a
+
+// Run carries out the trace and returns its figures; errors match ErrTrace.
+func (s *Sim) Run() (map[pb.Bound_Figure]float64, error) {
+	s.build()
+	if err := s.records(); err != nil {
+		return nil, err
+	}
+	for i := range s.trace.GetEntries() {
+		s.startEntry(int(i))
+	}
+	s.agenda.run(epoch.Add(settleTime))
+	s.began = s.agenda.now
+	s.faults()
+	s.arrivals()
+	length := s.trace.GetLength().AsDuration()
+	s.agenda.run(s.began.Add(length))
+	s.agenda.run(s.began.Add(length + drainTime))
+	return s.sum(), nil
+}
+
+// drainTime is the time after the last arrival in which calls may still end.
+const drainTime = 15 * time.Second
+
+func (s *Sim) build() {
+	f := s.trace.GetFleet()
+	for i := range int(f.GetUpstreams()) {
+		u := &upstream{
+			sim: s, index: i, name: fmt.Sprintf("up-%02d", i), domain: i % int(f.GetDomains()),
+			version: "v1", boot: s.rand.Uint64() >> 1, factor: 1, noise: 1,
+		}
+		u.started = epoch.Add(-time.Hour)
+		s.upstreams = append(s.upstreams, u)
+		s.byName[u.name] = u
+	}
+}
+
+// records writes the operators' records, as the apply command would.
+func (s *Sim) records() error {
+	f := s.trace.GetFleet()
+	text := fmt.Sprintf("[[service]]\nschema = 2\nname = %q\nslots = %d\nconns = 260\ntimeout = %q\ncold = %d\nwarm = %q\nbudget = %d\n",
+		serviceName, f.GetSlots(), s.trace.GetLoad().GetTimeout().AsDuration(), f.GetCold(), f.GetWarm().AsDuration(), f.GetBudget())
+	text += "[[service.route]]\npath = \"/once\"\nrepeat = \"never\"\n[[service.route]]\npath = \"/bulk\"\nclass = \"bulk\"\n"
+	for i := range f.GetDomains() {
+		text += domainRecord(int(i), false)
+	}
+	for _, u := range s.upstreams {
+		text += fmt.Sprintf("[[upstream]]\nschema = 1\nname = %q\nservice = %q\ndomain = \"zone-%d\"\naddr = \"10.0.0.%d:80\"\nversion = %q\n",
+			u.name, serviceName, u.domain, u.index+1, u.version)
+	}
+	return s.apply(text)
+}
+
+func domainRecord(i int, out bool) string {
+	return fmt.Sprintf("[[domain]]\nschema = 1\nname = \"zone-%d\"\nregion = \"one\"\nout = %v\ndelay = \"1ms\"\n", i, out)
+}
+
+// apply writes records straight into the store.
+func (s *Sim) apply(text string) error {
+	recs, err := codec.ReadRecords("trace", []byte(text))
+	if err != nil {
+		return eris.Wrap(ErrTrace, err.Error())
+	}
+	for _, r := range recs {
+		data, err := proto.Marshal(r)
+		if err != nil {
+			return eris.Wrap(ErrTrace, err.Error())
+		}
+		s.store.put(item.Item{Key: keys.Record(r.GetKind(), r.GetName()), Value: data}, 0)
+	}
+	return nil
+}
+
+func (s *Sim) log(format string, args ...any) {
+	if s.Log != nil {
+		s.Log(s.agenda.now.Sub(s.began), fmt.Sprintf(format, args...))
+	}
+}
+
+// delay is the one-way delay between an entry and an upstream.
+func (s *Sim) delay(e *entry, u *upstream) time.Duration {
+	if e.domain == u.domain {
+		return nearDelay
+	}
+	return farDelay
+}
+
+const (
+	// nearDelay is the one-way delay within a failure domain.
+	nearDelay = 200 * time.Microsecond
+	// farDelay is the one-way delay between failure domains.
+	farDelay = time.Millisecond
+)
--- /dev/null
+++ b/internal/replay/storage.go
@@ -0,0 +1,213 @@
+package replay
+
+import (
+	"cmp"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/balsamvale/balsamvale/internal/codec"
+	"github.com/balsamvale/balsamvale/pkg/item"
+	"github.com/balsamvale/balsamvale/pkg/order"
+	"github.com/balsamvale/balsamvale/pkg/reply"
+	"github.com/balsamvale/balsamvale/pkg/tune"
+	"github.com/balsamvale/balsamvale/pkg/verb"
+)
+
+// storage is a model of the platform's key-value service.
+type storage struct {
+	sim      *Sim
+	revision int64
+	items    map[string]item.Item
+	history  []item.Item
+	owners   map[string]int64
+	leases   map[int64]time.Time
+	nextID   int64
+	watchers []*watcher
+	down     bool
+	lost     bool
+	reads    int
+	writes   int
+}
+
+type watcher struct {
+	order order.Order
+	done  func(reply.Reply)
+}
+
+// storeDelay is the time of a call to the store and back.
+const storeDelay = 3 * time.Millisecond
+
+func newStorage(s *Sim) *storage {
+	return &storage{sim: s, items: map[string]item.Item{}, owners: map[string]int64{}, leases: map[int64]time.Time{}}
+}
+
+// do carries out an order and calls done with the reply, or with a failure after the timeout.
+func (st *storage) do(o order.Order, cut bool, done func(reply.Reply)) {
+	fail := func() { done(reply.Reply{ID: o.ID, Failed: true}) }
+	if st.down || cut {
+		st.sim.agenda.after(tune.StoreTimeout, fail)
+		return
+	}
+	st.sim.agenda.after(storeDelay/2, func() {
+		if st.down {
+			st.sim.agenda.after(tune.StoreTimeout, fail)
+			return
+		}
+		if o.Verb == verb.Watch {
+			st.reads++
+			st.watch(o, done)
+			return
+		}
+		r := st.serve(o)
+		r.ID = o.ID
+		if st.lost && st.sim.rand.Float64() < lostPart {
+			st.sim.agenda.after(tune.StoreTimeout, fail)
+			return
+		}
+		st.sim.agenda.after(storeDelay/2, func() { done(r) })
+	})
+}
+
+// lostPart is the share of answers that get lost while that fault lasts.
+const lostPart = 0.2
+
+func (st *storage) serve(o order.Order) reply.Reply {
+	st.expire()
+	switch o.Verb {
+	case verb.Get:
+		st.reads++
+		it := st.items[o.Key]
+		return reply.Reply{Done: true, Items: []item.Item{it}, Revision: it.Revision}
+	case verb.List:
+		st.reads++
+		return st.list(o)
+	case verb.Lease:
+		st.writes++
+		return st.lease(o)
+	}
+	st.writes++
+	data, err := codec.Encode(o.Value)
+	if err != nil {
+		return reply.Reply{Failed: true}
+	}
+	return st.swap(item.Item{Key: o.Key, Value: data, Gone: o.Gone}, o.Expect, o.Lease)
+}
+
+func (st *storage) swap(it item.Item, expect, lease int64) reply.Reply {
+	if st.items[it.Key].Revision != expect {
+		return reply.Reply{Revision: st.items[it.Key].Revision}
+	}
+	if _, ok := st.leases[lease]; lease != 0 && !ok {
+		return reply.Reply{}
+	}
+	st.put(it, lease)
+	return reply.Reply{Done: true, Revision: st.revision}
+}
+
+func (st *storage) put(it item.Item, lease int64) {
+	st.revision++
+	it.Revision = st.revision
+	delete(st.items, it.Key)
+	delete(st.owners, it.Key)
+	if !it.Gone {
+		st.items[it.Key] = it
+	}
+	if lease != 0 {
+		st.owners[it.Key] = lease
+	}
+	st.history = append(st.history, it)
+	st.notify()
+}
+
+func (st *storage) list(o order.Order) reply.Reply {
+	r := reply.Reply{Done: true, Revision: st.revision}
+	for k, it := range st.items {
+		if strings.HasPrefix(k, o.Key) && k > o.After {
+			r.Items = append(r.Items, it)
+		}
+	}
+	slices.SortFunc(r.Items, func(a, b item.Item) int { return cmp.Compare(a.Key, b.Key) })
+	return r
+}
+
+func (st *storage) lease(o order.Order) reply.Reply {
+	id := o.Lease
+	if id == 0 {
+		st.nextID++
+		id = st.nextID
+	} else if _, ok := st.leases[id]; !ok {
+		return reply.Reply{}
+	}
+	st.leases[id] = st.sim.agenda.now.Add(o.TTL)
+	return reply.Reply{Done: true, Lease: id}
+}
+
+// expire removes the keys of leases that have lapsed, in order.
+func (st *storage) expire() {
+	var lapsed []string
+	for id, until := range st.leases {
+		if st.sim.agenda.now.Before(until) {
+			continue
+		}
+		delete(st.leases, id)
+		for key, owner := range st.owners {
+			if owner == id {
+				lapsed = append(lapsed, key)
+			}
+		}
+	}
+	slices.Sort(lapsed)
+	for _, key := range lapsed {
+		st.put(item.Item{Key: key, Gone: true}, 0)
+	}
+}
+
+// watch waits for changes after a revision, or for the end of the order's patience.
+func (st *storage) watch(o order.Order, done func(reply.Reply)) {
+	w := &watcher{order: o}
+	w.done = func(r reply.Reply) {
+		w.done = func(reply.Reply) {}
+		r.ID = o.ID
+		st.sim.agenda.after(storeDelay/2, func() { done(r) })
+	}
+	st.watchers = append(st.watchers, w)
+	st.sim.agenda.after(o.Wait, func() {
+		if st.down {
+			w.done(reply.Reply{Failed: true})
+			return
+		}
+		w.done(reply.Reply{Done: true, Revision: st.revision})
+	})
+	st.notify()
+}
+
+// notify answers the watches that changes concern.
+func (st *storage) notify() {
+	if st.down {
+		return
+	}
+	var rest []*watcher
+	for _, w := range st.watchers {
+		items := st.since(w.order)
+		if len(items) == 0 {
+			rest = append(rest, w)
+			continue
+		}
+		w.done(reply.Reply{Done: true, Items: items, Revision: st.revision})
+	}
+	st.watchers = rest
+}
+
+func (st *storage) since(o order.Order) []item.Item {
+	var out []item.Item
+	i, _ := slices.BinarySearchFunc(st.history, o.Since+1, func(it item.Item, rev int64) int {
+		return cmp.Compare(it.Revision, rev)
+	})
+	for _, it := range st.history[i:] {
+		if strings.HasPrefix(it.Key, o.Key) {
+			out = append(out, it)
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/internal/replay/upstream.go
@@ -0,0 +1,242 @@
+package replay
+
+import (
+	"slices"
+	"time"
+
+	"github.com/balsamvale/balsamvale/pkg/cause"
+	"github.com/balsamvale/balsamvale/pkg/report"
+	"github.com/balsamvale/balsamvale/pkg/result"
+)
+
+// upstream is a model of a back end: slots, a short queue, a warm-up, and faults.
+type upstream struct {
+	sim     *Sim
+	index   int
+	name    string
+	domain  int
+	version string
+
+	boot    uint64
+	started time.Time
+	down    bool
+	running int
+	active  []*visit
+	queue   []*visit
+	factor  float64
+	noise   float64
+	failing bool
+	// bad is set once the upstream was made slow or failing, at badAt.
+	bad     bool
+	badAt   time.Time
+	leaving bool
+	leftAt  time.Time
+	outAt   time.Time
+	lies    bool
+	// chilled is when the present cold start began.
+	chilled time.Time
+	probes  []time.Time
+	// coldSince counts the calls in flight that were sent after the cold start could be known.
+	coldIn int
+}
+
+// visit is one attempt at an upstream.
+type visit struct {
+	call    *simCall
+	attempt int
+	sent    time.Time
+	entry   *entry
+	fresh   bool
+	counted bool
+	gone    bool
+	// crashed is set when the attempt was cut off while it ran.
+	crashed bool
+	boot    uint64
+	done    func(result.Result)
+}
+
+// noticeTime is the time in which entries learn of a cold start that nobody announced.
+const noticeTime = 100 * time.Millisecond
+
+func (u *upstream) cold() bool {
+	return u.sim.agenda.now.Sub(u.started) < u.sim.trace.GetFleet().GetWarm().AsDuration()
+}
+
+// restart turns the upstream cold and breaks what it was running.
+func (u *upstream) restart() {
+	u.boot++
+	u.started, u.chilled = u.sim.agenda.now, u.sim.agenda.now
+	u.coldIn = 0
+}
+
+// crash ends the process and brings a new one up after a while.
+func (u *upstream) crash() {
+	u.sim.figures.crashes++
+	u.down = true
+	u.boot++
+	u.running = 0
+	for _, v := range append(u.queue, u.active...) {
+		v.crashed = true
+		v.fail(cause.Broken)
+	}
+	u.queue, u.active = nil, nil
+	u.sim.agenda.after(crashTime, func() {
+		u.down = false
+		u.restart()
+	})
+}
+
+// crashTime is how long a crashed upstream is gone.
+const crashTime = 500 * time.Millisecond
+
+func (v *visit) fail(c cause.Cause) { v.done(result.Result{Cause: c}) }
+
+// arrive takes in an attempt.
+func (u *upstream) arrive(v *visit) {
+	if u.down {
+		v.fail(cause.Unsent)
+		return
+	}
+	v.boot = u.boot
+	u.seeCold(v)
+	u.seeOut(v)
+	switch {
+	case u.leaving || (u.running >= u.slots() && len(u.queue) >= int(u.sim.trace.GetFleet().GetBacklog())):
+		u.uncount(v)
+		u.finish(v, result.Result{Cause: cause.Shed, Status: 503})
+	case u.failing:
+		u.ran(v)
+		u.uncount(v)
+		u.finish(v, result.Result{Cause: cause.Error, Status: 500})
+	case v.call.deadly:
+		u.ran(v)
+		u.sim.figures.poisoned++
+		v.fail(cause.Broken)
+		u.crash()
+	default:
+		u.queue = append(u.queue, v)
+		u.advance()
+	}
+}
+
+func (u *upstream) slots() int { return int(u.sim.trace.GetFleet().GetSlots()) }
+
+// advance starts queued attempts while slots are free.
+func (u *upstream) advance() {
+	for u.running < u.slots() && len(u.queue) > 0 {
+		v := u.queue[0]
+		u.queue = u.queue[1:]
+		if v.gone {
+			continue
+		}
+		u.running++
+		u.active = append(u.active, v)
+		u.ran(v)
+		u.sim.agenda.after(u.duration(v), func() { u.end(v) })
+	}
+}
+
+// end finishes an attempt that ran.
+func (u *upstream) end(v *visit) {
+	if v.crashed {
+		return
+	}
+	u.running--
+	if i := slices.Index(u.active, v); i >= 0 {
+		u.active = slices.Delete(u.active, i, i+1)
+	}
+	u.uncount(v)
+	u.finish(v, result.Result{Status: 200})
+	u.advance()
+}
+
+// finish sends the answer with a report.
+func (u *upstream) finish(v *visit, r result.Result) {
+	r.Report = u.report()
+	v.done(r)
+}
+
+func (u *upstream) report() *report.Report {
+	r := &report.Report{
+		Busy: u.running + len(u.queue), Slots: u.slots(), Boot: u.boot,
+		Age: u.sim.agenda.now.Sub(u.started), Cold: u.cold(), Leave: u.leaving,
+	}
+	if u.lies {
+		r.Busy = 0
+	}
+	return r
+}
+
+// cancel gives an attempt up.
+func (u *upstream) cancel(v *visit) {
+	v.gone = true
+	for i, q := range u.queue {
+		if q == v {
+			u.queue = append(u.queue[:i:i], u.queue[i+1:]...)
+			u.uncount(v)
+			return
+		}
+	}
+	if i := slices.Index(u.active, v); i >= 0 {
+		u.active = slices.Delete(u.active, i, i+1)
+		u.running--
+		v.crashed = true
+		u.uncount(v)
+		u.advance()
+	}
+}
+
+// ran counts a run of a call.
+func (u *upstream) ran(v *visit) { v.call.runs++ }
+
+// seeCold counts an attempt at a cold upstream once entries could know of the cold start.
+func (u *upstream) seeCold(v *visit) {
+	if !u.cold() || v.sent.Before(u.chilled.Add(noticeTime)) {
+		return
+	}
+	v.counted = true
+	u.coldIn++
+	over := u.coldIn - int(u.sim.trace.GetFleet().GetCold())
+	u.sim.figures.cold = max(u.sim.figures.cold, over)
+}
+
+func (u *upstream) uncount(v *visit) {
+	if v.counted && v.boot == u.boot {
+		v.counted = false
+		u.coldIn--
+	}
+}
+
+// seeOut counts new work that came too long after the upstream was to get none.
+func (u *upstream) seeOut(v *visit) {
+	for _, at := range []time.Time{u.outAt, u.leftAt} {
+		if !at.IsZero() && v.sent.After(at.Add(outTime)) {
+			u.sim.figures.out++
+		}
+	}
+}
+
+// outTime is the time in which new work must end.
+const outTime = 3 * time.Second
+
+// duration draws how long a call runs.
+func (u *upstream) duration(v *visit) time.Duration {
+	f := u.factor * u.noise
+	if u.cold() {
+		f *= coldFactor
+	}
+	if v.call.bulk {
+		f *= bulkFactor
+	}
+	mean := float64(u.sim.trace.GetFleet().GetRun().AsDuration())
+	return time.Duration(f * mean * (fixedPart + (1-fixedPart)*u.sim.rand.ExpFloat64()))
+}
+
+const (
+	// coldFactor is how much longer calls take at a cold upstream.
+	coldFactor = 3
+	// bulkFactor is how much longer bulk calls take.
+	bulkFactor = 20
+	// fixedPart is the part of a call's time that does not vary.
+	fixedPart = 0.5
+)
--- a/pkg/choice/choice.go
+++ b/pkg/choice/choice.go
@@ -19,6 +19,8 @@
 	At time.Time
 	// Wait is the predicted time until the answer.
 	Wait time.Duration
+	// Hedge is the time after which a second attempt is worth its cost; 0 for never.
+	Hedge time.Duration
 	// Credit is the credit spent on a cold upstream; 0 for none.
 	Credit uint64
 	// Limit is the time at which the credit lapses; zero for none.
--- a/pkg/config/config.go
+++ b/pkg/config/config.go
@@ -46,7 +46,7 @@
 	byService map[string]map[string]bool
 	// byShard lists the upstreams of each shard, in order.
 	byShard [tune.Shards][]string
-	cold    map[string]time.Time
+	cold    map[string]coldStart
 	dirty   map[string]bool
 	home    string
 }
@@ -65,7 +65,7 @@
 		Rejects:   map[string]reject.Reject{},
 		keys:      map[string]value.Value{},
 		byService: map[string]map[string]bool{},
-		cold:      map[string]time.Time{},
+		cold:      map[string]coldStart{},
 		dirty:     map[string]bool{},
 		home:      home,
 	}
@@ -200,10 +200,21 @@
 	if s := c.Services[u.Service]; s != nil {
 		warm = s.Warm
 	}
-	c.cold[name] = now.Add(warm)
+	c.cold[name] = coldStart{until: now.Add(warm)}
 	c.dirty[u.Service] = true
 }
 
+// coldStart is the cold start of an upstream; boot is 0 when its start identity is not known.
+type coldStart struct {
+	until time.Time
+	boot  uint64
+}
+
+// Chill notes a cold start that an entry saw, for traffic state that is built later.
+func (c *Config) Chill(upstream string, boot uint64, until time.Time) {
+	c.cold[upstream] = coldStart{until, boot}
+}
+
 // defaultWarm is the warm-up of an upstream whose service is not known yet.
 const defaultWarm = 10 * time.Second
 
@@ -289,7 +300,7 @@
 }
 
 func (c *Config) target(u *upsrec.Upstream) target.Target {
-	t := target.Target{Upstream: *u, Leaving: u.Leave, Cold: c.cold[u.Name]}
+	t := target.Target{Upstream: *u, Leaving: u.Leave, Cold: c.cold[u.Name].until, Boot: c.cold[u.Name].boot}
 	if d := c.Domains[u.Domain]; d != nil {
 		t.Out = d.Out
 		t.Delay = c.delay(d)
--- a/pkg/contrl/peers.go
+++ b/pkg/contrl/peers.go
@@ -196,6 +196,9 @@
 	if !c.rumor.Add(c.now, f) {
 		return
 	}
+	if f.Topic == topic.Cold {
+		c.config.Chill(f.Subject, f.Value, f.Until)
+	}
 	c.emit(effect.Effect{Deed: deed.Spread, Fact: f, Service: c.serviceOf(f)})
 	c.log(note.Note{What: factWhat(f.Topic), Subject: f.Subject, Reason: "seen by " + f.From})
 	c.push(digest.Digest{Facts: []fact.Fact{f}})
--- a/pkg/flow/flow.go
+++ b/pkg/flow/flow.go
@@ -230,9 +230,8 @@
 	f.tried = append(f.tried, ch.Target.Name)
 	f.running++
 	f.alarm = f.call.Deadline
-	if !f.hedged && f.call.Repeat && f.call.Buffered {
-		delay := max(tune.HedgeFloor, tune.HedgeRuns*ch.Wait)
-		f.alarm = earlier(now.Add(delay), f.call.Deadline)
+	if ch.Hedge > 0 && !f.hedged && f.call.Repeat && f.call.Buffered {
+		f.alarm = earlier(now.Add(ch.Hedge), f.call.Deadline)
 	}
 	return step.Step{Stage: stage.Send, Attempt: len(f.attempts) - 1, Choice: ch, Alarm: f.alarm, Reason: ch.Reason}
 }
@@ -270,3 +269,6 @@
 	}
 	return b
 }
+
+// Target returns the name of the upstream that an attempt went to.
+func (f *Flow) Target(id int) string { return f.attempts[id].choice.Target.Name }
--- a/pkg/pool/choose.go
+++ b/pkg/pool/choose.go
@@ -66,16 +66,19 @@
 func (p *Pool) send(now time.Time, c *call.Call, best candidate, ch choice.Choice) choice.Choice {
 	s := best.server
 	ch.Stage, ch.Reason, ch.Target, ch.Wait = stage.Send, reason.Lowest, &s.target, best.score
+	if p.policy == policy.Predicted {
+		ch.Hedge = max(tune.HedgeFloor, time.Duration(tune.HedgeWaits*float64(best.score)))
+	}
 	if best.trial {
 		ch.Reason = reason.Trial
 		s.circuit.Try()
 	}
 	if s.cold(now) {
-		cr, ok := s.wallet.Take(now, s.need(p, now, c))
+		cr, ok := s.wallet.Take(now, s.need(p, now, c)+tune.CreditMargin)
 		if !ok {
 			return p.nobody(choice.Choice{At: now, Cold: 1})
 		}
-		ch.Reason, ch.Credit, ch.Limit = reason.Credit, cr.ID, cr.Until
+		ch.Reason, ch.Credit, ch.Limit = reason.Credit, cr.ID, cr.Until.Add(-tune.CreditMargin)
 	}
 	s.reserve(now, ch.Bulk)
 	return ch
--- a/pkg/pool/server.go
+++ b/pkg/pool/server.go
@@ -50,8 +50,12 @@
 		s.run = p.run
 		s.busyOwn = -1
 	}
-	if t.Cold.After(s.coldUntil) && (t.Boot == 0 || t.Boot != s.boot || s.target.Cold != t.Cold) {
+	known := t.Boot != 0 && t.Boot == s.boot
+	if t.Cold.After(s.coldUntil) && !known && !t.Cold.Equal(s.target.Cold) {
 		s.coldUntil = t.Cold
+		if t.Boot != 0 {
+			s.boot, s.started = t.Boot, t.Cold.Add(-p.fleet.Service.Warm)
+		}
 	}
 	s.target = *t
 }
@@ -65,7 +69,7 @@
 	if c.Class == class.Bulk {
 		return false
 	}
-	if s.wallet.Has(now, s.need(p, now, c)) {
+	if s.wallet.Has(now, s.need(p, now, c)+tune.CreditMargin) {
 		return true
 	}
 	s.wallet.Miss()
@@ -131,6 +135,10 @@
 		s.hear(p, now, r.Report)
 		s.busyOwn = s.own - 1
 	}
+	if r.Cause != cause.None && r.Cause != cause.Shed && r.Cause != cause.Error {
+		// The upstream may still run the call, so its credit has to lapse by itself.
+		ch.Credit = 0
+	}
 	switch r.Cause {
 	case cause.Canceled:
 		s.circuit.Cancel()
--- a/pkg/tune/constants.go
+++ b/pkg/tune/constants.go
@@ -5,9 +5,9 @@
 // Choosing an upstream.
 const (
 	// Sample is the number of upstreams that one choice compares.
-	Sample = 6
+	Sample = 20
 	// ReportDecay is the time in which the weight of a load report falls to 1/e.
-	ReportDecay = 40 * time.Millisecond
+	ReportDecay = 10 * time.Millisecond
 	// RunWeight is the weight of a new run time in the moving average.
 	RunWeight = 0.1
 	// RunFirst is the assumed run time of an upstream that has not answered yet.
@@ -29,9 +29,9 @@
 	// MaxDepth is the number of nested services after which nothing is retried.
 	MaxDepth = 16
 	// HedgeFloor is the shortest delay before a second attempt runs beside the first.
-	HedgeFloor = 10 * time.Millisecond
-	// HedgeRuns is the delay of a hedge in run times of the upstream.
-	HedgeRuns = 6
+	HedgeFloor = 2 * time.Millisecond
+	// HedgeWaits is the delay of a hedge as a multiple of the predicted wait.
+	HedgeWaits = 2.0
 	// RetryBurst is the number of retries that a service saves up for.
 	RetryBurst = 20
 	// QueuePoll is the interval at which waiting calls look for an upstream anew.
@@ -76,6 +76,8 @@
 	LeaseMargin = time.Second
 	// CreditLife is how long a credit may be used, and so how long a new owner grants none.
 	CreditLife = 2 * time.Second
+	// CreditMargin is the part of a credit's life that is left for giving the call up.
+	CreditMargin = 100 * time.Millisecond
 	// CreditMost bounds the credits that one request may bring.
 	CreditMost = 4
 	// Watchers is the number of entries that watch the store; others hear from them.
