--- a/internal/front/exchange.go
+++ b/internal/front/exchange.go
@@ -63,8 +63,6 @@
 	a.heads <- a
 }
 
-func strconvQuote(s string) string { return strconv.Quote(s) }
-
 // read keeps a small body for further attempts and leaves a large one to be streamed.
 func (e *exchange) read() error {
 	if e.r.ContentLength < 0 || e.r.ContentLength > tune.ReplayBody {
@@ -88,7 +86,7 @@
 	if errors.As(err, &tooLarge) {
 		status = http.StatusRequestEntityTooLarge
 	}
-	ft := fate.NotRun
+	ft := flow.Early(e.r.Header.Get(wire.Key) != "")
 	if len(e.attempts) > 0 {
 		ft = fate.Unknown
 	}
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"net/http"
+	"strconv"
 	"strings"
 	"sync/atomic"
 	"time"
@@ -66,19 +67,17 @@
 // ServeHTTP serves one call.
 func (f *Front) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	if r.Method == http.MethodConnect || strings.Contains(strings.ToLower(r.Header.Get("Connection")), "upgrade") && r.Header.Get("Upgrade") != "h2c" {
-		http.Error(w, "upgrades and tunnels are not served", http.StatusNotImplemented)
+		refuseEarly(w, r, http.StatusNotImplemented, "upgrades and tunnels are not served")
 		return
 	}
 	name, path, _ := strings.Cut(strings.TrimPrefix(r.URL.EscapedPath(), "/"), "/")
 	svc, p := f.Service(name)
 	if svc == nil || p == nil {
-		w.Header().Set(wire.Fate, fate.NotRun.String())
-		http.Error(w, "service "+strconvQuote(name)+" is not known", http.StatusNotFound)
+		refuseEarly(w, r, http.StatusNotFound, "service "+strconv.Quote(name)+" is not known")
 		return
 	}
 	if r.ContentLength > f.Body {
-		w.Header().Set(wire.Fate, fate.NotRun.String())
-		http.Error(w, "the body is too large", http.StatusRequestEntityTooLarge)
+		refuseEarly(w, r, http.StatusRequestEntityTooLarge, "the body is too large")
 		return
 	}
 	target := "/" + path
@@ -95,6 +94,12 @@
 	e.serve()
 }
 
+// refuseEarly ends a request that no flow was begun for.
+func refuseEarly(w http.ResponseWriter, r *http.Request, status int, text string) {
+	w.Header().Set(wire.Fate, flow.Early(r.Header.Get(wire.Key) != "").String())
+	http.Error(w, text, status)
+}
+
 // call builds what decisions need to know of a request.
 func (f *Front) call(r *http.Request, svc *svcrec.Service, path string, body []byte, buffered bool) *call.Call {
 	now := f.Clock.Now()
--- a/internal/replay/call.go
+++ b/internal/replay/call.go
@@ -118,7 +118,7 @@
 func (s *Sim) send(c *simCall, e *entry) {
 	e.live(func() {
 		if e.service == nil {
-			c.end(s, fate.NotRun, s.agenda.now)
+			c.end(s, flow.Early(c.keyed), s.agenda.now)
 			return
 		}
 		x := &sending{call: c, entry: e}
--- a/internal/replay/entry.go
+++ b/internal/replay/entry.go
@@ -139,6 +139,14 @@
 	}
 }
 
+// side tells apart the entries that a split keeps from each other.
+func (e *entry) side() int {
+	if e.sim.split {
+		return e.index % 2
+	}
+	return 0
+}
+
 // cut reports whether the entry is cut off from the store.
 func (e *entry) cut() bool { return e.sim.split && e.index%2 == 1 }
 
--- a/internal/replay/faults.go
+++ b/internal/replay/faults.go
@@ -142,6 +142,8 @@
 		}
 		u.outAt = time.Time{}
 		u.restart()
+		// The record announces this cold start to all entries.
+		u.told = [2]time.Time{s.agenda.now, s.agenda.now}
 	}
 }
 
--- a/internal/replay/upstream.go
+++ b/internal/replay/upstream.go
@@ -34,8 +34,8 @@
 	leftAt  time.Time
 	outAt   time.Time
 	lies    bool
-	// chilled is when the present cold start began.
-	chilled time.Time
+	// told is when each side of a split first had an answer from the present start.
+	told [2]time.Time
 	probes  []time.Time
 	// coldSince counts the calls in flight that were sent after the cold start could be known.
 	coldIn int
@@ -56,7 +56,7 @@
 	done    func(result.Result)
 }
 
-// noticeTime is the time in which entries learn of a cold start that nobody announced.
+// noticeTime is the time in which entries tell each other of a cold start that nobody announced.
 const noticeTime = 100 * time.Millisecond
 
 func (u *upstream) cold() bool {
@@ -66,7 +66,8 @@
 // restart turns the upstream cold and breaks what it was running.
 func (u *upstream) restart() {
 	u.boot++
-	u.started, u.chilled = u.sim.agenda.now, u.sim.agenda.now
+	u.started = u.sim.agenda.now
+	u.told = [2]time.Time{}
 	u.coldIn = 0
 }
 
@@ -161,6 +162,9 @@
 		u.sim.figures.firstBad = u.sim.agenda.now
 	}
 	r.Report = u.report()
+	if v.entry != nil && u.told[v.entry.side()].IsZero() {
+		u.told[v.entry.side()] = u.sim.agenda.now
+	}
 	v.done(r)
 }
 
@@ -221,7 +225,8 @@
 
 // seeCold counts an attempt at a cold upstream once entries could know of the cold start.
 func (u *upstream) seeCold(v *visit) {
-	if !u.cold() || v.sent.Before(u.chilled.Add(noticeTime)) {
+	told := u.told[v.entry.side()]
+	if !u.cold() || told.IsZero() || v.sent.Before(told.Add(noticeTime)) {
 		return
 	}
 	v.counted = true
--- a/pkg/flow/flow.go
+++ b/pkg/flow/flow.go
@@ -49,9 +49,20 @@
 	return &Flow{call: c, pool: p, poison: t}
 }
 
+// Early returns the fate of a call that is refused before its idempotency key could be looked up.
+//
+// An earlier sending under the same key may have run.
+func Early(keyed bool) fate.Fate {
+	if keyed {
+		return fate.Unknown
+	}
+	return fate.NotRun
+}
+
 // Start begins the call.
 func (f *Flow) Start(now time.Time) step.Step {
 	if f.poison.Refuses(now, f.call.Print) {
+		f.ran = Early(f.call.Key != 0) == fate.Unknown
 		return f.refuse(reason.Poisoned)
 	}
 	if f.call.Key != 0 {
