Learn from calls that a hedge overtook; one load estimate for each candidate

Cause: the hedged calls of a slow upstream were cancelled and told nothing, so that its run time stayed low.

--- /dev/null
+++ b/pkg/flow/flow_test.go
@@ -0,0 +1,106 @@
+package flow_test
+
+import (
+	"math/rand/v2"
+	"net/netip"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/balsamvale/balsamvale/pkg/call"
+	"github.com/balsamvale/balsamvale/pkg/cause"
+	"github.com/balsamvale/balsamvale/pkg/fate"
+	"github.com/balsamvale/balsamvale/pkg/fleet"
+	"github.com/balsamvale/balsamvale/pkg/flow"
+	"github.com/balsamvale/balsamvale/pkg/grant"
+	"github.com/balsamvale/balsamvale/pkg/poison"
+	"github.com/balsamvale/balsamvale/pkg/policy"
+	"github.com/balsamvale/balsamvale/pkg/pool"
+	"github.com/balsamvale/balsamvale/pkg/reason"
+	"github.com/balsamvale/balsamvale/pkg/result"
+	"github.com/balsamvale/balsamvale/pkg/stage"
+	"github.com/balsamvale/balsamvale/pkg/svcrec"
+	"github.com/balsamvale/balsamvale/pkg/target"
+	"github.com/balsamvale/balsamvale/pkg/upsrec"
+)
+
+var start = time.Unix(1000, 0)
+
+func newPool(upstreams int) *pool.Pool {
+	p := pool.New(rand.New(rand.NewPCG(1, 1)), policy.Predicted)
+	f := &fleet.Fleet{Service: svcrec.Service{Name: "s", Slots: 4, Conns: 100, Timeout: time.Second, Cold: 1, Retry: 10, Queue: 10}, Entries: 1}
+	for i := range upstreams {
+		f.Targets = append(f.Targets, target.Target{Upstream: upsrec.Upstream{
+			Name: string(rune('a' + i)), Addr: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, byte(i)}), 80),
+		}})
+	}
+	p.Install(start, f)
+	return p
+}
+
+var _ = Describe("Flow", func() {
+	for _, tc := range []struct {
+		name   string
+		repeat bool
+		key    uint64
+		grant  grant.Grant
+		// causes are the ends of the attempts, one after the other.
+		causes []cause.Cause
+		stage  stage.Stage
+		fate   fate.Fate
+		reason reason.Reason
+	}{
+		{"delivers an answer", true, 0, 0, []cause.Cause{cause.None}, stage.Deliver, fate.Answered, 0},
+		{"retries an idempotent call", true, 0, 0, []cause.Cause{cause.Broken, cause.None}, stage.Deliver, fate.Answered, 0},
+		{"stops a call that crashed two upstreams", true, 0, 0, []cause.Cause{cause.Broken, cause.Broken}, stage.Refuse, fate.Unknown, reason.Poisoned},
+		{"does not repeat what may have run", false, 0, 0, []cause.Cause{cause.Broken}, stage.Refuse, fate.Unknown, reason.Once},
+		{"does not repeat after a timeout", false, 0, 0, []cause.Cause{cause.Timeout}, stage.Refuse, fate.Unknown, reason.Once},
+		{"does not repeat after a crossed answer", false, 0, 0, []cause.Cause{cause.Mismatch}, stage.Refuse, fate.Unknown, reason.Once},
+		{"repeats what was shed", false, 0, 0, []cause.Cause{cause.Shed, cause.None}, stage.Deliver, fate.Answered, 0},
+		{"repeats what was not sent", false, 0, 0, []cause.Cause{cause.Unsent, cause.None}, stage.Deliver, fate.Answered, 0},
+		{"says not run when all shed", false, 0, 0, []cause.Cause{cause.Shed, cause.Shed, cause.Unsent, cause.Shed}, stage.Refuse, fate.NotRun, reason.Retries},
+		{"does not say not run once one may have run", true, 0, 0, []cause.Cause{cause.Timeout, cause.Shed, cause.Shed, cause.Shed}, stage.Refuse, fate.Unknown, reason.Retries},
+		{"gives an error of a call that must not repeat", false, 0, 0, []cause.Cause{cause.Error}, stage.Deliver, fate.Answered, 0},
+		{"runs under a key of its own", false, 7, grant.Mine, []cause.Cause{cause.None}, stage.Deliver, fate.Answered, 0},
+		{"gives the remembered answer", false, 7, grant.Answered, nil, stage.Replay, fate.Answered, reason.Duplicate},
+		{"knows nothing of a running duplicate", false, 7, grant.Unknown, nil, stage.Refuse, fate.Unknown, reason.Duplicate},
+		{"knows nothing without the store", false, 7, grant.Unavailable, nil, stage.Refuse, fate.Unknown, reason.Claim},
+	} {
+		It(tc.name, func() {
+			now := start
+			c := &call.Call{ID: 1, Service: "s", Repeat: tc.repeat, Buffered: true, Key: tc.key, Print: 9, Arrived: now, Deadline: now.Add(time.Second)}
+			f := flow.New(c, newPool(6), poison.New())
+			s := f.Start(now)
+			if tc.key != 0 {
+				Expect(s.Stage).To(Equal(stage.Claim))
+				s = f.Claimed(now, tc.grant)
+			}
+			for _, ca := range tc.causes {
+				Expect(s.Stage).To(Equal(stage.Send))
+				now = now.Add(time.Millisecond)
+				s = f.Headed(now, s.Attempt, result.Result{Cause: ca})
+			}
+			Expect(s.Stage).To(Equal(tc.stage))
+			Expect(s.Fate).To(Equal(tc.fate))
+			Expect(s.Reason).To(Equal(tc.reason))
+		})
+	}
+
+	for _, tc := range []struct {
+		name    string
+		attempt int
+		final   bool
+	}{
+		{"that is a retry of the service above", 1, false},
+		{"that a service below gave up", 0, true},
+	} {
+		It("does not retry a failed call "+tc.name, func() {
+			c := &call.Call{Service: "s", Repeat: true, Buffered: true, Attempt: tc.attempt, Depth: 3}
+			f := flow.New(c, newPool(6), poison.New())
+			s := f.Start(start)
+			s = f.Headed(start, s.Attempt, result.Result{Cause: cause.Error, Status: 503, Final: tc.final})
+			Expect(s.Stage).To(Equal(stage.Deliver))
+		})
+	}
+})
--- /dev/null
+++ b/pkg/judge/judge_test.go
@@ -0,0 +1,63 @@
+package judge_test
+
+import (
+	"math/rand/v2"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/balsamvale/balsamvale/pkg/judge"
+)
+
+var _ = Describe("Judge", func() {
+	const run = 10 * time.Millisecond
+	for _, tc := range []struct {
+		name      string
+		upstreams int
+		// fail is the failure rate and factor the slowness of the new version, on its first bad upstreams.
+		fail   float64
+		factor float64
+		bad    int
+		common float64
+		want   bool
+	}{
+		{"lets a good version be", 8, 0, 1, 8, 1, false},
+		{"convicts one that fails", 8, 0.5, 1, 8, 1, true},
+		{"convicts one that is slow", 8, 0, 4, 8, 1, true},
+		{"bears one slow upstream", 8, 0, 10, 1, 1, false},
+		{"bears one failing upstream", 8, 1, 1, 1, 1, false},
+		{"convicts a version with a single upstream", 1, 0.5, 1, 1, 1, true},
+		{"bears slowness that both versions share", 8, 0, 1, 8, 6, false},
+	} {
+		It(tc.name, func() {
+			for seed := range uint64(20) {
+				rnd := rand.New(rand.NewPCG(seed, 0))
+				j := judge.New()
+				convicted := false
+				for i := range 4000 {
+					f := 1.0
+					if i > 2000 {
+						f = tc.common
+					}
+					took := func(f float64) time.Duration {
+						return time.Duration(f * float64(run) * (0.5 + 0.5*rnd.ExpFloat64()))
+					}
+					_, bad := j.Old("/", tc.upstreams, rnd.Float64() < 0.002, took(f))
+					convicted = convicted || bad
+					if i%20 != 0 {
+						continue
+					}
+					u := rnd.IntN(tc.upstreams)
+					failed := u < tc.bad && rnd.Float64() < tc.fail
+					if u < tc.bad {
+						f *= tc.factor
+					}
+					_, bad = j.New(string(rune('a'+u)), "/", tc.upstreams, failed, took(f))
+					convicted = convicted || bad
+				}
+				Expect(convicted).To(Equal(tc.want), "seed %d", seed)
+			}
+		})
+	}
+})
--- a/pkg/pool/choose.go
+++ b/pkg/pool/choose.go
@@ -144,18 +144,22 @@
 
 // weigh compares one upstream with the best so far.
 func (p *Pool) weigh(now time.Time, c *call.Call, tried []string, s *server, best *candidate, ch *choice.Choice) {
-	trial, ok := p.admit(now, c, tried, s, ch)
+	load := 0.0
+	if p.policy == policy.Predicted {
+		load = s.load(p, now)
+	}
+	trial, ok := p.admit(now, c, tried, s, load, ch)
 	if !ok {
 		return
 	}
-	score := p.score(now, s)
+	score := p.score(now, s, load)
 	if best.server == nil || score < best.score {
 		*best = candidate{s, score, trial}
 	}
 }
 
 // admit applies the filters in order and counts what they stop.
-func (p *Pool) admit(now time.Time, c *call.Call, tried []string, s *server, ch *choice.Choice) (trial, ok bool) {
+func (p *Pool) admit(now time.Time, c *call.Call, tried []string, s *server, load float64, ch *choice.Choice) (trial, ok bool) {
 	if slices.Contains(tried, s.target.Name) {
 		ch.Tried++
 		return false, false
@@ -177,7 +181,7 @@
 		ch.Conns++
 		return false, false
 	}
-	if p.full(now, c, s) {
+	if p.full(c, load) {
 		ch.Busy++
 		return false, false
 	}
@@ -190,7 +194,7 @@
 }
 
 // full reports whether an upstream has as much work as it should get from calls of this class.
-func (p *Pool) full(now time.Time, c *call.Call, s *server) bool {
+func (p *Pool) full(c *call.Call, load float64) bool {
 	if p.policy != policy.Predicted {
 		return false
 	}
@@ -198,11 +202,11 @@
 	if c.Class == class.Bulk {
 		limit = max(1, p.fleet.Service.Slots-1)
 	}
-	return int(s.load(p, now)) >= limit
+	return int(load) >= limit
 }
 
 // score predicts the time until an upstream answers, or ranks it as the policy does.
-func (p *Pool) score(now time.Time, s *server) time.Duration {
+func (p *Pool) score(now time.Time, s *server, load float64) time.Duration {
 	switch p.policy {
 	case policy.Random:
 		return 0
@@ -213,11 +217,8 @@
 	}
 	run := s.runTime(p, now)
 	slots := float64(p.fleet.Service.Slots)
-	wait := s.load(p, now) + 1 - slots
-	if wait < 0 {
-		wait = 0
-	}
-	ahead := wait/slots + tieBreak*s.load(p, now)/slots
+	wait := max(0, load+1-slots)
+	ahead := wait/slots + tieBreak*load/slots
 	return run + time.Duration(ahead*float64(run)) + 2*s.target.Delay
 }
 
--- /dev/null
+++ b/pkg/pool/pool_test.go
@@ -0,0 +1,210 @@
+package pool_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"net/netip"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/balsamvale/balsamvale/pkg/call"
+	"github.com/balsamvale/balsamvale/pkg/cause"
+	"github.com/balsamvale/balsamvale/pkg/choice"
+	"github.com/balsamvale/balsamvale/pkg/class"
+	"github.com/balsamvale/balsamvale/pkg/credit"
+	"github.com/balsamvale/balsamvale/pkg/fact"
+	"github.com/balsamvale/balsamvale/pkg/fleet"
+	"github.com/balsamvale/balsamvale/pkg/policy"
+	"github.com/balsamvale/balsamvale/pkg/pool"
+	"github.com/balsamvale/balsamvale/pkg/reason"
+	"github.com/balsamvale/balsamvale/pkg/report"
+	"github.com/balsamvale/balsamvale/pkg/result"
+	"github.com/balsamvale/balsamvale/pkg/share"
+	"github.com/balsamvale/balsamvale/pkg/stage"
+	"github.com/balsamvale/balsamvale/pkg/svcrec"
+	"github.com/balsamvale/balsamvale/pkg/target"
+	"github.com/balsamvale/balsamvale/pkg/topic"
+	"github.com/balsamvale/balsamvale/pkg/upsrec"
+)
+
+var start = time.Unix(1000, 0)
+
+func newFleet(n int) *fleet.Fleet {
+	f := &fleet.Fleet{
+		Service: svcrec.Service{Name: "s", Slots: 4, Conns: 260, Timeout: time.Second, Cold: 1, Warm: 10 * time.Second, Retry: 10, Queue: 4},
+		Entries: 1,
+	}
+	for i := range n {
+		f.Targets = append(f.Targets, target.Target{Upstream: upsrec.Upstream{
+			Name: fmt.Sprintf("up-%d", i), Version: "v1",
+			Addr: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, byte(i >> 8), byte(i)}), 80),
+		}})
+	}
+	return f
+}
+
+func newPool(f *fleet.Fleet) *pool.Pool {
+	p := pool.New(rand.New(rand.NewPCG(1, 2)), policy.Predicted)
+	p.Install(start, f)
+	return p
+}
+
+func newCall() *call.Call {
+	return &call.Call{Service: "s", Caller: "c", Repeat: true, Buffered: true, Arrived: start, Deadline: start.Add(time.Second)}
+}
+
+func never(choice.Choice) { Fail("woken") }
+
+var _ = Describe("Pick", func() {
+	for _, tc := range []struct {
+		name   string
+		change func(f *fleet.Fleet)
+		before func(p *pool.Pool)
+		class  class.Class
+		stage  stage.Stage
+		reason reason.Reason
+	}{
+		{name: "sends to the lowest", stage: stage.Send, reason: reason.Lowest},
+		{name: "knows no upstream", change: func(f *fleet.Fleet) { f.Targets = nil }, stage: stage.Refuse, reason: reason.Empty},
+		{name: "leaves out a failure domain", change: func(f *fleet.Fleet) { f.Targets[0].Out = true }, stage: stage.Refuse, reason: reason.Empty},
+		{name: "leaves out an upstream that leaves by its record", change: func(f *fleet.Fleet) { f.Targets[0].Leaving = true }, stage: stage.Refuse, reason: reason.Empty},
+		{name: "leaves out an upstream that leaves by a peer's word", before: func(p *pool.Pool) {
+			p.Merge(start, fact.Fact{Topic: topic.Leaving, Subject: "up-0", Until: start.Add(time.Minute)})
+		}, stage: stage.Refuse, reason: reason.Empty},
+		{name: "waits for a cold upstream", change: func(f *fleet.Fleet) { f.Targets[0].Cold = start.Add(time.Minute) }, stage: stage.Wait, reason: reason.Full},
+		{name: "sends to a cold upstream on a credit", change: func(f *fleet.Fleet) { f.Targets[0].Cold = start.Add(time.Minute) }, before: func(p *pool.Pool) {
+			p.Grant(start, "up-0", 0, []credit.Credit{{ID: 1, Until: start.Add(2 * time.Second)}})
+		}, stage: stage.Send, reason: reason.Credit},
+		{name: "uses no credit that is about to lapse", change: func(f *fleet.Fleet) { f.Targets[0].Cold = start.Add(time.Minute) }, before: func(p *pool.Pool) {
+			p.Grant(start, "up-0", 0, []credit.Credit{{ID: 1, Until: start.Add(time.Millisecond)}})
+		}, stage: stage.Wait, reason: reason.Full},
+		{name: "sends no bulk call to a cold upstream", class: class.Bulk, change: func(f *fleet.Fleet) { f.Targets[0].Cold = start.Add(time.Minute) }, before: func(p *pool.Pool) {
+			p.Grant(start, "up-0", 0, []credit.Credit{{ID: 1, Until: start.Add(2 * time.Second)}})
+		}, stage: stage.Wait, reason: reason.Full},
+		{name: "keeps to the share of connections", change: func(f *fleet.Fleet) { f.Service.Conns, f.Entries = 17, 17 }, before: func(p *pool.Pool) {
+			p.Pick(start, newCall(), nil, never)
+		}, stage: stage.Wait, reason: reason.Full},
+		{name: "gives nothing to a version without a share", change: func(f *fleet.Fleet) {
+			f.Shares = []share.Share{{Version: "v0", Weight: 1000}, {Version: "v1", Weight: 0}}
+		}, stage: stage.Refuse, reason: reason.Empty},
+	} {
+		It(tc.name, func() {
+			f := newFleet(1)
+			if tc.change != nil {
+				tc.change(f)
+			}
+			p := newPool(f)
+			if tc.before != nil {
+				tc.before(p)
+			}
+			c := newCall()
+			c.Class = tc.class
+			ch := p.Pick(start, c, nil, never)
+			Expect(ch.Stage).To(Equal(tc.stage))
+			Expect(ch.Reason).To(Equal(tc.reason))
+		})
+	}
+})
+
+var _ = Describe("Heard", func() {
+	for _, tc := range []struct {
+		name    string
+		reports []report.Report
+		cold    bool
+		told    int
+	}{
+		{"stays warm on reports of one start", []report.Report{{Boot: 1, Age: time.Minute}, {Boot: 1, Age: time.Minute}}, false, 0},
+		{"turns cold on a new start", []report.Report{{Boot: 1, Age: time.Minute}, {Boot: 2, Age: time.Second}}, true, 1},
+		{"turns cold on its own word", []report.Report{{Boot: 1, Age: time.Minute, Cold: true}}, true, 1},
+		{"leaves out a late report of an earlier start", []report.Report{{Boot: 2, Age: time.Minute}, {Boot: 1, Age: time.Hour}}, false, 0},
+		{"is warm again on proof", []report.Report{{Boot: 1, Age: time.Second, Cold: true}, {Boot: 1, Age: 11 * time.Second}}, false, 1},
+		{"stays cold when the word warm comes early", []report.Report{{Boot: 1, Age: time.Second, Cold: true}, {Boot: 1, Age: 2 * time.Second}}, true, 1},
+	} {
+		It(tc.name, func() {
+			p := newPool(newFleet(1))
+			told := 0
+			p.Note = func(fact.Fact) { told++ }
+			for _, r := range tc.reports {
+				ch := p.Pick(start, newCall(), nil, nil)
+				if ch.Stage != stage.Send {
+					ch = choice.Choice{Target: &target.Target{Upstream: upsrec.Upstream{Name: "up-0"}}}
+				}
+				p.Heard(start, &ch, &result.Result{Report: &r, Took: time.Millisecond})
+				p.End(start, &ch)
+			}
+			Expect(p.Pick(start, newCall(), nil, nil).Stage == stage.Send).To(Equal(!tc.cold))
+			Expect(told).To(Equal(tc.told))
+		})
+	}
+})
+
+var _ = Describe("Pool", func() {
+	for _, tc := range []struct {
+		name string
+		seed uint64
+	}{{"one", 1}, {"two", 2}, {"three", 3}} {
+		It("keeps its counts over random events, seed "+tc.name, func() {
+			rnd := rand.New(rand.NewPCG(tc.seed, 9))
+			p := newPool(newFleet(5))
+			now := start
+			var flying []choice.Choice
+			waiting := 0
+			causes := []cause.Cause{cause.None, cause.Shed, cause.Error, cause.Broken, cause.Canceled}
+			for range 30_000 {
+				now = now.Add(time.Duration(rnd.IntN(2000)) * time.Microsecond)
+				if rnd.IntN(2) == 0 {
+					c := newCall()
+					c.Caller, c.Deadline = fmt.Sprint(rnd.IntN(3)), now.Add(time.Duration(1+rnd.IntN(50))*time.Millisecond)
+					ch := p.Pick(now, c, nil, func(ch choice.Choice) {
+						waiting--
+						if ch.Stage == stage.Send {
+							flying = append(flying, ch)
+						}
+					})
+					switch ch.Stage {
+					case stage.Send:
+						flying = append(flying, ch)
+					case stage.Wait:
+						waiting++
+					}
+				} else if len(flying) > 0 {
+					i := rnd.IntN(len(flying))
+					ch := flying[i]
+					flying = append(flying[:i], flying[i+1:]...)
+					r := &result.Result{Cause: causes[rnd.IntN(len(causes))], Took: time.Millisecond}
+					p.Heard(now, &ch, r)
+					p.End(now, &ch)
+				}
+				Expect(p.Pump(now)).To(Equal(waiting))
+			}
+			for _, ch := range flying {
+				p.End(now, &ch)
+			}
+			Expect(waiting).To(BeNumerically("<=", 4))
+		})
+	}
+})
+
+func BenchmarkPick(b *testing.B) {
+	for _, bc := range []struct{ upstreams int }{{17}, {100}, {1000}} {
+		b.Run(fmt.Sprint(bc.upstreams), func(b *testing.B) {
+			p := newPool(newFleet(bc.upstreams))
+			c := newCall()
+			r := &result.Result{Took: time.Millisecond, Report: &report.Report{Busy: 2, Slots: 4, Boot: 1, Age: time.Minute}}
+			for range 10 * bc.upstreams {
+				ch := p.Pick(start, c, nil, nil)
+				p.Heard(start, &ch, r)
+				p.End(start, &ch)
+			}
+			now := start.Add(time.Millisecond)
+			b.ReportAllocs()
+			for b.Loop() {
+				ch := p.Pick(now, c, nil, nil)
+				p.End(now, &ch)
+			}
+		})
+	}
+}
--- a/pkg/pool/server.go
+++ b/pkg/pool/server.go
@@ -1,7 +1,6 @@
 package pool
 
 import (
-	"math"
 	"slices"
 	"time"
 
@@ -108,14 +107,26 @@
 	if s.heardAt.IsZero() {
 		return float64(s.own) + p.others
 	}
-	w := math.Exp(-float64(now.Sub(s.heardAt)) / float64(tune.ReportDecay))
+	w := fade(now.Sub(s.heardAt), tune.ReportDecay)
 	seen := float64(max(0, s.busy-s.busyOwn))
 	return float64(s.own) + w*seen + (1-w)*p.others
 }
 
+// fade approximates exp(-age/unit) by the reciprocal of its series, at a third of the cost.
+func fade(age, unit time.Duration) float64 {
+	if age >= fadeMost*unit {
+		return 0
+	}
+	x := float64(age) / float64(unit)
+	return 1 / (1 + x*(1+x*(0.5+x/6)))
+}
+
+// fadeMost is the age in units at which nothing is left.
+const fadeMost = 6
+
 // runTime predicts how long a call runs, from answers and from calls that are overdue.
 func (s *server) runTime(p *Pool, now time.Time) time.Duration {
-	w := math.Exp(-float64(now.Sub(s.runAt)) / float64(tune.RunForget))
+	w := fade(now.Sub(s.runAt), tune.RunForget)
 	run := p.run + time.Duration(w*float64(s.run-p.run))
 	if len(s.starts) > 0 {
 		run = max(run, now.Sub(s.starts[0])/tune.Overdue)
@@ -143,6 +154,7 @@
 	switch r.Cause {
 	case cause.Canceled:
 		s.circuit.Cancel()
+		s.outlast(p, now, ch)
 	case cause.Shed:
 		s.circuit.Cancel()
 		s.fails += tune.FailWeight * (1 - s.fails)
@@ -158,6 +170,14 @@
 	}
 }
 
+// outlast learns from a call that was given up: it would have taken longer than it was given.
+func (s *server) outlast(p *Pool, now time.Time, ch *choice.Choice) {
+	took := now.Sub(ch.At)
+	if !ch.Bulk && !ch.At.Before(p.resumed) && took-2*s.target.Delay > s.run {
+		s.observe(p, now, took)
+	}
+}
+
 // observe takes the time of one answer into the averages.
 func (s *server) observe(p *Pool, now time.Time, took time.Duration) {
 	run := max(0, took-2*s.target.Delay)
@@ -165,7 +185,7 @@
 	if over > 1 && s.heardAt.Equal(now) {
 		run = time.Duration(float64(run) / over)
 	}
-	w := math.Exp(-float64(now.Sub(s.runAt)) / float64(tune.RunForget))
+	w := fade(now.Sub(s.runAt), tune.RunForget)
 	base := p.run + time.Duration(w*float64(s.run-p.run))
 	s.run = base + time.Duration(tune.RunWeight*float64(run-base))
 	s.runAt = now
--- /dev/null
+++ b/pkg/queue/queue_test.go
@@ -0,0 +1,55 @@
+package queue_test
+
+import (
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/balsamvale/balsamvale/pkg/class"
+	"github.com/balsamvale/balsamvale/pkg/queue"
+)
+
+type put struct {
+	class  class.Class
+	caller string
+	value  string
+}
+
+var _ = Describe("Queue", func() {
+	for _, tc := range []struct {
+		name string
+		puts []put
+		want []string
+	}{
+		{"keeps the order of one caller", []put{{0, "a", "1"}, {0, "a", "2"}}, []string{"1", "2"}},
+		{"serves callers in turn", []put{{0, "a", "1"}, {0, "a", "2"}, {0, "a", "3"}, {0, "b", "4"}}, []string{"1", "4", "2", "3"}},
+		{"serves interactive calls first", []put{{class.Bulk, "a", "1"}, {class.Interactive, "b", "2"}}, []string{"2", "1"}},
+	} {
+		It(tc.name, func() {
+			q := queue.New[string]()
+			for _, p := range tc.puts {
+				q.Push(p.class, p.caller, time.Time{}, p.value)
+			}
+			var got []string
+			for _, cl := range []class.Class{class.Interactive, class.Bulk} {
+				for v, ok := q.Pop(cl); ok; v, ok = q.Pop(cl) {
+					got = append(got, v)
+				}
+			}
+			Expect(got).To(Equal(tc.want))
+			Expect(q.Len()).To(BeZero())
+		})
+	}
+
+	It("removes what matches and keeps the turns of the rest", func() {
+		q := queue.New[string]()
+		for _, p := range []put{{0, "a", "1"}, {0, "b", "2"}, {0, "a", "3"}} {
+			q.Push(p.class, p.caller, time.Time{}, p.value)
+		}
+		Expect(q.Remove(func(_ time.Time, v string) bool { return v == "1" })).To(Equal([]string{"1"}))
+		Expect(q.Ahead(class.Interactive, "c")).To(Equal(2))
+		v, _ := q.Pop(class.Interactive)
+		Expect(v).To(Equal("3"))
+	})
+})
