--- a/pkg/judge/judge.go
+++ b/pkg/judge/judge.go
@@ -151,6 +151,12 @@
 	}
 }
 
+// Slow reports whether a call that was given up after a time is a slow one in any case.
+func (j *Judge) Slow(route string, took time.Duration) bool {
+	n := j.routes[route]
+	return n != nil && n.calls >= tune.JudgeFirst && n.isSlow(took)
+}
+
 // New takes in a call of the new version, and returns why it is bad once that is sure.
 func (j *Judge) New(upstream, route string, upstreams int, failed bool, took time.Duration) (why string, bad bool) {
 	n := j.routes[route]
--- a/pkg/pool/compare.go
+++ b/pkg/pool/compare.go
@@ -26,10 +26,17 @@
 
 // compare lets a call bear witness on the versions of a move; cold upstreams tell nothing.
 func (p *Pool) compare(now time.Time, s *server, ch *choice.Choice, r *result.Result) {
-	if p.judge == nil || p.convicted || ch.At.Before(p.resumed) || ch.Bulk || s.cold(now) || r.Cause == cause.Canceled || !r.Ran() {
+	if p.judge == nil || p.convicted || ch.At.Before(p.resumed) || ch.Bulk || s.cold(now) || !r.Ran() {
 		return
 	}
-	failed := r.Cause != cause.None
+	took := r.Took
+	if r.Cause == cause.Canceled {
+		took = now.Sub(ch.At)
+		if !p.judge.Slow(ch.Route, took) {
+			return
+		}
+	}
+	failed := r.Cause != cause.None && r.Cause != cause.Canceled
 	if !failed && r.Report != nil && r.Report.Busy >= p.fleet.Service.Slots {
 		// The call may have waited for others, which says nothing of the version.
 		return
@@ -39,9 +46,9 @@
 	var bad bool
 	switch s.target.Version {
 	case from:
-		why, bad = p.judge.Old(ch.Route, p.sizeOf(to), failed, r.Took)
+		why, bad = p.judge.Old(ch.Route, p.sizeOf(to), failed, took)
 	case to:
-		why, bad = p.judge.New(s.target.Name, ch.Route, p.sizeOf(to), failed, r.Took)
+		why, bad = p.judge.New(s.target.Name, ch.Route, p.sizeOf(to), failed, took)
 	}
 	if bad {
 		p.convict(now, why)
