--- /dev/null
+++ b/internal/option/options_test.go
@@ -0,0 +1,71 @@
+package option_test
+
+import (
+	"strings"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/balsamvale/balsamvale/internal/option"
+	"github.com/balsamvale/balsamvale/internal/tomlpb"
+)
+
+const good = `schema = 1
+name = "entry-1"
+domain = "zone-1"
+front = "127.0.0.1:8080"
+peer = "127.0.0.1:8081"
+admin = "127.0.0.1:8082"
+store = ["127.0.0.1:7000"]
+[log]
+level = "debug"
+[stop]
+lag = "3s"
+`
+
+var _ = Describe("Parse", func() {
+	It("reads settings and their defaults", func() {
+		o, err := option.Parse("f.toml", []byte(good))
+		Expect(err).NotTo(HaveOccurred())
+		Expect(o.Front.Port()).To(BeEquivalentTo(8080))
+		Expect(o.Lag).To(Equal(3 * time.Second))
+		Expect(o.Read).To(Equal(10 * time.Second))
+		Expect(o.Header).To(Equal(65536))
+	})
+
+	for _, tc := range []struct{ name, old, put, want string }{
+		{"an unknown key", `name = "entry-1"`, "nmae = \"e\"", "f.toml:2: nmae: unknown key"},
+		{"an unknown key in a table", `level = "debug"`, "levle = \"debug\"", "f.toml:9: log.levle: unknown key"},
+		{"a missing key", `peer = "127.0.0.1:8081"`, "", "peer: must be set"},
+		{"a bad address", `"127.0.0.1:8080"`, `"localhost:8080"`, "f.toml:4: front: \"localhost:8080\" is not an address"},
+		{"a port of 0", `"127.0.0.1:8080"`, `"127.0.0.1:0"`, "f.toml:4: front:"},
+		{"a duration out of range", `"3s"`, `"1h"`, "f.toml:11: stop.lag: 1h0m0s is out of range; allowed: 0s to 5m0s"},
+		{"a duration without a unit", `"3s"`, `3`, "f.toml:11: stop.lag: must be a duration"},
+		{"an unknown word", `"debug"`, `"loud"`, "f.toml:9: log.level: loud is not allowed; allowed: info, debug, warn, error"},
+		{"a bad name", `"entry-1"`, `"Entry 1"`, "f.toml:2: name: \"Entry 1\" is not a name"},
+		{"an unknown schema version", "schema = 1", "schema = 9", "f.toml:1: schema: 9 is out of range; allowed: 1 to 1"},
+		{"a wrong type", `["127.0.0.1:7000"]`, `"127.0.0.1:7000"`, "f.toml:7: store: must be an array"},
+		{"a bad element", `["127.0.0.1:7000"]`, `["127.0.0.1:7000", "x"]`, "store[1]: \"x\" is not an address"},
+		{"an empty list", `["127.0.0.1:7000"]`, `[]`, "store: must have at least one element"},
+		{"broken TOML", `[log]`, `[log`, "f.toml:"},
+	} {
+		It("refuses "+tc.name, func() {
+			_, err := option.Parse("f.toml", []byte(strings.Replace(good, tc.old, tc.put, 1)))
+			Expect(err).To(MatchError(tomlpb.ErrInvalid))
+			Expect(err.Error()).To(ContainSubstring(tc.want))
+			Expect(err.Error()).NotTo(ContainSubstring("\n"))
+		})
+	}
+})
+
+func FuzzParse(f *testing.F) {
+	f.Add([]byte(good))
+	f.Fuzz(func(t *testing.T, data []byte) {
+		o, err := option.Parse("f.toml", data)
+		if err == nil && (o.Name == "" || !o.Front.IsValid() || len(o.Store) == 0) {
+			t.Errorf("accepted %q", data)
+		}
+	})
+}
--- /dev/null
+++ b/internal/store/client_test.go
@@ -0,0 +1,88 @@
+package store_test
+
+import (
+	"context"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"strings"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	rpc "github.com/balsamvale/balsamvale/internal/gen/balsamvale/v1/balsamvalev1connect"
+	"github.com/balsamvale/balsamvale/internal/kvsim"
+	"github.com/balsamvale/balsamvale/internal/store"
+	"github.com/balsamvale/balsamvale/pkg/clock"
+	"github.com/balsamvale/balsamvale/pkg/item"
+	"github.com/balsamvale/balsamvale/pkg/member"
+	"github.com/balsamvale/balsamvale/pkg/order"
+	"github.com/balsamvale/balsamvale/pkg/value"
+	"github.com/balsamvale/balsamvale/pkg/verb"
+)
+
+var _ = Describe("Client and Server", func() {
+	var kv *kvsim.Server
+	var c *store.Client
+	ctx := context.Background()
+	BeforeEach(func() {
+		kv = kvsim.New(clock.Wall(), 1)
+		mux := http.NewServeMux()
+		mux.Handle(rpc.NewStoreHandler(kv))
+		srv := httptest.NewServer(mux)
+		DeferCleanup(srv.Close)
+		addr := netip.MustParseAddrPort(strings.TrimPrefix(srv.URL, "http://"))
+		c = store.New(http.DefaultClient, []netip.AddrPort{addr})
+	})
+	me := value.Value{Member: &member.Member{Name: "e", Peer: netip.MustParseAddrPort("10.0.0.1:1")}}
+
+	for _, tc := range []struct {
+		name   string
+		before func()
+		order  order.Order
+		failed bool
+		done   bool
+		rev    int64
+	}{
+		{"creates a key", func() {}, order.Order{Verb: verb.Swap, Key: "sys/a", Value: me}, false, true, 1},
+		{"does not create a key twice", func() { _, _, _ = c.Swap(ctx, item.Item{Key: "sys/a"}, 0, 0) },
+			order.Order{Verb: verb.Swap, Key: "sys/a", Value: me}, false, false, 1},
+		{"replaces a key", func() { _, _, _ = c.Swap(ctx, item.Item{Key: "sys/a"}, 0, 0) },
+			order.Order{Verb: verb.Swap, Key: "sys/a", Value: me, Expect: 1}, false, true, 2},
+		{"fails while the service is down", func() { kv.Down(true) }, order.Order{Verb: verb.Swap, Key: "sys/a", Value: me}, true, false, 0},
+		{"does not know the outcome when the answer is lost", func() { kv.Lose(1) }, order.Order{Verb: verb.Swap, Key: "sys/a", Value: me}, true, false, 0},
+		{"grants a lease", func() {}, order.Order{Verb: verb.Lease, TTL: time.Second}, false, true, 0},
+		{"does not renew an unknown lease", func() {}, order.Order{Verb: verb.Lease, Lease: 9, TTL: time.Second}, false, false, 0},
+		{"does not write under a lapsed lease", func() {}, order.Order{Verb: verb.Swap, Key: "sys/a", Value: me, Lease: 9}, false, false, 0},
+		{"watches from the past", func() { _, _, _ = c.Swap(ctx, item.Item{Key: "sys/a"}, 0, 0) },
+			order.Order{Verb: verb.Watch, Key: "sys/", Wait: time.Second}, false, true, 1},
+	} {
+		It(tc.name, func() {
+			tc.before()
+			r := c.Do(ctx, tc.order)
+			Expect(r.Failed).To(Equal(tc.failed))
+			Expect(r.Done).To(Equal(tc.done))
+			Expect(r.Revision).To(Equal(tc.rev))
+		})
+	}
+
+	It("removes the keys of a lease that lapsed, and tells the watches", func() {
+		l := c.Do(ctx, order.Order{Verb: verb.Lease, TTL: time.Hour})
+		Expect(c.Do(ctx, order.Order{Verb: verb.Swap, Key: "sys/m", Value: me, Lease: l.Lease}).Done).To(BeTrue())
+		kv.Lapse()
+		r := c.Do(ctx, order.Order{Verb: verb.Watch, Key: "sys/", Since: 1, Wait: time.Minute})
+		Expect(r.Items).To(HaveLen(1))
+		Expect(r.Items[0].Gone).To(BeTrue())
+	})
+
+	It("keeps to its limit of writes", func() {
+		failed := 0
+		for range 700 {
+			if c.Do(ctx, order.Order{Verb: verb.Lease, TTL: time.Second}).Failed {
+				failed++
+			}
+		}
+		Expect(failed).To(BeNumerically(">", 0))
+	})
+})
--- /dev/null
+++ b/internal/wire/header_test.go
@@ -0,0 +1,61 @@
+package wire_test
+
+import (
+	"net/http"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/balsamvale/balsamvale/internal/wire"
+	"github.com/balsamvale/balsamvale/pkg/report"
+)
+
+var _ = Describe("Strip", func() {
+	for _, tc := range []struct {
+		name string
+		in   http.Header
+		keep []string
+	}{
+		{"keeps end-to-end headers", http.Header{"Accept": {"a"}, "Content-Type": {"b"}}, []string{"Accept", "Content-Type"}},
+		{"removes hop-by-hop headers", http.Header{"Connection": {"close"}, "Te": {"x"}, "Upgrade": {"y"}, "Accept": {"a"}}, []string{"Accept"}},
+		{"removes what Connection names", http.Header{"Connection": {"X-One, X-Two"}, "X-One": {"1"}, "X-Two": {"2"}}, nil},
+		{"removes the project's own headers", http.Header{"Balsamvale-Attempt": {"1"}, "Balsamvale-Run": {"none"}}, nil},
+	} {
+		It(tc.name, func() {
+			wire.Strip(tc.in)
+			var left []string
+			for k := range tc.in {
+				left = append(left, k)
+			}
+			Expect(left).To(ConsistOf(tc.keep))
+		})
+	}
+})
+
+var _ = Describe("ParseReport", func() {
+	for _, tc := range []struct {
+		name, in string
+		want     *report.Report
+	}{
+		{"reads what is written", wire.FormatReport(report.Report{Busy: 3, Slots: 4, Boot: 7, Age: time.Second, Cold: true, Leave: true}),
+			&report.Report{Busy: 3, Slots: 4, Boot: 7, Age: time.Second, Cold: true, Leave: true}},
+		{"needs busy", "slots=4", nil},
+		{"bears nonsense", "busy=-1", nil},
+		{"bears a bad age", "busy=1&boot=2&age=x", &report.Report{Busy: 1}},
+		{"bears nothing", "", nil},
+	} {
+		It(tc.name, func() { Expect(wire.ParseReport(tc.in)).To(Equal(tc.want)) })
+	}
+})
+
+func FuzzParseReport(f *testing.F) {
+	f.Add("busy=3&slots=4&boot=7&age=1s&cold=1")
+	f.Fuzz(func(t *testing.T, s string) {
+		if r := wire.ParseReport(s); r != nil && (r.Busy < 0 || r.Slots < 0 || r.Age < 0) {
+			t.Errorf("negative value in %+v", r)
+		}
+		_ = wire.ParseCount(s)
+	})
+}
