Front and back over sockets: 29 and 5 cases; empty bodies keep their length; failures without another upstream are delivered

Found by the tests: a POST without a body went out in chunks, so that an upstream that did not read it never saw its caller go away; a 500 of the only upstream was replaced by a 502 of the entry.

--- a/internal/back/back.go
+++ b/internal/back/back.go
@@ -124,10 +124,13 @@
 		delete(req.Header, wire.Key)
 		req.Header["idempotency-key"] = key
 	}
-	if r.Buffered {
+	switch {
+	case r.Buffered && len(r.Body) == 0 && !replayed(r.Method):
+		req.Body = http.NoBody
+	case r.Buffered:
 		req.ContentLength = int64(len(r.Body))
 		req.Body = &once{Reader: bytes.NewReader(r.Body)}
-	} else {
+	default:
 		req.ContentLength = r.Length
 		req.Body = r.Stream
 		req.Trailer = r.Trailer
@@ -135,6 +138,15 @@
 	return req.WithContext(ctx)
 }
 
+// replayed reports whether net/http by itself repeats requests of a method that have no body.
+func replayed(method string) bool {
+	switch method {
+	case http.MethodGet, http.MethodHead, http.MethodOptions, http.MethodTrace:
+		return true
+	}
+	return false
+}
+
 // once is a body that net/http cannot send twice, so that it never repeats a request by itself.
 type once struct{ io.Reader }
 
--- /dev/null
+++ b/internal/back/back_test.go
@@ -0,0 +1,145 @@
+package back_test
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"net/netip"
+	"sync"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/balsamvale/balsamvale/internal/back"
+	"github.com/balsamvale/balsamvale/internal/outreq"
+	"github.com/balsamvale/balsamvale/pkg/cause"
+	"github.com/balsamvale/balsamvale/pkg/clock"
+	"github.com/balsamvale/balsamvale/pkg/tune"
+)
+
+// skewed is the machine's clock, set forward by hand.
+type skewed struct {
+	clock.Clock
+	mu   sync.Mutex
+	skew time.Duration
+}
+
+func (s *skewed) Now() time.Time {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.Clock.Now().Add(s.skew)
+}
+
+func (s *skewed) forward(d time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.skew += d
+}
+
+// upstream answers the first calls of each connection and then goes silent on it.
+type upstream struct {
+	on     net.Listener
+	answer int
+	mu     sync.Mutex
+	conns  int
+	calls  int
+}
+
+func (u *upstream) loop() {
+	for {
+		c, err := u.on.Accept()
+		if err != nil {
+			return
+		}
+		u.mu.Lock()
+		u.conns++
+		u.mu.Unlock()
+		go (&peer{u, c}).loop()
+	}
+}
+
+type peer struct {
+	u *upstream
+	c net.Conn
+}
+
+func (p *peer) loop() {
+	in := bufio.NewReader(p.c)
+	for n := 0; ; n++ {
+		req, err := http.ReadRequest(in)
+		if err != nil {
+			return
+		}
+		_, _ = io.Copy(io.Discard, req.Body)
+		p.u.mu.Lock()
+		p.u.calls++
+		p.u.mu.Unlock()
+		if n < p.u.answer {
+			_, _ = io.WriteString(p.c, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
+		}
+	}
+}
+
+var _ = Describe("Send", func() {
+	for _, tc := range []struct {
+		name     string
+		repeat   bool
+		buffered bool
+		quiet    time.Duration
+		cause    cause.Cause
+		conns    int
+	}{
+		{"uses a connection proven live for a call that must not repeat", false, true, 0, cause.Timeout, 1},
+		{"opens a new one when that proof is old", false, true, 2 * tune.ProvenLive, cause.None, 2},
+		{"always opens a new one for a streamed call that must not repeat", false, false, 0, cause.None, 2},
+		{"lets an idempotent call use an old connection", true, true, 2 * tune.ProvenLive, cause.Timeout, 1},
+	} {
+		It(tc.name, func() {
+			on, err := net.Listen("tcp", "127.0.0.1:0")
+			Expect(err).NotTo(HaveOccurred())
+			u := &upstream{on: on, answer: 1}
+			go u.loop()
+			DeferCleanup(on.Close)
+			cl := &skewed{Clock: clock.Wall()}
+			b := back.New(cl)
+			send := func(repeat, buffered bool) (*http.Response, cause.Cause) {
+				ctx, cancel := context.WithTimeout(context.Background(), 300*time.Millisecond)
+				DeferCleanup(cancel)
+				r := &outreq.Request{
+					Method: http.MethodPost, Target: "/", Header: http.Header{}, Body: []byte("x"), Buffered: buffered,
+					ID: "1", Repeat: repeat, Addr: netip.MustParseAddrPort(on.Addr().String()), Sent: cl.Now(),
+				}
+				if !buffered {
+					r.Stream, r.Length = http.NoBody, 0
+				}
+				res, out := b.Send(ctx, r)
+				return res, out.Cause
+			}
+			res, _ := send(true, true)
+			_, err = io.ReadAll(res.Body)
+			Expect(err).NotTo(HaveOccurred())
+			_ = res.Body.Close()
+			cl.forward(tc.quiet)
+			_, got := send(tc.repeat, tc.buffered)
+			Expect(got).To(Equal(tc.cause))
+			u.mu.Lock()
+			defer u.mu.Unlock()
+			Expect(u.conns).To(Equal(tc.conns))
+			Expect(u.calls).To(Equal(2))
+		})
+	}
+
+	It("knows that nothing was sent when nobody listens", func() {
+		on, err := net.Listen("tcp", "127.0.0.1:0")
+		Expect(err).NotTo(HaveOccurred())
+		addr := netip.MustParseAddrPort(on.Addr().String())
+		_ = on.Close()
+		_, out := back.New(clock.Wall()).Send(context.Background(), &outreq.Request{
+			Method: http.MethodGet, Target: "/", Header: http.Header{}, Buffered: true, Addr: addr, Sent: time.Now(),
+		})
+		Expect(out.Cause).To(Equal(cause.Unsent))
+	})
+})
--- /dev/null
+++ b/internal/front/front_test.go
@@ -0,0 +1,288 @@
+package front_test
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"net/http/httptrace"
+	"net/netip"
+	"net/textproto"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"go.uber.org/zap/zapcore"
+
+	"github.com/balsamvale/balsamvale/internal/back"
+	"github.com/balsamvale/balsamvale/internal/front"
+	"github.com/balsamvale/balsamvale/internal/logs"
+	"github.com/balsamvale/balsamvale/internal/wire"
+	"github.com/balsamvale/balsamvale/pkg/answer"
+	"github.com/balsamvale/balsamvale/pkg/clock"
+	"github.com/balsamvale/balsamvale/pkg/fleet"
+	"github.com/balsamvale/balsamvale/pkg/grant"
+	"github.com/balsamvale/balsamvale/pkg/poison"
+	"github.com/balsamvale/balsamvale/pkg/policy"
+	"github.com/balsamvale/balsamvale/pkg/pool"
+	"github.com/balsamvale/balsamvale/pkg/state"
+	"github.com/balsamvale/balsamvale/pkg/svcrec"
+	"github.com/balsamvale/balsamvale/pkg/target"
+	"github.com/balsamvale/balsamvale/pkg/upsrec"
+)
+
+const (
+	bodyLimit   = 32 << 20
+	headerLimit = 8 << 10
+)
+
+// entry serves a front whose service "s" has one upstream with the given handler.
+func entry(upstream http.HandlerFunc) *httptest.Server {
+	up := httptest.NewServer(upstream)
+	DeferCleanup(up.Close)
+	svc := svcrec.Service{Name: "s", Slots: 4, Conns: 100, Timeout: 2 * time.Second, Cold: 1, Retry: 10, Queue: 10}
+	f := &fleet.Fleet{Service: svc, Entries: 1, Targets: []target.Target{{Upstream: upsrec.Upstream{
+		Name: "up", Addr: netip.MustParseAddrPort(strings.TrimPrefix(up.URL, "http://")),
+	}}}}
+	p := pool.New(rand.New(rand.NewPCG(1, 1)), policy.Predicted)
+	p.Install(time.Now(), f)
+	fr := &front.Front{
+		Service: func(name string) (*svcrec.Service, *pool.Pool) {
+			if name != "s" {
+				return nil, nil
+			}
+			return &svc, p
+		},
+		Send: back.New(clock.Wall()).Send, Clock: clock.Wall(), Poison: poison.New(), Name: "e", Boot: 1, Body: bodyLimit,
+		Log: logs.New(io.Discard, zapcore.ErrorLevel, 1),
+		Claim: func(context.Context, string, uint64, uint64, time.Time) (grant.Grant, answer.Answer) {
+			return grant.Mine, answer.Answer{}
+		},
+		Settle: func(string, uint64, uint64, state.State, answer.Answer) {},
+	}
+	fr.Init(metrics.NewSet())
+	srv := httptest.NewUnstartedServer(fr)
+	srv.Config.MaxHeaderBytes = headerLimit
+	srv.Config.ReadHeaderTimeout = 200 * time.Millisecond
+	srv.Config.ErrorLog = nil
+	srv.Start()
+	DeferCleanup(srv.Close)
+	return srv
+}
+
+func echo(w http.ResponseWriter, r *http.Request) {
+	w.Header().Set("X-Path", r.URL.RequestURI())
+	w.Header().Set("X-Internal", r.Header.Get(wire.Run)+r.Header.Get("X-Hop")+r.Header.Get("Te"))
+	_, _ = io.Copy(w, r.Body)
+}
+
+var _ = Describe("Requests over a socket", func() {
+	for _, tc := range []struct {
+		name, raw string
+		// want is the start of the answer; empty for a connection that is closed without one.
+		want string
+	}{
+		{"a plain call", "GET /s/a HTTP/1.1\r\nHost: h\r\n\r\n", "HTTP/1.1 200"},
+		{"an unknown service", "GET /t/a HTTP/1.1\r\nHost: h\r\n\r\n", "HTTP/1.1 404"},
+		{"no host", "GET /s/a HTTP/1.1\r\n\r\n", "HTTP/1.1 400"},
+		{"no HTTP", "HELLO\r\n\r\n", "HTTP/1.1 400"},
+		{"an upgrade", "GET /s/a HTTP/1.1\r\nHost: h\r\nConnection: Upgrade\r\nUpgrade: websocket\r\n\r\n", "HTTP/1.1 501"},
+		{"a tunnel", "CONNECT h:1 HTTP/1.1\r\nHost: h:1\r\n\r\n", "HTTP/1.1 501"},
+		{"a body over the limit", "POST /s/a HTTP/1.1\r\nHost: h\r\nContent-Length: 99999999999\r\n\r\n", "HTTP/1.1 413"},
+		{"headers over the limit", "GET /s/a HTTP/1.1\r\nHost: h\r\nX: " + strings.Repeat("x", 4*headerLimit) + "\r\n\r\n", "HTTP/1.1 431"},
+		{"two lengths", "POST /s/a HTTP/1.1\r\nHost: h\r\nContent-Length: 1\r\nContent-Length: 2\r\n\r\nxx", "HTTP/1.1 400"},
+		{"a bad length", "POST /s/a HTTP/1.1\r\nHost: h\r\nContent-Length: -1\r\n\r\n", "HTTP/1.1 400"},
+		{"an unknown transfer coding", "POST /s/a HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: xchunked\r\n\r\n", "HTTP/1.1 501"},
+		{"a space before a colon", "GET /s/a HTTP/1.1\r\nHost: h\r\nX : y\r\n\r\n", "HTTP/1.1 400"},
+		{"a NUL in a header", "GET /s/a HTTP/1.1\r\nHost: h\r\nX: a\x00b\r\n\r\n", "HTTP/1.1 400"},
+		{"a bare CR in a header", "GET /s/a HTTP/1.1\r\nHost: h\r\nX: a\rb\r\n\r\n", "HTTP/1.1 400"},
+		{"bad chunks", "POST /s/a HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n", "HTTP/1.1 400"},
+		{"slow headers", "GET /s/a HTTP/1.1\r\nHost: h\r\n", ""},
+	} {
+		It("answers "+tc.name, func() {
+			srv := entry(echo)
+			c, err := net.Dial("tcp", srv.Listener.Addr().String())
+			Expect(err).NotTo(HaveOccurred())
+			defer func() { _ = c.Close() }()
+			Expect(c.SetDeadline(time.Now().Add(5 * time.Second))).To(Succeed())
+			_, err = io.WriteString(c, tc.raw)
+			Expect(err).NotTo(HaveOccurred())
+			line, _ := bufio.NewReader(c).ReadString('\n')
+			if tc.want == "" {
+				Expect(line).To(Or(BeEmpty(), HavePrefix("HTTP/1.1 408")))
+				return
+			}
+			Expect(line).To(HavePrefix(tc.want))
+		})
+	}
+})
+
+var _ = Describe("Calls", func() {
+	It("carry path, query and end-to-end headers, and drop the rest", func() {
+		srv := entry(echo)
+		req, _ := http.NewRequest(http.MethodPost, srv.URL+"/s/a%2Fb?c=d", strings.NewReader("body"))
+		req.Header.Set(wire.Run, "none")
+		req.Header.Set("Connection", "X-Hop")
+		req.Header.Set("X-Hop", "1")
+		res, err := http.DefaultClient.Do(req)
+		Expect(err).NotTo(HaveOccurred())
+		defer func() { _ = res.Body.Close() }()
+		data, _ := io.ReadAll(res.Body)
+		Expect(string(data)).To(Equal("body"))
+		Expect(res.Header.Get("X-Path")).To(Equal("/a%2Fb?c=d"))
+		Expect(res.Header.Get("X-Internal")).To(BeEmpty())
+		Expect(res.Header.Get(wire.Fate)).To(Equal("answered"))
+	})
+
+	for _, tc := range []struct {
+		name    string
+		chunked bool
+		size    int
+	}{{"of known length", false, 8 << 20}, {"in chunks", true, 8 << 20}, {"that is small", false, 100}} {
+		It("stream a body "+tc.name+" both ways", func() {
+			srv := entry(echo)
+			data := bytes.Repeat([]byte("0123456789abcdef"), tc.size/16+1)
+			var body io.Reader = bytes.NewReader(data)
+			if tc.chunked {
+				body = io.MultiReader(body)
+			}
+			res, err := http.Post(srv.URL+"/s/up", "application/octet-stream", body)
+			Expect(err).NotTo(HaveOccurred())
+			defer func() { _ = res.Body.Close() }()
+			got, err := io.ReadAll(res.Body)
+			Expect(err).NotTo(HaveOccurred())
+			Expect(bytes.Equal(got, data)).To(BeTrue())
+		})
+	}
+
+	It("are refused when a body of unknown length goes over the limit", func() {
+		srv := entry(echo)
+		body := io.MultiReader(bytes.NewReader(make([]byte, bodyLimit+1)))
+		res, err := http.Post(srv.URL+"/s/up", "x/y", body)
+		if err == nil {
+			defer func() { _ = res.Body.Close() }()
+			_, err = io.Copy(io.Discard, res.Body)
+			Expect(err != nil || res.StatusCode == http.StatusRequestEntityTooLarge).To(BeTrue())
+		}
+	})
+
+	for _, tc := range []struct {
+		name    string
+		handler http.HandlerFunc
+	}{
+		{"a known length", func(w http.ResponseWriter, _ *http.Request) {
+			w.Header().Set("Content-Length", "100")
+			_, _ = w.Write([]byte("part"))
+			w.(http.Flusher).Flush()
+			panic(http.ErrAbortHandler)
+		}},
+		{"chunks", func(w http.ResponseWriter, _ *http.Request) {
+			_, _ = w.Write([]byte("part"))
+			w.(http.Flusher).Flush()
+			panic(http.ErrAbortHandler)
+		}},
+	} {
+		It("are visibly broken when an answer with "+tc.name+" is cut", func() {
+			res, err := http.Get(entry(tc.handler).URL + "/s/a")
+			if err == nil {
+				defer func() { _ = res.Body.Close() }()
+				_, err = io.ReadAll(res.Body)
+			}
+			Expect(err).To(HaveOccurred())
+		})
+	}
+
+	It("pass trailers and early answers on", func() {
+		srv := entry(func(w http.ResponseWriter, r *http.Request) {
+			_, _ = io.Copy(io.Discard, r.Body)
+			w.Header().Set("Link", "</a>")
+			w.WriteHeader(http.StatusEarlyHints)
+			w.Header().Set("Trailer", "X-Sum")
+			w.WriteHeader(http.StatusOK)
+			_, _ = io.WriteString(w, "ok")
+			w.Header().Set("X-Sum", r.Trailer.Get("X-In"))
+		})
+		early := 0
+		ctx := httptrace.WithClientTrace(context.Background(), &httptrace.ClientTrace{
+			Got1xxResponse: func(code int, _ textproto.MIMEHeader) error { early = code; return nil },
+		})
+		req, _ := http.NewRequestWithContext(ctx, http.MethodPost, srv.URL+"/s/a", io.MultiReader(strings.NewReader("x")))
+		req.Trailer = http.Header{"X-In": {"7"}}
+		res, err := http.DefaultClient.Do(req)
+		Expect(err).NotTo(HaveOccurred())
+		defer func() { _ = res.Body.Close() }()
+		_, _ = io.ReadAll(res.Body)
+		Expect(early).To(Equal(http.StatusEarlyHints))
+		Expect(res.Trailer.Get("X-Sum")).To(Equal("7"))
+	})
+
+	It("carry the caller's deadline and its going away to the upstream", func() {
+		gone, left := make(chan struct{}), make(chan string, 1)
+		srv := entry(func(_ http.ResponseWriter, r *http.Request) {
+			left <- r.Header.Get(wire.Deadline)
+			select {
+			case <-r.Context().Done():
+				close(gone)
+			case <-time.After(10 * time.Second):
+			}
+		})
+		ctx, cancel := context.WithCancel(context.Background())
+		req, _ := http.NewRequestWithContext(ctx, http.MethodPost, srv.URL+"/s/a", nil)
+		req.Header.Set(wire.Deadline, "900ms")
+		go (&doer{req}).run()
+		d, err := time.ParseDuration(<-left)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(d).To(And(BeNumerically(">", 0), BeNumerically("<=", 900*time.Millisecond)))
+		cancel()
+		Eventually(gone, "5s").Should(BeClosed())
+	})
+
+	for _, tc := range []struct {
+		name, method string
+		handler      func(n int64, w http.ResponseWriter)
+		status       int
+		fate         string
+		runs         int64
+	}{
+		{"idempotent call that fails", http.MethodGet, func(_ int64, w http.ResponseWriter) { w.WriteHeader(500) }, 500, "answered", 1},
+		{"shed call", http.MethodPost, func(_ int64, w http.ResponseWriter) {
+			w.Header().Set(wire.Run, wire.RunNone)
+			w.WriteHeader(503)
+		}, 503, "notrun", 1},
+		{"call that must not repeat and breaks", http.MethodPost, func(int64, http.ResponseWriter) { panic(http.ErrAbortHandler) }, 502, "unknown", 1},
+		{"call that brings the answer to another", http.MethodPost, func(_ int64, w http.ResponseWriter) {
+			w.Header().Set(wire.Attempt, "other")
+			_, _ = io.WriteString(w, "not yours")
+		}, 502, "unknown", 1},
+	} {
+		It("tell the fate of a "+tc.name, func() {
+			var n atomic.Int64
+			srv := entry(func(w http.ResponseWriter, _ *http.Request) { tc.handler(n.Add(1), w) })
+			req, _ := http.NewRequest(tc.method, srv.URL+"/s/a", nil)
+			req.Header.Set(wire.Key, fmt.Sprint("key-", tc.name))
+			res, err := http.DefaultClient.Do(req)
+			Expect(err).NotTo(HaveOccurred())
+			defer func() { _ = res.Body.Close() }()
+			Expect(res.StatusCode).To(Equal(tc.status))
+			Expect(res.Header.Get(wire.Fate)).To(Equal(tc.fate))
+			Expect(n.Load()).To(Equal(tc.runs))
+		})
+	}
+})
+
+// doer makes a request whose end does not matter.
+type doer struct{ req *http.Request }
+
+func (d *doer) run() {
+	if res, err := http.DefaultClient.Do(d.req); err == nil {
+		_ = res.Body.Close()
+	}
+}
--- a/internal/replay/upstream.go
+++ b/internal/replay/upstream.go
@@ -35,8 +35,8 @@
 	outAt   time.Time
 	lies    bool
 	// told is when each side of a split first had an answer from the present start.
-	told [2]time.Time
-	probes  []time.Time
+	told   [2]time.Time
+	probes []time.Time
 	// coldSince counts the calls in flight that were sent after the cold start could be known.
 	coldIn int
 }
--- a/pkg/flow/flow.go
+++ b/pkg/flow/flow.go
@@ -109,22 +109,31 @@
 	if r.Cause == cause.None {
 		f.poison.Pass(f.call.Print)
 	}
-	if f.delivers(now, &r) {
-		return step.Step{Stage: stage.Deliver, Attempt: id, Choice: a.choice, Fate: fate.Answered}
+	if r.Cause == cause.None {
+		return f.deliver(id)
+	}
+	if r.Cause == cause.Error && f.running == 0 {
+		return f.another(now, id, &r)
 	}
 	f.close(now, id)
 	return f.again(now, &r)
 }
 
-// delivers reports whether the caller gets this answer: a good one, or a bad one that is not retried.
-func (f *Flow) delivers(now time.Time, r *result.Result) bool {
-	if r.Cause == cause.None {
-		return true
+func (f *Flow) deliver(id int) step.Step {
+	return step.Step{Stage: stage.Deliver, Attempt: id, Choice: f.attempts[id].choice, Fate: fate.Answered}
+}
+
+// another sends a call that failed to another upstream, or delivers the failure if it cannot.
+func (f *Flow) another(now time.Time, id int, r *result.Result) step.Step {
+	if !f.mayRetry(now, r) || !f.pool.Retry() {
+		return f.deliver(id)
 	}
-	if r.Cause != cause.Error {
-		return false
+	ch := f.pool.Pick(now, f.call, f.tried, nil)
+	if ch.Stage != stage.Send {
+		return f.deliver(id)
 	}
-	return f.running == 0 && !f.mayRetry(now, r)
+	f.close(now, id)
+	return f.send(now, ch)
 }
 
 // Alarm goes on when the time of the last step's alarm has come.
