--- a/internal/cmds/app.go
+++ b/internal/cmds/app.go
@@ -55,6 +55,9 @@
 		// The exit code is this function's to choose.
 		ExitErrHandler: func(context.Context, *cli.Command, error) {},
 	}
+	for _, c := range append(root.Commands, root) {
+		c.OnUsageError = badUsage
+	}
 	err := root.Run(ctx, args)
 	if err == nil {
 		return exitOK
@@ -67,6 +70,11 @@
 	return code(err)
 }
 
+// badUsage makes errors about flags count as invalid input.
+func badUsage(_ context.Context, _ *cli.Command, err error, _ bool) error {
+	return eris.Wrap(errInvalid, err.Error())
+}
+
 func code(err error) int {
 	switch {
 	case errors.Is(err, errRefused):
--- /dev/null
+++ b/internal/cmds/cmds_test.go
@@ -0,0 +1,123 @@
+package cmds_test
+
+import (
+	"bytes"
+	"context"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"path/filepath"
+	"strings"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/balsamvale/balsamvale/internal/cmds"
+	rpc "github.com/balsamvale/balsamvale/internal/gen/balsamvale/v1/balsamvalev1connect"
+	"github.com/balsamvale/balsamvale/internal/kvsim"
+	"github.com/balsamvale/balsamvale/pkg/clock"
+)
+
+// run carries out a command line.
+func run(args ...string) (code int, out, errs string) {
+	var o, e bytes.Buffer
+	app := &cmds.App{Out: &o, Err: &e}
+	code = app.Run(context.Background(), append([]string{"balsamvale"}, args...))
+	return code, o.String(), e.String()
+}
+
+func file(text string) string {
+	name := filepath.Join(GinkgoT().TempDir(), "f.toml")
+	Expect(os.WriteFile(name, []byte(text), 0o600)).To(Succeed())
+	return name
+}
+
+const domain = "[[domain]]\nschema = 1\nname = \"zone-1\"\n"
+
+var _ = Describe("The command line", func() {
+	for _, tc := range []struct {
+		name string
+		text string
+		want string
+	}{
+		{"an unknown key", domain + "colour = 1\n", "unknown key"},
+		{"an unknown kind", "[[zone]]\nname = \"a\"\n", "unknown key"},
+		{"a bad name", "[[domain]]\nschema = 1\nname = \"Zone 1\"\n", "is not a name"},
+		{"a missing name", "[[domain]]\nschema = 1\n", "must be set"},
+		{"an unknown schema version", "[[domain]]\nschema = 7\nname = \"a\"\n", "is not known to this release"},
+		{"a missing schema version", "[[domain]]\nname = \"a\"\n", "schema version 0"},
+		{"a bad duration", domain + "delay = \"soon\"\n", "is not a duration"},
+		{"a duration out of range", domain + "delay = \"1h\"\n", "allowed: 0s to 10s"},
+		{"a wrong type", domain + "out = \"yes\"\n", "must be true or false"},
+		{"a name twice", domain + domain, "stands twice"},
+		{"broken TOML", "[[domain\n", "f.toml:1"},
+		{"settings without what is needed", "schema = 1\n", "must be set"},
+		{"an upstream of no service", domain + "[[upstream]]\nschema = 1\nname = \"u\"\nservice = \"s\"\ndomain = \"zone-1\"\naddr = \"10.0.0.1:1\"\nversion = \"v1\"\n", "does not exist"},
+	} {
+		It("checks a file with "+tc.name, func() {
+			code, out, errs := run("check", file(tc.text))
+			Expect(code).To(Equal(2))
+			Expect(out).To(BeEmpty())
+			Expect(errs).To(ContainSubstring(tc.want))
+			Expect(strings.Count(errs, "\n")).To(Equal(1))
+		})
+	}
+
+	for _, tc := range []struct {
+		name string
+		args []string
+		code int
+	}{
+		{"version", []string{"version"}, 0},
+		{"help", []string{"help"}, 0},
+		{"the list of faults", []string{"demo", "--faults"}, 0},
+		{"a good file", []string{"check", "../../examples/oyelaran/records.toml", "../../examples/oyelaran/entry.toml", "../../examples/dimaculangan/records.toml", "../../examples/dimaculangan/entry.toml"}, 0},
+		{"no file", []string{"check"}, 2},
+		{"a missing file", []string{"check", "no-such-file"}, 2},
+		{"a bad address", []string{"get", "--store", "nowhere"}, 2},
+		{"a store that is not there", []string{"get", "--store", "127.0.0.1:1"}, 4},
+		{"a bad output", []string{"get", "--store", "127.0.0.1:1", "--output", "xml"}, 2},
+		{"a trace whose bounds hold", []string{"replay", "../../testdata/traces/probes-idle.toml"}, 0},
+	} {
+		It("exits as documented for "+tc.name, func() {
+			code, _, errs := run(tc.args...)
+			Expect(code).To(Equal(tc.code), errs)
+		})
+	}
+
+	It("fails a replay whose bound is broken on purpose", func() {
+		data, err := os.ReadFile("../../testdata/traces/silent.toml")
+		Expect(err).NotTo(HaveOccurred())
+		code, out, _ := run("replay", file(strings.Replace(string(data), "most = 1000", "most = 0", 1)))
+		Expect(code).To(Equal(1))
+		Expect(out).To(HaveSuffix("1 passed, 1 failed\n"))
+	})
+
+	It("applies, shows and refuses records under compare-and-swap", func() {
+		mux := http.NewServeMux()
+		mux.Handle(rpc.NewStoreHandler(kvsim.New(clock.Wall(), 1)))
+		srv := httptest.NewServer(mux)
+		DeferCleanup(srv.Close)
+		addr := strings.TrimPrefix(srv.URL, "http://")
+		out1 := domain + "out = true\n"
+		for _, step := range []struct {
+			args []string
+			code int
+			want string
+		}{
+			{[]string{"apply", "--store", addr, "--dry-run", file(domain)}, 0, "+ name = \"zone-1\""},
+			{[]string{"get", "--store", addr, "domain", "zone-1"}, 1, ""},
+			{[]string{"apply", "--store", addr, file(domain)}, 0, "written at revision 1"},
+			{[]string{"apply", "--store", addr, file(domain)}, 0, "unchanged at revision 1"},
+			{[]string{"apply", "--store", addr, "--expect", "0", file(out1)}, 3, ""},
+			{[]string{"apply", "--store", addr, "--expect", "1", file(out1)}, 0, "written at revision 2"},
+			{[]string{"get", "--store", addr, "domain", "zone-1"}, 0, "out = true"},
+			{[]string{"get", "--store", addr, "--output", "json", "domain"}, 0, `"revision":2`},
+			{[]string{"status", "--store", addr}, 0, "ENTRY"},
+		} {
+			code, out, errs := run(step.args...)
+			Expect(code).To(Equal(step.code), errs)
+			Expect(out).To(ContainSubstring(step.want))
+		}
+	})
+})
--- /dev/null
+++ b/internal/daemon/daemon_test.go
@@ -0,0 +1,124 @@
+package daemon_test
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"strings"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"go.uber.org/zap/zapcore"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/balsamvale/balsamvale/internal/codec"
+	"github.com/balsamvale/balsamvale/internal/daemon"
+	rpc "github.com/balsamvale/balsamvale/internal/gen/balsamvale/v1/balsamvalev1connect"
+	"github.com/balsamvale/balsamvale/internal/kvsim"
+	"github.com/balsamvale/balsamvale/internal/logs"
+	"github.com/balsamvale/balsamvale/internal/option"
+	"github.com/balsamvale/balsamvale/internal/store"
+	"github.com/balsamvale/balsamvale/pkg/clock"
+	"github.com/balsamvale/balsamvale/pkg/item"
+	"github.com/balsamvale/balsamvale/pkg/keys"
+)
+
+func address(s *httptest.Server) netip.AddrPort {
+	return netip.MustParseAddrPort(strings.TrimPrefix(s.URL, "http://"))
+}
+
+func freePort() netip.AddrPort {
+	on, err := net.Listen("tcp", "127.0.0.1:0")
+	Expect(err).NotTo(HaveOccurred())
+	defer func() { _ = on.Close() }()
+	return netip.MustParseAddrPort(on.Addr().String())
+}
+
+// runner runs a daemon; its run method is a goroutine.
+type runner struct {
+	d    *daemon.Daemon
+	stop context.Context
+	done chan error
+}
+
+func (r *runner) run() { r.done <- r.d.Run(r.stop) }
+
+// trickle is an upload that comes in parts, and goes on after the stop has begun.
+type trickle struct {
+	parts int
+	stop  func()
+}
+
+func (t *trickle) Read(p []byte) (int, error) {
+	if t.parts == 0 {
+		return 0, io.EOF
+	}
+	if t.parts--; t.parts == 20 {
+		t.stop()
+	}
+	time.Sleep(10 * time.Millisecond)
+	return copy(p, "0123456789"), nil
+}
+
+var _ = Describe("A planned stop", func() {
+	for _, tc := range []struct {
+		name  string
+		parts int
+	}{{"before the balancer has noticed", 25}, {"after the listener has closed", 60}} {
+		It("answers an upload that ends "+tc.name, func() {
+			up := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+				n, _ := io.Copy(io.Discard, r.Body)
+				_, _ = io.WriteString(w, strings.Repeat("x", int(n)))
+			}))
+			DeferCleanup(up.Close)
+			kv := kvsim.New(clock.Wall(), 1)
+			mux := http.NewServeMux()
+			mux.Handle(rpc.NewStoreHandler(kv))
+			kvSrv := httptest.NewServer(mux)
+			DeferCleanup(kvSrv.Close)
+			o := &option.Options{
+				Name: "e", Domain: "zone-1", Front: freePort(), Peer: freePort(), Admin: freePort(),
+				Store: []netip.AddrPort{address(kvSrv)}, Header: 1 << 16, Body: 1 << 30, Read: time.Second, Lag: 100 * time.Millisecond,
+			}
+			put(o.Store, "[[domain]]\nschema = 1\nname = \"zone-1\"\n[[service]]\nschema = 2\nname = \"s\"\nslots = 4\nconns = 10\nwarm = \"0s\"\n[[service.route]]\npath = \"/up\"\nclass = \"bulk\"\n[[upstream]]\nschema = 1\nname = \"u\"\nservice = \"s\"\ndomain = \"zone-1\"\nversion = \"v1\"\naddr = \""+address(up).String()+"\"\n")
+			stop, cancel := context.WithCancel(context.Background())
+			DeferCleanup(cancel)
+			r := &runner{daemon.New(o, clock.Wall(), logs.New(io.Discard, zapcore.ErrorLevel, 1), 1), stop, make(chan error, 1)}
+			go r.run()
+			ready := func() int {
+				res, err := http.Get("http://" + o.Admin.String() + "/ready")
+				if err != nil {
+					return 0
+				}
+				defer func() { _ = res.Body.Close() }()
+				return res.StatusCode
+			}
+			Eventually(ready, "10s", "20ms").Should(Equal(http.StatusNoContent))
+			res, err := http.Post("http://"+o.Front.String()+"/s/up", "x/y", &trickle{tc.parts, cancel})
+			Expect(err).NotTo(HaveOccurred())
+			defer func() { _ = res.Body.Close() }()
+			data, err := io.ReadAll(res.Body)
+			Expect(err).NotTo(HaveOccurred())
+			Expect(data).To(HaveLen(10 * tc.parts))
+			Eventually(r.done, "10s").Should(Receive(BeNil()))
+		})
+	}
+})
+
+// put writes records into the store.
+func put(addrs []netip.AddrPort, text string) {
+	recs, err := codec.ReadRecords("r", []byte(text))
+	Expect(err).NotTo(HaveOccurred())
+	c := store.New(http.DefaultClient, addrs)
+	for _, r := range recs {
+		data, err := proto.Marshal(r)
+		Expect(err).NotTo(HaveOccurred())
+		done, _, err := c.Swap(context.Background(), item.Item{Key: keys.Record(r.GetKind(), r.GetName()), Value: data}, 0, 0)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(done).To(BeTrue())
+	}
+}
--- /dev/null
+++ b/internal/replay/replay_test.go
@@ -0,0 +1,99 @@
+package replay_test
+
+import (
+	"bytes"
+	"fmt"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/balsamvale/balsamvale/internal/replay"
+	"github.com/balsamvale/balsamvale/pkg/policy"
+)
+
+const traces = "../../testdata/traces"
+
+var _ = Describe("Traces", func() {
+	files, err := replay.Files(traces)
+	if err != nil {
+		panic(err)
+	}
+	for _, file := range files {
+		It("hold their bounds: "+filepath.Base(file), func() {
+			data, err := os.ReadFile(file)
+			Expect(err).NotTo(HaveOccurred())
+			t, err := replay.Load(file, data)
+			Expect(err).NotTo(HaveOccurred())
+			var out bytes.Buffer
+			_, failed, err := replay.Check(&out, t)
+			Expect(err).NotTo(HaveOccurred())
+			Expect(failed).To(BeZero(), out.String())
+		})
+	}
+})
+
+// session is a small trace whose whole log is compared with a golden file.
+const session = `name = "session"
+promise = "the whole course of a session"
+seed = 1
+entries = 3
+length = "300ms"
+[fleet]
+upstreams = 3
+slots = 2
+domains = 3
+run = "20ms"
+warm = "1s"
+[load]
+percent = 15
+timeout = "500ms"
+once = 30
+keyed = 50
+twice = 20
+%s
+[[bound]]
+figure = "repeated"
+`
+
+var _ = Describe("Golden sessions", func() {
+	for _, tc := range []struct{ name, fault string }{
+		{"steady", ""},
+		{"crash", "[[fault]]\nkind = \"crash\"\nat = \"100ms\""},
+		{"cold", "[[fault]]\nkind = \"cold\"\nat = \"100ms\""},
+		{"domain-out", "[[fault]]\nkind = \"out\"\nat = \"100ms\"\nindex = 1"},
+		{"store-down", "[[fault]]\nkind = \"store\"\nat = \"50ms\"\nlast = \"1s\""},
+		{"entry-killed", "[[fault]]\nkind = \"kill\"\nat = \"100ms\"\nlast = \"5s\""},
+		{"poison", "[[fault]]\nkind = \"poison\"\nat = \"100ms\""},
+		{"leave-and-lost", "[[fault]]\nkind = \"leave\"\nat = \"80ms\"\n[[fault]]\nkind = \"lost\"\nat = \"50ms\"\nlast = \"1s\""},
+	} {
+		It("run as recorded: "+tc.name, func() {
+			t, err := replay.Load(tc.name, []byte(fmt.Sprintf(session, tc.fault)))
+			Expect(err).NotTo(HaveOccurred())
+			var log strings.Builder
+			s := replay.New(t, policy.Predicted)
+			s.Log = func(at time.Duration, line string) { fmt.Fprintln(&log, at.Round(time.Microsecond), line) }
+			_, err = s.Run()
+			Expect(err).NotTo(HaveOccurred())
+			golden := filepath.Join("testdata", tc.name+".golden")
+			if os.Getenv("UPDATE") != "" {
+				Expect(os.MkdirAll("testdata", 0o755)).To(Succeed())
+				Expect(os.WriteFile(golden, []byte(log.String()), 0o644)).To(Succeed())
+			}
+			want, err := os.ReadFile(golden)
+			Expect(err).NotTo(HaveOccurred())
+			Expect(log.String()).To(Equal(string(want)))
+		})
+	}
+})
+
+func FuzzLoad(f *testing.F) {
+	f.Add([]byte(fmt.Sprintf(session, "")))
+	f.Fuzz(func(_ *testing.T, data []byte) {
+		_, _ = replay.Load("t.toml", data)
+	})
+}
--- /dev/null
+++ b/pkg/contrl/example_test.go
@@ -0,0 +1,48 @@
+package contrl_test
+
+import (
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"net/netip"
+	"time"
+
+	"github.com/balsamvale/balsamvale/pkg/contrl"
+	"github.com/balsamvale/balsamvale/pkg/deed"
+	"github.com/balsamvale/balsamvale/pkg/event"
+	"github.com/balsamvale/balsamvale/pkg/item"
+	"github.com/balsamvale/balsamvale/pkg/member"
+	"github.com/balsamvale/balsamvale/pkg/record"
+	"github.com/balsamvale/balsamvale/pkg/reply"
+	"github.com/balsamvale/balsamvale/pkg/signal"
+	"github.com/balsamvale/balsamvale/pkg/svcrec"
+	"github.com/balsamvale/balsamvale/pkg/value"
+	"github.com/balsamvale/balsamvale/pkg/verb"
+)
+
+// An entry's control side is driven without sockets: time and events go in, effects come out.
+func Example() {
+	decode := func(it item.Item) (value.Value, error) {
+		if string(it.Value) != "lookup" {
+			return value.Value{}, errors.New("unknown value")
+		}
+		return value.Value{Record: &record.Record{Service: &svcrec.Service{Name: "lookup", Slots: 4}}}, nil
+	}
+	me := member.Member{Name: "entry-1", Domain: "zone-1", Peer: netip.MustParseAddrPort("10.0.0.1:8081"), Boot: 1}
+	c := contrl.New(me, rand.New(rand.NewPCG(1, 1)), decode)
+	now := time.Unix(1000, 0)
+	for _, e := range c.Step(now, event.Event{Signal: signal.Tick}) {
+		if e.Deed != deed.Call || e.Order.Verb != verb.List {
+			continue
+		}
+		listed := reply.Reply{ID: e.Order.ID, Done: true, Revision: 7, Items: []item.Item{
+			{Key: "sys/rec/service/lookup", Value: []byte("lookup"), Revision: 5},
+		}}
+		for _, f := range c.Step(now.Add(time.Millisecond), event.Event{Signal: signal.Reply, Reply: listed}) {
+			if f.Deed == deed.Publish {
+				fmt.Println("in force:", f.Snapshot.Revision, f.Changed)
+			}
+		}
+	}
+	// Output: in force: 5 [lookup]
+}
