--- a/internal/codec/record.go
+++ b/internal/codec/record.go
@@ -23,7 +23,9 @@
 var ErrRecord = eris.New("record does not check")
 
 // Kinds lists the kinds of records in the order in which they are written.
-func Kinds() []string { return []string{"domain", "service", "upstream", "move"} }
+//
+// Moves come before upstreams, so that a new version gets no calls before its move is known.
+func Kinds() []string { return []string{"domain", "service", "move", "upstream"} }
 
 // blank returns an empty message for a kind and schema version, or nil.
 func blank(kind string, schema int64) proto.Message {
--- a/internal/demo/demo.go
+++ b/internal/demo/demo.go
@@ -149,24 +149,38 @@
 func (s *server) run() { _ = s.http.Serve(s.on) }
 
 func (d *Demo) startUpstream(i int) error {
-	b := &backend{service: "lookup", domain: fmt.Sprintf("zone-%d", i%domains+1)}
-	name := fmt.Sprintf("lookup-%d", i+1)
+	service, name := "lookup", fmt.Sprintf("lookup-%d", i+1)
 	if i >= lookups {
-		b.service, name = "payout", fmt.Sprintf("payout-%d", i-lookups+1)
+		service, name = "payout", fmt.Sprintf("payout-%d", i-lookups+1)
 	}
+	b, err := d.newBackend(service, name, "v1", i)
+	if err != nil {
+		return err
+	}
+	b.Age()
+	return nil
+}
+
+// newBackend starts a stand-in upstream.
+func (d *Demo) newBackend(service, name, version string, i int) (*backend, error) {
+	b := &backend{service: service, domain: fmt.Sprintf("zone-%d", i%domains+1)}
 	b.Upstream = &upsim.Upstream{
-		Name: name, Version: "v1", Slots: slots, Backlog: 3 * slots, Time: callTime,
+		Name: name, Version: version, Slots: slots, Backlog: 3 * slots, Time: callTime,
 		Cold: 1, Warm: warmTime, Clock: d.clock,
 	}
-	b.Start(uint64(i + 1))
-	b.Age()
+	b.Start(uint64(len(d.upstreams) + 1))
 	addr, l, err := d.listen(b.Upstream)
 	if err != nil {
-		return err
+		return nil, err
 	}
 	b.addr, b.net = addr, l
 	d.upstreams = append(d.upstreams, b)
-	return nil
+	return b, nil
+}
+
+func upstreamRecord(b *backend) string {
+	return fmt.Sprintf("[[upstream]]\nschema = 1\nname = %q\nservice = %q\ndomain = %q\naddr = %q\nversion = %q\n",
+		b.Name, b.service, b.domain, b.addr, b.Version)
 }
 
 // records writes the operators' records of the demo.
@@ -179,8 +193,7 @@
 		s += fmt.Sprintf("[[service]]\nschema = 2\nname = %q\nslots = %d\nconns = 260\ntimeout = \"1s\"\ncold = 1\nwarm = %q\n", name, slots, warmTime)
 	}
 	for _, b := range d.upstreams {
-		s += fmt.Sprintf("[[upstream]]\nschema = 1\nname = %q\nservice = %q\ndomain = %q\naddr = %q\nversion = %q\n",
-			b.Name, b.service, b.domain, b.addr, b.Version)
+		s += upstreamRecord(b)
 	}
 	return s
 }
--- a/internal/demo/fault.go
+++ b/internal/demo/fault.go
@@ -8,6 +8,10 @@
 	"time"
 
 	"github.com/rotisserie/eris"
+
+	"github.com/balsamvale/balsamvale/internal/codec"
+	"github.com/balsamvale/balsamvale/pkg/keys"
+	"github.com/balsamvale/balsamvale/pkg/phase"
 )
 
 // fault is something that goes wrong during a demo, and what must hold all the same.
@@ -31,6 +35,7 @@
 		"store-down":        {help: "the store is down until the end", act: storeDown, verify: mostAnswered(0.70)},
 		"entry-killed":      {help: "an entry is killed", act: entryKilled, verify: mostAnswered(0.95)},
 		"cold-upstream":     coldUpstream(),
+		"bad-version":       {help: "a move to a version that fails; it must be taken back", act: badVersion, verify: takenBack},
 		"silent-connection": {help: "all open connections to the upstreams go silent", act: silence, verify: mostAnswered(0.95)},
 		"planned-stop":      {help: "an entry gets SIGTERM", act: plannedStop, verify: stopped},
 	}
@@ -156,3 +161,40 @@
 		},
 	}
 }
+
+// badVersion starts upstreams of a version that fails, and a move to it.
+func badVersion(ctx context.Context, d *Demo) error {
+	start := d.clock.Now()
+	text := fmt.Sprintf("[[move]]\nschema = 1\nname = %q\nservice = \"lookup\"\nfrom = \"v1\"\nto = \"v2\"\nstart = %s\ndeadline = %s\n",
+		moveName, start.Format(time.RFC3339Nano), start.Add(moveTime).Format(time.RFC3339Nano))
+	for i := range badUpstreams {
+		b, err := d.newBackend("lookup", fmt.Sprintf("lookup-new-%d", i+1), "v2", i)
+		if err != nil {
+			return err
+		}
+		b.Fail(true)
+		text += upstreamRecord(b)
+	}
+	return d.Apply(ctx, text)
+}
+
+const (
+	moveName     = "to-v2"
+	moveTime     = 20 * time.Second
+	badUpstreams = 4
+)
+
+// takenBack checks that the move was taken back and that few calls were exposed to it.
+func takenBack(d *Demo, r *Result) {
+	it, err := d.client.Get(context.Background(), keys.Move(moveName))
+	v, derr := codec.Decode(it)
+	reverted := err == nil && derr == nil && v.Progress != nil && v.Progress.Phase == phase.Reverted
+	r.check(reverted, "the bad version was not taken back")
+	exposed := 0
+	for _, b := range d.upstreams {
+		if b.Version == "v2" {
+			exposed += len(b.Runs())
+		}
+	}
+	r.check(exposed*100 <= r.Calls, fmt.Sprintf("%d of %d calls ran on the bad version", exposed, r.Calls))
+}
--- a/internal/replay/entry.go
+++ b/internal/replay/entry.go
@@ -63,8 +63,8 @@
 	e.pool = pool.New(rand.New(rand.NewPCG(e.boot, 2)), s.policy)
 	e.control.Stale = func(now time.Time, _, up string) (time.Duration, bool) { return e.pool.Stale(now, up) }
 	e.pool.Note = func(f fact.Fact) { e.step(event.Event{Signal: signal.Noted, Fact: f}) }
-	e.poison.Note = func(print, n uint64, until time.Time) {
-		f := fact.Fact{Topic: topic.Poison, Subject: fmt.Sprint(print), Value: n, Until: until}
+	e.poison.Note = func(fp, n uint64, until time.Time) {
+		f := fact.Fact{Topic: topic.Poison, Subject: fmt.Sprint(fp), Value: n, Until: until}
 		e.step(event.Event{Signal: signal.Noted, Fact: f})
 	}
 	if i < len(s.entries) {
@@ -168,9 +168,9 @@
 		e.pool.Merge(e.now(), f)
 		return
 	}
-	var print uint64
-	if _, err := fmt.Sscan(f.Subject, &print); err == nil && f.From != e.name {
-		e.poison.Merge(print, f.From, f.Value, f.Until)
+	var fp uint64
+	if _, err := fmt.Sscan(f.Subject, &fp); err == nil && f.From != e.name {
+		e.poison.Merge(fp, f.From, f.Value, f.Until)
 	}
 }
 
--- a/internal/replay/upstream.go
+++ b/internal/replay/upstream.go
@@ -47,7 +47,6 @@
 	attempt int
 	sent    time.Time
 	entry   *entry
-	fresh   bool
 	counted bool
 	gone    bool
 	// crashed is set when the attempt was cut off while it ran.
