Claims: two buckets for a service, settled after 200 ms

Taken: 2 and 200 ms, so that a duplicate learns the answer soon. What is left: an entry's commit waits for its part of the budget; forwarding to one owner for each bucket would group more.

--- a/pkg/tune/constants.go
+++ b/pkg/tune/constants.go
@@ -127,13 +127,13 @@
 // Claims of idempotency keys.
 const (
 	// Buckets is the number of store keys that the claims of a service share.
-	Buckets = 8
+	Buckets = 2
 	// SettleDelay is how long the end of a call may wait to be written along with other claims.
-	SettleDelay = 250 * time.Millisecond
+	SettleDelay = 200 * time.Millisecond
 	// JoinPoll is the interval at which a duplicate looks for the answer of the running call.
-	JoinPoll = 250 * time.Millisecond
+	JoinPoll = 50 * time.Millisecond
 	// ClaimWrites is the number of writes a second that the claims of all entries may take.
-	ClaimWrites = 150
+	ClaimWrites = 200
 	// ClaimBurst is the number of writes that an entry saves up for.
 	ClaimBurst = 20
 	// ClaimLife is how long a claim and its answer are remembered.
