--- a/internal/cmds/demo.go
+++ b/internal/cmds/demo.go
@@ -19,6 +19,8 @@
 const (
 	demoEntries = 4
 	demoCallers = 16
+	mostEntries = 32
+	mostCallers = 256
 	demoLongest = 10 * time.Minute
 )
 
@@ -30,6 +32,8 @@
 			&cli.DurationFlag{Name: "for", Value: 5 * time.Second, Usage: "how long callers make calls"},
 			&cli.StringFlag{Name: "fault", Usage: "what goes wrong after a third of the time"},
 			&cli.BoolFlag{Name: "faults", Usage: "list the faults"},
+			&cli.IntFlag{Name: "entries", Value: demoEntries, Usage: "number of entries, 1 to 32"},
+			&cli.IntFlag{Name: "callers", Value: demoCallers, Usage: "number of callers, 1 to 256"},
 			&cli.StringFlag{Name: "logs", Usage: "file for the entries' logs"},
 			outputFlag(),
 		},
@@ -46,6 +50,10 @@
 	if length <= 0 || length > demoLongest {
 		return eris.Wrapf(errInvalid, "--for %v; allowed: up to %v", length, demoLongest)
 	}
+	entries, callers := cmd.Int("entries"), cmd.Int("callers")
+	if entries < 1 || entries > mostEntries || callers < 1 || callers > mostCallers {
+		return eris.Wrapf(errInvalid, "allowed: 1 to %d entries and 1 to %d callers", mostEntries, mostCallers)
+	}
 	binary, err := os.Executable()
 	if err != nil {
 		return eris.Wrap(demo.ErrDemo, err.Error())
@@ -59,7 +67,7 @@
 		defer func() { _ = f.Close() }()
 		logs = f
 	}
-	d := &demo.Demo{For: length, Fault: cmd.String("fault"), Entries: demoEntries, Callers: demoCallers, Binary: binary, Logs: logs}
+	d := &demo.Demo{For: length, Fault: cmd.String("fault"), Entries: entries, Callers: callers, Binary: binary, Logs: logs}
 	r, err := d.Run(ctx)
 	if err != nil {
 		return err
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -71,6 +71,7 @@
 	looks   chan chan status.Status
 	answers map[uint64]question
 	nextTag uint64
+	waits   chan struct{}
 	done    chan struct{}
 	errands sync.WaitGroup
 	rand    *rand.Rand
@@ -107,6 +108,7 @@
 		asks:    make(chan question),
 		looks:   make(chan chan status.Status),
 		answers: map[uint64]question{},
+		waits:   make(chan struct{}, 1),
 		done:    make(chan struct{}),
 		rand:    rand.New(rand.NewPCG(me.Boot, seed)),
 		prober:  &http.Client{Timeout: tune.ProbeTimeout},
@@ -154,8 +156,8 @@
 // loop owns the control state.
 func (co *Core) loop(ctx context.Context) {
 	defer close(co.done)
+	tick, stop := co.clock.Timer(tune.Tick)
 	for {
-		tick, stop := co.clock.Timer(tune.Tick)
 		select {
 		case ev := <-co.events:
 			co.step(ctx, ev)
@@ -168,11 +170,11 @@
 			look <- co.control.Status()
 		case <-tick:
 			co.tick(ctx)
+			tick, stop = co.clock.Timer(tune.Tick)
 		case <-ctx.Done():
 			stop()
 			return
 		}
-		stop()
 	}
 }
 
@@ -240,6 +242,7 @@
 func (co *Core) newPool() *pool.Pool {
 	p := pool.New(rand.New(rand.NewPCG(co.rand.Uint64(), co.rand.Uint64())), policy.Predicted)
 	p.Note = co.noted
+	p.Waiting = co.waiting
 	return p
 }
 
@@ -328,23 +331,39 @@
 	}
 }
 
-// pump lets waiting calls look for an upstream anew.
+// pump lets waiting calls look for an upstream anew, and sleeps while there are none.
 func (co *Core) pump(ctx context.Context) {
 	for {
-		tick, stop := co.clock.Timer(tune.QueuePoll)
 		select {
-		case <-tick:
+		case <-co.waits:
 		case <-ctx.Done():
-			stop()
 			return
 		}
-		now := co.clock.Now()
-		for _, p := range co.table.Load().pools {
-			p.Pump(now)
+		for left := 1; left > 0; {
+			tick, stop := co.clock.Timer(tune.QueuePoll)
+			select {
+			case <-tick:
+			case <-ctx.Done():
+				stop()
+				return
+			}
+			left = 0
+			now := co.clock.Now()
+			for _, p := range co.table.Load().pools {
+				left += p.Pump(now)
+			}
 		}
 	}
 }
 
+// waiting wakes the pump.
+func (co *Core) waiting() {
+	select {
+	case co.waits <- struct{}{}:
+	default:
+	}
+}
+
 // errand is one effect that takes its time; its run method is a goroutine.
 type errand struct {
 	core   *Core
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"net/http/pprof"
 	"net/netip"
 	"time"
 
@@ -108,6 +109,8 @@
 		}
 		w.WriteHeader(http.StatusNoContent)
 	})
+	mux.HandleFunc("GET /debug/pprof/", pprof.Index)
+	mux.HandleFunc("GET /debug/pprof/profile", pprof.Profile)
 	d.admin = &http.Server{Handler: mux, ReadHeaderTimeout: d.options.Read}
 }
 
--- a/internal/demo/demo.go
+++ b/internal/demo/demo.go
@@ -9,6 +9,7 @@
 	"net/netip"
 	"os"
 	"path/filepath"
+	"syscall"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -52,6 +53,7 @@
 	load      *load
 	servers   []*http.Server
 	began     time.Time
+	port      uint16
 }
 
 // backend is a stand-in upstream with its address and place.
@@ -98,9 +100,25 @@
 	d.load.wait(ctx)
 	res := d.load.result()
 	f.judge(d, res)
+	d.account(res)
 	return res, nil
 }
 
+// account ends the entries and adds up what they used.
+func (d *Demo) account(r *Result) {
+	var busy time.Duration
+	for _, p := range d.entries {
+		p.end()
+		if s := p.cmd.ProcessState; s != nil {
+			busy += s.UserTime() + s.SystemTime()
+			if u, ok := s.SysUsage().(*syscall.Rusage); ok {
+				r.Memory = max(r.Memory, u.Maxrss<<10)
+			}
+		}
+	}
+	r.Busy = busy / time.Duration(max(1, r.Calls))
+}
+
 // start brings up the store, the upstreams, the records and the entries.
 func (d *Demo) start(ctx context.Context) error {
 	d.kv = kvsim.New(d.clock, 1)
@@ -224,14 +242,13 @@
 
 // startEntry runs one entry as a process of its own.
 func (d *Demo) startEntry(i int) error {
-	ports := make([]netip.AddrPort, 3)
+	var ports [3]netip.AddrPort
 	for j := range ports {
-		on, err := net.Listen("tcp", "127.0.0.1:0")
+		p, err := d.freePort()
 		if err != nil {
-			return eris.Wrap(ErrDemo, err.Error())
+			return err
 		}
-		ports[j] = netip.MustParseAddrPort(on.Addr().String())
-		defer func() { _ = on.Close() }()
+		ports[j] = p
 	}
 	text := fmt.Sprintf("schema = 1\nname = \"entry-%d\"\ndomain = \"zone-%d\"\nfront = %q\npeer = %q\nadmin = %q\nstore = [%q]\n[log]\nsample = 1\n[stop]\nlag = \"1s\"\n",
 		i+1, i%domains+1, ports[0], ports[1], ports[2], d.kvAddr)
@@ -244,6 +261,23 @@
 	return p.start(d.Binary, file, d.Logs)
 }
 
+// freePort finds a port below those that outgoing connections take.
+func (d *Demo) freePort() (netip.AddrPort, error) {
+	for d.port = max(d.port+1, firstPort); d.port < lastPort; d.port++ {
+		ap := netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 0, 0, 1}), d.port)
+		if on, err := net.Listen("tcp", ap.String()); err == nil {
+			_ = on.Close()
+			return ap, nil
+		}
+	}
+	return netip.AddrPort{}, eris.Wrap(ErrDemo, "no free port")
+}
+
+const (
+	firstPort = 20000
+	lastPort  = 30000
+)
+
 // ready waits until all entries are ready and every upstream has ended its warm-up.
 func (d *Demo) ready(ctx context.Context) error {
 	until := d.clock.Now().Add(readyWait)
--- a/internal/demo/result.go
+++ b/internal/demo/result.go
@@ -24,7 +24,10 @@
 	Direct Latency `json:"direct"`
 	Via    Latency `json:"entry"`
 	// Added is what the entry adds at the 99th percentile.
-	Added  time.Duration `json:"added"`
+	Added time.Duration `json:"added"`
+	// Busy is the processor time of all entries for each call, and Memory the most that one held in bytes.
+	Busy   time.Duration `json:"busy"`
+	Memory int64         `json:"memory"`
 	Fault  string        `json:"fault,omitempty"`
 	Broken []string      `json:"broken"`
 }
@@ -93,6 +96,7 @@
 	if err := tw.Flush(); err != nil {
 		return err
 	}
+	fmt.Fprintf(w, "entries: %v of processor time for each call, control included; at most %d MiB in one\n", r.Busy, r.Memory>>20)
 	for _, b := range r.Broken {
 		fmt.Fprintln(w, "broken promise:", b)
 	}
--- a/internal/kvsim/server.go
+++ b/internal/kvsim/server.go
@@ -216,7 +216,8 @@
 	}
 	it := &pb.Item{Key: m.GetKey(), Value: m.GetValue(), Gone: m.GetGone()}
 	s.write(it, m.GetLease())
-	return &pb.SwapResponse{Done: true, Item: it}
+	// The writer knows the value.
+	return &pb.SwapResponse{Done: true, Item: &pb.Item{Key: it.GetKey(), Revision: it.GetRevision()}}
 }
 
 // List reads the keys under a prefix, in order, a page at a time.
--- a/internal/peers/service.go
+++ b/internal/peers/service.go
@@ -79,7 +79,7 @@
 }
 
 func (s *Service) client(addr netip.AddrPort) rpc.PeerClient {
-	return rpc.NewPeerClient(s.http, "http://"+addr.String())
+	return rpc.NewPeerClient(s.http, "http://"+addr.String(), connect.WithAcceptCompression("gzip", nil, nil))
 }
 
 // Tell sends a digest to a peer and returns its answer; errors match ErrPeer.
--- a/internal/store/client.go
+++ b/internal/store/client.go
@@ -37,7 +37,7 @@
 func New(h *http.Client, addrs []netip.AddrPort) *Client {
 	c := &Client{}
 	for _, a := range addrs {
-		c.clients = append(c.clients, rpc.NewStoreClient(h, "http://"+a.String()))
+		c.clients = append(c.clients, rpc.NewStoreClient(h, "http://"+a.String(), connect.WithAcceptCompression("gzip", nil, nil)))
 	}
 	return c
 }
@@ -102,7 +102,8 @@
 	return codec.ToItem(res.Msg.GetItem()), nil
 }
 
-// Swap writes a key if its revision is the expected one, and returns the item that then holds.
+// Swap writes a key if its revision is the expected one, and returns the item that then holds, when
+// written without its value.
 //
 // An error matches ErrCall and means that the write may have taken effect.
 func (c *Client) Swap(ctx context.Context, it item.Item, expect, lease int64) (bool, item.Item, error) {
--- a/pkg/bucket/bucket.go
+++ b/pkg/bucket/bucket.go
@@ -164,6 +164,8 @@
 	for _, a := range b.asks {
 		held, ok := b.claims[a.claim.Key]
 		switch {
+		case !ok && len(b.claims) >= tune.BucketMost && b.crowded(now):
+			a.done(grant.Unavailable, answer.Answer{})
 		case !ok || held.State == state.NotRun || !now.Before(held.Until):
 			rest = append(rest, a)
 			changed = true
@@ -185,6 +187,17 @@
 	return changed, stale
 }
 
+// crowded reports whether the claims that have not lapsed fill the bucket.
+func (b *Bucket) crowded(now time.Time) bool {
+	n := 0
+	for _, c := range b.claims {
+		if now.Before(c.Until) {
+			n++
+		}
+	}
+	return n >= tune.BucketMost
+}
+
 // merged returns the known claims with the settles and asks put in, and lapsed ones left out.
 func (b *Bucket) merged(now time.Time) []claim.Claim {
 	next := make(map[uint64]claim.Claim, len(b.claims)+len(b.asks))
--- a/pkg/pool/pool.go
+++ b/pkg/pool/pool.go
@@ -3,6 +3,7 @@
 import (
 	"math/rand/v2"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/balsamvale/balsamvale/pkg/budget"
@@ -26,6 +27,11 @@
 type Pool struct {
 	// Note, when set, is told what the pool learns about an upstream; it must not block.
 	Note func(fact.Fact)
+	// Waiting, when set, is told that a call waits, so that Pump is called until none does; it must not block.
+	Waiting func()
+
+	// waiting is set while calls may be in the queue, for a look without the lock.
+	waiting atomic.Bool
 
 	mu     sync.Mutex
 	rand   *rand.Rand
@@ -265,7 +271,7 @@
 
 // step keeps time from going backwards, whatever the caller passes, and notices pauses.
 //
-// Control and the pump call in many times a second, so that a long silence is the entry's own.
+// Control calls in many times a second, so that a long silence is the entry's own.
 func (p *Pool) step(now time.Time) time.Time {
 	if now.Sub(p.now) > tune.PauseLeast {
 		p.resumed = now
--- a/pkg/pool/wait.go
+++ b/pkg/pool/wait.go
@@ -37,6 +37,10 @@
 		ch.Reason = reason.Full
 		return ch
 	}
+	p.waiting.Store(true)
+	if p.Waiting != nil {
+		p.Waiting()
+	}
 	p.queue.Push(c.Class, c.Caller, c.Deadline, &waiter{call: c, tried: tried, wake: wake})
 	ch.Stage, ch.Reason = stage.Wait, reason.Full
 	return ch
@@ -73,9 +77,13 @@
 
 // Pump lets waiting calls look for an upstream anew, and reports how many still wait.
 func (p *Pool) Pump(now time.Time) int {
+	if !p.waiting.Load() {
+		return 0
+	}
 	p.mu.Lock()
 	defer p.unlock()
 	p.pump(p.step(now))
+	p.waiting.Store(p.queue.Len() > 0)
 	return p.queue.Len()
 }
 
--- a/pkg/tune/constants.go
+++ b/pkg/tune/constants.go
@@ -137,13 +137,15 @@
 	// ClaimBurst is the number of writes that an entry saves up for.
 	ClaimBurst = 20
 	// ClaimLife is how long a claim and its answer are remembered.
-	ClaimLife = 10 * time.Minute
+	ClaimLife = 2 * time.Minute
 	// ClaimTries bounds the compare-and-swaps that one group of claims may take.
 	ClaimTries = 8
 	// ClaimTimeout bounds the time for making a claim.
 	ClaimTimeout = 2 * time.Second
+	// BucketMost is the number of claims in one bucket, to stay below the store's largest value.
+	BucketMost = 5000
 	// AnswerMost is the largest answer body in bytes that a claim remembers.
-	AnswerMost = 4 << 10
+	AnswerMost = 1 << 10
 )
 
 // Judging a new version.
