--- a/internal/core/bench_test.go
+++ b/internal/core/bench_test.go
@@ -90,8 +90,8 @@
 	}
 }
 
-// synced returns a control that has listed n upstreams, and their number of keys.
-func synced(b *testing.B, n int, items []item.Item) *contrl.Control {
+// synced returns a control that has listed the items.
+func synced(b *testing.B, items []item.Item) *contrl.Control {
 	b.Helper()
 	me := member.Member{Name: "entry-1", Domain: "zone-1", Peer: netip.MustParseAddrPort("10.1.0.1:8081"), Boot: 1}
 	c := contrl.New(me, rand.New(rand.NewPCG(1, 1)), codec.Decode)
@@ -112,7 +112,7 @@
 			items := records(b, n)
 			b.ReportAllocs()
 			for b.Loop() {
-				synced(b, n, items)
+				synced(b, items)
 			}
 		})
 	}
@@ -123,7 +123,7 @@
 	for _, n := range sizes {
 		b.Run(fmt.Sprint(n), func(b *testing.B) {
 			items := records(b, n)
-			c := synced(b, n, items)
+			c := synced(b, items)
 			rev := int64(len(items))
 			b.ReportAllocs()
 			for b.Loop() {
@@ -148,7 +148,7 @@
 func BenchmarkTick(b *testing.B) {
 	for _, n := range sizes {
 		b.Run(fmt.Sprint(n), func(b *testing.B) {
-			c := synced(b, n, records(b, n))
+			c := synced(b, records(b, n))
 			now := began
 			for b.Loop() {
 				now = now.Add(50 * time.Millisecond)
@@ -167,7 +167,7 @@
 				var before, after runtime.MemStats
 				runtime.GC()
 				runtime.ReadMemStats(&before)
-				c := synced(b, n, items)
+				c := synced(b, items)
 				var pools []*pool.Pool
 				for i := range n/perService + 1 {
 					p := pool.New(rand.New(rand.NewPCG(1, 1)), policy.Predicted)
--- a/internal/replay/entry.go
+++ b/internal/replay/entry.go
@@ -148,12 +148,13 @@
 }
 
 // cut reports whether the entry is cut off from the store.
-func (e *entry) cut() bool { return e.sim.split && e.index%2 == 1 }
+func (e *entry) cut() bool { return (e.sim.split || e.sim.severed) && e.index%2 == 1 }
 
 func (e *entry) install(ef effect.Effect) {
 	if ef.Snapshot.Revision < e.revision {
 		e.sim.figures.reverts++
 	}
+	e.sim.figures.installed(e.now(), e.revision, ef.Snapshot.Revision)
 	e.revision = ef.Snapshot.Revision
 	f := ef.Snapshot.Fleets[serviceName]
 	if f == nil {
--- a/internal/replay/faults.go
+++ b/internal/replay/faults.go
@@ -1,6 +1,7 @@
 package replay
 
 import (
+	"fmt"
 	"github.com/balsamvale/balsamvale/pkg/result"
 	"time"
 
@@ -54,6 +55,8 @@
 		s.hit(f, func(u *upstream) { u.lies = true })
 	case pb.Fault_POISON:
 		s.poison()
+	case pb.Fault_APPLY:
+		s.applyMany(f, f.GetCount())
 	default:
 		s.beginControl(f)
 	}
@@ -72,6 +75,8 @@
 		s.store.lost = true
 	case pb.Fault_SPLIT:
 		s.split = true
+	case pb.Fault_CUT:
+		s.severed = true
 	case pb.Fault_CROSSED:
 		s.figures.crossing = true
 	}
@@ -95,6 +100,8 @@
 		s.store.lost = false
 	case pb.Fault_SPLIT:
 		s.split = false
+	case pb.Fault_CUT:
+		s.severed = false
 	case pb.Fault_CROSSED:
 		s.figures.crossing = false
 	}
@@ -155,3 +162,22 @@
 
 // deadlyID is the identity of the call that crashes upstreams.
 const deadlyID = 1 << 60
+
+// applyMany lets operators write a record again and again.
+func (s *Sim) applyMany(f *pb.Fault, left uint32) {
+	if left == 0 {
+		return
+	}
+	text := fmt.Sprintf("[[domain]]\nschema = 1\nname = \"spare\"\nregion = \"one\"\ndelay = \"%dus\"\n", left)
+	if err := s.apply(text); err != nil {
+		s.log("record not written: %v", err)
+	}
+	s.figures.applied = append(s.figures.applied, written{s.store.revision, s.agenda.now})
+	s.agenda.after(f.GetEvery().AsDuration(), func() { s.applyMany(f, left-1) })
+}
+
+// written is a record that operators wrote.
+type written struct {
+	revision int64
+	at       time.Time
+}
--- a/internal/replay/figures.go
+++ b/internal/replay/figures.go
@@ -29,6 +29,9 @@
 	// watched and total count the attempts while an upstream was slow or failing.
 	watched int
 	total   int
+	// applied are the records written, and inforce the longest time until one was in force everywhere.
+	applied []written
+	inforce time.Duration
 	// exposed counts the runs on a bad version, from firstBad to lastBad.
 	exposed  int
 	firstBad time.Time
@@ -64,6 +67,7 @@
 		pb.Bound_CRASHED: float64(s.figures.poisoned),
 		pb.Bound_PROBES:  float64(s.overProbed()),
 		pb.Bound_REVERTS: float64(s.figures.reverts),
+		pb.Bound_INFORCE: s.inForce().Seconds(),
 	}
 	if s.figures.total > 0 {
 		fair := float64(s.figures.total) * float64(s.watchedUpstreams()) / float64(len(s.upstreams))
@@ -200,3 +204,25 @@
 	}
 	return n
 }
+
+// installed notes how long the records took that an entry now has in force.
+func (f *figures) installed(now time.Time, from, to int64) {
+	for _, w := range f.applied {
+		if w.revision > from && w.revision <= to {
+			f.inforce = max(f.inforce, now.Sub(w.at))
+		}
+	}
+}
+
+// inForce is the longest time until a record was in force; one that never was counts until the end.
+func (s *Sim) inForce() time.Duration {
+	worst := s.figures.inforce
+	for _, e := range s.entries {
+		for _, w := range s.figures.applied {
+			if w.revision > e.revision {
+				worst = max(worst, s.agenda.now.Sub(w.at))
+			}
+		}
+	}
+	return worst
+}
--- a/internal/replay/sim.go
+++ b/internal/replay/sim.go
@@ -30,9 +30,11 @@
 	entries   []*entry
 	figures   figures
 	calls     []*simCall
-	split     bool
-	began     time.Time
-	oracle    bool
+	// split keeps every second entry from the others and from the store, severed only from the store.
+	split   bool
+	severed bool
+	began   time.Time
+	oracle  bool
 	// Log, when set, is told each decision and event, for golden sessions.
 	Log func(at time.Duration, line string)
 }
--- a/internal/replay/storage.go
+++ b/internal/replay/storage.go
@@ -169,6 +169,10 @@
 	w.done = func(r reply.Reply) {
 		w.done = func(reply.Reply) {}
 		r.ID = o.ID
+		if st.lost && st.sim.rand.Float64() < lostPart {
+			st.sim.agenda.after(tune.StoreTimeout, func() { done(reply.Reply{ID: o.ID, Failed: true}) })
+			return
+		}
 		st.sim.agenda.after(storeDelay/2, func() { done(r) })
 	}
 	st.watchers = append(st.watchers, w)
