--- a/internal/front/front_test.go
+++ b/internal/front/front_test.go
@@ -48,6 +48,11 @@
 func entry(upstream http.HandlerFunc) *httptest.Server {
 	up := httptest.NewServer(upstream)
 	DeferCleanup(up.Close)
+	return entryFor(up, func(f func()) { DeferCleanup(f) })
+}
+
+// entryFor serves a front for one upstream.
+func entryFor(up *httptest.Server, cleanup func(func())) *httptest.Server {
 	svc := svcrec.Service{Name: "s", Slots: 4, Conns: 100, Timeout: 2 * time.Second, Cold: 1, Retry: 10, Queue: 10}
 	f := &fleet.Fleet{Service: svc, Entries: 1, Targets: []target.Target{{Upstream: upsrec.Upstream{
 		Name: "up", Addr: netip.MustParseAddrPort(strings.TrimPrefix(up.URL, "http://")),
@@ -62,7 +67,7 @@
 			return &svc, p
 		},
 		Send: back.New(clock.Wall()).Send, Clock: clock.Wall(), Poison: poison.New(), Name: "e", Boot: 1, Body: bodyLimit,
-		Log: logs.New(io.Discard, zapcore.ErrorLevel, 1),
+		Log: logs.New(io.Discard, zapcore.InfoLevel, 1),
 		Claim: func(context.Context, string, uint64, uint64, time.Time) (grant.Grant, answer.Answer) {
 			return grant.Mine, answer.Answer{}
 		},
@@ -74,7 +79,7 @@
 	srv.Config.ReadHeaderTimeout = 200 * time.Millisecond
 	srv.Config.ErrorLog = nil
 	srv.Start()
-	DeferCleanup(srv.Close)
+	cleanup(srv.Close)
 	return srv
 }
 
--- a/internal/replay/figures.go
+++ b/internal/replay/figures.go
@@ -29,6 +29,9 @@
 	// watched and total count the attempts while an upstream was slow or failing.
 	watched int
 	total   int
+	// reads and writes are the store's counts before the first call.
+	reads  int
+	writes int
 	// applied are the records written, and inforce the longest time until one was in force everywhere.
 	applied []written
 	inforce time.Duration
@@ -73,6 +76,9 @@
 		fair := float64(s.figures.total) * float64(s.watchedUpstreams()) / float64(len(s.upstreams))
 		out[pb.Bound_SHARE] = float64(s.figures.watched) / fair
 	}
+	length := s.agenda.now.Sub(s.began).Seconds()
+	out[pb.Bound_READS] = float64(s.store.reads-s.figures.reads) / length
+	out[pb.Bound_WRITES] = float64(s.store.writes-s.figures.writes) / length
 	s.latencies(out)
 	s.outcomes(out)
 	s.moved(out)
--- a/internal/replay/sim.go
+++ b/internal/replay/sim.go
@@ -70,6 +70,7 @@
 	}
 	s.agenda.run(epoch.Add(settleTime))
 	s.began = s.agenda.now
+	s.figures.reads, s.figures.writes = s.store.reads, s.store.writes
 	s.faults()
 	s.arrivals()
 	length := s.trace.GetLength().AsDuration()
