--- a/internal/replay/replay_test.go
+++ b/internal/replay/replay_test.go
@@ -25,6 +25,9 @@
 	}
 	for _, file := range files {
 		It("hold their bounds: "+filepath.Base(file), func() {
+			if testing.Short() {
+				Skip("a trace has one goroutine and is long under the race detector")
+			}
 			data, err := os.ReadFile(file)
 			Expect(err).NotTo(HaveOccurred())
 			t, err := replay.Load(file, data)
