--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -24,12 +24,12 @@
 	"github.com/balsamvale/balsamvale/internal/codec"
 	"github.com/balsamvale/balsamvale/internal/logs"
 	"github.com/balsamvale/balsamvale/internal/wire"
-	"github.com/balsamvale/balsamvale/pkg/ask"
 	"github.com/balsamvale/balsamvale/pkg/cause"
 	"github.com/balsamvale/balsamvale/pkg/clock"
 	"github.com/balsamvale/balsamvale/pkg/contrl"
 	"github.com/balsamvale/balsamvale/pkg/credit"
 	"github.com/balsamvale/balsamvale/pkg/deed"
+	"github.com/balsamvale/balsamvale/pkg/demand"
 	"github.com/balsamvale/balsamvale/pkg/digest"
 	"github.com/balsamvale/balsamvale/pkg/effect"
 	"github.com/balsamvale/balsamvale/pkg/event"
@@ -58,7 +58,7 @@
 	Do func(ctx context.Context, o order.Order) reply.Reply
 	// Tell exchanges digests with a peer, and Ask asks one for credits.
 	Tell func(ctx context.Context, addr netip.AddrPort, d digest.Digest) (digest.Digest, error)
-	Ask  func(ctx context.Context, addr netip.AddrPort, a ask.Ask) ([]credit.Credit, error)
+	Ask  func(ctx context.Context, addr netip.AddrPort, a demand.Demand) ([]credit.Credit, error)
 
 	clock   clock.Clock
 	log     *logs.Log
@@ -185,7 +185,7 @@
 	co.poison.Sweep(now)
 	for service, p := range co.table.Load().pools {
 		p.Wants(now, func(upstream string, boot uint64, want int, back []uint64) {
-			a := ask.Ask{Service: service, Upstream: upstream, Boot: boot, Want: want, Back: back}
+			a := demand.Demand{Service: service, Upstream: upstream, Boot: boot, Want: want, Back: back}
 			co.post(event.Event{Signal: signal.Wanted, Ask: a})
 		})
 	}
@@ -260,7 +260,7 @@
 	}
 }
 
-func (co *Core) credit(a ask.Ask, cs []credit.Credit) {
+func (co *Core) credit(a demand.Demand, cs []credit.Credit) {
 	if p := co.table.Load().pools[a.Service]; p != nil {
 		p.Grant(co.clock.Now(), a.Upstream, a.Boot, cs)
 	}
--- a/internal/demo/demo.go
+++ b/internal/demo/demo.go
@@ -18,6 +18,7 @@
 	"github.com/balsamvale/balsamvale/internal/codec"
 	rpc "github.com/balsamvale/balsamvale/internal/gen/balsamvale/v1/balsamvalev1connect"
 	"github.com/balsamvale/balsamvale/internal/kvsim"
+	"github.com/balsamvale/balsamvale/internal/outcom"
 	"github.com/balsamvale/balsamvale/internal/store"
 	"github.com/balsamvale/balsamvale/internal/upsim"
 	"github.com/balsamvale/balsamvale/pkg/clock"
@@ -78,7 +79,7 @@
 )
 
 // Run carries the demo out and returns what was seen; errors match ErrDemo.
-func (d *Demo) Run(ctx context.Context) (*Result, error) {
+func (d *Demo) Run(ctx context.Context) (*outcom.Outcome, error) {
 	d.clock = clock.Wall()
 	dir, err := os.MkdirTemp("", "balsamvale-demo-")
 	if err != nil {
@@ -105,7 +106,7 @@
 }
 
 // account ends the entries and adds up what they used.
-func (d *Demo) account(r *Result) {
+func (d *Demo) account(r *outcom.Outcome) {
 	var busy time.Duration
 	for _, p := range d.entries {
 		p.end()
--- a/internal/demo/fault.go
+++ b/internal/demo/fault.go
@@ -10,6 +10,7 @@
 	"github.com/rotisserie/eris"
 
 	"github.com/balsamvale/balsamvale/internal/codec"
+	"github.com/balsamvale/balsamvale/internal/outcom"
 	"github.com/balsamvale/balsamvale/pkg/keys"
 	"github.com/balsamvale/balsamvale/pkg/phase"
 )
@@ -20,7 +21,7 @@
 	// act brings the fault about after a third of the time.
 	act func(ctx context.Context, d *Demo) error
 	// verify checks what must hold at the end.
-	verify func(d *Demo, r *Result)
+	verify func(d *Demo, r *outcom.Outcome)
 	err    error
 	done   chan struct{}
 }
@@ -30,7 +31,7 @@
 
 func faults() map[string]*fault {
 	return map[string]*fault{
-		"":                  {act: nothing, verify: func(*Demo, *Result) {}},
+		"":                  {act: nothing, verify: func(*Demo, *outcom.Outcome) {}},
 		"domain-out":        domainOut(),
 		"store-down":        {help: "the store is down until the end", act: storeDown, verify: mostAnswered(0.70)},
 		"entry-killed":      {help: "an entry is killed", act: entryKilled, verify: mostAnswered(0.95)},
@@ -70,17 +71,17 @@
 }
 
 // judge checks what must hold at the end.
-func (f *fault) judge(d *Demo, r *Result) {
+func (f *fault) judge(d *Demo, r *outcom.Outcome) {
 	<-f.done
-	r.check(f.err == nil, fmt.Sprintf("the fault could not be brought about: %v", f.err))
+	r.Check(f.err == nil, fmt.Sprintf("the fault could not be brought about: %v", f.err))
 	f.verify(d, r)
 }
 
 func nothing(context.Context, *Demo) error { return nil }
 
-func mostAnswered(share float64) func(*Demo, *Result) {
-	return func(_ *Demo, r *Result) {
-		r.check(float64(r.Answered) >= share*float64(r.Calls), fmt.Sprintf("fewer than %.0f%% of the calls were answered", 100*share))
+func mostAnswered(share float64) func(*Demo, *outcom.Outcome) {
+	return func(_ *Demo, r *outcom.Outcome) {
+		r.Check(float64(r.Answered) >= share*float64(r.Calls), fmt.Sprintf("fewer than %.0f%% of the calls were answered", 100*share))
 	}
 }
 
@@ -107,10 +108,10 @@
 }
 
 // stopped checks that the entry ended well and that no call was cut or lost.
-func stopped(d *Demo, r *Result) {
+func stopped(d *Demo, r *outcom.Outcome) {
 	<-d.entries[0].done
-	r.check(d.entries[0].code.Load() == 0, "the stopped entry did not exit with 0")
-	r.check(r.Failed == 0 && r.Cut == 0, "a call was cut by a planned stop")
+	r.Check(d.entries[0].code.Load() == 0, "the stopped entry did not exit with 0")
+	r.Check(r.Failed == 0 && r.Cut == 0, "a call was cut by a planned stop")
 }
 
 // domainOut takes a failure domain out by its record.
@@ -136,9 +137,9 @@
 			before = runs(d)
 			return err
 		},
-		verify: func(d *Demo, r *Result) {
+		verify: func(d *Demo, r *outcom.Outcome) {
 			for name, n := range runs(d) {
-				r.check(n == before[name], fmt.Sprintf("%s got new work after its failure domain was out", name))
+				r.Check(n == before[name], fmt.Sprintf("%s got new work after its failure domain was out", name))
 			}
 		},
 	}
@@ -156,8 +157,8 @@
 			before = d.upstreams[0].Over()
 			return nil
 		},
-		verify: func(d *Demo, r *Result) {
-			r.check(d.upstreams[0].Over() == before, "a cold upstream got more than it bears")
+		verify: func(d *Demo, r *outcom.Outcome) {
+			r.Check(d.upstreams[0].Over() == before, "a cold upstream got more than it bears")
 		},
 	}
 }
@@ -185,16 +186,16 @@
 )
 
 // takenBack checks that the move was taken back and that few calls were exposed to it.
-func takenBack(d *Demo, r *Result) {
+func takenBack(d *Demo, r *outcom.Outcome) {
 	it, err := d.client.Get(context.Background(), keys.Move(moveName))
 	v, derr := codec.Decode(it)
 	reverted := err == nil && derr == nil && v.Progress != nil && v.Progress.Phase == phase.Reverted
-	r.check(reverted, "the bad version was not taken back")
+	r.Check(reverted, "the bad version was not taken back")
 	exposed := 0
 	for _, b := range d.upstreams {
 		if b.Version == "v2" {
 			exposed += len(b.Runs())
 		}
 	}
-	r.check(exposed*100 <= r.Calls, fmt.Sprintf("%d of %d calls ran on the bad version", exposed, r.Calls))
+	r.Check(exposed*100 <= r.Calls, fmt.Sprintf("%d of %d calls ran on the bad version", exposed, r.Calls))
 }
--- /dev/null
+++ b/internal/outcom/doc.go
@@ -0,0 +1,2 @@
+// Package outcom sums up what a demo saw.
+package outcom
--- a/internal/peers/service.go
+++ b/internal/peers/service.go
@@ -12,9 +12,9 @@
 	"github.com/balsamvale/balsamvale/internal/codec"
 	pb "github.com/balsamvale/balsamvale/internal/gen/balsamvale/v1"
 	rpc "github.com/balsamvale/balsamvale/internal/gen/balsamvale/v1/balsamvalev1connect"
-	"github.com/balsamvale/balsamvale/pkg/ask"
 	"github.com/balsamvale/balsamvale/pkg/clock"
 	"github.com/balsamvale/balsamvale/pkg/credit"
+	"github.com/balsamvale/balsamvale/pkg/demand"
 	"github.com/balsamvale/balsamvale/pkg/digest"
 	"github.com/balsamvale/balsamvale/pkg/effect"
 	"github.com/balsamvale/balsamvale/pkg/event"
@@ -55,7 +55,7 @@
 // Credit grants calls to a cold upstream.
 func (s *Service) Credit(ctx context.Context, req *connect.Request[pb.CreditRequest]) (*connect.Response[pb.CreditResponse], error) {
 	m := req.Msg
-	ev := event.Event{Signal: signal.Asked, Ask: ask.Ask{
+	ev := event.Event{Signal: signal.Asked, Ask: demand.Demand{
 		From: m.GetFrom(), Upstream: m.GetUpstream(), Boot: m.GetBoot(), Want: int(m.GetWant()), Back: m.GetBack(),
 	}}
 	e, err := s.Post(ctx, ev)
@@ -94,7 +94,7 @@
 }
 
 // Ask asks a peer for credits, whose life counts from before the request; errors match ErrPeer.
-func (s *Service) Ask(ctx context.Context, addr netip.AddrPort, a ask.Ask) ([]credit.Credit, error) {
+func (s *Service) Ask(ctx context.Context, addr netip.AddrPort, a demand.Demand) ([]credit.Credit, error) {
 	ctx, cancel := context.WithTimeout(ctx, tune.PeerTimeout)
 	defer cancel()
 	sent := s.clock.Now()
--- /dev/null
+++ b/internal/quant/doc.go
@@ -0,0 +1,2 @@
+// Package quant sums up a distribution of times.
+package quant
--- a/internal/replay/entry.go
+++ b/internal/replay/entry.go
@@ -8,12 +8,12 @@
 	"time"
 
 	"github.com/balsamvale/balsamvale/internal/codec"
-	"github.com/balsamvale/balsamvale/pkg/ask"
 	"github.com/balsamvale/balsamvale/pkg/bucket"
 	"github.com/balsamvale/balsamvale/pkg/cause"
 	"github.com/balsamvale/balsamvale/pkg/contrl"
 	"github.com/balsamvale/balsamvale/pkg/credit"
 	"github.com/balsamvale/balsamvale/pkg/deed"
+	"github.com/balsamvale/balsamvale/pkg/demand"
 	"github.com/balsamvale/balsamvale/pkg/effect"
 	"github.com/balsamvale/balsamvale/pkg/event"
 	"github.com/balsamvale/balsamvale/pkg/fact"
@@ -101,9 +101,9 @@
 	e.later(tune.Tick, e.tick)
 	e.step(event.Event{Signal: signal.Tick})
 	e.poison.Sweep(e.now())
-	var asks []ask.Ask
+	var asks []demand.Demand
 	e.pool.Wants(e.now(), func(up string, boot uint64, want int, back []uint64) {
-		asks = append(asks, ask.Ask{Service: serviceName, Upstream: up, Boot: boot, Want: want, Back: back})
+		asks = append(asks, demand.Demand{Service: serviceName, Upstream: up, Boot: boot, Want: want, Back: back})
 	})
 	for _, a := range asks {
 		e.step(event.Event{Signal: signal.Wanted, Ask: a})
--- a/pkg/ask/doc.go
+++ /dev/null
@@ -1,2 +0,0 @@
-// Package ask describes a request for credits.
-package ask
--- a/pkg/contrl/duties.go
+++ b/pkg/contrl/duties.go
@@ -1,7 +1,7 @@
 package contrl
 
 import (
-	"github.com/balsamvale/balsamvale/pkg/ask"
+	"github.com/balsamvale/balsamvale/pkg/demand"
 	"time"
 
 	"github.com/balsamvale/balsamvale/pkg/credit"
@@ -89,7 +89,7 @@
 }
 
 // wanted turns the traffic side's demand for credits into a request to their owner.
-func (c *Control) wanted(a ask.Ask) {
+func (c *Control) wanted(a demand.Demand) {
 	a.From = c.me.Name
 	owner := c.owner(a.Upstream)
 	if owner == c.me.Name {
@@ -102,7 +102,7 @@
 }
 
 // grantOwn serves this entry's own demand without a message.
-func (c *Control) grantOwn(a ask.Ask) {
+func (c *Control) grantOwn(a demand.Demand) {
 	c.ledger.Back(a.Upstream, a.Back)
 	u := c.config.Upstreams[a.Upstream]
 	if u == nil || a.Want == 0 || !c.owns(a.Upstream, tune.CreditLife) {
--- a/pkg/ask/ask.go
+++ b/pkg/demand/demand.go
@@ -1,7 +1,7 @@
-package ask
+package demand
 
-// Ask is an entry's request for credits of a cold upstream.
-type Ask struct {
+// Demand is an entry's request for credits of a cold upstream.
+type Demand struct {
 	From     string
 	Service  string
 	Upstream string
--- /dev/null
+++ b/pkg/demand/doc.go
@@ -0,0 +1,2 @@
+// Package demand describes a request for credits.
+package demand
--- a/pkg/effect/effect.go
+++ b/pkg/effect/effect.go
@@ -4,9 +4,9 @@
 	"net/netip"
 	"time"
 
-	"github.com/balsamvale/balsamvale/pkg/ask"
 	"github.com/balsamvale/balsamvale/pkg/credit"
 	"github.com/balsamvale/balsamvale/pkg/deed"
+	"github.com/balsamvale/balsamvale/pkg/demand"
 	"github.com/balsamvale/balsamvale/pkg/digest"
 	"github.com/balsamvale/balsamvale/pkg/fact"
 	"github.com/balsamvale/balsamvale/pkg/note"
@@ -28,7 +28,7 @@
 	// Changed lists the services that differ from the snapshot before.
 	Changed []string
 	Fact    fact.Fact
-	Ask     ask.Ask
+	Ask     demand.Demand
 	Credits []credit.Credit
 	TTL     time.Duration
 	// Service and Upstream are what Probe and Credit are about; Addr is where to probe.
--- a/pkg/event/event.go
+++ b/pkg/event/event.go
@@ -1,7 +1,7 @@
 package event
 
 import (
-	"github.com/balsamvale/balsamvale/pkg/ask"
+	"github.com/balsamvale/balsamvale/pkg/demand"
 	"github.com/balsamvale/balsamvale/pkg/digest"
 	"github.com/balsamvale/balsamvale/pkg/fact"
 	"github.com/balsamvale/balsamvale/pkg/reply"
@@ -14,7 +14,7 @@
 	Reply  reply.Reply
 	Digest digest.Digest
 	Fact   fact.Fact
-	Ask    ask.Ask
+	Ask    demand.Demand
 	// Peer is the entry that a Missed digest was for.
 	Peer string
 	// Tag is given back with the effect that answers the event.
