--- a/internal/back/back.go
+++ b/internal/back/back.go
@@ -86,7 +86,7 @@
 }
 
 // try makes an attempt over one transport, and reports whether a stale connection stopped it.
-func (b *Back) try(ctx context.Context, rt http.RoundTripper, r *outreq.Request) (*http.Response, result.Result, bool) {
+func (b *Back) try(ctx context.Context, rt *http.Transport, r *outreq.Request) (*http.Response, result.Result, bool) {
 	t := &trip{back: b, req: r}
 	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
 		GotConn:        t.gotConn,
@@ -100,6 +100,7 @@
 	}
 	out := judge(res, r.ID)
 	out.Took = took
+	out.Closing = res.Close && rt == b.pooled
 	if out.Cause == cause.Mismatch {
 		_ = res.Body.Close()
 		return nil, out, false
--- a/pkg/pool/pool_test.go
+++ b/pkg/pool/pool_test.go
@@ -141,6 +141,29 @@
 	}
 })
 
+var _ = Describe("An upstream that closes connections", func() {
+	for _, tc := range []struct {
+		name    string
+		closing []bool
+		stage   stage.Stage
+	}{
+		{"in a row after it kept them leaves", []bool{false, true, true, true}, stage.Refuse},
+		{"now and then stays", []bool{false, true, true, false, true, true}, stage.Send},
+		{"from the first stays", []bool{true, true, true, true}, stage.Send},
+		{"never stays", []bool{false, false}, stage.Send},
+	} {
+		It(tc.name, func() {
+			p := newPool(newFleet(1))
+			for _, closing := range tc.closing {
+				ch := p.Pick(start, newCall(), nil, nil)
+				p.Heard(start, &ch, &result.Result{Closing: closing, Took: time.Millisecond})
+				p.End(start, &ch)
+			}
+			Expect(p.Pick(start, newCall(), nil, nil).Stage).To(Equal(tc.stage))
+		})
+	}
+})
+
 var _ = Describe("Pool", func() {
 	for _, tc := range []struct {
 		name string
--- a/pkg/pool/server.go
+++ b/pkg/pool/server.go
@@ -36,6 +36,10 @@
 	busyOwn int
 	heardAt time.Time
 
+	// kept is set once the upstream kept a connection open; closes counts those that it closed since.
+	kept   bool
+	closes int
+
 	boot       uint64
 	started    time.Time
 	coldUntil  time.Time
@@ -150,6 +154,7 @@
 		// The upstream may still run the call, so its credit has to lapse by itself.
 		ch.Credit = 0
 	}
+	s.closing(p, now, r)
 	p.compare(now, s, ch, r)
 	switch r.Cause {
 	case cause.Canceled:
@@ -202,9 +207,32 @@
 	}
 	s.busy, s.busyOwn, s.heardAt = r.Busy, s.own, now
 	p.others += tune.RunWeight / float64(len(p.ups)) * (float64(max(0, s.busy-s.busyOwn)) - p.others)
-	if r.Leave && !now.Before(s.leaveUntil) {
-		s.leaveUntil = now.Add(tune.LeaveLife)
-		p.tell(fact.Fact{Topic: topic.Leaving, Subject: s.target.Name, Until: s.leaveUntil})
+	if r.Leave {
+		s.leave(p, now)
+	}
+}
+
+// leave keeps new work away for a while, and tells the other entries.
+func (s *server) leave(p *Pool, now time.Time) {
+	if now.Before(s.leaveUntil) {
+		return
+	}
+	s.leaveUntil = now.Add(tune.LeaveLife)
+	p.tell(fact.Fact{Topic: topic.Leaving, Subject: s.target.Name, Until: s.leaveUntil})
+}
+
+// closing takes it as leaving when an upstream that kept connections closes several in a row.
+func (s *server) closing(p *Pool, now time.Time, r *result.Result) {
+	if r.Cause != cause.None {
+		return
+	}
+	if !r.Closing {
+		s.kept, s.closes = true, 0
+		return
+	}
+	s.closes++
+	if s.kept && s.closes >= tune.LeaveCloses {
+		s.leave(p, now)
 	}
 }
 
--- a/pkg/result/result.go
+++ b/pkg/result/result.go
@@ -16,6 +16,8 @@
 	Took time.Duration
 	// Report is the load that came with the answer; nil without one.
 	Report *report.Report
+	// Closing is set when the upstream closes a connection that could have been kept.
+	Closing bool
 	// Final is set when the upstream says that a retry is of no use.
 	Final bool
 }
--- a/pkg/tune/constants.go
+++ b/pkg/tune/constants.go
@@ -88,6 +88,9 @@
 	ProbeTimeout = time.Second
 	// ProbeIdle is the age of the last report at which a healthy upstream is probed.
 	ProbeIdle = 5 * time.Second
+	// LeaveCloses is the number of connections closed in a row that count as leaving; servers
+	// that bound the requests of a connection close single ones.
+	LeaveCloses = 3
 	// LeaveLife is how long word of a leaving upstream lasts.
 	LeaveLife = 30 * time.Second
 )
