--- a/internal/replay/call.go
+++ b/internal/replay/call.go
@@ -351,7 +351,7 @@
 	best, least := -1, math.Inf(1)
 	for i, u := range s.upstreams {
 		ahead := float64(max(0, u.running+len(u.queue)+1-u.slots())) * u.factor * u.noise
-		if w := ahead + u.factor*u.noise + float64(u.running)/oracleTie; w < least && !u.down && !u.leaving {
+		if w := ahead + u.factor*u.noise + float64(u.running)/oracleTie; w < least && !u.down && !u.leaving && u.outAt.IsZero() {
 			best, least = i, w
 		}
 	}
--- a/internal/replay/replay_test.go
+++ b/internal/replay/replay_test.go
@@ -94,6 +94,24 @@
 	}
 })
 
+var _ = Describe("Compare", func() {
+	for _, tc := range []struct{ name, fault string }{
+		{"nothing", ""},
+		{"a cold upstream", "[[fault]]\nkind = \"cold\"\nat = \"100ms\""},
+		{"a crash", "[[fault]]\nkind = \"crash\"\nat = \"100ms\""},
+	} {
+		It("runs every policy and the oracle through "+tc.name, func() {
+			t, err := replay.Load(tc.name, []byte(fmt.Sprintf(session, tc.fault)))
+			Expect(err).NotTo(HaveOccurred())
+			var out bytes.Buffer
+			Expect(replay.Compare(&out, t)).To(Succeed())
+			for _, name := range []string{"predicted", "random", "robin", "least", "two", "oracle"} {
+				Expect(out.String()).To(ContainSubstring(name + " "))
+			}
+		})
+	}
+})
+
 func FuzzLoad(f *testing.F) {
 	f.Add([]byte(fmt.Sprintf(session, "")))
 	f.Fuzz(func(_ *testing.T, data []byte) {
--- a/internal/replay/upstream.go
+++ b/internal/replay/upstream.go
@@ -224,6 +224,10 @@
 
 // seeCold counts an attempt at a cold upstream once entries could know of the cold start.
 func (u *upstream) seeCold(v *visit) {
+	if v.entry == nil {
+		// The oracle has no entries and knows every start.
+		return
+	}
 	told := u.told[v.entry.side()]
 	if !u.cold() || told.IsZero() || v.sent.Before(told.Add(noticeTime)) {
 		return
