--- a/internal/daemon/daemon_test.go
+++ b/internal/daemon/daemon_test.go
@@ -50,14 +50,16 @@
 // trickle is an upload that comes in parts, and goes on after the stop has begun.
 type trickle struct {
 	parts int
-	stop  func()
+	// rest is the number of parts that come after the stop.
+	rest int
+	stop func()
 }
 
 func (t *trickle) Read(p []byte) (int, error) {
 	if t.parts == 0 {
 		return 0, io.EOF
 	}
-	if t.parts--; t.parts == 20 {
+	if t.parts--; t.parts == t.rest {
 		t.stop()
 	}
 	time.Sleep(10 * time.Millisecond)
@@ -68,7 +70,7 @@
 	for _, tc := range []struct {
 		name  string
 		parts int
-	}{{"before the balancer has noticed", 25}, {"after the listener has closed", 60}} {
+	}{{"before the balancer has noticed", 16}, {"after the listener has closed, 3s after its start", 300}} {
 		It("answers an upload that ends "+tc.name, func() {
 			up := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 				n, _ := io.Copy(io.Discard, r.Body)
@@ -98,7 +100,7 @@
 				return res.StatusCode
 			}
 			Eventually(ready, "10s", "20ms").Should(Equal(http.StatusNoContent))
-			res, err := http.Post("http://"+o.Front.String()+"/s/up", "x/y", &trickle{tc.parts, cancel})
+			res, err := http.Post("http://"+o.Front.String()+"/s/up", "x/y", &trickle{tc.parts, tc.parts / 2, cancel})
 			Expect(err).NotTo(HaveOccurred())
 			defer func() { _ = res.Body.Close() }()
 			data, err := io.ReadAll(res.Body)
