--- a/internal/back/back.go
+++ b/internal/back/back.go
@@ -15,10 +15,10 @@
 
 	"github.com/balsamvale/balsamvale/internal/outreq"
 	"github.com/balsamvale/balsamvale/internal/wire"
-	"github.com/balsamvale/balsamvale/pkg/cause"
-	"github.com/balsamvale/balsamvale/pkg/clock"
-	"github.com/balsamvale/balsamvale/pkg/result"
-	"github.com/balsamvale/balsamvale/pkg/tune"
+	"github.com/balsamvale/balsamvale/pkg/calls/cause"
+	"github.com/balsamvale/balsamvale/pkg/calls/result"
+	"github.com/balsamvale/balsamvale/pkg/shared/clock"
+	"github.com/balsamvale/balsamvale/pkg/shared/tune"
 )
 
 // Back holds the connections to upstreams; it is safe for concurrent use.
--- a/internal/back/back_test.go
+++ b/internal/back/back_test.go
@@ -15,9 +15,9 @@
 
 	"github.com/balsamvale/balsamvale/internal/back"
 	"github.com/balsamvale/balsamvale/internal/outreq"
-	"github.com/balsamvale/balsamvale/pkg/cause"
-	"github.com/balsamvale/balsamvale/pkg/clock"
-	"github.com/balsamvale/balsamvale/pkg/tune"
+	"github.com/balsamvale/balsamvale/pkg/calls/cause"
+	"github.com/balsamvale/balsamvale/pkg/shared/clock"
+	"github.com/balsamvale/balsamvale/pkg/shared/tune"
 )
 
 // skewed is the machine's clock, set forward by hand.
--- a/internal/back/conn.go
+++ b/internal/back/conn.go
@@ -5,7 +5,7 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/balsamvale/balsamvale/pkg/clock"
+	"github.com/balsamvale/balsamvale/pkg/shared/clock"
 )
 
 // conn counts what it writes and remembers when it last read.
--- a/internal/claims/keeper.go
+++ b/internal/claims/keeper.go
@@ -7,16 +7,16 @@
 	"time"
 
 	"github.com/balsamvale/balsamvale/internal/codec"
-	"github.com/balsamvale/balsamvale/pkg/answer"
-	"github.com/balsamvale/balsamvale/pkg/bucket"
-	"github.com/balsamvale/balsamvale/pkg/claim"
-	"github.com/balsamvale/balsamvale/pkg/clock"
-	"github.com/balsamvale/balsamvale/pkg/grant"
-	"github.com/balsamvale/balsamvale/pkg/item"
-	"github.com/balsamvale/balsamvale/pkg/keys"
-	"github.com/balsamvale/balsamvale/pkg/state"
-	"github.com/balsamvale/balsamvale/pkg/tune"
-	"github.com/balsamvale/balsamvale/pkg/verb"
+	"github.com/balsamvale/balsamvale/pkg/calls/answer"
+	"github.com/balsamvale/balsamvale/pkg/calls/claim"
+	"github.com/balsamvale/balsamvale/pkg/calls/grant"
+	"github.com/balsamvale/balsamvale/pkg/calls/state"
+	"github.com/balsamvale/balsamvale/pkg/control/keys"
+	"github.com/balsamvale/balsamvale/pkg/shared/clock"
+	"github.com/balsamvale/balsamvale/pkg/shared/tune"
+	"github.com/balsamvale/balsamvale/pkg/stored/item"
+	"github.com/balsamvale/balsamvale/pkg/stored/verb"
+	"github.com/balsamvale/balsamvale/pkg/traffic/bucket"
 )
 
 // Keeper claims keys for the calls of one entry; it is safe for concurrent use.
--- a/internal/claims/keeper_test.go
+++ b/internal/claims/keeper_test.go
@@ -18,10 +18,10 @@
 	rpc "github.com/balsamvale/balsamvale/internal/gen/balsamvale/v1/balsamvalev1connect"
 	"github.com/balsamvale/balsamvale/internal/kvsim"
 	"github.com/balsamvale/balsamvale/internal/store"
-	"github.com/balsamvale/balsamvale/pkg/answer"
-	"github.com/balsamvale/balsamvale/pkg/clock"
-	"github.com/balsamvale/balsamvale/pkg/grant"
-	"github.com/balsamvale/balsamvale/pkg/state"
+	"github.com/balsamvale/balsamvale/pkg/calls/answer"
+	"github.com/balsamvale/balsamvale/pkg/calls/grant"
+	"github.com/balsamvale/balsamvale/pkg/calls/state"
+	"github.com/balsamvale/balsamvale/pkg/shared/clock"
 )
 
 // fleet builds keepers of several entries on one stand-in of the store.
--- a/internal/cmds/cmds_test.go
+++ b/internal/cmds/cmds_test.go
@@ -15,7 +15,7 @@
 	"github.com/balsamvale/balsamvale/internal/cmds"
 	rpc "github.com/balsamvale/balsamvale/internal/gen/balsamvale/v1/balsamvalev1connect"
 	"github.com/balsamvale/balsamvale/internal/kvsim"
-	"github.com/balsamvale/balsamvale/pkg/clock"
+	"github.com/balsamvale/balsamvale/pkg/shared/clock"
 )
 
 // run carries out a command line.
--- a/internal/cmds/records.go
+++ b/internal/cmds/records.go
@@ -19,8 +19,8 @@
 	"github.com/balsamvale/balsamvale/internal/option"
 	"github.com/balsamvale/balsamvale/internal/store"
 	"github.com/balsamvale/balsamvale/internal/tomlpb"
-	"github.com/balsamvale/balsamvale/pkg/item"
-	"github.com/balsamvale/balsamvale/pkg/keys"
+	"github.com/balsamvale/balsamvale/pkg/control/keys"
+	"github.com/balsamvale/balsamvale/pkg/stored/item"
 )
 
 func storeFlag() cli.Flag {
--- a/internal/cmds/serve.go
+++ b/internal/cmds/serve.go
@@ -14,7 +14,7 @@
 	"github.com/balsamvale/balsamvale/internal/daemon"
 	"github.com/balsamvale/balsamvale/internal/logs"
 	"github.com/balsamvale/balsamvale/internal/option"
-	"github.com/balsamvale/balsamvale/pkg/clock"
+	"github.com/balsamvale/balsamvale/pkg/shared/clock"
 )
 
 func (a *App) serve() *cli.Command {
--- a/internal/cmds/status.go
+++ b/internal/cmds/status.go
@@ -18,9 +18,9 @@
 	"github.com/balsamvale/balsamvale/internal/codec"
 	pb "github.com/balsamvale/balsamvale/internal/gen/balsamvale/v1"
 	"github.com/balsamvale/balsamvale/internal/peers"
-	"github.com/balsamvale/balsamvale/pkg/clock"
-	"github.com/balsamvale/balsamvale/pkg/keys"
-	"github.com/balsamvale/balsamvale/pkg/phase"
+	"github.com/balsamvale/balsamvale/pkg/control/keys"
+	"github.com/balsamvale/balsamvale/pkg/shared/clock"
+	"github.com/balsamvale/balsamvale/pkg/stored/phase"
 )
 
 func (a *App) status() *cli.Command {
--- a/internal/codec/checkset.go
+++ b/internal/codec/checkset.go
@@ -6,9 +6,9 @@
 
 	pb "github.com/balsamvale/balsamvale/internal/gen/balsamvale/v1"
 	"github.com/balsamvale/balsamvale/internal/tomlpb"
-	"github.com/balsamvale/balsamvale/pkg/item"
-	"github.com/balsamvale/balsamvale/pkg/movrec"
-	"github.com/balsamvale/balsamvale/pkg/record"
+	"github.com/balsamvale/balsamvale/pkg/records/movrec"
+	"github.com/balsamvale/balsamvale/pkg/records/record"
+	"github.com/balsamvale/balsamvale/pkg/stored/item"
 )
 
 // CheckSet checks new records against each other and against those that the store holds.
--- a/internal/codec/codec_test.go
+++ b/internal/codec/codec_test.go
@@ -12,7 +12,7 @@
 	pb "github.com/balsamvale/balsamvale/internal/gen/balsamvale/v1"
 	pb2 "github.com/balsamvale/balsamvale/internal/gen/balsamvale/v2"
 	"github.com/balsamvale/balsamvale/internal/tomlpb"
-	"github.com/balsamvale/balsamvale/pkg/item"
+	"github.com/balsamvale/balsamvale/pkg/stored/item"
 )
 
 const good = `[[domain]]
--- a/internal/codec/peer.go
+++ b/internal/codec/peer.go
@@ -4,11 +4,11 @@
 	"time"
 
 	pb "github.com/balsamvale/balsamvale/internal/gen/balsamvale/v1"
-	"github.com/balsamvale/balsamvale/pkg/change"
-	"github.com/balsamvale/balsamvale/pkg/digest"
-	"github.com/balsamvale/balsamvale/pkg/fact"
-	"github.com/balsamvale/balsamvale/pkg/item"
-	"github.com/balsamvale/balsamvale/pkg/topic"
+	"github.com/balsamvale/balsamvale/pkg/events/digest"
+	"github.com/balsamvale/balsamvale/pkg/events/fact"
+	"github.com/balsamvale/balsamvale/pkg/events/topic"
+	"github.com/balsamvale/balsamvale/pkg/stored/change"
+	"github.com/balsamvale/balsamvale/pkg/stored/item"
 )
 
 // ToItems converts items of the store.
--- a/internal/codec/record.go
+++ b/internal/codec/record.go
@@ -9,11 +9,11 @@
 	pb "github.com/balsamvale/balsamvale/internal/gen/balsamvale/v1"
 	pb2 "github.com/balsamvale/balsamvale/internal/gen/balsamvale/v2"
 	"github.com/balsamvale/balsamvale/internal/tomlpb"
-	"github.com/balsamvale/balsamvale/pkg/domrec"
-	"github.com/balsamvale/balsamvale/pkg/keys"
-	"github.com/balsamvale/balsamvale/pkg/movrec"
-	"github.com/balsamvale/balsamvale/pkg/record"
-	"github.com/balsamvale/balsamvale/pkg/upsrec"
+	"github.com/balsamvale/balsamvale/pkg/control/keys"
+	"github.com/balsamvale/balsamvale/pkg/records/domrec"
+	"github.com/balsamvale/balsamvale/pkg/records/movrec"
+	"github.com/balsamvale/balsamvale/pkg/records/record"
+	"github.com/balsamvale/balsamvale/pkg/records/upsrec"
 )
 
 // ErrSchema is what the errors match about a record whose schema version is not known.
--- a/internal/codec/service.go
+++ b/internal/codec/service.go
@@ -8,10 +8,10 @@
 
 	pb "github.com/balsamvale/balsamvale/internal/gen/balsamvale/v1"
 	pb2 "github.com/balsamvale/balsamvale/internal/gen/balsamvale/v2"
-	"github.com/balsamvale/balsamvale/pkg/class"
-	"github.com/balsamvale/balsamvale/pkg/repeat"
-	"github.com/balsamvale/balsamvale/pkg/route"
-	"github.com/balsamvale/balsamvale/pkg/svcrec"
+	"github.com/balsamvale/balsamvale/pkg/calls/class"
+	"github.com/balsamvale/balsamvale/pkg/records/repeat"
+	"github.com/balsamvale/balsamvale/pkg/records/route"
+	"github.com/balsamvale/balsamvale/pkg/records/svcrec"
 )
 
 // ErrLossy is what the errors match about a record that an older schema version cannot hold.
--- a/internal/codec/value.go
+++ b/internal/codec/value.go
@@ -10,16 +10,16 @@
 	"google.golang.org/protobuf/types/known/timestamppb"
 
 	pb "github.com/balsamvale/balsamvale/internal/gen/balsamvale/v1"
-	"github.com/balsamvale/balsamvale/pkg/answer"
-	"github.com/balsamvale/balsamvale/pkg/claim"
-	"github.com/balsamvale/balsamvale/pkg/item"
-	"github.com/balsamvale/balsamvale/pkg/keys"
-	"github.com/balsamvale/balsamvale/pkg/member"
-	"github.com/balsamvale/balsamvale/pkg/phase"
-	"github.com/balsamvale/balsamvale/pkg/progrs"
-	"github.com/balsamvale/balsamvale/pkg/state"
-	"github.com/balsamvale/balsamvale/pkg/tenure"
-	"github.com/balsamvale/balsamvale/pkg/value"
+	"github.com/balsamvale/balsamvale/pkg/calls/answer"
+	"github.com/balsamvale/balsamvale/pkg/calls/claim"
+	"github.com/balsamvale/balsamvale/pkg/calls/state"
+	"github.com/balsamvale/balsamvale/pkg/control/keys"
+	"github.com/balsamvale/balsamvale/pkg/stored/item"
+	"github.com/balsamvale/balsamvale/pkg/stored/member"
+	"github.com/balsamvale/balsamvale/pkg/stored/phase"
+	"github.com/balsamvale/balsamvale/pkg/stored/progrs"
+	"github.com/balsamvale/balsamvale/pkg/stored/tenure"
+	"github.com/balsamvale/balsamvale/pkg/stored/value"
 )
 
 // ErrValue is what the errors match about a store value that cannot be read.
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -23,8 +23,8 @@
 	"github.com/balsamvale/balsamvale/internal/option"
 	"github.com/balsamvale/balsamvale/internal/peers"
 	"github.com/balsamvale/balsamvale/internal/store"
-	"github.com/balsamvale/balsamvale/pkg/clock"
-	"github.com/balsamvale/balsamvale/pkg/member"
+	"github.com/balsamvale/balsamvale/pkg/shared/clock"
+	"github.com/balsamvale/balsamvale/pkg/stored/member"
 )
 
 // ErrListen is what the errors match about an address that cannot be listened on.
--- a/internal/daemon/daemon_test.go
+++ b/internal/daemon/daemon_test.go
@@ -22,9 +22,9 @@
 	"github.com/balsamvale/balsamvale/internal/logs"
 	"github.com/balsamvale/balsamvale/internal/option"
 	"github.com/balsamvale/balsamvale/internal/store"
-	"github.com/balsamvale/balsamvale/pkg/clock"
-	"github.com/balsamvale/balsamvale/pkg/item"
-	"github.com/balsamvale/balsamvale/pkg/keys"
+	"github.com/balsamvale/balsamvale/pkg/control/keys"
+	"github.com/balsamvale/balsamvale/pkg/shared/clock"
+	"github.com/balsamvale/balsamvale/pkg/stored/item"
 )
 
 func address(s *httptest.Server) netip.AddrPort {
--- a/internal/demo/demo.go
+++ b/internal/demo/demo.go
@@ -21,9 +21,9 @@
 	"github.com/balsamvale/balsamvale/internal/outcom"
 	"github.com/balsamvale/balsamvale/internal/store"
 	"github.com/balsamvale/balsamvale/internal/upsim"
-	"github.com/balsamvale/balsamvale/pkg/clock"
-	"github.com/balsamvale/balsamvale/pkg/item"
-	"github.com/balsamvale/balsamvale/pkg/keys"
+	"github.com/balsamvale/balsamvale/pkg/control/keys"
+	"github.com/balsamvale/balsamvale/pkg/shared/clock"
+	"github.com/balsamvale/balsamvale/pkg/stored/item"
 )
 
 // ErrDemo is what the errors match about a demo that could not be carried out.
--- a/internal/demo/fault.go
+++ b/internal/demo/fault.go
@@ -11,8 +11,8 @@
 
 	"github.com/balsamvale/balsamvale/internal/codec"
 	"github.com/balsamvale/balsamvale/internal/outcom"
-	"github.com/balsamvale/balsamvale/pkg/keys"
-	"github.com/balsamvale/balsamvale/pkg/phase"
+	"github.com/balsamvale/balsamvale/pkg/control/keys"
+	"github.com/balsamvale/balsamvale/pkg/stored/phase"
 )
 
 // fault is something that goes wrong during a demo, and what must hold all the same.
--- a/internal/demo/load.go
+++ b/internal/demo/load.go
@@ -14,7 +14,7 @@
 	"github.com/HdrHistogram/hdrhistogram-go"
 
 	"github.com/balsamvale/balsamvale/internal/wire"
-	"github.com/balsamvale/balsamvale/pkg/fate"
+	"github.com/balsamvale/balsamvale/pkg/calls/fate"
 )
 
 // load is the callers with what they saw.
--- a/internal/kvsim/server.go
+++ b/internal/kvsim/server.go
@@ -13,7 +13,7 @@
 	"google.golang.org/protobuf/types/known/durationpb"
 
 	pb "github.com/balsamvale/balsamvale/internal/gen/balsamvale/v1"
-	"github.com/balsamvale/balsamvale/pkg/clock"
+	"github.com/balsamvale/balsamvale/pkg/shared/clock"
 )
 
 // errDown is what calls fail with while the service is down.
--- a/internal/logs/log.go
+++ b/internal/logs/log.go
@@ -8,11 +8,11 @@
 	"go.uber.org/zap"
 	"go.uber.org/zap/zapcore"
 
-	"github.com/balsamvale/balsamvale/pkg/call"
-	"github.com/balsamvale/balsamvale/pkg/note"
-	"github.com/balsamvale/balsamvale/pkg/result"
-	"github.com/balsamvale/balsamvale/pkg/stage"
-	"github.com/balsamvale/balsamvale/pkg/step"
+	"github.com/balsamvale/balsamvale/pkg/calls/call"
+	"github.com/balsamvale/balsamvale/pkg/calls/result"
+	"github.com/balsamvale/balsamvale/pkg/calls/stage"
+	"github.com/balsamvale/balsamvale/pkg/calls/step"
+	"github.com/balsamvale/balsamvale/pkg/events/note"
 )
 
 // Log writes a line for each routing and placement decision; it is safe for concurrent use.
--- a/internal/peers/service.go
+++ b/internal/peers/service.go
@@ -12,14 +12,14 @@
 	"github.com/balsamvale/balsamvale/internal/codec"
 	pb "github.com/balsamvale/balsamvale/internal/gen/balsamvale/v1"
 	rpc "github.com/balsamvale/balsamvale/internal/gen/balsamvale/v1/balsamvalev1connect"
-	"github.com/balsamvale/balsamvale/pkg/clock"
-	"github.com/balsamvale/balsamvale/pkg/credit"
-	"github.com/balsamvale/balsamvale/pkg/demand"
-	"github.com/balsamvale/balsamvale/pkg/digest"
-	"github.com/balsamvale/balsamvale/pkg/effect"
-	"github.com/balsamvale/balsamvale/pkg/event"
-	"github.com/balsamvale/balsamvale/pkg/signal"
-	"github.com/balsamvale/balsamvale/pkg/tune"
+	"github.com/balsamvale/balsamvale/pkg/calls/credit"
+	"github.com/balsamvale/balsamvale/pkg/calls/demand"
+	"github.com/balsamvale/balsamvale/pkg/events/digest"
+	"github.com/balsamvale/balsamvale/pkg/events/effect"
+	"github.com/balsamvale/balsamvale/pkg/events/event"
+	"github.com/balsamvale/balsamvale/pkg/events/signal"
+	"github.com/balsamvale/balsamvale/pkg/shared/clock"
+	"github.com/balsamvale/balsamvale/pkg/shared/tune"
 )
 
 // ErrPeer is what the errors match about a peer that did not answer.
--- a/internal/replay/claims.go
+++ b/internal/replay/claims.go
@@ -4,11 +4,11 @@
 	"time"
 
 	"github.com/balsamvale/balsamvale/internal/codec"
-	"github.com/balsamvale/balsamvale/pkg/item"
-	"github.com/balsamvale/balsamvale/pkg/order"
-	"github.com/balsamvale/balsamvale/pkg/reply"
-	"github.com/balsamvale/balsamvale/pkg/tune"
-	"github.com/balsamvale/balsamvale/pkg/verb"
+	"github.com/balsamvale/balsamvale/pkg/shared/tune"
+	"github.com/balsamvale/balsamvale/pkg/stored/item"
+	"github.com/balsamvale/balsamvale/pkg/stored/order"
+	"github.com/balsamvale/balsamvale/pkg/stored/reply"
+	"github.com/balsamvale/balsamvale/pkg/stored/verb"
 )
 
 // kick does what the bucket plans, with one store call at a time.
--- a/internal/replay/faults.go
+++ b/internal/replay/faults.go
@@ -2,7 +2,7 @@
 
 import (
 	"fmt"
-	"github.com/balsamvale/balsamvale/pkg/result"
+	"github.com/balsamvale/balsamvale/pkg/calls/result"
 	"time"
 
 	pb "github.com/balsamvale/balsamvale/internal/gen/balsamvale/v1"
--- a/internal/replay/figures.go
+++ b/internal/replay/figures.go
@@ -8,10 +8,10 @@
 
 	"github.com/balsamvale/balsamvale/internal/codec"
 	pb "github.com/balsamvale/balsamvale/internal/gen/balsamvale/v1"
-	"github.com/balsamvale/balsamvale/pkg/cause"
-	"github.com/balsamvale/balsamvale/pkg/fate"
-	"github.com/balsamvale/balsamvale/pkg/keys"
-	"github.com/balsamvale/balsamvale/pkg/phase"
+	"github.com/balsamvale/balsamvale/pkg/calls/cause"
+	"github.com/balsamvale/balsamvale/pkg/calls/fate"
+	"github.com/balsamvale/balsamvale/pkg/control/keys"
+	"github.com/balsamvale/balsamvale/pkg/stored/phase"
 )
 
 // figures are what a run counts as it goes.
--- a/internal/replay/replay_test.go
+++ b/internal/replay/replay_test.go
@@ -13,7 +13,7 @@
 	. "github.com/onsi/gomega"
 
 	"github.com/balsamvale/balsamvale/internal/replay"
-	"github.com/balsamvale/balsamvale/pkg/policy"
+	"github.com/balsamvale/balsamvale/pkg/calls/policy"
 )
 
 const traces = "../../testdata/traces"
--- a/internal/replay/run.go
+++ b/internal/replay/run.go
@@ -14,7 +14,7 @@
 
 	pb "github.com/balsamvale/balsamvale/internal/gen/balsamvale/v1"
 	"github.com/balsamvale/balsamvale/internal/tomlpb"
-	"github.com/balsamvale/balsamvale/pkg/policy"
+	"github.com/balsamvale/balsamvale/pkg/calls/policy"
 )
 
 // Load reads a trace from TOML text; errors match tomlpb.ErrInvalid.
--- a/internal/replay/sim.go
+++ b/internal/replay/sim.go
@@ -10,9 +10,9 @@
 
 	"github.com/balsamvale/balsamvale/internal/codec"
 	pb "github.com/balsamvale/balsamvale/internal/gen/balsamvale/v1"
-	"github.com/balsamvale/balsamvale/pkg/item"
-	"github.com/balsamvale/balsamvale/pkg/keys"
-	"github.com/balsamvale/balsamvale/pkg/policy"
+	"github.com/balsamvale/balsamvale/pkg/calls/policy"
+	"github.com/balsamvale/balsamvale/pkg/control/keys"
+	"github.com/balsamvale/balsamvale/pkg/stored/item"
 )
 
 // ErrTrace is what the errors match about a trace that cannot be run.
--- a/internal/replay/upstream.go
+++ b/internal/replay/upstream.go
@@ -5,9 +5,9 @@
 	"slices"
 	"time"
 
-	"github.com/balsamvale/balsamvale/pkg/cause"
-	"github.com/balsamvale/balsamvale/pkg/report"
-	"github.com/balsamvale/balsamvale/pkg/result"
+	"github.com/balsamvale/balsamvale/pkg/calls/cause"
+	"github.com/balsamvale/balsamvale/pkg/calls/report"
+	"github.com/balsamvale/balsamvale/pkg/calls/result"
 )
 
 // upstream is a model of a back end: slots, a short queue, a warm-up, and faults.
--- a/internal/store/client.go
+++ b/internal/store/client.go
@@ -14,11 +14,11 @@
 	"github.com/balsamvale/balsamvale/internal/codec"
 	pb "github.com/balsamvale/balsamvale/internal/gen/balsamvale/v1"
 	rpc "github.com/balsamvale/balsamvale/internal/gen/balsamvale/v1/balsamvalev1connect"
-	"github.com/balsamvale/balsamvale/pkg/item"
-	"github.com/balsamvale/balsamvale/pkg/order"
-	"github.com/balsamvale/balsamvale/pkg/reply"
-	"github.com/balsamvale/balsamvale/pkg/tune"
-	"github.com/balsamvale/balsamvale/pkg/verb"
+	"github.com/balsamvale/balsamvale/pkg/shared/tune"
+	"github.com/balsamvale/balsamvale/pkg/stored/item"
+	"github.com/balsamvale/balsamvale/pkg/stored/order"
+	"github.com/balsamvale/balsamvale/pkg/stored/reply"
+	"github.com/balsamvale/balsamvale/pkg/stored/verb"
 )
 
 // ErrCall is what the errors about calls match whose outcome is not known.
--- a/internal/store/client_test.go
+++ b/internal/store/client_test.go
@@ -14,12 +14,12 @@
 	rpc "github.com/balsamvale/balsamvale/internal/gen/balsamvale/v1/balsamvalev1connect"
 	"github.com/balsamvale/balsamvale/internal/kvsim"
 	"github.com/balsamvale/balsamvale/internal/store"
-	"github.com/balsamvale/balsamvale/pkg/clock"
-	"github.com/balsamvale/balsamvale/pkg/item"
-	"github.com/balsamvale/balsamvale/pkg/member"
-	"github.com/balsamvale/balsamvale/pkg/order"
-	"github.com/balsamvale/balsamvale/pkg/value"
-	"github.com/balsamvale/balsamvale/pkg/verb"
+	"github.com/balsamvale/balsamvale/pkg/shared/clock"
+	"github.com/balsamvale/balsamvale/pkg/stored/item"
+	"github.com/balsamvale/balsamvale/pkg/stored/member"
+	"github.com/balsamvale/balsamvale/pkg/stored/order"
+	"github.com/balsamvale/balsamvale/pkg/stored/value"
+	"github.com/balsamvale/balsamvale/pkg/stored/verb"
 )
 
 var _ = Describe("Client and Server", func() {
--- a/internal/upsim/upstream.go
+++ b/internal/upsim/upstream.go
@@ -11,8 +11,8 @@
 	"time"
 
 	"github.com/balsamvale/balsamvale/internal/wire"
-	"github.com/balsamvale/balsamvale/pkg/clock"
-	"github.com/balsamvale/balsamvale/pkg/report"
+	"github.com/balsamvale/balsamvale/pkg/calls/report"
+	"github.com/balsamvale/balsamvale/pkg/shared/clock"
 )
 
 // Upstream is an HTTP handler with slots, a short queue and a warm-up.
--- a/internal/wire/header.go
+++ b/internal/wire/header.go
@@ -7,7 +7,7 @@
 	"strings"
 	"time"
 
-	"github.com/balsamvale/balsamvale/pkg/report"
+	"github.com/balsamvale/balsamvale/pkg/calls/report"
 )
 
 // Headers of the project.
--- a/internal/wire/header_test.go
+++ b/internal/wire/header_test.go
@@ -9,7 +9,7 @@
 	. "github.com/onsi/gomega"
 
 	"github.com/balsamvale/balsamvale/internal/wire"
-	"github.com/balsamvale/balsamvale/pkg/report"
+	"github.com/balsamvale/balsamvale/pkg/calls/report"
 )
 
 var _ = Describe("Strip", func() {
--- a/pkg/call/call.go
+++ b/pkg/calls/call/call.go
@@ -3,7 +3,7 @@
 import (
 	"time"
 
-	"github.com/balsamvale/balsamvale/pkg/class"
+	"github.com/balsamvale/balsamvale/pkg/calls/class"
 )
 
 // Call is what decisions need to know of a request.
--- a/pkg/cause/cause.go
+++ b/pkg/calls/cause/cause.go
@@ -1,6 +1,6 @@
 package cause
 
-//go:generate go tool -modfile=../../tools/go.mod stringer -type Cause -linecomment
+//go:generate go tool -modfile=../../../tools/go.mod stringer -type Cause -linecomment
 
 // Cause is the way in which an attempt ended.
 type Cause int
--- a/pkg/choice/choice.go
+++ b/pkg/calls/choice/choice.go
@@ -3,9 +3,9 @@
 import (
 	"time"
 
-	"github.com/balsamvale/balsamvale/pkg/reason"
-	"github.com/balsamvale/balsamvale/pkg/stage"
-	"github.com/balsamvale/balsamvale/pkg/target"
+	"github.com/balsamvale/balsamvale/pkg/calls/reason"
+	"github.com/balsamvale/balsamvale/pkg/calls/stage"
+	"github.com/balsamvale/balsamvale/pkg/shared/target"
 )
 
 // Choice is the decision to send, hold or refuse a call.
--- a/pkg/claim/claim.go
+++ b/pkg/calls/claim/claim.go
@@ -3,8 +3,8 @@
 import (
 	"time"
 
-	"github.com/balsamvale/balsamvale/pkg/answer"
-	"github.com/balsamvale/balsamvale/pkg/state"
+	"github.com/balsamvale/balsamvale/pkg/calls/answer"
+	"github.com/balsamvale/balsamvale/pkg/calls/state"
 )
 
 // Claim is one idempotency key and the call that holds it.
--- a/pkg/class/class.go
+++ b/pkg/calls/class/class.go
@@ -1,6 +1,6 @@
 package class
 
-//go:generate go tool -modfile=../../tools/go.mod stringer -type Class -linecomment
+//go:generate go tool -modfile=../../../tools/go.mod stringer -type Class -linecomment
 
 // Class is the priority of a call.
 type Class int
--- a/pkg/fate/fate.go
+++ b/pkg/calls/fate/fate.go
@@ -1,6 +1,6 @@
 package fate
 
-//go:generate go tool -modfile=../../tools/go.mod stringer -type Fate -linecomment
+//go:generate go tool -modfile=../../../tools/go.mod stringer -type Fate -linecomment
 
 // Fate is the outcome of a call that the caller can tell apart.
 type Fate int
--- a/pkg/grant/grant.go
+++ b/pkg/calls/grant/grant.go
@@ -1,6 +1,6 @@
 package grant
 
-//go:generate go tool -modfile=../../tools/go.mod stringer -type Grant -linecomment
+//go:generate go tool -modfile=../../../tools/go.mod stringer -type Grant -linecomment
 
 // Grant is the outcome of claiming an idempotency key.
 type Grant int
--- a/pkg/policy/policy.go
+++ b/pkg/calls/policy/policy.go
@@ -1,6 +1,6 @@
 package policy
 
-//go:generate go tool -modfile=../../tools/go.mod stringer -type Policy -linecomment
+//go:generate go tool -modfile=../../../tools/go.mod stringer -type Policy -linecomment
 
 // Policy is a way to choose an upstream.
 type Policy int
--- a/pkg/reason/reason.go
+++ b/pkg/calls/reason/reason.go
@@ -1,6 +1,6 @@
 package reason
 
-//go:generate go tool -modfile=../../tools/go.mod stringer -type Reason -linecomment
+//go:generate go tool -modfile=../../../tools/go.mod stringer -type Reason -linecomment
 
 // Reason is why a call was sent, held or refused.
 type Reason int
--- a/pkg/result/result.go
+++ b/pkg/calls/result/result.go
@@ -3,8 +3,8 @@
 import (
 	"time"
 
-	"github.com/balsamvale/balsamvale/pkg/cause"
-	"github.com/balsamvale/balsamvale/pkg/report"
+	"github.com/balsamvale/balsamvale/pkg/calls/cause"
+	"github.com/balsamvale/balsamvale/pkg/calls/report"
 )
 
 // Result is the end of an attempt as far as decisions need it.
--- a/pkg/stage/stage.go
+++ b/pkg/calls/stage/stage.go
@@ -1,6 +1,6 @@
 package stage
 
-//go:generate go tool -modfile=../../tools/go.mod stringer -type Stage -linecomment
+//go:generate go tool -modfile=../../../tools/go.mod stringer -type Stage -linecomment
 
 // Stage is what the driver of a call does next.
 type Stage int
--- a/pkg/state/state.go
+++ b/pkg/calls/state/state.go
@@ -1,6 +1,6 @@
 package state
 
-//go:generate go tool -modfile=../../tools/go.mod stringer -type State -linecomment
+//go:generate go tool -modfile=../../../tools/go.mod stringer -type State -linecomment
 
 // State is how far the call behind a claim has come.
 type State int
--- a/pkg/step/step.go
+++ b/pkg/calls/step/step.go
@@ -3,10 +3,10 @@
 import (
 	"time"
 
-	"github.com/balsamvale/balsamvale/pkg/choice"
-	"github.com/balsamvale/balsamvale/pkg/fate"
-	"github.com/balsamvale/balsamvale/pkg/reason"
-	"github.com/balsamvale/balsamvale/pkg/stage"
+	"github.com/balsamvale/balsamvale/pkg/calls/choice"
+	"github.com/balsamvale/balsamvale/pkg/calls/fate"
+	"github.com/balsamvale/balsamvale/pkg/calls/reason"
+	"github.com/balsamvale/balsamvale/pkg/calls/stage"
 )
 
 // Step is one instruction of a flow to its driver.
--- a/pkg/backof/backoff.go
+++ b/pkg/control/backof/backoff.go
@@ -4,7 +4,7 @@
 	"math/rand/v2"
 	"time"
 
-	"github.com/balsamvale/balsamvale/pkg/tune"
+	"github.com/balsamvale/balsamvale/pkg/shared/tune"
 )
 
 // Backoff doubles the pause with each failure and jitters it; the owner locks it.
--- a/pkg/catlog/catalog.go
+++ b/pkg/control/catlog/catalog.go
@@ -4,9 +4,9 @@
 	"slices"
 	"sort"
 
-	"github.com/balsamvale/balsamvale/pkg/change"
-	"github.com/balsamvale/balsamvale/pkg/item"
-	"github.com/balsamvale/balsamvale/pkg/tune"
+	"github.com/balsamvale/balsamvale/pkg/shared/tune"
+	"github.com/balsamvale/balsamvale/pkg/stored/change"
+	"github.com/balsamvale/balsamvale/pkg/stored/item"
 )
 
 // Catalog is the state of the control keys at one revision; its owner locks it.
--- a/pkg/catlog/catalog_test.go
+++ b/pkg/control/catlog/catalog_test.go
@@ -6,9 +6,9 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
-	"github.com/balsamvale/balsamvale/pkg/catlog"
-	"github.com/balsamvale/balsamvale/pkg/change"
-	"github.com/balsamvale/balsamvale/pkg/item"
+	"github.com/balsamvale/balsamvale/pkg/control/catlog"
+	"github.com/balsamvale/balsamvale/pkg/stored/change"
+	"github.com/balsamvale/balsamvale/pkg/stored/item"
 )
 
 func it(key string, rev int64) item.Item {
--- a/pkg/contrl/duties.go
+++ b/pkg/control/contrl/duties.go
@@ -1,23 +1,23 @@
 package contrl
 
 import (
-	"github.com/balsamvale/balsamvale/pkg/demand"
+	"github.com/balsamvale/balsamvale/pkg/calls/demand"
 	"time"
 
-	"github.com/balsamvale/balsamvale/pkg/credit"
-	"github.com/balsamvale/balsamvale/pkg/deed"
-	"github.com/balsamvale/balsamvale/pkg/effect"
-	"github.com/balsamvale/balsamvale/pkg/event"
-	"github.com/balsamvale/balsamvale/pkg/keys"
-	"github.com/balsamvale/balsamvale/pkg/note"
-	"github.com/balsamvale/balsamvale/pkg/order"
-	"github.com/balsamvale/balsamvale/pkg/shard"
-	"github.com/balsamvale/balsamvale/pkg/tenure"
-	"github.com/balsamvale/balsamvale/pkg/tune"
-	"github.com/balsamvale/balsamvale/pkg/upsrec"
-	"github.com/balsamvale/balsamvale/pkg/value"
-	"github.com/balsamvale/balsamvale/pkg/verb"
-	"github.com/balsamvale/balsamvale/pkg/what"
+	"github.com/balsamvale/balsamvale/pkg/calls/credit"
+	"github.com/balsamvale/balsamvale/pkg/control/keys"
+	"github.com/balsamvale/balsamvale/pkg/control/shard"
+	"github.com/balsamvale/balsamvale/pkg/events/deed"
+	"github.com/balsamvale/balsamvale/pkg/events/effect"
+	"github.com/balsamvale/balsamvale/pkg/events/event"
+	"github.com/balsamvale/balsamvale/pkg/events/note"
+	"github.com/balsamvale/balsamvale/pkg/events/what"
+	"github.com/balsamvale/balsamvale/pkg/records/upsrec"
+	"github.com/balsamvale/balsamvale/pkg/shared/tune"
+	"github.com/balsamvale/balsamvale/pkg/stored/order"
+	"github.com/balsamvale/balsamvale/pkg/stored/tenure"
+	"github.com/balsamvale/balsamvale/pkg/stored/value"
+	"github.com/balsamvale/balsamvale/pkg/stored/verb"
 )
 
 // trackDuties compares the shards' holders with what this entry thought it held.
--- a/pkg/contrl/example_test.go
+++ b/pkg/control/contrl/example_test.go
@@ -7,17 +7,17 @@
 	"net/netip"
 	"time"
 
-	"github.com/balsamvale/balsamvale/pkg/contrl"
-	"github.com/balsamvale/balsamvale/pkg/deed"
-	"github.com/balsamvale/balsamvale/pkg/event"
-	"github.com/balsamvale/balsamvale/pkg/item"
-	"github.com/balsamvale/balsamvale/pkg/member"
-	"github.com/balsamvale/balsamvale/pkg/record"
-	"github.com/balsamvale/balsamvale/pkg/reply"
-	"github.com/balsamvale/balsamvale/pkg/signal"
-	"github.com/balsamvale/balsamvale/pkg/svcrec"
-	"github.com/balsamvale/balsamvale/pkg/value"
-	"github.com/balsamvale/balsamvale/pkg/verb"
+	"github.com/balsamvale/balsamvale/pkg/control/contrl"
+	"github.com/balsamvale/balsamvale/pkg/events/deed"
+	"github.com/balsamvale/balsamvale/pkg/events/event"
+	"github.com/balsamvale/balsamvale/pkg/events/signal"
+	"github.com/balsamvale/balsamvale/pkg/records/record"
+	"github.com/balsamvale/balsamvale/pkg/records/svcrec"
+	"github.com/balsamvale/balsamvale/pkg/stored/item"
+	"github.com/balsamvale/balsamvale/pkg/stored/member"
+	"github.com/balsamvale/balsamvale/pkg/stored/reply"
+	"github.com/balsamvale/balsamvale/pkg/stored/value"
+	"github.com/balsamvale/balsamvale/pkg/stored/verb"
 )
 
 // An entry's control side is driven without sockets: time and events go in, effects come out.
--- a/pkg/contrl/moves.go
+++ b/pkg/control/contrl/moves.go
@@ -4,16 +4,16 @@
 	"fmt"
 	"time"
 
-	"github.com/balsamvale/balsamvale/pkg/keys"
-	"github.com/balsamvale/balsamvale/pkg/movrec"
-	"github.com/balsamvale/balsamvale/pkg/order"
-	"github.com/balsamvale/balsamvale/pkg/phase"
-	"github.com/balsamvale/balsamvale/pkg/progrs"
-	"github.com/balsamvale/balsamvale/pkg/reply"
-	"github.com/balsamvale/balsamvale/pkg/topic"
-	"github.com/balsamvale/balsamvale/pkg/tune"
-	"github.com/balsamvale/balsamvale/pkg/value"
-	"github.com/balsamvale/balsamvale/pkg/verb"
+	"github.com/balsamvale/balsamvale/pkg/control/keys"
+	"github.com/balsamvale/balsamvale/pkg/events/topic"
+	"github.com/balsamvale/balsamvale/pkg/records/movrec"
+	"github.com/balsamvale/balsamvale/pkg/shared/tune"
+	"github.com/balsamvale/balsamvale/pkg/stored/order"
+	"github.com/balsamvale/balsamvale/pkg/stored/phase"
+	"github.com/balsamvale/balsamvale/pkg/stored/progrs"
+	"github.com/balsamvale/balsamvale/pkg/stored/reply"
+	"github.com/balsamvale/balsamvale/pkg/stored/value"
+	"github.com/balsamvale/balsamvale/pkg/stored/verb"
 )
 
 // movers holds the order under way for each move that this entry drives.
--- a/pkg/contrl/status.go
+++ b/pkg/control/contrl/status.go
@@ -4,11 +4,11 @@
 	"cmp"
 	"slices"
 
-	"github.com/balsamvale/balsamvale/pkg/keys"
-	"github.com/balsamvale/balsamvale/pkg/phase"
-	"github.com/balsamvale/balsamvale/pkg/progrs"
-	"github.com/balsamvale/balsamvale/pkg/reject"
-	"github.com/balsamvale/balsamvale/pkg/status"
+	"github.com/balsamvale/balsamvale/pkg/control/keys"
+	"github.com/balsamvale/balsamvale/pkg/records/reject"
+	"github.com/balsamvale/balsamvale/pkg/stored/phase"
+	"github.com/balsamvale/balsamvale/pkg/stored/progrs"
+	"github.com/balsamvale/balsamvale/pkg/stored/status"
 )
 
 // Status describes what is in force.
--- a/pkg/duty/duties.go
+++ b/pkg/control/duty/duties.go
@@ -4,11 +4,11 @@
 	"math/rand/v2"
 	"time"
 
-	"github.com/balsamvale/balsamvale/pkg/backof"
-	"github.com/balsamvale/balsamvale/pkg/order"
-	"github.com/balsamvale/balsamvale/pkg/reply"
-	"github.com/balsamvale/balsamvale/pkg/shard"
-	"github.com/balsamvale/balsamvale/pkg/tune"
+	"github.com/balsamvale/balsamvale/pkg/control/backof"
+	"github.com/balsamvale/balsamvale/pkg/control/shard"
+	"github.com/balsamvale/balsamvale/pkg/shared/tune"
+	"github.com/balsamvale/balsamvale/pkg/stored/order"
+	"github.com/balsamvale/balsamvale/pkg/stored/reply"
 )
 
 // Duties follows the shards that one entry holds; control owns it.
--- a/pkg/feed/feed.go
+++ b/pkg/control/feed/feed.go
@@ -4,14 +4,14 @@
 	"math/rand/v2"
 	"time"
 
-	"github.com/balsamvale/balsamvale/pkg/backof"
-	"github.com/balsamvale/balsamvale/pkg/change"
-	"github.com/balsamvale/balsamvale/pkg/item"
-	"github.com/balsamvale/balsamvale/pkg/keys"
-	"github.com/balsamvale/balsamvale/pkg/order"
-	"github.com/balsamvale/balsamvale/pkg/reply"
-	"github.com/balsamvale/balsamvale/pkg/tune"
-	"github.com/balsamvale/balsamvale/pkg/verb"
+	"github.com/balsamvale/balsamvale/pkg/control/backof"
+	"github.com/balsamvale/balsamvale/pkg/control/keys"
+	"github.com/balsamvale/balsamvale/pkg/shared/tune"
+	"github.com/balsamvale/balsamvale/pkg/stored/change"
+	"github.com/balsamvale/balsamvale/pkg/stored/item"
+	"github.com/balsamvale/balsamvale/pkg/stored/order"
+	"github.com/balsamvale/balsamvale/pkg/stored/reply"
+	"github.com/balsamvale/balsamvale/pkg/stored/verb"
 )
 
 // Feed issues one order at a time; control owns it.
--- a/pkg/keys/keys.go
+++ b/pkg/control/keys/keys.go
@@ -3,7 +3,7 @@
 import (
 	"fmt"
 
-	"github.com/balsamvale/balsamvale/pkg/shard"
+	"github.com/balsamvale/balsamvale/pkg/control/shard"
 )
 
 // Prefixes of the keys.
--- a/pkg/ledger/ledger.go
+++ b/pkg/control/ledger/ledger.go
@@ -3,7 +3,7 @@
 import (
 	"time"
 
-	"github.com/balsamvale/balsamvale/pkg/credit"
+	"github.com/balsamvale/balsamvale/pkg/calls/credit"
 )
 
 // Ledger counts the credits that are out for each upstream; the owner locks it.
--- a/pkg/ledger/ledger_test.go
+++ b/pkg/control/ledger/ledger_test.go
@@ -7,8 +7,8 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
-	"github.com/balsamvale/balsamvale/pkg/ledger"
-	"github.com/balsamvale/balsamvale/pkg/wallet"
+	"github.com/balsamvale/balsamvale/pkg/control/ledger"
+	"github.com/balsamvale/balsamvale/pkg/traffic/wallet"
 )
 
 var _ = Describe("Ledger and Wallet", func() {
--- a/pkg/probe/planner.go
+++ b/pkg/control/probe/planner.go
@@ -3,7 +3,7 @@
 import (
 	"time"
 
-	"github.com/balsamvale/balsamvale/pkg/tune"
+	"github.com/balsamvale/balsamvale/pkg/shared/tune"
 )
 
 // Planner decides when an upstream is probed; control owns it.
--- a/pkg/rumor/rumor.go
+++ b/pkg/control/rumor/rumor.go
@@ -5,8 +5,8 @@
 	"slices"
 	"time"
 
-	"github.com/balsamvale/balsamvale/pkg/fact"
-	"github.com/balsamvale/balsamvale/pkg/topic"
+	"github.com/balsamvale/balsamvale/pkg/events/fact"
+	"github.com/balsamvale/balsamvale/pkg/events/topic"
 )
 
 // Rumor is the set of live facts; control owns it.
--- a/pkg/shard/shard.go
+++ b/pkg/control/shard/shard.go
@@ -3,7 +3,7 @@
 import (
 	"github.com/cespare/xxhash/v2"
 
-	"github.com/balsamvale/balsamvale/pkg/tune"
+	"github.com/balsamvale/balsamvale/pkg/shared/tune"
 )
 
 // Shard is one part of the duties.
--- a/pkg/deed/deed.go
+++ b/pkg/events/deed/deed.go
@@ -1,6 +1,6 @@
 package deed
 
-//go:generate go tool -modfile=../../tools/go.mod stringer -type Deed -linecomment
+//go:generate go tool -modfile=../../../tools/go.mod stringer -type Deed -linecomment
 
 // Deed is the kind of an effect.
 type Deed int
--- a/pkg/digest/digest.go
+++ b/pkg/events/digest/digest.go
@@ -1,8 +1,8 @@
 package digest
 
 import (
-	"github.com/balsamvale/balsamvale/pkg/change"
-	"github.com/balsamvale/balsamvale/pkg/fact"
+	"github.com/balsamvale/balsamvale/pkg/events/fact"
+	"github.com/balsamvale/balsamvale/pkg/stored/change"
 )
 
 // Digest is an entry's revision, its live facts, and changes that its peer lacks.
--- a/pkg/effect/effect.go
+++ b/pkg/events/effect/effect.go
@@ -4,14 +4,14 @@
 	"net/netip"
 	"time"
 
-	"github.com/balsamvale/balsamvale/pkg/credit"
-	"github.com/balsamvale/balsamvale/pkg/deed"
-	"github.com/balsamvale/balsamvale/pkg/demand"
-	"github.com/balsamvale/balsamvale/pkg/digest"
-	"github.com/balsamvale/balsamvale/pkg/fact"
-	"github.com/balsamvale/balsamvale/pkg/note"
-	"github.com/balsamvale/balsamvale/pkg/order"
-	"github.com/balsamvale/balsamvale/pkg/snap"
+	"github.com/balsamvale/balsamvale/pkg/calls/credit"
+	"github.com/balsamvale/balsamvale/pkg/calls/demand"
+	"github.com/balsamvale/balsamvale/pkg/events/deed"
+	"github.com/balsamvale/balsamvale/pkg/events/digest"
+	"github.com/balsamvale/balsamvale/pkg/events/fact"
+	"github.com/balsamvale/balsamvale/pkg/events/note"
+	"github.com/balsamvale/balsamvale/pkg/shared/snap"
+	"github.com/balsamvale/balsamvale/pkg/stored/order"
 )
 
 // Effect is one output of control; Deed says which fields are set.
--- a/pkg/event/event.go
+++ b/pkg/events/event/event.go
@@ -1,11 +1,11 @@
 package event
 
 import (
-	"github.com/balsamvale/balsamvale/pkg/demand"
-	"github.com/balsamvale/balsamvale/pkg/digest"
-	"github.com/balsamvale/balsamvale/pkg/fact"
-	"github.com/balsamvale/balsamvale/pkg/reply"
-	"github.com/balsamvale/balsamvale/pkg/signal"
+	"github.com/balsamvale/balsamvale/pkg/calls/demand"
+	"github.com/balsamvale/balsamvale/pkg/events/digest"
+	"github.com/balsamvale/balsamvale/pkg/events/fact"
+	"github.com/balsamvale/balsamvale/pkg/events/signal"
+	"github.com/balsamvale/balsamvale/pkg/stored/reply"
 )
 
 // Event is one input of control; Signal says which field is set.
--- a/pkg/fact/fact.go
+++ b/pkg/events/fact/fact.go
@@ -3,7 +3,7 @@
 import (
 	"time"
 
-	"github.com/balsamvale/balsamvale/pkg/topic"
+	"github.com/balsamvale/balsamvale/pkg/events/topic"
 )
 
 // Fact is news about one subject that holds until a time.
--- a/pkg/note/note.go
+++ b/pkg/events/note/note.go
@@ -1,6 +1,6 @@
 package note
 
-import "github.com/balsamvale/balsamvale/pkg/what"
+import "github.com/balsamvale/balsamvale/pkg/events/what"
 
 // Note is one placement decision.
 type Note struct {
--- a/pkg/signal/signal.go
+++ b/pkg/events/signal/signal.go
@@ -1,6 +1,6 @@
 package signal
 
-//go:generate go tool -modfile=../../tools/go.mod stringer -type Signal -linecomment
+//go:generate go tool -modfile=../../../tools/go.mod stringer -type Signal -linecomment
 
 // Signal is the kind of an event.
 type Signal int
--- a/pkg/topic/topic.go
+++ b/pkg/events/topic/topic.go
@@ -1,6 +1,6 @@
 package topic
 
-//go:generate go tool -modfile=../../tools/go.mod stringer -type Topic -linecomment
+//go:generate go tool -modfile=../../../tools/go.mod stringer -type Topic -linecomment
 
 // Topic is the subject matter of a fact.
 type Topic int
--- a/pkg/what/what.go
+++ b/pkg/events/what/what.go
@@ -1,6 +1,6 @@
 package what
 
-//go:generate go tool -modfile=../../tools/go.mod stringer -type What -linecomment
+//go:generate go tool -modfile=../../../tools/go.mod stringer -type What -linecomment
 
 // What is the subject of a log line about placement.
 type What int
--- a/pkg/record/record.go
+++ b/pkg/records/record/record.go
@@ -1,10 +1,10 @@
 package record
 
 import (
-	"github.com/balsamvale/balsamvale/pkg/domrec"
-	"github.com/balsamvale/balsamvale/pkg/movrec"
-	"github.com/balsamvale/balsamvale/pkg/svcrec"
-	"github.com/balsamvale/balsamvale/pkg/upsrec"
+	"github.com/balsamvale/balsamvale/pkg/records/domrec"
+	"github.com/balsamvale/balsamvale/pkg/records/movrec"
+	"github.com/balsamvale/balsamvale/pkg/records/svcrec"
+	"github.com/balsamvale/balsamvale/pkg/records/upsrec"
 )
 
 // Record is a service, an upstream, a failure domain or a move; one pointer is set.
--- a/pkg/repeat/repeat.go
+++ b/pkg/records/repeat/repeat.go
@@ -1,6 +1,6 @@
 package repeat
 
-//go:generate go tool -modfile=../../tools/go.mod stringer -type Repeat -linecomment
+//go:generate go tool -modfile=../../../tools/go.mod stringer -type Repeat -linecomment
 
 // Repeat is the rule by which a call may be sent again.
 type Repeat int
--- a/pkg/route/route.go
+++ b/pkg/records/route/route.go
@@ -1,8 +1,8 @@
 package route
 
 import (
-	"github.com/balsamvale/balsamvale/pkg/class"
-	"github.com/balsamvale/balsamvale/pkg/repeat"
+	"github.com/balsamvale/balsamvale/pkg/calls/class"
+	"github.com/balsamvale/balsamvale/pkg/records/repeat"
 )
 
 // Route is a path prefix and the rules for calls under it.
--- a/pkg/svcrec/service.go
+++ b/pkg/records/svcrec/service.go
@@ -4,7 +4,7 @@
 	"strings"
 	"time"
 
-	"github.com/balsamvale/balsamvale/pkg/route"
+	"github.com/balsamvale/balsamvale/pkg/records/route"
 )
 
 // Service is a group of upstreams that answer the same requests.
--- a/pkg/svcrec/service_test.go
+++ b/pkg/records/svcrec/service_test.go
@@ -4,8 +4,8 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
-	"github.com/balsamvale/balsamvale/pkg/route"
-	"github.com/balsamvale/balsamvale/pkg/svcrec"
+	"github.com/balsamvale/balsamvale/pkg/records/route"
+	"github.com/balsamvale/balsamvale/pkg/records/svcrec"
 )
 
 var _ = Describe("Route", func() {
--- a/pkg/fleet/fleet.go
+++ b/pkg/shared/fleet/fleet.go
@@ -1,9 +1,9 @@
 package fleet
 
 import (
-	"github.com/balsamvale/balsamvale/pkg/share"
-	"github.com/balsamvale/balsamvale/pkg/svcrec"
-	"github.com/balsamvale/balsamvale/pkg/target"
+	"github.com/balsamvale/balsamvale/pkg/records/svcrec"
+	"github.com/balsamvale/balsamvale/pkg/shared/share"
+	"github.com/balsamvale/balsamvale/pkg/shared/target"
 )
 
 // Fleet is an immutable view of one service.
--- a/pkg/snap/snapshot.go
+++ b/pkg/shared/snap/snapshot.go
@@ -1,6 +1,6 @@
 package snap
 
-import "github.com/balsamvale/balsamvale/pkg/fleet"
+import "github.com/balsamvale/balsamvale/pkg/shared/fleet"
 
 // Snapshot is the configuration in force at one revision.
 type Snapshot struct {
--- a/pkg/target/target.go
+++ b/pkg/shared/target/target.go
@@ -3,7 +3,7 @@
 import (
 	"time"
 
-	"github.com/balsamvale/balsamvale/pkg/upsrec"
+	"github.com/balsamvale/balsamvale/pkg/records/upsrec"
 )
 
 // Target is an upstream with what control knows of it.
--- a/pkg/change/change.go
+++ b/pkg/stored/change/change.go
@@ -1,6 +1,6 @@
 package change
 
-import "github.com/balsamvale/balsamvale/pkg/item"
+import "github.com/balsamvale/balsamvale/pkg/stored/item"
 
 // Change is a run of changes after the revision Base, complete up to Upto.
 type Change struct {
--- a/pkg/order/order.go
+++ b/pkg/stored/order/order.go
@@ -3,8 +3,8 @@
 import (
 	"time"
 
-	"github.com/balsamvale/balsamvale/pkg/value"
-	"github.com/balsamvale/balsamvale/pkg/verb"
+	"github.com/balsamvale/balsamvale/pkg/stored/value"
+	"github.com/balsamvale/balsamvale/pkg/stored/verb"
 )
 
 // Order is one call to the store; the reply carries its ID.
--- a/pkg/phase/phase.go
+++ b/pkg/stored/phase/phase.go
@@ -1,6 +1,6 @@
 package phase
 
-//go:generate go tool -modfile=../../tools/go.mod stringer -type Phase -linecomment
+//go:generate go tool -modfile=../../../tools/go.mod stringer -type Phase -linecomment
 
 // Phase is the stage of a move.
 type Phase int
--- a/pkg/progrs/progress.go
+++ b/pkg/stored/progrs/progress.go
@@ -3,7 +3,7 @@
 import (
 	"time"
 
-	"github.com/balsamvale/balsamvale/pkg/phase"
+	"github.com/balsamvale/balsamvale/pkg/stored/phase"
 )
 
 // Progress is how far a move has come.
--- a/pkg/reply/reply.go
+++ b/pkg/stored/reply/reply.go
@@ -1,6 +1,6 @@
 package reply
 
-import "github.com/balsamvale/balsamvale/pkg/item"
+import "github.com/balsamvale/balsamvale/pkg/stored/item"
 
 // Reply is the outcome of one order.
 type Reply struct {
--- a/pkg/status/status.go
+++ b/pkg/stored/status/status.go
@@ -3,8 +3,8 @@
 import (
 	"time"
 
-	"github.com/balsamvale/balsamvale/pkg/progrs"
-	"github.com/balsamvale/balsamvale/pkg/reject"
+	"github.com/balsamvale/balsamvale/pkg/records/reject"
+	"github.com/balsamvale/balsamvale/pkg/stored/progrs"
 )
 
 // Status is what is in force on one entry.
--- a/pkg/value/value.go
+++ b/pkg/stored/value/value.go
@@ -1,10 +1,10 @@
 package value
 
 import (
-	"github.com/balsamvale/balsamvale/pkg/member"
-	"github.com/balsamvale/balsamvale/pkg/progrs"
-	"github.com/balsamvale/balsamvale/pkg/record"
-	"github.com/balsamvale/balsamvale/pkg/tenure"
+	"github.com/balsamvale/balsamvale/pkg/records/record"
+	"github.com/balsamvale/balsamvale/pkg/stored/member"
+	"github.com/balsamvale/balsamvale/pkg/stored/progrs"
+	"github.com/balsamvale/balsamvale/pkg/stored/tenure"
 )
 
 // Value is a record, a member, a tenure or a progress; one pointer is set.
--- a/pkg/verb/verb.go
+++ b/pkg/stored/verb/verb.go
@@ -1,6 +1,6 @@
 package verb
 
-//go:generate go tool -modfile=../../tools/go.mod stringer -type Verb -linecomment
+//go:generate go tool -modfile=../../../tools/go.mod stringer -type Verb -linecomment
 
 // Verb is an operation of the store.
 type Verb int
--- a/pkg/bucket/bucket.go
+++ b/pkg/traffic/bucket/bucket.go
@@ -5,12 +5,12 @@
 	"slices"
 	"time"
 
-	"github.com/balsamvale/balsamvale/pkg/answer"
-	"github.com/balsamvale/balsamvale/pkg/claim"
-	"github.com/balsamvale/balsamvale/pkg/grant"
-	"github.com/balsamvale/balsamvale/pkg/state"
-	"github.com/balsamvale/balsamvale/pkg/tune"
-	"github.com/balsamvale/balsamvale/pkg/verb"
+	"github.com/balsamvale/balsamvale/pkg/calls/answer"
+	"github.com/balsamvale/balsamvale/pkg/calls/claim"
+	"github.com/balsamvale/balsamvale/pkg/calls/grant"
+	"github.com/balsamvale/balsamvale/pkg/calls/state"
+	"github.com/balsamvale/balsamvale/pkg/shared/tune"
+	"github.com/balsamvale/balsamvale/pkg/stored/verb"
 )
 
 // Bucket is an entry's side of one store key that holds many claims; its owner locks it.
--- a/pkg/bucket/bucket_test.go
+++ b/pkg/traffic/bucket/bucket_test.go
@@ -8,12 +8,12 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
-	"github.com/balsamvale/balsamvale/pkg/answer"
-	"github.com/balsamvale/balsamvale/pkg/bucket"
-	"github.com/balsamvale/balsamvale/pkg/claim"
-	"github.com/balsamvale/balsamvale/pkg/grant"
-	"github.com/balsamvale/balsamvale/pkg/state"
-	"github.com/balsamvale/balsamvale/pkg/verb"
+	"github.com/balsamvale/balsamvale/pkg/calls/answer"
+	"github.com/balsamvale/balsamvale/pkg/calls/claim"
+	"github.com/balsamvale/balsamvale/pkg/calls/grant"
+	"github.com/balsamvale/balsamvale/pkg/calls/state"
+	"github.com/balsamvale/balsamvale/pkg/stored/verb"
+	"github.com/balsamvale/balsamvale/pkg/traffic/bucket"
 )
 
 // cell is a store key whose swaps may take effect late, or get their answers lost.
--- a/pkg/circ/breaker.go
+++ b/pkg/traffic/circ/breaker.go
@@ -3,7 +3,7 @@
 import (
 	"time"
 
-	"github.com/balsamvale/balsamvale/pkg/tune"
+	"github.com/balsamvale/balsamvale/pkg/shared/tune"
 )
 
 // Breaker opens after failures in a row and lets single trials through; the owner locks it.
--- a/pkg/circ/breaker_test.go
+++ b/pkg/traffic/circ/breaker_test.go
@@ -6,8 +6,8 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
-	"github.com/balsamvale/balsamvale/pkg/circ"
-	"github.com/balsamvale/balsamvale/pkg/tune"
+	"github.com/balsamvale/balsamvale/pkg/shared/tune"
+	"github.com/balsamvale/balsamvale/pkg/traffic/circ"
 )
 
 var _ = Describe("Breaker", func() {
--- a/pkg/flow/flow.go
+++ b/pkg/traffic/flow/flow.go
@@ -3,18 +3,18 @@
 import (
 	"time"
 
-	"github.com/balsamvale/balsamvale/pkg/call"
-	"github.com/balsamvale/balsamvale/pkg/cause"
-	"github.com/balsamvale/balsamvale/pkg/choice"
-	"github.com/balsamvale/balsamvale/pkg/fate"
-	"github.com/balsamvale/balsamvale/pkg/grant"
-	"github.com/balsamvale/balsamvale/pkg/poison"
-	"github.com/balsamvale/balsamvale/pkg/pool"
-	"github.com/balsamvale/balsamvale/pkg/reason"
-	"github.com/balsamvale/balsamvale/pkg/result"
-	"github.com/balsamvale/balsamvale/pkg/stage"
-	"github.com/balsamvale/balsamvale/pkg/step"
-	"github.com/balsamvale/balsamvale/pkg/tune"
+	"github.com/balsamvale/balsamvale/pkg/calls/call"
+	"github.com/balsamvale/balsamvale/pkg/calls/cause"
+	"github.com/balsamvale/balsamvale/pkg/calls/choice"
+	"github.com/balsamvale/balsamvale/pkg/calls/fate"
+	"github.com/balsamvale/balsamvale/pkg/calls/grant"
+	"github.com/balsamvale/balsamvale/pkg/calls/reason"
+	"github.com/balsamvale/balsamvale/pkg/calls/result"
+	"github.com/balsamvale/balsamvale/pkg/calls/stage"
+	"github.com/balsamvale/balsamvale/pkg/calls/step"
+	"github.com/balsamvale/balsamvale/pkg/shared/tune"
+	"github.com/balsamvale/balsamvale/pkg/traffic/poison"
+	"github.com/balsamvale/balsamvale/pkg/traffic/pool"
 )
 
 // Flow is the state of one call; a single goroutine drives it.
--- a/pkg/judge/judge.go
+++ b/pkg/traffic/judge/judge.go
@@ -5,7 +5,7 @@
 	"math"
 	"time"
 
-	"github.com/balsamvale/balsamvale/pkg/tune"
+	"github.com/balsamvale/balsamvale/pkg/shared/tune"
 )
 
 // Judge is a sequential test of one version move; its owner locks it.
--- a/pkg/judge/judge_test.go
+++ b/pkg/traffic/judge/judge_test.go
@@ -7,7 +7,7 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
-	"github.com/balsamvale/balsamvale/pkg/judge"
+	"github.com/balsamvale/balsamvale/pkg/traffic/judge"
 )
 
 var _ = Describe("Judge", func() {
--- a/pkg/poison/table.go
+++ b/pkg/traffic/poison/table.go
@@ -5,7 +5,7 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/balsamvale/balsamvale/pkg/tune"
+	"github.com/balsamvale/balsamvale/pkg/shared/tune"
 )
 
 // Table counts crashes by fingerprint and by the entry that saw them.
--- a/pkg/pool/choose.go
+++ b/pkg/traffic/pool/choose.go
@@ -4,13 +4,13 @@
 	"slices"
 	"time"
 
-	"github.com/balsamvale/balsamvale/pkg/call"
-	"github.com/balsamvale/balsamvale/pkg/choice"
-	"github.com/balsamvale/balsamvale/pkg/class"
-	"github.com/balsamvale/balsamvale/pkg/policy"
-	"github.com/balsamvale/balsamvale/pkg/reason"
-	"github.com/balsamvale/balsamvale/pkg/stage"
-	"github.com/balsamvale/balsamvale/pkg/tune"
+	"github.com/balsamvale/balsamvale/pkg/calls/call"
+	"github.com/balsamvale/balsamvale/pkg/calls/choice"
+	"github.com/balsamvale/balsamvale/pkg/calls/class"
+	"github.com/balsamvale/balsamvale/pkg/calls/policy"
+	"github.com/balsamvale/balsamvale/pkg/calls/reason"
+	"github.com/balsamvale/balsamvale/pkg/calls/stage"
+	"github.com/balsamvale/balsamvale/pkg/shared/tune"
 )
 
 const (
--- a/pkg/pool/compare.go
+++ b/pkg/traffic/pool/compare.go
@@ -3,14 +3,14 @@
 import (
 	"time"
 
-	"github.com/balsamvale/balsamvale/pkg/cause"
-	"github.com/balsamvale/balsamvale/pkg/choice"
-	"github.com/balsamvale/balsamvale/pkg/fact"
-	"github.com/balsamvale/balsamvale/pkg/fleet"
-	"github.com/balsamvale/balsamvale/pkg/judge"
-	"github.com/balsamvale/balsamvale/pkg/result"
-	"github.com/balsamvale/balsamvale/pkg/topic"
-	"github.com/balsamvale/balsamvale/pkg/tune"
+	"github.com/balsamvale/balsamvale/pkg/calls/cause"
+	"github.com/balsamvale/balsamvale/pkg/calls/choice"
+	"github.com/balsamvale/balsamvale/pkg/calls/result"
+	"github.com/balsamvale/balsamvale/pkg/events/fact"
+	"github.com/balsamvale/balsamvale/pkg/events/topic"
+	"github.com/balsamvale/balsamvale/pkg/shared/fleet"
+	"github.com/balsamvale/balsamvale/pkg/shared/tune"
+	"github.com/balsamvale/balsamvale/pkg/traffic/judge"
 )
 
 // follow begins to judge a move when there is a new one.
--- a/pkg/pool/wait.go
+++ b/pkg/traffic/pool/wait.go
@@ -3,12 +3,12 @@
 import (
 	"time"
 
-	"github.com/balsamvale/balsamvale/pkg/call"
-	"github.com/balsamvale/balsamvale/pkg/choice"
-	"github.com/balsamvale/balsamvale/pkg/class"
-	"github.com/balsamvale/balsamvale/pkg/reason"
-	"github.com/balsamvale/balsamvale/pkg/stage"
-	"github.com/balsamvale/balsamvale/pkg/tune"
+	"github.com/balsamvale/balsamvale/pkg/calls/call"
+	"github.com/balsamvale/balsamvale/pkg/calls/choice"
+	"github.com/balsamvale/balsamvale/pkg/calls/class"
+	"github.com/balsamvale/balsamvale/pkg/calls/reason"
+	"github.com/balsamvale/balsamvale/pkg/calls/stage"
+	"github.com/balsamvale/balsamvale/pkg/shared/tune"
 )
 
 // waiter is a call in the queue.
--- a/pkg/queue/queue.go
+++ b/pkg/traffic/queue/queue.go
@@ -3,7 +3,7 @@
 import (
 	"time"
 
-	"github.com/balsamvale/balsamvale/pkg/class"
+	"github.com/balsamvale/balsamvale/pkg/calls/class"
 )
 
 // Queue serves interactive calls before bulk ones and callers in turn; the owner locks it.
--- a/pkg/queue/queue_test.go
+++ b/pkg/traffic/queue/queue_test.go
@@ -6,8 +6,8 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
-	"github.com/balsamvale/balsamvale/pkg/class"
-	"github.com/balsamvale/balsamvale/pkg/queue"
+	"github.com/balsamvale/balsamvale/pkg/calls/class"
+	"github.com/balsamvale/balsamvale/pkg/traffic/queue"
 )
 
 type put struct {
--- a/pkg/wallet/wallet.go
+++ b/pkg/traffic/wallet/wallet.go
@@ -3,7 +3,7 @@
 import (
 	"time"
 
-	"github.com/balsamvale/balsamvale/pkg/credit"
+	"github.com/balsamvale/balsamvale/pkg/calls/credit"
 )
 
 // Wallet holds the unused and the spent credits of one upstream; the owner locks it.
