--- a/gen.sh
+++ b/gen.sh
@@ -1,9 +1,10 @@
 #!/usr/bin/env bash
-# Regenerates the code that comes from the schema and the enum names.
+# Regenerates the code that comes from the schemas and the enum names.
 set -eu
 cd "$(dirname "$0")"
 tool() { go tool -modfile=tools/go.mod "$@"; }
-rm -rf internal/gen
+rm -rf internal/gen platform/gen
 tool buf generate --template schema/buf.gen.yaml
+tool buf generate --template platform/schema/buf.gen.yaml
 go generate ./pkg/...
-gofmt -w internal/gen
+gofmt -w internal/gen platform/gen
--- a/internal/back/back.go
+++ b/internal/back/back.go
@@ -24,6 +24,7 @@
 // Back holds the connections to upstreams; it is safe for concurrent use.
 type Back struct {
 	clock  clock.Clock
+	judge  func(res *http.Response, id string) result.Result
 	pooled *http.Transport
 	// fresh opens a connection for each attempt.
 	fresh *http.Transport
@@ -32,9 +33,9 @@
 // idlePerHost bounds the idle connections to one upstream.
 const idlePerHost = 32
 
-// New returns a back without connections.
-func New(c clock.Clock) *Back {
-	b := &Back{clock: c}
+// New returns a back without connections; judge reads the heads of answers.
+func New(c clock.Clock, judge func(res *http.Response, id string) result.Result) *Back {
+	b := &Back{clock: c, judge: judge}
 	b.pooled = b.transport()
 	b.fresh = b.transport()
 	b.fresh.DisableKeepAlives = true
@@ -98,7 +99,7 @@
 	if err != nil {
 		return nil, result.Result{Cause: t.failure(ctx), Took: took}, t.stale
 	}
-	out := judge(res, r.ID)
+	out := b.judge(res, r.ID)
 	out.Took = took
 	out.Closing = res.Close && rt == b.pooled
 	if out.Cause == cause.Mismatch {
@@ -118,7 +119,6 @@
 	if parsed, err := url.ParseRequestURI(r.Target); err == nil {
 		u.Path, u.RawPath, u.RawQuery = parsed.Path, parsed.RawPath, parsed.RawQuery
 	}
-	req.Header.Set(wire.Attempt, r.ID)
 	// net/http repeats requests that carry this header by its usual name; the other
 	// spelling means the same to the upstream and keeps repeats to this package.
 	if key, ok := req.Header[wire.Key]; ok {
@@ -130,6 +130,9 @@
 		req.Body = http.NoBody
 	case r.Buffered:
 		req.ContentLength = int64(len(r.Body))
+		if r.Chunked {
+			req.ContentLength = -1
+		}
 		req.Body = &once{Reader: bytes.NewReader(r.Body)}
 	default:
 		req.ContentLength = r.Length
@@ -174,10 +177,21 @@
 	return nil
 }
 
+// undialed says why an attempt got no connection.
+func (t *trip) undialed(ctx context.Context) cause.Cause {
+	if ctx.Err() != nil {
+		return cause.Unsent
+	}
+	return cause.Down
+}
+
 // failure says how an attempt without an answer ended.
 func (t *trip) failure(ctx context.Context) cause.Cause {
 	c := t.conn.Load()
-	if c == nil || c.written.Load() == t.start {
+	if c == nil {
+		return t.undialed(ctx)
+	}
+	if c.written.Load() == t.start {
 		return cause.Unsent
 	}
 	switch {
@@ -188,19 +202,3 @@
 	}
 	return cause.Broken
 }
-
-// judge reads the head of an answer.
-func judge(res *http.Response, id string) result.Result {
-	out := result.Result{Status: res.StatusCode, Report: wire.ParseReport(res.Header.Get(wire.Load))}
-	out.Final = res.Header.Get(wire.Retry) == wire.RetryNo
-	echo := res.Header.Get(wire.Attempt)
-	switch {
-	case echo != "" && echo != id:
-		out.Cause = cause.Mismatch
-	case res.StatusCode >= 500 && res.Header.Get(wire.Run) == wire.RunNone:
-		out.Cause = cause.Shed
-	case res.StatusCode >= 500:
-		out.Cause = cause.Error
-	}
-	return out
-}
--- a/internal/back/back_test.go
+++ b/internal/back/back_test.go
@@ -14,6 +14,7 @@
 	. "github.com/onsi/gomega"
 
 	"github.com/balsamvale/balsamvale/internal/back"
+	"github.com/balsamvale/balsamvale/internal/dialct"
 	"github.com/balsamvale/balsamvale/internal/outreq"
 	"github.com/balsamvale/balsamvale/pkg/calls/cause"
 	"github.com/balsamvale/balsamvale/pkg/shared/clock"
@@ -104,7 +105,7 @@
 			go u.loop()
 			DeferCleanup(on.Close)
 			cl := &skewed{Clock: clock.Wall()}
-			b := back.New(cl)
+			b := back.New(cl, dialct.Own().Judge)
 			send := func(repeat, buffered bool) (*http.Response, cause.Cause) {
 				ctx, cancel := context.WithTimeout(context.Background(), 300*time.Millisecond)
 				DeferCleanup(cancel)
@@ -137,7 +138,7 @@
 		Expect(err).NotTo(HaveOccurred())
 		addr := netip.MustParseAddrPort(on.Addr().String())
 		_ = on.Close()
-		_, out := back.New(clock.Wall()).Send(context.Background(), &outreq.Request{
+		_, out := back.New(clock.Wall(), dialct.Own().Judge).Send(context.Background(), &outreq.Request{
 			Method: http.MethodGet, Target: "/", Header: http.Header{}, Buffered: true, Addr: addr, Sent: time.Now(),
 		})
 		Expect(out.Cause).To(Equal(cause.Unsent))
--- a/internal/cmds/app.go
+++ b/internal/cmds/app.go
@@ -9,6 +9,8 @@
 	"github.com/rotisserie/eris"
 	"github.com/urfave/cli/v3"
 
+	"github.com/balsamvale/balsamvale/internal/option"
+	"github.com/balsamvale/balsamvale/internal/seams"
 	"github.com/balsamvale/balsamvale/internal/tomlpb"
 )
 
@@ -33,6 +35,8 @@
 type App struct {
 	Out io.Writer
 	Err io.Writer
+	// Platform reads a settings file of the users' platform, and joins an entry to it.
+	Platform func(file string) (*option.Options, *seams.Seams, error)
 }
 
 const description = `Exit codes: 0 done; 1 failed; 2 invalid settings, records or arguments;
--- a/internal/cmds/serve.go
+++ b/internal/cmds/serve.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"net/http"
 	"os"
 	"os/signal"
 	"runtime/debug"
@@ -14,6 +15,8 @@
 	"github.com/balsamvale/balsamvale/internal/daemon"
 	"github.com/balsamvale/balsamvale/internal/logs"
 	"github.com/balsamvale/balsamvale/internal/option"
+	"github.com/balsamvale/balsamvale/internal/seams"
+	"github.com/balsamvale/balsamvale/internal/store"
 	"github.com/balsamvale/balsamvale/pkg/shared/clock"
 )
 
@@ -21,7 +24,10 @@
 	return &cli.Command{
 		Name: "serve", Usage: "run an entry until SIGTERM", ArgsUsage: "SETTINGS",
 		Description: example("serve /etc/balsamvale/entry.toml"),
-		Action:      a.doServe,
+		Flags: []cli.Flag{
+			&cli.BoolFlag{Name: "platform", Usage: "SETTINGS is a file of the users' platform, whose store and headers are used"},
+		},
+		Action: a.doServe,
 	}
 }
 
@@ -29,18 +35,34 @@
 	if cmd.NArg() != 1 {
 		return eris.Wrap(errInvalid, "serve takes one settings file")
 	}
-	o, err := option.Load(cmd.Args().First())
+	open := a.ownStore
+	if cmd.Bool("platform") {
+		open = a.Platform
+	}
+	o, s, err := open(cmd.Args().First())
 	if err != nil {
 		return err
 	}
+	if o.Memory > 0 {
+		debug.SetMemoryLimit(o.Memory)
+	}
 	c := clock.Wall()
-	log := logs.New(a.Err, o.Level, o.Sample)
+	log := logs.New(a.Out, o.Level, o.Sample)
 	defer func() { _ = log.Close() }()
 	stop, cancel := signal.NotifyContext(ctx, syscall.SIGTERM, os.Interrupt)
 	defer cancel()
 	// The start time makes a start unlike any other of the same name.
 	boot := uint64(c.Now().UnixNano())
-	return daemon.New(o, c, log, boot).Run(stop)
+	return daemon.New(o, c, log, boot, s).Run(stop)
+}
+
+// ownStore reads the project's own settings, and joins the entry to the project's own store protocol.
+func (a *App) ownStore(file string) (*option.Options, *seams.Seams, error) {
+	o, err := option.Load(file)
+	if err != nil {
+		return nil, nil, err
+	}
+	return o, store.New(&http.Client{}, o.Store).Seams(), nil
 }
 
 func (a *App) version() *cli.Command {
--- a/internal/codec/checkset.go
+++ b/internal/codec/checkset.go
@@ -51,6 +51,12 @@
 		if all["domain/"+rec.Upstream.Domain] == nil {
 			return eris.Errorf("domain %q does not exist", rec.Upstream.Domain)
 		}
+	case rec.Rule != nil:
+		for _, p := range rec.Rule.Parts {
+			if all["service/"+p.Service] == nil {
+				return eris.Errorf("service %q does not exist", p.Service)
+			}
+		}
 	case rec.Move != nil:
 		if all["service/"+rec.Move.Service] == nil {
 			return eris.Errorf("service %q does not exist", rec.Move.Service)
--- a/internal/codec/record.go
+++ b/internal/codec/record.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/netip"
+	"strings"
 
 	"github.com/rotisserie/eris"
 	"google.golang.org/protobuf/proto"
@@ -12,7 +13,10 @@
 	"github.com/balsamvale/balsamvale/pkg/control/keys"
 	"github.com/balsamvale/balsamvale/pkg/records/domrec"
 	"github.com/balsamvale/balsamvale/pkg/records/movrec"
+	"github.com/balsamvale/balsamvale/pkg/records/part"
 	"github.com/balsamvale/balsamvale/pkg/records/record"
+	"github.com/balsamvale/balsamvale/pkg/records/repeat"
+	"github.com/balsamvale/balsamvale/pkg/records/rulrec"
 	"github.com/balsamvale/balsamvale/pkg/records/upsrec"
 )
 
@@ -25,7 +29,7 @@
 // Kinds lists the kinds of records in the order in which they are written.
 //
 // Moves come before upstreams, so that a new version gets no calls before its move is known.
-func Kinds() []string { return []string{"domain", "service", "move", "upstream"} }
+func Kinds() []string { return []string{"domain", "service", "move", "upstream", "rule"} }
 
 // blank returns an empty message for a kind and schema version, or nil.
 func blank(kind string, schema int64) proto.Message {
@@ -40,6 +44,8 @@
 		return &pb.Domain{}
 	case kind == "move" && schema == 1:
 		return &pb.Move{}
+	case kind == "rule" && schema == 1:
+		return &pb.Rule{}
 	}
 	return nil
 }
@@ -128,6 +134,8 @@
 		}}, nil
 	case *pb.Move:
 		return moveRecord(m)
+	case *pb.Rule:
+		return ruleRecord(m)
 	}
 	return nil, eris.Wrapf(ErrRecord, "kind %s", r.GetKind())
 }
@@ -146,10 +154,28 @@
 	}
 	return &record.Record{Upstream: &upsrec.Upstream{
 		Name: u.GetName(), Service: u.GetService(), Domain: u.GetDomain(),
-		Addr: ap, Version: u.GetVersion(), Leave: u.GetLeave(),
+		Addr: ap, Version: u.GetVersion(), Leave: u.GetLeave(), Slots: int(u.GetSlots()),
 	}}, nil
 }
 
+func ruleRecord(r *pb.Rule) (*record.Record, error) {
+	if !strings.HasSuffix(r.GetPath(), "/") {
+		return nil, eris.Wrapf(ErrRecord, "path %s must end with a slash", r.GetPath())
+	}
+	if len(r.GetPart()) == 0 {
+		return nil, eris.Wrap(ErrRecord, "a rule needs at least one part")
+	}
+	out := &rulrec.Rule{
+		Name: r.GetName(), Host: r.GetHost(), Path: r.GetPath(), Repeat: repeat.Repeat(r.GetRepeat()),
+		Timeout: r.GetTimeout().AsDuration(), Goal: r.GetGoal().AsDuration(),
+		Attempts: int(r.GetAttempts()), Rank: int(r.GetRank()),
+	}
+	for _, p := range r.GetPart() {
+		out.Parts = append(out.Parts, part.Part{Service: p.GetService(), Weight: int(p.GetWeight())})
+	}
+	return &record.Record{Rule: out}, nil
+}
+
 func moveRecord(m *pb.Move) (*record.Record, error) {
 	out := &movrec.Move{
 		Name: m.GetName(), Service: m.GetService(), From: m.GetFrom(), To: m.GetTo(),
--- a/internal/codec/service.go
+++ b/internal/codec/service.go
@@ -50,6 +50,9 @@
 	if s.GetRetry() != defaultRetry || s.GetQueue() != defaultQueue {
 		return nil, eris.Wrap(ErrLossy, "retry and queue")
 	}
+	if s.GetRate() != 0 {
+		return nil, eris.Wrap(ErrLossy, "rate")
+	}
 	for _, r := range s.GetRoute() {
 		if r.GetPath() == "/" && r.GetRepeat() == pb2.Repeat_METHOD {
 			out.Bulk = r.GetClass() == pb2.Class_BULK
@@ -70,7 +73,7 @@
 func toService(s *pb2.Service) *svcrec.Service {
 	out := &svcrec.Service{
 		Name: s.GetName(), Slots: int(s.GetSlots()), Conns: int(s.GetConns()),
-		Timeout: s.GetTimeout().AsDuration(), Cold: int(s.GetCold()), Warm: s.GetWarm().AsDuration(),
+		Timeout: s.GetTimeout().AsDuration(), Cold: int(s.GetCold()), Rate: int(s.GetRate()), Warm: s.GetWarm().AsDuration(),
 		Budget: int(s.GetBudget()), Retry: int(s.GetRetry()), Queue: int(s.GetQueue()),
 	}
 	for _, r := range s.GetRoute() {
--- a/internal/codec/value.go
+++ b/internal/codec/value.go
@@ -86,7 +86,7 @@
 func toProgress(p *pb.Progress) *progrs.Progress {
 	return &progrs.Progress{
 		Move: p.GetMove(), Share: int(p.GetShare()), Phase: phase.Phase(p.GetPhase()),
-		Driver: p.GetDriver(), Since: p.GetSince().AsTime(), Reason: p.GetReason(),
+		Driver: p.GetDriver(), Since: p.GetSince().AsTime(), Start: p.GetStart().AsTime(), Reason: p.GetReason(),
 	}
 }
 
@@ -105,7 +105,7 @@
 		p := v.Progress
 		m = &pb.Progress{
 			Move: p.Move, Share: uint32(p.Share), Phase: pb.Progress_Phase(p.Phase),
-			Driver: p.Driver, Since: timestamppb.New(p.Since), Reason: p.Reason,
+			Driver: p.Driver, Since: timestamppb.New(p.Since), Start: timestamppb.New(p.Start), Reason: p.Reason,
 		}
 	default:
 		return nil, nil
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -21,7 +21,6 @@
 
 	"github.com/rotisserie/eris"
 
-	"github.com/balsamvale/balsamvale/internal/codec"
 	"github.com/balsamvale/balsamvale/internal/logs"
 	"github.com/balsamvale/balsamvale/internal/wire"
 	"github.com/balsamvale/balsamvale/pkg/calls/cause"
@@ -37,14 +36,17 @@
 	"github.com/balsamvale/balsamvale/pkg/events/fact"
 	"github.com/balsamvale/balsamvale/pkg/events/signal"
 	"github.com/balsamvale/balsamvale/pkg/events/topic"
+	"github.com/balsamvale/balsamvale/pkg/records/rulrec"
 	"github.com/balsamvale/balsamvale/pkg/records/svcrec"
 	"github.com/balsamvale/balsamvale/pkg/shared/clock"
 	"github.com/balsamvale/balsamvale/pkg/shared/snap"
 	"github.com/balsamvale/balsamvale/pkg/shared/tune"
+	"github.com/balsamvale/balsamvale/pkg/stored/item"
 	"github.com/balsamvale/balsamvale/pkg/stored/member"
 	"github.com/balsamvale/balsamvale/pkg/stored/order"
 	"github.com/balsamvale/balsamvale/pkg/stored/reply"
 	"github.com/balsamvale/balsamvale/pkg/stored/status"
+	"github.com/balsamvale/balsamvale/pkg/stored/value"
 	"github.com/balsamvale/balsamvale/pkg/traffic/poison"
 	"github.com/balsamvale/balsamvale/pkg/traffic/pool"
 )
@@ -95,13 +97,13 @@
 }
 
 // New returns a core; seeds are peers to ask while the store cannot be reached.
-func New(c clock.Clock, log *logs.Log, me member.Member, seeds []netip.AddrPort, seed uint64) *Core {
+func New(c clock.Clock, log *logs.Log, me member.Member, seeds []netip.AddrPort, seed uint64, decode func(item.Item) (value.Value, error)) *Core {
 	rnd := rand.New(rand.NewPCG(seed, me.Boot))
 	co := &Core{
 		clock:   c,
 		log:     log,
 		poison:  poison.New(),
-		control: contrl.New(me, rnd, codec.Decode),
+		control: contrl.New(me, rnd, decode),
 		me:      me,
 		seeds:   seeds,
 		events:  make(chan event.Event, tune.ReportQueue),
@@ -132,6 +134,15 @@
 	return &f.Service, t.pools[name]
 }
 
+// Rule finds the routing rule of a call; known is false when there are no rules.
+func (co *Core) Rule(host, path string) (r *rulrec.Rule, known bool) {
+	t := co.table.Load().snapshot.Rules
+	if t == nil {
+		return nil, false
+	}
+	return t.Find(host, path), true
+}
+
 // Entries returns the number of entries in the fleet as far as is known.
 func (co *Core) Entries() int {
 	for _, f := range co.table.Load().snapshot.Fleets {
@@ -143,6 +154,9 @@
 // Ready reports whether callers should be sent here.
 func (co *Core) Ready() bool { return co.ready.Load() }
 
+// Known reports whether a configuration is in force.
+func (co *Core) Known() bool { return co.table.Load().snapshot.Revision > 0 }
+
 // Start begins the loops; they end with the context.
 func (co *Core) Start(ctx context.Context) {
 	go co.loop(ctx)
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -22,7 +22,7 @@
 	"github.com/balsamvale/balsamvale/internal/logs"
 	"github.com/balsamvale/balsamvale/internal/option"
 	"github.com/balsamvale/balsamvale/internal/peers"
-	"github.com/balsamvale/balsamvale/internal/store"
+	"github.com/balsamvale/balsamvale/internal/seams"
 	"github.com/balsamvale/balsamvale/pkg/shared/clock"
 	"github.com/balsamvale/balsamvale/pkg/stored/member"
 )
@@ -38,7 +38,7 @@
 	core    *core.Core
 	peers   *peers.Service
 	metrics *metrics.Set
-	store   *store.Client
+	seams   *seams.Seams
 	front   *http.Server
 	peer    *http.Server
 	admin   *http.Server
@@ -46,13 +46,12 @@
 }
 
 // New wires an entry; boot identifies this start of it.
-func New(o *option.Options, c clock.Clock, log *logs.Log, boot uint64) *Daemon {
-	d := &Daemon{options: o, clock: c, log: log, metrics: metrics.NewSet(), errs: make(chan error, servers)}
+func New(o *option.Options, c clock.Clock, log *logs.Log, boot uint64, s *seams.Seams) *Daemon {
+	d := &Daemon{options: o, clock: c, log: log, seams: s, metrics: metrics.NewSet(), errs: make(chan error, servers)}
 	me := member.Member{Name: o.Name, Domain: o.Domain, Peer: o.Peer, Boot: boot}
-	d.core = core.New(c, log, me, o.Seeds, boot)
-	d.store = store.New(&http.Client{}, o.Store)
+	d.core = core.New(c, log, me, o.Seeds, boot, s.Decode)
 	d.peers = peers.New(c, &http.Client{})
-	d.core.Do = d.store.Do
+	d.core.Do = s.Do
 	d.core.Tell = d.peers.Tell
 	d.core.Ask = d.peers.Ask
 	d.peers.Post = d.core.Post
@@ -70,14 +69,15 @@
 func (d *Daemon) serveFront(boot uint64) {
 	o := d.options
 	k := claims.New(d.clock, fmt.Sprintf("%s.%d", o.Name, boot))
-	k.Get, k.Swap, k.Entries = d.store.Get, d.store.Swap, d.core.Entries
+	k.Get, k.Swap, k.Entries = d.seams.Get, d.seams.Swap, d.core.Entries
 	f := &front.Front{
-		Service: d.core.Service, Send: back.New(d.clock).Send, Claim: k.Claim, Settle: k.Settle,
+		Rule: d.core.Rule, Ready: d.core.Known, Dialect: d.seams.Dialect,
+		Service: d.core.Service, Send: back.New(d.clock, d.seams.Dialect.Judge).Send, Claim: k.Claim, Settle: k.Settle,
 		Clock: d.clock, Log: d.log, Poison: d.core.Poison(), Name: o.Name, Boot: boot, Body: o.Body,
 	}
 	f.Init(d.metrics)
-	d.metrics.NewGauge("balsamvale_store_reads_total", func() float64 { return float64(d.store.Reads.Load()) })
-	d.metrics.NewGauge("balsamvale_store_writes_total", func() float64 { return float64(d.store.Writes.Load()) })
+	d.metrics.NewGauge("balsamvale_store_reads_total", func() float64 { return float64(d.seams.Reads()) })
+	d.metrics.NewGauge("balsamvale_store_writes_total", func() float64 { return float64(d.seams.Writes()) })
 	d.metrics.NewGauge("balsamvale_news_dropped_total", func() float64 { return float64(d.core.Dropped.Load()) })
 	d.front = &http.Server{Handler: f, ReadHeaderTimeout: o.Read, MaxHeaderBytes: o.Header, Protocols: bothProtocols()}
 }
@@ -107,7 +107,7 @@
 			http.Error(w, "not ready", http.StatusServiceUnavailable)
 			return
 		}
-		w.WriteHeader(http.StatusNoContent)
+		w.WriteHeader(http.StatusOK)
 	})
 	mux.HandleFunc("GET /debug/pprof/", pprof.Index)
 	mux.HandleFunc("GET /debug/pprof/profile", pprof.Profile)
--- /dev/null
+++ b/internal/dialct/doc.go
@@ -0,0 +1,2 @@
+// Package dialct describes how calls and answers carry what decisions need in their headers.
+package dialct
--- a/internal/front/exchange.go
+++ b/internal/front/exchange.go
@@ -1,9 +1,9 @@
 package front
 
 import (
+	"bytes"
 	"context"
 	"errors"
-	"fmt"
 	"io"
 	"net/http"
 	"strconv"
@@ -13,6 +13,7 @@
 	"github.com/balsamvale/balsamvale/internal/wire"
 	"github.com/balsamvale/balsamvale/pkg/calls/answer"
 	"github.com/balsamvale/balsamvale/pkg/calls/call"
+	"github.com/balsamvale/balsamvale/pkg/calls/cause"
 	"github.com/balsamvale/balsamvale/pkg/calls/choice"
 	"github.com/balsamvale/balsamvale/pkg/calls/fate"
 	"github.com/balsamvale/balsamvale/pkg/calls/grant"
@@ -21,23 +22,23 @@
 	"github.com/balsamvale/balsamvale/pkg/calls/stage"
 	"github.com/balsamvale/balsamvale/pkg/calls/state"
 	"github.com/balsamvale/balsamvale/pkg/calls/step"
-	"github.com/balsamvale/balsamvale/pkg/records/svcrec"
 	"github.com/balsamvale/balsamvale/pkg/shared/tune"
 	"github.com/balsamvale/balsamvale/pkg/traffic/flow"
 )
 
 // exchange drives the flow of one call; the handler's goroutine owns it.
 type exchange struct {
-	front   *Front
-	w       http.ResponseWriter
-	r       *http.Request
-	service *svcrec.Service
-	target  string
-	call    *call.Call
-	flow    *flow.Flow
+	front *Front
+	w     http.ResponseWriter
+	r     *http.Request
+	place place
+	call  *call.Call
+	flow  *flow.Flow
 
 	body     []byte
 	buffered bool
+	// chunked is set for a buffered body whose length the caller did not say.
+	chunked  bool
 	stream   *stream
 	attempts []*attempt
 	heads    chan *attempt
@@ -55,16 +56,50 @@
 	heads  chan<- *attempt
 	res    *http.Response
 	result result.Result
+	// whole is the body of an answer that was read before it is passed on.
+	whole []byte
 }
 
 // run makes the attempt and hands over the head of the answer.
 func (a *attempt) run() {
 	a.res, a.result = a.front.Send(a.ctx, a.req)
+	if a.res != nil && a.result.Cause != cause.Shed {
+		a.gather()
+	}
 	a.heads <- a
 }
 
+// gather reads a small answer as a whole, so that one that breaks off can still be replaced.
+func (a *attempt) gather() {
+	if a.res.ContentLength > tune.WholeAnswer || a.req.Trailer != nil || len(a.res.Trailer) > 0 {
+		return
+	}
+	body, err := io.ReadAll(io.LimitReader(a.res.Body, tune.WholeAnswer+1))
+	if err != nil {
+		_ = a.res.Body.Close()
+		a.res, a.result.Cause = nil, cause.Broken
+		return
+	}
+	if len(body) > tune.WholeAnswer {
+		a.res.Body = &rest{Reader: io.MultiReader(bytes.NewReader(body), a.res.Body), Closer: a.res.Body}
+		return
+	}
+	a.whole = body
+	_ = a.res.Body.Close()
+	a.res.Body = io.NopCloser(bytes.NewReader(body))
+}
+
+// rest is a body of which a part has been read already.
+type rest struct {
+	io.Reader
+	io.Closer
+}
+
 // read keeps a small body for further attempts and leaves a large one to be streamed.
 func (e *exchange) read() error {
+	if e.r.ContentLength < 0 && len(e.r.Trailer) == 0 {
+		return e.readChunks()
+	}
 	if e.r.ContentLength < 0 || e.r.ContentLength > tune.ReplayBody {
 		e.stream = &stream{ReadCloser: http.MaxBytesReader(e.w, e.r.Body, e.front.Body)}
 		// HTTP/2 is full duplex anyway and says that it does not need this.
@@ -80,6 +115,22 @@
 	return err
 }
 
+// readChunks keeps a small body of unknown length, and leaves the rest of a larger one to be streamed.
+func (e *exchange) readChunks() error {
+	all := http.MaxBytesReader(e.w, e.r.Body, e.front.Body)
+	body, err := io.ReadAll(io.LimitReader(all, tune.ReplayBody+1))
+	if err != nil {
+		return err
+	}
+	if len(body) <= tune.ReplayBody {
+		e.body, e.buffered, e.chunked = body, true, true
+		return nil
+	}
+	e.stream = &stream{ReadCloser: &rest{Reader: io.MultiReader(bytes.NewReader(body), all), Closer: all}}
+	_ = http.NewResponseController(e.w).EnableFullDuplex()
+	return nil
+}
+
 func (e *exchange) badBody(err error) {
 	status := http.StatusBadRequest
 	var tooLarge *http.MaxBytesError
@@ -194,24 +245,24 @@
 // request builds the outgoing request of an attempt.
 func (e *exchange) request(s step.Step, limit time.Time) *outreq.Request {
 	h := e.r.Header.Clone()
-	wire.Strip(h)
+	e.front.Dialect.Strip(h)
 	now := e.now()
+	left := time.Duration(0)
 	if !limit.IsZero() {
-		h.Set(wire.Deadline, limit.Sub(now).Round(time.Microsecond).String())
+		left = limit.Sub(now)
 	}
-	h.Set(wire.Depth, strconv.Itoa(e.call.Depth+1))
-	h.Set(wire.Try, strconv.Itoa(e.call.Attempt+s.Attempt))
+	id := e.front.Dialect.Ask(h, e.call, &s, e.front.Name+"."+strconv.FormatUint(e.front.Boot, 10), left)
 	if _, ok := h["User-Agent"]; !ok {
 		// An empty value keeps net/http from adding its own.
 		h.Set("User-Agent", "")
 	}
 	req := &outreq.Request{
-		Method: e.r.Method, Target: e.target, Host: e.r.Host, Header: h,
-		ID:     fmt.Sprintf("%s.%d.%d.%d", e.front.Name, e.front.Boot, e.call.ID, s.Attempt),
+		Method: e.r.Method, Target: e.place.target, Host: e.r.Host, Header: h,
+		ID:     id,
 		Repeat: e.call.Repeat, Addr: s.Choice.Target.Addr, Early: e.early, Sent: now,
 	}
 	if e.buffered {
-		req.Body, req.Buffered = e.body, true
+		req.Body, req.Buffered, req.Chunked = e.body, true, e.chunked
 	} else {
 		req.Stream, req.Length, req.Trailer = e.stream, e.r.ContentLength, e.r.Trailer
 		req.Failed = func() bool { return e.stream.failure() != nil }
@@ -264,8 +315,7 @@
 	for k, v := range a.res.Header {
 		h[k] = v
 	}
-	wire.Strip(h)
-	h.Set(wire.Fate, fate.Answered.String())
+	e.front.Dialect.Answer(h)
 	for k := range a.res.Trailer {
 		h.Add("Trailer", k)
 	}
@@ -361,15 +411,19 @@
 		return
 	}
 	h := e.w.Header()
-	h.Set(wire.Fate, s.Fate.String())
-	h.Set(wire.Reason, s.Reason.String())
-	h.Set(wire.Retry, wire.RetryNo)
+	after := time.Duration(0)
 	if s.Fate == fate.NotRun {
-		h.Set("Retry-After", "1")
+		after = e.comeBack(s.Choice.Wait)
 	}
+	e.front.Dialect.Refuse(h, &s, after)
 	http.Error(e.w, "refused: "+s.Reason.String()+"; fate: "+s.Fate.String(), status(s))
 }
 
+// comeBack is the time after which a caller may find room, given the predicted wait.
+func (e *exchange) comeBack(wait time.Duration) time.Duration {
+	return max(tune.ComeBackFirst, wait)
+}
+
 // status is the HTTP status of a refusal.
 func status(s step.Step) int {
 	switch {
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -12,6 +12,7 @@
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/cespare/xxhash/v2"
 
+	"github.com/balsamvale/balsamvale/internal/dialct"
 	"github.com/balsamvale/balsamvale/internal/logs"
 	"github.com/balsamvale/balsamvale/internal/outreq"
 	"github.com/balsamvale/balsamvale/internal/wire"
@@ -23,8 +24,10 @@
 	"github.com/balsamvale/balsamvale/pkg/calls/result"
 	"github.com/balsamvale/balsamvale/pkg/calls/state"
 	"github.com/balsamvale/balsamvale/pkg/records/repeat"
+	"github.com/balsamvale/balsamvale/pkg/records/rulrec"
 	"github.com/balsamvale/balsamvale/pkg/records/svcrec"
 	"github.com/balsamvale/balsamvale/pkg/shared/clock"
+	"github.com/balsamvale/balsamvale/pkg/shared/tune"
 	"github.com/balsamvale/balsamvale/pkg/traffic/flow"
 	"github.com/balsamvale/balsamvale/pkg/traffic/poison"
 	"github.com/balsamvale/balsamvale/pkg/traffic/pool"
@@ -32,7 +35,13 @@
 
 // Front is the HTTP handler that callers reach.
 type Front struct {
-	// Service and Pool look up what is in force for a service.
+	// Rule finds the rule of a call; known is false when no rules are in force, and calls name their service in the path.
+	Rule func(host, path string) (r *rulrec.Rule, known bool)
+	// Dialect reads and writes headers.
+	Dialect *dialct.Dialect
+	// Ready reports whether a configuration is in force.
+	Ready func() bool
+	// Service looks up what is in force for a service.
 	Service func(name string) (*svcrec.Service, *pool.Pool)
 	// Send makes an attempt.
 	Send func(ctx context.Context, r *outreq.Request) (*http.Response, result.Result)
@@ -67,49 +76,65 @@
 // ServeHTTP serves one call.
 func (f *Front) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	if r.Method == http.MethodConnect || strings.Contains(strings.ToLower(r.Header.Get("Connection")), "upgrade") && r.Header.Get("Upgrade") != "h2c" {
-		refuseEarly(w, r, http.StatusNotImplemented, "upgrades and tunnels are not served")
+		f.refuseEarly(w, r, http.StatusNotImplemented, "upgrades and tunnels are not served")
 		return
 	}
-	name, path, _ := strings.Cut(strings.TrimPrefix(r.URL.EscapedPath(), "/"), "/")
-	svc, p := f.Service(name)
-	if svc == nil || p == nil {
-		refuseEarly(w, r, http.StatusNotFound, "service "+strconv.Quote(name)+" is not known")
+	if !f.Ready() {
+		f.notReady(w, r)
 		return
 	}
-	if r.ContentLength > f.Body {
-		refuseEarly(w, r, http.StatusRequestEntityTooLarge, "the body is too large")
+	pl, why := f.place(r)
+	if why != "" {
+		f.refuseEarly(w, r, http.StatusNotFound, why)
+		return
+	}
+	if pl.pool == nil {
+		f.notReady(w, r)
 		return
 	}
-	target := "/" + path
-	if r.URL.RawQuery != "" {
-		target += "?" + r.URL.RawQuery
+	if r.ContentLength > f.Body {
+		f.refuseEarly(w, r, http.StatusRequestEntityTooLarge, "the body is too large")
+		return
 	}
-	e := &exchange{front: f, w: w, r: r, service: svc, target: target}
+	e := &exchange{front: f, w: w, r: r, place: pl}
 	if err := e.read(); err != nil {
 		e.badBody(err)
 		return
 	}
-	e.call = f.call(r, svc, "/"+path, e.body, e.buffered)
-	e.flow = flow.New(e.call, p, f.Poison)
+	e.call = f.call(r, pl, e.body, e.buffered)
+	e.flow = flow.New(e.call, pl.pool, f.Poison)
 	e.serve()
 }
 
+// notReady refuses a call for which no configuration is in force yet.
+func (f *Front) notReady(w http.ResponseWriter, r *http.Request) {
+	w.Header().Set("Retry-After", strconv.FormatFloat(tune.ComeBackFirst.Seconds(), 'f', -1, 64))
+	f.refuseEarly(w, r, http.StatusServiceUnavailable, "no configuration is in force yet")
+}
+
 // refuseEarly ends a request that no flow was begun for.
-func refuseEarly(w http.ResponseWriter, r *http.Request, status int, text string) {
+func (f *Front) refuseEarly(w http.ResponseWriter, r *http.Request, status int, text string) {
+	f.Log.Early(f.Dialect.Mark(r.Header), r.Host, r.URL.Path, status, text)
 	w.Header().Set(wire.Fate, flow.Early(r.Header.Get(wire.Key) != "").String())
 	http.Error(w, text, status)
 }
 
 // call builds what decisions need to know of a request.
-func (f *Front) call(r *http.Request, svc *svcrec.Service, path string, body []byte, buffered bool) *call.Call {
+func (f *Front) call(r *http.Request, pl place, body []byte, buffered bool) *call.Call {
 	now := f.Clock.Now()
-	rt := svc.Route(path)
+	svc, rt := pl.service, pl.route
 	c := &call.Call{
-		ID: f.next.Add(1), Service: svc.Name, Route: rt.Path, Caller: caller(r), Class: rt.Class,
+		ID: f.next.Add(1), Mark: f.Dialect.Mark(r.Header), Service: svc.Name, Route: rt.Path, Caller: caller(r), Class: rt.Class,
 		Repeat: repeats(rt.Repeat, r.Method), Buffered: buffered, Arrived: now,
 		Depth: wire.ParseCount(r.Header.Get(wire.Depth)), Attempt: wire.ParseCount(r.Header.Get(wire.Try)),
 	}
-	c.Deadline = deadline(now, r.Header.Get(wire.Deadline), svc, rt.Class)
+	c.Deadline = deadline(now, f.Dialect.Left(r.Header), pl.timeout, rt.Class)
+	if pl.rule != nil {
+		c.Rank, c.Most = pl.rule.Rank, pl.rule.Attempts
+		if pl.rule.Goal > 0 {
+			c.Goal = now.Add(pl.rule.Goal)
+		}
+	}
 	key := r.Header.Get(wire.Key)
 	c.Print = fingerprint(svc.Name, r, key, body)
 	if key != "" && !c.Repeat {
@@ -119,13 +144,9 @@
 }
 
 // deadline is the caller's own, but no later than the service allows to interactive calls.
-func deadline(now time.Time, header string, svc *svcrec.Service, cl class.Class) time.Time {
-	left, err := time.ParseDuration(header)
-	if err != nil || left <= 0 {
-		left = 0
-	}
-	if cl == class.Interactive && (left == 0 || left > svc.Timeout) {
-		left = svc.Timeout
+func deadline(now time.Time, left, timeout time.Duration, cl class.Class) time.Time {
+	if cl == class.Interactive && (left == 0 || left > timeout) {
+		left = timeout
 	}
 	if left == 0 {
 		return time.Time{}
--- a/internal/front/front_test.go
+++ b/internal/front/front_test.go
@@ -23,6 +23,7 @@
 	"go.uber.org/zap/zapcore"
 
 	"github.com/balsamvale/balsamvale/internal/back"
+	"github.com/balsamvale/balsamvale/internal/dialct"
 	"github.com/balsamvale/balsamvale/internal/front"
 	"github.com/balsamvale/balsamvale/internal/logs"
 	"github.com/balsamvale/balsamvale/internal/wire"
@@ -30,6 +31,7 @@
 	"github.com/balsamvale/balsamvale/pkg/calls/grant"
 	"github.com/balsamvale/balsamvale/pkg/calls/policy"
 	"github.com/balsamvale/balsamvale/pkg/calls/state"
+	"github.com/balsamvale/balsamvale/pkg/records/rulrec"
 	"github.com/balsamvale/balsamvale/pkg/records/svcrec"
 	"github.com/balsamvale/balsamvale/pkg/records/upsrec"
 	"github.com/balsamvale/balsamvale/pkg/shared/clock"
@@ -60,13 +62,15 @@
 	p := pool.New(rand.New(rand.NewPCG(1, 1)), policy.Predicted)
 	p.Install(time.Now(), f)
 	fr := &front.Front{
+		Rule:    func(string, string) (*rulrec.Rule, bool) { return nil, false },
+		Dialect: dialct.Own(), Ready: func() bool { return true },
 		Service: func(name string) (*svcrec.Service, *pool.Pool) {
 			if name != "s" {
 				return nil, nil
 			}
 			return &svc, p
 		},
-		Send: back.New(clock.Wall()).Send, Clock: clock.Wall(), Poison: poison.New(), Name: "e", Boot: 1, Body: limit,
+		Send: back.New(clock.Wall(), dialct.Own().Judge).Send, Clock: clock.Wall(), Poison: poison.New(), Name: "e", Boot: 1, Body: limit,
 		Log: logs.New(io.Discard, zapcore.InfoLevel, 1),
 		Claim: func(context.Context, string, uint64, uint64, time.Time) (grant.Grant, answer.Answer) {
 			return grant.Mine, answer.Answer{}
--- /dev/null
+++ b/internal/front/place.go
@@ -0,0 +1,84 @@
+package front
+
+import (
+	"math/rand/v2"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/balsamvale/balsamvale/pkg/calls/class"
+	"github.com/balsamvale/balsamvale/pkg/records/route"
+	"github.com/balsamvale/balsamvale/pkg/records/rulrec"
+	"github.com/balsamvale/balsamvale/pkg/records/svcrec"
+	"github.com/balsamvale/balsamvale/pkg/traffic/pool"
+)
+
+// place is where a request belongs.
+type place struct {
+	// rule is nil for a request that names its service in the path.
+	rule    *rulrec.Rule
+	service *svcrec.Service
+	// pool is nil while the service of a rule is not known.
+	pool  *pool.Pool
+	route route.Route
+	// target is the path with the query, as the upstream gets it.
+	target  string
+	timeout time.Duration
+}
+
+// place finds the rule or service of a request, or says why there is none.
+func (f *Front) place(r *http.Request) (place, string) {
+	rule, known := f.Rule(r.Host, r.URL.EscapedPath())
+	if !known {
+		return f.named(r)
+	}
+	if rule == nil {
+		return place{}, "no rule matches the host and path"
+	}
+	pl := place{rule: rule, target: r.URL.RequestURI(), timeout: rule.Timeout}
+	pl.service, pl.pool = f.Service(draw(rule, rand.IntN))
+	if pl.pool == nil {
+		return place{}, ""
+	}
+	if pl.timeout == 0 {
+		pl.timeout = pl.service.Timeout
+	}
+	pl.route = route.Route{Path: rule.Name, Class: class.Interactive, Repeat: rule.Repeat}
+	return pl, ""
+}
+
+// named finds the service that the first part of a path names.
+func (f *Front) named(r *http.Request) (place, string) {
+	name, path, _ := strings.Cut(strings.TrimPrefix(r.URL.EscapedPath(), "/"), "/")
+	svc, p := f.Service(name)
+	if svc == nil || p == nil {
+		return place{}, "service " + strconv.Quote(name) + " is not known"
+	}
+	pl := place{service: svc, pool: p, route: svc.Route("/" + path), target: "/" + path, timeout: svc.Timeout}
+	if r.URL.RawQuery != "" {
+		pl.target += "?" + r.URL.RawQuery
+	}
+	return pl, ""
+}
+
+// draw picks the service of a call by the weights of its rule.
+func draw(rule *rulrec.Rule, random func(n int) int) string {
+	if len(rule.Parts) == 1 {
+		return rule.Parts[0].Service
+	}
+	total := 0
+	for _, p := range rule.Parts {
+		total += p.Weight
+	}
+	if total == 0 {
+		return ""
+	}
+	n := random(total)
+	for _, p := range rule.Parts {
+		if n -= p.Weight; n < 0 {
+			return p.Service
+		}
+	}
+	return ""
+}
--- a/internal/logs/log.go
+++ b/internal/logs/log.go
@@ -56,7 +56,7 @@
 		upstream, domain, version = ch.Target.Name, ch.Target.Domain, ch.Target.Version
 	}
 	ce.Write(
-		zap.Uint64("call", c.ID), zap.String("service", c.Service), zap.String("route", c.Route),
+		zap.Uint64("call", c.ID), zap.String("mark", c.Mark), zap.String("service", c.Service), zap.String("route", c.Route),
 		zap.Stringer("step", s.Stage), zap.Stringer("reason", s.Reason), zap.Int("attempt", s.Attempt),
 		zap.String("upstream", upstream), zap.String("domain", domain), zap.String("version", version),
 		zap.Duration("wait", ch.Wait), zap.Stringer("fate", s.Fate),
@@ -68,11 +68,17 @@
 // End writes how an attempt ended, when debugging.
 func (l *Log) End(c *call.Call, attempt int, r *result.Result) {
 	if ce := l.Check(zapcore.DebugLevel, "end"); ce != nil {
-		ce.Write(zap.Uint64("call", c.ID), zap.Int("attempt", attempt),
+		ce.Write(zap.Uint64("call", c.ID), zap.String("mark", c.Mark), zap.Int("attempt", attempt),
 			zap.Stringer("cause", r.Cause), zap.Int("status", r.Status), zap.Duration("took", r.Took))
 	}
 }
 
+// Early writes a refusal that came before any decision on where the call goes.
+func (l *Log) Early(mark, host, path string, status int, why string) {
+	l.Info("early", zap.String("mark", mark), zap.String("host", host), zap.String("path", path),
+		zap.Int("status", status), zap.String("reason", why))
+}
+
 // Place writes a placement decision.
 func (l *Log) Place(n note.Note) {
 	l.Info("place", zap.Stringer("what", n.What), zap.String("subject", n.Subject),
--- a/internal/option/options.go
+++ b/internal/option/options.go
@@ -34,6 +34,8 @@
 	Lag    time.Duration
 	// Wait is the longest wait for calls in flight at a planned stop; 0 for no limit.
 	Wait time.Duration
+	// Memory is the limit of the runtime in bytes; 0 for none.
+	Memory int64
 }
 
 // Load reads and checks a settings file; errors match ErrFile or tomlpb.ErrInvalid.
--- a/internal/outreq/request.go
+++ b/internal/outreq/request.go
@@ -17,7 +17,9 @@
 	// Body is the whole body when Buffered is set; otherwise Stream brings it.
 	Body     []byte
 	Buffered bool
-	Stream   io.ReadCloser
+	// Chunked is set when a buffered body goes out without its length.
+	Chunked bool
+	Stream  io.ReadCloser
 	// Length is the length of the stream in bytes; -1 when not known.
 	Length int64
 	// Failed, when set, reports whether reading the stream failed on the caller's side.
--- /dev/null
+++ b/internal/seams/seams.go
@@ -0,0 +1,26 @@
+package seams
+
+import (
+	"context"
+
+	"github.com/balsamvale/balsamvale/internal/dialct"
+	"github.com/balsamvale/balsamvale/pkg/stored/item"
+	"github.com/balsamvale/balsamvale/pkg/stored/order"
+	"github.com/balsamvale/balsamvale/pkg/stored/reply"
+	"github.com/balsamvale/balsamvale/pkg/stored/value"
+)
+
+// Seams is how an entry reaches its store, reads the store's items, and speaks to callers and upstreams.
+type Seams struct {
+	// Do carries out an order of control; a call whose outcome is not known gives a reply that says so.
+	Do func(ctx context.Context, o order.Order) reply.Reply
+	// Get reads one key, and Swap writes one if its revision is the expected one.
+	Get  func(ctx context.Context, key string) (item.Item, error)
+	Swap func(ctx context.Context, it item.Item, expect, lease int64) (bool, item.Item, error)
+	// Decode turns an item into a value.
+	Decode  func(it item.Item) (value.Value, error)
+	Dialect *dialct.Dialect
+	// Reads and Writes tell how many calls were made.
+	Reads  func() uint64
+	Writes func() uint64
+}
--- a/internal/store/client.go
+++ b/internal/store/client.go
@@ -12,8 +12,10 @@
 	"google.golang.org/protobuf/types/known/durationpb"
 
 	"github.com/balsamvale/balsamvale/internal/codec"
+	"github.com/balsamvale/balsamvale/internal/dialct"
 	pb "github.com/balsamvale/balsamvale/internal/gen/balsamvale/v1"
 	rpc "github.com/balsamvale/balsamvale/internal/gen/balsamvale/v1/balsamvalev1connect"
+	"github.com/balsamvale/balsamvale/internal/seams"
 	"github.com/balsamvale/balsamvale/pkg/shared/tune"
 	"github.com/balsamvale/balsamvale/pkg/stored/item"
 	"github.com/balsamvale/balsamvale/pkg/stored/order"
@@ -42,6 +44,14 @@
 	return c
 }
 
+// Seams joins an entry to the store, with the project's own headers.
+func (c *Client) Seams() *seams.Seams {
+	return &seams.Seams{
+		Do: c.Do, Get: c.Get, Swap: c.Swap, Decode: codec.Decode, Dialect: dialct.Own(),
+		Reads: c.Reads.Load, Writes: c.Writes.Load,
+	}
+}
+
 func (c *Client) client() rpc.StoreClient {
 	return c.clients[int(c.next.Load())%len(c.clients)]
 }
--- a/internal/wire/header.go
+++ b/internal/wire/header.go
@@ -50,6 +50,16 @@
 
 // Strip removes the headers that belong to one connection and those of the project.
 func Strip(h http.Header) {
+	StripHops(h)
+	for name := range h {
+		if strings.HasPrefix(name, Prefix) {
+			delete(h, name)
+		}
+	}
+}
+
+// StripHops removes the headers that belong to one connection.
+func StripHops(h http.Header) {
 	for _, list := range h["Connection"] {
 		for name := range strings.SplitSeq(list, ",") {
 			h.Del(strings.TrimSpace(name))
@@ -58,11 +68,6 @@
 	for _, name := range hopByHop {
 		h.Del(name)
 	}
-	for name := range h {
-		if strings.HasPrefix(name, Prefix) {
-			delete(h, name)
-		}
-	}
 }
 
 // FormatReport writes the value of a Load header.
--- a/main.go
+++ b/main.go
@@ -6,9 +6,10 @@
 	"os"
 
 	"github.com/balsamvale/balsamvale/internal/cmds"
+	"github.com/balsamvale/balsamvale/platform"
 )
 
 func main() {
-	app := &cmds.App{Out: os.Stdout, Err: os.Stderr}
+	app := &cmds.App{Out: os.Stdout, Err: os.Stderr, Platform: platform.Adapter{}.Open}
 	os.Exit(app.Run(context.Background(), os.Args))
 }
--- a/pkg/calls/call/call.go
+++ b/pkg/calls/call/call.go
@@ -9,7 +9,9 @@
 // Call is what decisions need to know of a request.
 type Call struct {
 	// ID identifies the call within the entry.
-	ID      uint64
+	ID uint64
+	// Mark is the identity that the caller gave the call.
+	Mark    string
 	Service string
 	Route   string
 	Caller  string
@@ -25,6 +27,12 @@
 	Arrived time.Time
 	// Deadline is the time after which the answer is of no use; zero for none.
 	Deadline time.Time
+	// Goal is the time until which the answer is of full use; zero for none.
+	Goal time.Time
+	// Rank orders calls that compete for a service; 0 goes first.
+	Rank int
+	// Most is the number of upstreams that may run the call; 0 for the default.
+	Most int
 	// Depth is the number of services above this call.
 	Depth int
 	// Attempt is the attempt number given by the service above; 0 for a first attempt.
--- a/pkg/calls/cause/cause.go
+++ b/pkg/calls/cause/cause.go
@@ -15,6 +15,8 @@
 	Error // error
 	// Unsent means that no byte reached the upstream.
 	Unsent // unsent
+	// Down means that no connection to the upstream could be opened.
+	Down // down
 	// Broken means that the connection broke before a whole answer.
 	Broken // broken
 	// Timeout means that no answer came in time.
--- a/pkg/calls/cause/cause_string.go
+++ b/pkg/calls/cause/cause_string.go
@@ -12,15 +12,16 @@
 	_ = x[Shed-1]
 	_ = x[Error-2]
 	_ = x[Unsent-3]
-	_ = x[Broken-4]
-	_ = x[Timeout-5]
-	_ = x[Canceled-6]
-	_ = x[Mismatch-7]
+	_ = x[Down-4]
+	_ = x[Broken-5]
+	_ = x[Timeout-6]
+	_ = x[Canceled-7]
+	_ = x[Mismatch-8]
 }
 
-const _Cause_name = "noneshederrorunsentbrokentimeoutcanceledmismatch"
+const _Cause_name = "noneshederrorunsentdownbrokentimeoutcanceledmismatch"
 
-var _Cause_index = [...]uint8{0, 4, 8, 13, 19, 25, 32, 40, 48}
+var _Cause_index = [...]uint8{0, 4, 8, 13, 19, 23, 29, 36, 44, 52}
 
 func (i Cause) String() string {
 	idx := int(i) - 0
--- a/pkg/calls/report/report.go
+++ b/pkg/calls/report/report.go
@@ -11,7 +11,9 @@
 	// Boot identifies the start of the process; 0 when not reported.
 	Boot uint64
 	// Age is the time since the start.
-	Age   time.Duration
-	Cold  bool
+	Age  time.Duration
+	Cold bool
+	// Pace is how long work takes at the moment, as a multiple of the usual; 0 when not reported.
+	Pace  float64
 	Leave bool
 }
--- a/pkg/calls/result/result.go
+++ b/pkg/calls/result/result.go
@@ -18,11 +18,16 @@
 	Report *report.Report
 	// Closing is set when the upstream closes a connection that could have been kept.
 	Closing bool
+	// Stranger is set when another upstream answers at the address.
+	Stranger bool
 	// Final is set when the upstream says that a retry is of no use.
 	Final bool
 }
 
+// Unsent reports whether nothing of the call reached an upstream.
+func (r *Result) Unsent() bool { return r.Cause == cause.Unsent || r.Cause == cause.Down }
+
 // Ran reports whether the upstream may have run the call.
 func (r *Result) Ran() bool {
-	return r.Cause != cause.Shed && r.Cause != cause.Unsent
+	return r.Cause != cause.Shed && !r.Unsent()
 }
--- a/pkg/control/config/config.go
+++ b/pkg/control/config/config.go
@@ -1,15 +1,19 @@
 package config
 
 import (
+	"maps"
 	"slices"
 	"strings"
 	"time"
 
+	"github.com/balsamvale/balsamvale/pkg/control/rules"
 	"github.com/balsamvale/balsamvale/pkg/control/shard"
+	"github.com/balsamvale/balsamvale/pkg/records/bounds"
 	"github.com/balsamvale/balsamvale/pkg/records/domrec"
 	"github.com/balsamvale/balsamvale/pkg/records/movrec"
 	"github.com/balsamvale/balsamvale/pkg/records/record"
 	"github.com/balsamvale/balsamvale/pkg/records/reject"
+	"github.com/balsamvale/balsamvale/pkg/records/rulrec"
 	"github.com/balsamvale/balsamvale/pkg/records/svcrec"
 	"github.com/balsamvale/balsamvale/pkg/records/upsrec"
 	"github.com/balsamvale/balsamvale/pkg/shared/fleet"
@@ -38,6 +42,8 @@
 	Tenures  map[string]*tenure.Tenure
 	Progress map[string]*progrs.Progress
 	Rejects  map[string]reject.Reject
+	// Bounds is what callers may send, or nil when no record says.
+	Bounds *bounds.Bounds
 
 	// Revision is that of the newest record in force.
 	Revision int64
@@ -48,7 +54,17 @@
 	byShard [tune.Shards][]string
 	cold    map[string]coldStart
 	dirty   map[string]bool
-	home    string
+	// rank is the place of this entry among the members.
+	rank int
+	home string
+
+	byName map[string]*rulrec.Rule
+	// table is built from byName, and nil after a change.
+	table *rules.Rules
+	// doubtUntil ends the time in which removed upstreams may only have lapsed.
+	doubtUntil time.Time
+	// lapsed holds the removals of upstreams that are put off until then.
+	lapsed map[string]item.Item
 }
 
 // New returns an empty configuration of an entry that stands in the failure domain home.
@@ -68,23 +84,35 @@
 		cold:      map[string]coldStart{},
 		dirty:     map[string]bool{},
 		home:      home,
+		byName:    map[string]*rulrec.Rule{},
+		lapsed:    map[string]item.Item{},
 	}
 }
 
 // Apply puts an item in force. With warmup, upstreams that are new or come back start cold.
 func (c *Config) Apply(now time.Time, it item.Item, warmup bool) {
+	delete(c.lapsed, it.Key)
+	if it.Gone && now.Before(c.doubtUntil) && announced(c.keys[it.Key]) {
+		c.lapsed[it.Key] = it
+		return
+	}
 	var v value.Value
 	if !it.Gone {
 		var err error
 		if v, err = c.Decode(it); err != nil {
 			c.Rejects[it.Key] = reject.Reject{Key: it.Key, Revision: it.Revision, Err: err}
+			if old := c.keys[it.Key]; announced(old) {
+				// What an upstream says of itself is all that is known of it.
+				c.drop(now, it.Key, old)
+				delete(c.keys, it.Key)
+			}
 			return
 		}
 	}
 	delete(c.Rejects, it.Key)
 	old := c.keys[it.Key]
 	c.keys[it.Key] = v
-	c.drop(it.Key, old)
+	c.drop(now, it.Key, old)
 	c.put(now, it.Key, old, v, warmup)
 	if isRecord(old) || isRecord(v) {
 		c.Revision = max(c.Revision, it.Revision)
@@ -94,10 +122,32 @@
 	}
 }
 
-func isRecord(v value.Value) bool { return v.Record != nil }
+func isRecord(v value.Value) bool { return v.Record != nil || v.Batch != nil }
+
+// announced reports whether a value is an upstream that announces itself and has not said that it leaves.
+func announced(v value.Value) bool {
+	return v.Record != nil && v.Record.Upstream != nil && v.Record.Upstream.Boot != 0 && !v.Record.Upstream.Leave
+}
+
+// Doubt puts off the removal of upstreams until a time, as after an outage of the store in which leases lapsed.
+func (c *Config) Doubt(until time.Time) { c.doubtUntil = until }
+
+// Sweep carries out the removals that were put off long enough, and returns the upstreams' keys.
+func (c *Config) Sweep(now time.Time) []string {
+	if len(c.lapsed) == 0 || now.Before(c.doubtUntil) {
+		return nil
+	}
+	var gone []string
+	for key, it := range c.lapsed {
+		c.Apply(now, it, true)
+		gone = append(gone, key)
+	}
+	slices.Sort(gone)
+	return gone
+}
 
 // drop takes an old value out.
-func (c *Config) drop(key string, v value.Value) {
+func (c *Config) drop(now time.Time, key string, v value.Value) {
 	switch {
 	case v.Member != nil:
 		delete(c.Members, v.Member.Name)
@@ -107,11 +157,15 @@
 		c.touchMove(v.Progress.Move)
 		delete(c.Progress, v.Progress.Move)
 	case v.Record != nil:
-		c.dropRecord(v.Record)
+		c.dropRecord(now, v.Record)
+	case v.Batch != nil:
+		for _, r := range v.Batch.Records {
+			c.dropRecord(now, r)
+		}
 	}
 }
 
-func (c *Config) dropRecord(r *record.Record) {
+func (c *Config) dropRecord(now time.Time, r *record.Record) {
 	switch {
 	case r.Service != nil:
 		delete(c.Services, r.Service.Name)
@@ -124,9 +178,17 @@
 	case r.Domain != nil:
 		delete(c.Domains, r.Domain.Name)
 		c.touchDomain(r.Domain.Name)
+		if r.Domain.Out {
+			c.chillDomain(now, r.Domain.Name)
+		}
 	case r.Move != nil:
 		delete(c.Moves, r.Move.Name)
 		c.dirty[r.Move.Service] = true
+	case r.Rule != nil:
+		delete(c.byName, r.Rule.Name)
+		c.table = nil
+	case r.Bounds != nil:
+		c.Bounds = nil
 	}
 }
 
@@ -140,8 +202,13 @@
 	case v.Progress != nil:
 		c.Progress[v.Progress.Move] = v.Progress
 		c.touchMove(v.Progress.Move)
+		c.resume(v.Progress.Move)
 	case v.Record != nil:
 		c.putRecord(now, old.Record, v.Record, warmup)
+	case v.Batch != nil:
+		for _, r := range v.Batch.Records {
+			c.putRecord(now, nil, r, warmup)
+		}
 	}
 }
 
@@ -159,8 +226,18 @@
 			c.chillDomain(now, r.Domain.Name)
 		}
 	case r.Move != nil:
-		c.Moves[r.Move.Name] = r.Move
-		c.dirty[r.Move.Service] = true
+		m := *r.Move
+		if m.Span > 0 {
+			m.Start, m.Deadline = now, now.Add(m.Span)
+		}
+		c.Moves[m.Name] = &m
+		c.dirty[m.Service] = true
+		c.resume(m.Name)
+	case r.Rule != nil:
+		c.byName[r.Rule.Name] = r.Rule
+		c.table = nil
+	case r.Bounds != nil:
+		c.Bounds = r.Bounds
 	}
 }
 
@@ -172,12 +249,72 @@
 	}
 	c.byService[u.Service][u.Name] = true
 	c.dirty[u.Service] = true
+	if u.Boot != 0 {
+		c.announce(now, u)
+		return
+	}
 	known := old != nil && old.Upstream != nil && old.Upstream.Addr == u.Addr && !old.Upstream.Leave
 	if warmup && !known {
 		c.chill(now, u.Name)
 	}
 }
 
+// announce takes over what an upstream says of its own warm-up.
+func (c *Config) announce(now time.Time, u *upsrec.Upstream) {
+	cs := c.cold[u.Name]
+	if u.Warm > 0 {
+		cs.until = now.Add(u.Warm)
+	} else if cs.boot == u.Boot {
+		cs.until = time.Time{}
+	}
+	cs.boot = u.Boot
+	c.cold[u.Name] = cs
+}
+
+// resume takes the start of a move that begins when it is read from its progress, if there is any.
+func (c *Config) resume(move string) {
+	m, p := c.Moves[move], c.Progress[move]
+	if m == nil || p == nil || m.Span == 0 || !p.Start.Before(m.Start) {
+		return
+	}
+	m.Start, m.Deadline = p.Start, p.Start.Add(m.Span)
+}
+
+// Rules returns the routing rules, or nil when there are none.
+func (c *Config) Rules() *rules.Rules {
+	if len(c.byName) == 0 {
+		return nil
+	}
+	if c.table == nil {
+		list := make([]*rulrec.Rule, 0, len(c.byName))
+		for _, name := range slices.Sorted(maps.Keys(c.byName)) {
+			list = append(list, c.byName[name])
+		}
+		c.table = rules.New(list)
+	}
+	return c.table
+}
+
+// Owned reports whether some service needs entries that own duties for its upstreams.
+func (c *Config) Owned() bool {
+	for _, s := range c.Services {
+		if s.Rate == 0 || s.Budget > 0 {
+			return true
+		}
+	}
+	return false
+}
+
+// Quiet reports whether all upstreams tell of their own cold starts, so that no peer has to.
+func (c *Config) Quiet() bool {
+	for _, u := range c.Upstreams {
+		if u.Boot == 0 {
+			return false
+		}
+	}
+	return len(c.Upstreams) > 0
+}
+
 // index puts an upstream in the list of its shard, or takes it out.
 func (c *Config) index(name string, in bool) {
 	list := &c.byShard[shard.Of(name)]
@@ -228,8 +365,10 @@
 
 // ChillAll marks every upstream cold, as when nothing is known of any.
 func (c *Config) ChillAll(now time.Time) {
-	for name := range c.Upstreams {
-		c.chill(now, name)
+	for name, u := range c.Upstreams {
+		if u.Boot == 0 {
+			c.chill(now, name)
+		}
 	}
 }
 
@@ -268,6 +407,9 @@
 	return names
 }
 
+// SetRank notes the place of this entry among the members.
+func (c *Config) SetRank(n int) { c.rank = n }
+
 // Live returns the names of the members that do not leave, in order.
 func (c *Config) Live() []string {
 	names := make([]string, 0, len(c.Members))
@@ -286,7 +428,10 @@
 	if s == nil {
 		return nil
 	}
-	f := &fleet.Fleet{Service: *s, Entries: max(1, len(c.Members)), Shares: c.shares(service, reverted)}
+	f := &fleet.Fleet{Service: *s, Entries: max(1, len(c.Members)), Rank: c.rank, Shares: c.shares(service, reverted)}
+	if s.Burst > 0 {
+		f.RetryBurst = max(1, s.Burst/f.Entries)
+	}
 	if m := c.current(service); m != nil {
 		f.Move = m.Name
 	}
@@ -307,6 +452,8 @@
 	if d := c.Domains[u.Domain]; d != nil {
 		t.Out = d.Out
 		t.Delay = c.delay(d)
+	} else if u.Domain != c.home {
+		t.Delay = domainDelay
 	}
 	return t
 }
@@ -323,6 +470,9 @@
 	return d.Delay
 }
 
+// domainDelay is the assumed one-way delay to a failure domain of the region that no record describes.
+const domainDelay = time.Millisecond
+
 // regionDelay is the assumed one-way delay between regions.
 const regionDelay = 30 * time.Millisecond
 
--- a/pkg/control/contrl/control.go
+++ b/pkg/control/contrl/control.go
@@ -31,6 +31,7 @@
 	"github.com/balsamvale/balsamvale/pkg/events/what"
 	"github.com/balsamvale/balsamvale/pkg/shared/fleet"
 	"github.com/balsamvale/balsamvale/pkg/shared/snap"
+	"github.com/balsamvale/balsamvale/pkg/shared/tune"
 	"github.com/balsamvale/balsamvale/pkg/stored/item"
 	"github.com/balsamvale/balsamvale/pkg/stored/member"
 	"github.com/balsamvale/balsamvale/pkg/stored/order"
@@ -44,6 +45,8 @@
 
 	me   member.Member
 	rand *rand.Rand
+	// rank is the place of this entry among the live members; -1 while it is not one.
+	rank int
 	now  time.Time
 	next uint64
 
@@ -122,6 +125,9 @@
 
 // tick does what time alone brings about.
 func (c *Control) tick() {
+	for _, key := range c.config.Sweep(c.now) {
+		c.log(note.Note{What: what.Leaving, Subject: key, Reason: "still missing from the store after its outage"})
+	}
 	c.introduce()
 	if !c.now.Before(c.gossipAt) {
 		c.gossip()
@@ -137,7 +143,13 @@
 	case c.feed.Owns(r.ID):
 		if ch, ok := c.feed.Reply(c.now, r); ok {
 			c.heardAt = c.now
+			if c.feed.Returned() {
+				c.config.Doubt(c.now.Add(tune.LapseWait))
+				c.log(note.Note{What: what.Regain, Subject: "store", Reason: "a watch was answered again"})
+			}
 			c.install(ch)
+		} else if c.feed.Lapsed() {
+			c.log(note.Note{What: what.Lost, Subject: "store", Reason: "calls are not answered"})
 		}
 	case c.keeper.Owns(r.ID):
 		if c.keeper.Reply(c.now, r) {
@@ -161,10 +173,21 @@
 	if !c.synced {
 		return
 	}
-	if o, ok := c.keeper.Next(c.now, c.id(), c.me, it.Revision, len(c.config.Members)); ok {
+	owned := c.config.Owned()
+	if o, ok := c.keeper.Next(c.now, c.id(), c.me, it.Revision, leaseTTL(owned, len(c.config.Members))); ok {
 		c.call(o)
 	}
-	c.takeDuty()
+	if owned {
+		c.takeDuty()
+	}
+}
+
+// leaseTTL is the life of the entry's lease, which is short only while it stands for duties.
+func leaseTTL(owned bool, fleet int) time.Duration {
+	if !owned {
+		return tune.MemberTTL
+	}
+	return tune.LeaseTTL * time.Duration(max(1, fleet/tune.LeaseFleet))
 }
 
 func (c *Control) id() uint64 {
@@ -189,7 +212,7 @@
 	if len(changed) == 0 && c.snapshot.Revision == c.config.Revision {
 		return
 	}
-	next := &snap.Snapshot{Revision: c.config.Revision, Fleets: make(map[string]*fleet.Fleet, len(c.snapshot.Fleets))}
+	next := &snap.Snapshot{Revision: c.config.Revision, Rules: c.config.Rules(), Bounds: c.config.Bounds, Fleets: make(map[string]*fleet.Fleet, len(c.snapshot.Fleets))}
 	for name, f := range c.snapshot.Fleets {
 		next.Fleets[name] = f
 	}
--- a/pkg/control/contrl/moves.go
+++ b/pkg/control/contrl/moves.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/balsamvale/balsamvale/pkg/control/keys"
+	"github.com/balsamvale/balsamvale/pkg/control/shard"
 	"github.com/balsamvale/balsamvale/pkg/events/topic"
 	"github.com/balsamvale/balsamvale/pkg/records/movrec"
 	"github.com/balsamvale/balsamvale/pkg/shared/tune"
@@ -23,6 +24,8 @@
 	order uint64
 	// again is when the next write may be tried after one that failed.
 	again time.Time
+	// due is when the next step was first seen to be due.
+	due time.Time
 }
 
 // steps are the shares of the new version in thousandths, evenly spaced over the move's time.
@@ -47,22 +50,37 @@
 	return ok
 }
 
-// moves drives the moves of the services in this entry's care.
+// moves drives the moves: any entry may write the next step, and the store takes the first.
 func (c *Control) moves() {
 	for name, m := range c.config.Moves {
-		if c.config.Current(m.Service) != m || !c.owns(m.Service, 0) {
+		if c.config.Current(m.Service) != m || !c.introduced {
 			continue
 		}
 		mv := c.movers[name]
 		if mv.order != 0 || c.now.Before(mv.again) {
 			continue
 		}
-		if next, ok := c.advance(m); ok {
-			c.movers[name] = mover{order: c.writeProgress(next)}
+		next, ok := c.advance(m)
+		if !ok {
+			delete(c.movers, name)
+			continue
+		}
+		if mv.due.IsZero() {
+			mv.due = c.now
+			c.movers[name] = mv
+		}
+		if c.now.Sub(mv.due) >= c.turn(m.Service) {
+			c.movers[name] = mover{order: c.writeProgress(next), due: mv.due}
 		}
 	}
 }
 
+// turn is how long this entry leaves a step of a service's move to those before it.
+func (c *Control) turn(service string) time.Duration {
+	rank := shard.Of(service).Rank(c.config.Live(), c.me.Name)
+	return time.Duration(max(0, rank)) * tune.MoveTurn
+}
+
 // advance returns the next progress of a move when it is due.
 func (c *Control) advance(m *movrec.Move) (progrs.Progress, bool) {
 	now := progrs.Progress{Move: m.Name}
@@ -72,7 +90,7 @@
 	if now.Phase == phase.Done || now.Phase == phase.Reverted || c.now.Before(m.Start) {
 		return now, false
 	}
-	next := progrs.Progress{Move: m.Name, Driver: c.me.Name, Since: c.now, Phase: phase.Moving}
+	next := progrs.Progress{Move: m.Name, Driver: c.me.Name, Since: c.now, Start: m.Start, Phase: phase.Moving}
 	if f, ok := c.rumor.Get(c.now, topic.Reverted, m.Name); ok {
 		next.Phase, next.Reason = phase.Reverted, f.Detail
 		return next, true
--- a/pkg/control/contrl/peers.go
+++ b/pkg/control/contrl/peers.go
@@ -35,19 +35,23 @@
 func (c *Control) install(ch change.Change) {
 	base := c.catalog.Upto()
 	news := c.catalog.Install(ch)
-	fleet := len(c.config.Members)
+	fleet := len(c.config.Live())
 	for _, it := range news {
 		c.apply(it)
 	}
-	if len(c.config.Members) != fleet && c.introduced {
-		c.config.TouchAll()
+	if live := c.config.Live(); len(live) != fleet || slices.Index(live, c.me.Name) != c.rank {
+		c.rank = slices.Index(live, c.me.Name)
+		c.config.SetRank(max(0, c.rank))
+		if c.introduced {
+			c.config.TouchAll()
+		}
 	}
 	c.trackDuties()
 	if !c.synced && c.catalog.Upto() > 0 {
 		c.synced, c.syncedAt, c.heardAt = true, c.now, c.now
 	}
 	c.introduce()
-	if len(news) > 0 && c.introduced {
+	if len(news) > 0 && c.introduced && len(c.config.Members) > tune.Watchers {
 		c.push(digest.Digest{Change: change.Change{Items: news, Base: base, Upto: c.catalog.Upto()}})
 	}
 }
@@ -91,6 +95,10 @@
 	if c.introduced || !c.synced {
 		return
 	}
+	if c.config.Quiet() {
+		c.enter("every upstream tells of its own warm-up")
+		return
+	}
 	alone := true
 	for name := range c.config.Members {
 		if name != c.me.Name {
--- a/pkg/control/feed/feed.go
+++ b/pkg/control/feed/feed.go
@@ -27,6 +27,9 @@
 	after  string
 	// goodAt is when the store last answered.
 	goodAt time.Time
+	// failures counts the calls in a row that were not answered, and away is set from the first on.
+	failures int
+	away     bool
 }
 
 // New returns a feed that begins with a listing.
@@ -54,8 +57,11 @@
 	f.current = order.Order{}
 	if r.Failed || r.Revision < o.Since {
 		f.backoff.Fail(now, f.rand)
+		f.failures++
 		return change.Change{}, false
 	}
+	f.away = f.failures > 0
+	f.failures = 0
 	f.backoff.Succeed()
 	f.goodAt = now
 	if o.Verb == verb.List {
@@ -83,6 +89,12 @@
 	return ch, true
 }
 
+// Lapsed reports whether the last reply was the first in a row that failed.
+func (f *Feed) Lapsed() bool { return f.failures == 1 }
+
+// Returned reports whether the last reply ended a time in which the store did not answer.
+func (f *Feed) Returned() bool { return f.away }
+
 // Healthy reports whether the store answered within the time of two watches.
 func (f *Feed) Healthy(now time.Time) bool {
 	return !f.goodAt.IsZero() && now.Sub(f.goodAt) < 2*tune.WatchWait
--- a/pkg/control/lease/keeper.go
+++ b/pkg/control/lease/keeper.go
@@ -41,11 +41,11 @@
 func (k *Keeper) ID() int64 { return k.id }
 
 // Next returns the next order once the last has ended; revision is that of the member key.
-func (k *Keeper) Next(now time.Time, id uint64, me member.Member, revision int64, fleet int) (order.Order, bool) {
+func (k *Keeper) Next(now time.Time, id uint64, me member.Member, revision int64, ttl time.Duration) (order.Order, bool) {
 	if k.current.ID != 0 || !k.backoff.Ready(now) {
 		return order.Order{}, false
 	}
-	k.ttl = tune.LeaseTTL * time.Duration(max(1, fleet/tune.LeaseFleet))
+	k.ttl = ttl
 	switch {
 	case k.id == 0 || !now.Before(k.renewAt):
 		k.current = order.Order{ID: id, Verb: verb.Lease, Lease: k.id, TTL: k.ttl}
--- /dev/null
+++ b/pkg/control/rules/doc.go
@@ -0,0 +1,2 @@
+// Package rules finds the routing rule for a call.
+package rules
--- a/pkg/events/what/what.go
+++ b/pkg/events/what/what.go
@@ -35,6 +35,10 @@
 	Poison // poison
 	// Reject means that a record was not put in force.
 	Reject // reject
+	// Lost means that a dependency no longer answers.
+	Lost // lost
+	// Regain means that a dependency answers again.
+	Regain // regain
 	// Synced means that the entry has its first configuration.
 	Synced // synced
 )
--- a/pkg/events/what/what_string.go
+++ b/pkg/events/what/what_string.go
@@ -22,12 +22,14 @@
 	_ = x[Leaving-11]
 	_ = x[Poison-12]
 	_ = x[Reject-13]
-	_ = x[Synced-14]
+	_ = x[Lost-14]
+	_ = x[Regain-15]
+	_ = x[Synced-16]
 }
 
-const _What_name = "dutyyieldlapsejoindeadoutbacksharereverteddonecoldleavingpoisonrejectsynced"
+const _What_name = "dutyyieldlapsejoindeadoutbacksharereverteddonecoldleavingpoisonrejectlostregainsynced"
 
-var _What_index = [...]uint8{0, 4, 9, 14, 18, 22, 25, 29, 34, 42, 46, 50, 57, 63, 69, 75}
+var _What_index = [...]uint8{0, 4, 9, 14, 18, 22, 25, 29, 34, 42, 46, 50, 57, 63, 69, 73, 79, 85}
 
 func (i What) String() string {
 	idx := int(i) - 0
--- a/pkg/records/movrec/move.go
+++ b/pkg/records/movrec/move.go
@@ -4,10 +4,13 @@
 
 // Move is a planned move of a service from one version to another.
 type Move struct {
-	Name     string
-	Service  string
+	Name    string
+	Service string
+	// From is the version that is left; empty for all others.
 	From     string
 	To       string
 	Start    time.Time
 	Deadline time.Time
+	// Span is the time for the whole move when it starts as soon as it is read; 0 with a Start.
+	Span time.Duration
 }
--- /dev/null
+++ b/pkg/records/part/part.go
@@ -0,0 +1,8 @@
+package part
+
+// Part is the share of a rule's calls that one service gets.
+type Part struct {
+	Service string
+	// Weight is relative to the weights of the rule's other parts.
+	Weight int
+}
--- a/pkg/records/record/record.go
+++ b/pkg/records/record/record.go
@@ -1,16 +1,20 @@
 package record
 
 import (
+	"github.com/balsamvale/balsamvale/pkg/records/bounds"
 	"github.com/balsamvale/balsamvale/pkg/records/domrec"
 	"github.com/balsamvale/balsamvale/pkg/records/movrec"
+	"github.com/balsamvale/balsamvale/pkg/records/rulrec"
 	"github.com/balsamvale/balsamvale/pkg/records/svcrec"
 	"github.com/balsamvale/balsamvale/pkg/records/upsrec"
 )
 
-// Record is a service, an upstream, a failure domain or a move; one pointer is set.
+// Record is a service, an upstream, a failure domain, a move, a rule or bounds; one pointer is set.
 type Record struct {
 	Service  *svcrec.Service
 	Upstream *upsrec.Upstream
 	Domain   *domrec.Domain
 	Move     *movrec.Move
+	Rule     *rulrec.Rule
+	Bounds   *bounds.Bounds
 }
--- /dev/null
+++ b/pkg/records/rulrec/doc.go
@@ -0,0 +1,2 @@
+// Package rulrec describes a routing rule as operators write it.
+package rulrec
--- /dev/null
+++ b/pkg/records/rulrec/rule.go
@@ -0,0 +1,26 @@
+package rulrec
+
+import (
+	"time"
+
+	"github.com/balsamvale/balsamvale/pkg/records/part"
+	"github.com/balsamvale/balsamvale/pkg/records/repeat"
+)
+
+// Rule sends the calls of a host and path prefix to services.
+type Rule struct {
+	Name string
+	Host string
+	// Path is the prefix, which begins and ends with a slash.
+	Path   string
+	Repeat repeat.Repeat
+	// Timeout is the longest time that a call may take; 0 for the service's own.
+	Timeout time.Duration
+	// Goal is the time within which an answer is of full use; 0 for none.
+	Goal time.Duration
+	// Attempts is the number of upstreams that may run one call; 0 for the default.
+	Attempts int
+	// Rank orders calls that compete for a service; 0 goes first.
+	Rank  int
+	Parts []part.Part
+}
--- a/pkg/records/svcrec/service.go
+++ b/pkg/records/svcrec/service.go
@@ -17,11 +17,15 @@
 	Timeout time.Duration
 	// Cold is the number of calls at once that a cold upstream bears.
 	Cold int
+	// Rate is the number of calls a second that a cold upstream bears from all entries; 0 bounds them by Cold.
+	Rate int
 	Warm time.Duration
 	// Budget is the number of probes a second that one upstream may cost.
 	Budget int
 	// Retry is the number of retries for each hundred calls.
 	Retry int
+	// Burst is the number of retries beyond that which all entries together may save up; 0 for the default of each.
+	Burst int
 	// Queue is the number of calls that may wait in one entry.
 	Queue  int
 	Routes []route.Route
--- a/pkg/records/upsrec/upstream.go
+++ b/pkg/records/upsrec/upstream.go
@@ -1,6 +1,9 @@
 package upsrec
 
-import "net/netip"
+import (
+	"net/netip"
+	"time"
+)
 
 // Upstream is one back end of a service.
 type Upstream struct {
@@ -11,4 +14,10 @@
 	Version string
 	// Leave is set when the upstream gets no new work.
 	Leave bool
+	// Slots is the number of calls that it runs at once; 0 for its service's.
+	Slots int
+	// Boot identifies the start of an upstream that announces itself; 0 for one that operators list.
+	Boot uint64
+	// Warm is how long an upstream that announces itself stays cold, counted from the announcement.
+	Warm time.Duration
 }
--- a/pkg/shared/fleet/fleet.go
+++ b/pkg/shared/fleet/fleet.go
@@ -16,4 +16,8 @@
 	Move string
 	// Entries is the number of entries that share the upstreams.
 	Entries int
+	// RetryBurst is the number of retries that this entry may save up; 0 for the default.
+	RetryBurst int
+	// Rank is the place of this entry among them, from 0.
+	Rank int
 }
--- a/pkg/shared/snap/snapshot.go
+++ b/pkg/shared/snap/snapshot.go
@@ -1,9 +1,17 @@
 package snap
 
-import "github.com/balsamvale/balsamvale/pkg/shared/fleet"
+import (
+	"github.com/balsamvale/balsamvale/pkg/control/rules"
+	"github.com/balsamvale/balsamvale/pkg/records/bounds"
+	"github.com/balsamvale/balsamvale/pkg/shared/fleet"
+)
 
 // Snapshot is the configuration in force at one revision.
 type Snapshot struct {
 	Revision int64
 	Fleets   map[string]*fleet.Fleet
+	// Rules finds the rule of a call; nil sends calls by the service that their path names.
+	Rules *rules.Rules
+	// Bounds is what callers may send, or nil for the settings.
+	Bounds *bounds.Bounds
 }
--- a/pkg/shared/tune/constants.go
+++ b/pkg/shared/tune/constants.go
@@ -54,10 +54,20 @@
 	PoisonLife = time.Minute
 	// ProvenLive is the age up to which the last byte read proves a connection live.
 	ProvenLive = 500 * time.Millisecond
+	// AliveIdle, AliveEvery and AliveCount find a connection that went silent within 3 s, by TCP keep-alive.
+	AliveIdle = 1500 * time.Millisecond
+	// AliveEvery is the interval of unanswered probes.
+	AliveEvery = 500 * time.Millisecond
+	// AliveCount is the number of unanswered probes that ends a connection.
+	AliveCount = 3
 	// IdleConn is how long an unused connection is kept.
 	IdleConn = 10 * time.Second
 	// DialTimeout bounds the opening of a connection.
 	DialTimeout = time.Second
+	// WholeAnswer is the largest answer body in bytes that is read as a whole before it is passed on.
+	WholeAnswer = 64 << 10
+	// ComeBackFirst is the shortest time after which a refused caller is told to come back.
+	ComeBackFirst = 50 * time.Millisecond
 	// ReplayBody is the largest request body in bytes that is kept for a second attempt.
 	ReplayBody = 64 << 10
 )
@@ -68,6 +78,8 @@
 	Shards = 32
 	// LeaseTTL is the life of an entry's lease in the store.
 	LeaseTTL = 6 * time.Second
+	// MemberTTL is the life of the lease of an entry that stands for no duties.
+	MemberTTL = 30 * time.Second
 	// LeaseRenew is the interval of lease renewals.
 	LeaseRenew = 2 * time.Second
 	// LeaseFleet is the number of entries from which leases grow longer with the fleet.
@@ -119,6 +131,8 @@
 	BackoffFirst = 50 * time.Millisecond
 	// BackoffMost is the longest pause after a failed store call.
 	BackoffMost = 2 * time.Second
+	// LapseWait is the time after an outage of the store in which upstreams whose leases lapsed announce themselves again.
+	LapseWait = 2 * time.Second
 	// PauseLeast is the shortest gap in an entry's own activity that counts as a pause.
 	PauseLeast = 250 * time.Millisecond
 	// PeerTimeout bounds an exchange.
@@ -185,6 +199,8 @@
 	JudgeMost = 0.6
 	// RevertLife is how long entries remember that a move was taken back without the store.
 	RevertLife = 24 * time.Hour
+	// MoveTurn is how long each further entry in a service's order leaves a step to those before it.
+	MoveTurn = 700 * time.Millisecond
 	// MoveEnd is the part of a move's time by which all traffic has moved.
 	MoveEnd = 0.9
 )
--- /dev/null
+++ b/pkg/stored/batch/doc.go
@@ -0,0 +1,2 @@
+// Package batch holds records that one item of the store brings into force together.
+package batch
--- a/pkg/stored/progrs/progress.go
+++ b/pkg/stored/progrs/progress.go
@@ -14,5 +14,7 @@
 	Phase  phase.Phase
 	Driver string
 	Since  time.Time
+	// Start is when the move began.
+	Start  time.Time
 	Reason string
 }
--- a/pkg/stored/reply/reply.go
+++ b/pkg/stored/reply/reply.go
@@ -7,6 +7,8 @@
 	ID uint64
 	// Failed is set when the outcome is not known.
 	Failed bool
+	// Err is why, for the log.
+	Err error
 	// Done is set when a Swap or Lease took effect.
 	Done  bool
 	Items []item.Item
--- a/pkg/stored/value/value.go
+++ b/pkg/stored/value/value.go
@@ -2,15 +2,17 @@
 
 import (
 	"github.com/balsamvale/balsamvale/pkg/records/record"
+	"github.com/balsamvale/balsamvale/pkg/stored/batch"
 	"github.com/balsamvale/balsamvale/pkg/stored/member"
 	"github.com/balsamvale/balsamvale/pkg/stored/progrs"
 	"github.com/balsamvale/balsamvale/pkg/stored/tenure"
 )
 
-// Value is a record, a member, a tenure or a progress; one pointer is set.
+// Value is a record, a member, a tenure, a progress or a batch; one pointer is set.
 type Value struct {
 	Record   *record.Record
 	Member   *member.Member
 	Tenure   *tenure.Tenure
 	Progress *progrs.Progress
+	Batch    *batch.Batch
 }
--- a/pkg/traffic/budget/budget.go
+++ b/pkg/traffic/budget/budget.go
@@ -11,6 +11,14 @@
 	return &Budget{tokens: float64(burst), burst: float64(burst)}
 }
 
+// Bound sets the number of retries that may be saved up; 0 leaves it.
+func (b *Budget) Bound(burst int) {
+	if burst > 0 {
+		b.burst = float64(burst)
+		b.tokens = min(b.tokens, b.burst)
+	}
+}
+
 // Earn adds one call's worth of retries at a rate in percent.
 func (b *Budget) Earn(percent int) {
 	b.tokens = min(b.burst, b.tokens+float64(percent)/100)
--- a/pkg/traffic/circ/breaker.go
+++ b/pkg/traffic/circ/breaker.go
@@ -42,9 +42,14 @@
 func (b *Breaker) Fail(now time.Time) {
 	b.failures++
 	b.trial = false
-	if b.failures < tune.OpenFailures {
-		return
+	if b.failures >= tune.OpenFailures {
+		b.Open(now)
 	}
+}
+
+// Open opens the circuit, for longer each time in a row.
+func (b *Breaker) Open(now time.Time) {
+	b.trial = false
 	if now.Before(b.until) {
 		return
 	}
@@ -52,5 +57,5 @@
 	b.until = now.Add(b.pause)
 }
 
-// Open reports whether the circuit is open.
-func (b *Breaker) Open() bool { return b.pause > 0 }
+// Opened reports whether the circuit is open.
+func (b *Breaker) Opened() bool { return b.pause > 0 }
--- a/pkg/traffic/flow/flow.go
+++ b/pkg/traffic/flow/flow.go
@@ -36,6 +36,8 @@
 	// ran is set once an upstream may have run the call.
 	ran   bool
 	final bool
+	// runs counts the attempts that an upstream may have run.
+	runs  int
 	alarm time.Time
 }
 
@@ -101,6 +103,7 @@
 	f.pool.Heard(now, &a.choice, &r)
 	if r.Ran() {
 		f.ran = true
+		f.runs++
 	}
 	f.final = f.final || r.Final
 	if r.Cause == cause.Broken {
@@ -145,7 +148,7 @@
 		return f.wait()
 	}
 	f.hedged = true
-	if !f.pool.Retry() {
+	if f.call.Most > 0 && f.runs+f.running >= f.call.Most || !f.pool.Retry() {
 		return f.wait()
 	}
 	ch := f.pool.Pick(now, f.call, f.tried, nil)
@@ -207,7 +210,7 @@
 	if !f.mayRetry(now, r) {
 		return f.refuse(reason.Retries)
 	}
-	if !f.pool.Retry() {
+	if !r.Unsent() && !f.pool.Retry() {
 		return f.refuse(reason.Spent)
 	}
 	return f.pick(now)
@@ -218,7 +221,10 @@
 	if f.late(now) || len(f.attempts) >= tune.MaxAttempts || f.call.Depth >= tune.MaxDepth {
 		return false
 	}
-	if !f.call.Buffered && r.Cause != cause.Unsent {
+	if f.call.Most > 0 && f.runs+f.running >= f.call.Most {
+		return false
+	}
+	if !f.call.Buffered && !r.Unsent() {
 		return false
 	}
 	if !r.Ran() {
--- a/pkg/traffic/pool/choose.go
+++ b/pkg/traffic/pool/choose.go
@@ -74,6 +74,12 @@
 		s.circuit.Try()
 	}
 	if s.cold(now) {
+		if p.fleet.Service.Rate > 0 {
+			s.pace(p, now)
+			ch.Reason = reason.Credit
+			s.reserve(now, ch.Bulk)
+			return ch
+		}
 		cr, ok := s.wallet.Take(now, s.need(p, now, c)+tune.CreditMargin)
 		if !ok {
 			return p.nobody(choice.Choice{At: now, Cold: 1})
@@ -181,7 +187,7 @@
 		ch.Conns++
 		return false, false
 	}
-	if p.full(c, load) {
+	if p.full(c, s, load) {
 		ch.Busy++
 		return false, false
 	}
@@ -194,13 +200,13 @@
 }
 
 // full reports whether an upstream has as much work as it should get from calls of this class.
-func (p *Pool) full(c *call.Call, load float64) bool {
+func (p *Pool) full(c *call.Call, s *server, load float64) bool {
 	if p.policy != policy.Predicted {
 		return false
 	}
-	limit := p.fleet.Service.Slots + tune.Backlog
+	limit := s.slots(p) + tune.Backlog
 	if c.Class == class.Bulk {
-		limit = max(1, p.fleet.Service.Slots-1)
+		limit = max(1, s.slots(p)-1)
 	}
 	return int(load) >= limit
 }
@@ -216,7 +222,7 @@
 		return time.Duration(s.own)
 	}
 	run := s.runTime(p, now)
-	slots := float64(p.fleet.Service.Slots)
+	slots := float64(s.slots(p))
 	wait := max(0, load+1-slots)
 	ahead := wait/slots + tieBreak*load/slots
 	return run + time.Duration(ahead*float64(run)) + 2*s.target.Delay
--- a/pkg/traffic/pool/compare.go
+++ b/pkg/traffic/pool/compare.go
@@ -37,18 +37,18 @@
 		}
 	}
 	failed := r.Cause != cause.None && r.Cause != cause.Canceled
-	if !failed && r.Report != nil && r.Report.Busy >= p.fleet.Service.Slots {
+	if !failed && r.Report != nil && r.Report.Busy >= s.slots(p) {
 		// The call may have waited for others, which says nothing of the version.
 		return
 	}
-	from, to := p.fleet.Shares[0].Version, p.fleet.Shares[1].Version
+	to := p.fleet.Shares[1].Version
 	var why string
 	var bad bool
 	switch s.target.Version {
-	case from:
-		why, bad = p.judge.Old(ch.Route, p.sizeOf(to), failed, took)
 	case to:
 		why, bad = p.judge.New(s.target.Name, ch.Route, p.sizeOf(to), failed, took)
+	default:
+		why, bad = p.judge.Old(ch.Route, p.sizeOf(to), failed, took)
 	}
 	if bad {
 		p.convict(now, why)
--- a/pkg/traffic/pool/pool.go
+++ b/pkg/traffic/pool/pool.go
@@ -65,10 +65,20 @@
 type group struct {
 	version string
 	weight  int
+	// except is a version that does not belong to a group without a version of its own.
+	except  string
 	members []*server
 	total   int
 }
 
+// holds reports whether upstreams of a version belong to the group.
+func (g *group) holds(version string) bool {
+	if g.version != "" {
+		return g.version == version
+	}
+	return g.except == "" || g.except != version
+}
+
 // New returns a pool without upstreams.
 func New(rnd *rand.Rand, p policy.Policy) *Pool {
 	return &Pool{
@@ -87,6 +97,7 @@
 	defer p.unlock()
 	p.step(now)
 	p.fleet = f
+	p.budget.Bound(f.RetryBurst)
 	p.follow(f)
 	old := p.byName
 	p.byName = make(map[string]*server, len(f.Targets))
@@ -115,12 +126,16 @@
 		if p.convicted {
 			w = fullShare * (1 - i)
 		}
-		p.groups = append(p.groups, group{version: sh.Version, weight: w})
+		g := group{version: sh.Version, weight: w}
+		if g.version == "" {
+			g.except = p.fleet.Shares[len(p.fleet.Shares)-1].Version
+		}
+		p.groups = append(p.groups, g)
 	}
 	for _, s := range p.ups {
 		for i := range p.groups {
 			g := &p.groups[i]
-			if g.version != "" && g.version != s.target.Version {
+			if !g.holds(s.target.Version) {
 				continue
 			}
 			g.total++
@@ -266,7 +281,7 @@
 	if s == nil {
 		return 0, false
 	}
-	return now.Sub(s.heardAt), s.cold(now) || s.circuit.Open()
+	return now.Sub(s.heardAt), s.cold(now) || s.circuit.Opened()
 }
 
 // step keeps time from going backwards, whatever the caller passes, and notices pauses.
--- a/pkg/traffic/pool/server.go
+++ b/pkg/traffic/pool/server.go
@@ -1,9 +1,12 @@
 package pool
 
 import (
+	"math"
 	"slices"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/balsamvale/balsamvale/pkg/calls/call"
 	"github.com/balsamvale/balsamvale/pkg/calls/cause"
 	"github.com/balsamvale/balsamvale/pkg/calls/choice"
@@ -46,6 +49,20 @@
 	leaveUntil time.Time
 	circuit    circ.Breaker
 	wallet     wallet.Wallet
+	// paceAt is the earliest time of this entry's next call to the upstream while it is cold, when its service has a rate.
+	paceAt time.Time
+	// tempo is the upstream's own word on how long work takes, as a multiple of the usual.
+	tempo float64
+	// down is set when a connection could not be opened, until an answer comes.
+	down bool
+	// suspects are the calls that were running when connections to the upstream broke.
+	suspects []suspect
+}
+
+// suspect is a call whose connection broke, by its fingerprint.
+type suspect struct {
+	print uint64
+	at    time.Time
 }
 
 func (s *server) install(p *Pool, t *target.Target) {
@@ -53,6 +70,10 @@
 		s.run = p.run
 		s.busyOwn = -1
 	}
+	if t.Upstream.Boot != 0 {
+		s.announced(p, t)
+		return
+	}
 	known := t.Boot != 0 && t.Boot == s.boot
 	if t.Cold.After(s.coldUntil) && !known && !t.Cold.Equal(s.target.Cold) {
 		s.coldUntil = t.Cold
@@ -63,12 +84,57 @@
 	s.target = *t
 }
 
+// announced takes over what an upstream says of itself through the store.
+func (s *server) announced(p *Pool, t *target.Target) {
+	if t.Upstream.Boot != s.boot {
+		s.boot = t.Upstream.Boot
+		s.circuit.Succeed()
+		s.down, s.fails, s.coldUntil = false, 0, time.Time{}
+	}
+	if t.Cold.After(s.coldUntil) {
+		s.chillUntil(p, t.Cold)
+	}
+	s.target = *t
+}
+
+// chillUntil marks the upstream cold, and spreads the first calls of all entries over the time between two of one entry.
+func (s *server) chillUntil(p *Pool, until time.Time) {
+	if !s.cold(p.now) && p.fleet.Service.Rate > 0 {
+		n := float64(max(1, p.fleet.Entries))
+		shift := math.Mod(float64(p.fleet.Rank)/n+float64(xxhash.Sum64String(s.target.Name)%phases)/phases, 1)
+		s.paceAt = p.now.Add(time.Duration(shift * float64(p.interval())))
+	}
+	s.coldUntil = until
+}
+
+// phases is the number of offsets that upstreams spread over, so that entries do not take turns in one order everywhere.
+const phases = 1024
+
+// pace books the place of one call to a cold upstream.
+func (s *server) pace(p *Pool, now time.Time) { s.paceAt = now.Add(p.interval()) }
+
+// interval is the time between two calls of this entry to a cold upstream, so that all entries together keep to its rate.
+func (p *Pool) interval() time.Duration {
+	return time.Second * time.Duration(max(1, p.fleet.Entries)) / time.Duration(max(1, p.fleet.Service.Rate))
+}
+
+// slots is the number of calls that the upstream runs at once.
+func (s *server) slots(p *Pool) int {
+	if s.target.Slots > 0 {
+		return s.target.Slots
+	}
+	return p.fleet.Service.Slots
+}
+
 func (s *server) open() bool { return s.target.Open() }
 
 func (s *server) cold(now time.Time) bool { return now.Before(s.coldUntil) }
 
 // credited reports whether a call may go to the cold upstream, and counts the demand if not.
 func (s *server) credited(p *Pool, now time.Time, c *call.Call) bool {
+	if p.fleet.Service.Rate > 0 {
+		return !now.Before(s.paceAt)
+	}
 	if c.Class == class.Bulk {
 		return false
 	}
@@ -160,11 +226,18 @@
 	case cause.Canceled:
 		s.circuit.Cancel()
 		s.outlast(p, now, ch)
+	case cause.Down:
+		s.down = true
+		s.circuit.Open(now)
 	case cause.Shed:
 		s.circuit.Cancel()
+		if r.Stranger {
+			s.circuit.Open(now)
+		}
 		s.fails += tune.FailWeight * (1 - s.fails)
 	case cause.None:
 		s.circuit.Succeed()
+		s.returned(p, now)
 		s.fails -= tune.FailWeight * s.fails
 		if !ch.Bulk && !ch.At.Before(p.resumed) {
 			s.observe(p, now, r.Took)
@@ -175,6 +248,18 @@
 	}
 }
 
+// returned takes an upstream that answers after it was down as cold until it says otherwise.
+func (s *server) returned(p *Pool, now time.Time) {
+	if !s.down {
+		return
+	}
+	s.down = false
+	if p.fleet.Service.Rate > 0 {
+		s.chillUntil(p, now.Add(p.fleet.Service.Warm))
+		s.pace(p, now)
+	}
+}
+
 // outlast learns from a call that was given up: it would have taken longer than it was given.
 func (s *server) outlast(p *Pool, now time.Time, ch *choice.Choice) {
 	took := now.Sub(ch.At)
@@ -186,7 +271,7 @@
 // observe takes the time of one answer into the averages.
 func (s *server) observe(p *Pool, now time.Time, took time.Duration) {
 	run := max(0, took-2*s.target.Delay)
-	over := float64(s.busy+1) / float64(p.fleet.Service.Slots)
+	over := float64(s.busy+1) / float64(s.slots(p))
 	if over > 1 && s.heardAt.Equal(now) {
 		run = time.Duration(float64(run) / over)
 	}
@@ -206,6 +291,7 @@
 		return
 	}
 	s.busy, s.busyOwn, s.heardAt = r.Busy, s.own, now
+	s.tempo = r.Pace
 	p.others += tune.RunWeight / float64(len(p.ups)) * (float64(max(0, s.busy-s.busyOwn)) - p.others)
 	if r.Leave {
 		s.leave(p, now)
