pool: upstreams are asked for their load and pace before a call is placed

Cause: at any moment a quarter of the upstreams work 4 times slower for some 300 ms; an entry hears from each less than once a second, so that 28% of lookups came late. Change: a call first asks the three upstreams with the lowest predicted time (15 ms at most, a budget for each upstream) and goes to the best; the pace in reports scales the predicted run time; own domain is preferred by the bytes that would cross.

--- a/internal/back/back.go
+++ b/internal/back/back.go
@@ -8,11 +8,13 @@
 	"net"
 	"net/http"
 	"net/http/httptrace"
+	"net/netip"
 	"net/textproto"
 	"net/url"
 	"sync/atomic"
 	"time"
 
+	"github.com/balsamvale/balsamvale/internal/dialct"
 	"github.com/balsamvale/balsamvale/internal/outreq"
 	"github.com/balsamvale/balsamvale/internal/wire"
 	"github.com/balsamvale/balsamvale/pkg/calls/cause"
@@ -23,9 +25,9 @@
 
 // Back holds the connections to upstreams; it is safe for concurrent use.
 type Back struct {
-	clock  clock.Clock
-	judge  func(res *http.Response, id string) result.Result
-	pooled *http.Transport
+	clock   clock.Clock
+	dialect *dialct.Dialect
+	pooled  *http.Transport
 	// fresh opens a connection for each attempt.
 	fresh *http.Transport
 }
@@ -33,9 +35,9 @@
 // idlePerHost bounds the idle connections to one upstream.
 const idlePerHost = 32
 
-// New returns a back without connections; judge reads the heads of answers.
-func New(c clock.Clock, judge func(res *http.Response, id string) result.Result) *Back {
-	b := &Back{clock: c, judge: judge}
+// New returns a back without connections.
+func New(c clock.Clock, d *dialct.Dialect) *Back {
+	b := &Back{clock: c, dialect: d}
 	b.pooled = b.transport()
 	b.fresh = b.transport()
 	b.fresh.DisableKeepAlives = true
@@ -86,6 +88,31 @@
 	return res, out
 }
 
+// Probe asks an upstream for its load; path is where it tells.
+func (b *Back) Probe(ctx context.Context, name string, addr netip.AddrPort, path string) result.Result {
+	ctx, cancel := context.WithTimeout(ctx, tune.AskTimeout)
+	defer cancel()
+	t := &trip{back: b, req: &outreq.Request{Repeat: true}}
+	traced := httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: t.gotConn})
+	req, err := http.NewRequestWithContext(traced, http.MethodGet, "http://"+addr.String()+path, nil)
+	if err != nil {
+		return result.Result{Cause: cause.Unsent}
+	}
+	req.Header.Set("User-Agent", "")
+	res, err := b.pooled.RoundTrip(req)
+	if err != nil {
+		return result.Result{Cause: t.failure(ctx)}
+	}
+	defer func() { _ = res.Body.Close() }()
+	if _, err := io.Copy(io.Discard, io.LimitReader(res.Body, probeBody)); err != nil {
+		return result.Result{Cause: cause.Broken}
+	}
+	return b.dialect.Probe(res, name)
+}
+
+// probeBody bounds the body of a probe's answer in bytes.
+const probeBody = 4 << 10
+
 // try makes an attempt over one transport, and reports whether a stale connection stopped it.
 func (b *Back) try(ctx context.Context, rt *http.Transport, r *outreq.Request) (*http.Response, result.Result, bool) {
 	t := &trip{back: b, req: r}
@@ -99,7 +126,7 @@
 	if err != nil {
 		return nil, result.Result{Cause: t.failure(ctx), Took: took}, t.stale
 	}
-	out := b.judge(res, r.ID)
+	out := b.dialect.Judge(res, r.ID)
 	out.Took = took
 	out.Closing = res.Close && rt == b.pooled
 	if out.Cause == cause.Mismatch {
--- a/internal/back/back_test.go
+++ b/internal/back/back_test.go
@@ -105,7 +105,7 @@
 			go u.loop()
 			DeferCleanup(on.Close)
 			cl := &skewed{Clock: clock.Wall()}
-			b := back.New(cl, dialct.Own().Judge)
+			b := back.New(cl, dialct.Own())
 			send := func(repeat, buffered bool) (*http.Response, cause.Cause) {
 				ctx, cancel := context.WithTimeout(context.Background(), 300*time.Millisecond)
 				DeferCleanup(cancel)
@@ -138,7 +138,7 @@
 		Expect(err).NotTo(HaveOccurred())
 		addr := netip.MustParseAddrPort(on.Addr().String())
 		_ = on.Close()
-		_, out := back.New(clock.Wall(), dialct.Own().Judge).Send(context.Background(), &outreq.Request{
+		_, out := back.New(clock.Wall(), dialct.Own()).Send(context.Background(), &outreq.Request{
 			Method: http.MethodGet, Target: "/", Header: http.Header{}, Buffered: true, Addr: addr, Sent: time.Now(),
 		})
 		Expect(out.Cause).To(Equal(cause.Unsent))
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -13,7 +13,6 @@
 import (
 	"context"
 	"math/rand/v2"
-	"net/http"
 	"net/netip"
 	"sync"
 	"sync/atomic"
@@ -22,8 +21,6 @@
 	"github.com/rotisserie/eris"
 
 	"github.com/balsamvale/balsamvale/internal/logs"
-	"github.com/balsamvale/balsamvale/internal/wire"
-	"github.com/balsamvale/balsamvale/pkg/calls/cause"
 	"github.com/balsamvale/balsamvale/pkg/calls/credit"
 	"github.com/balsamvale/balsamvale/pkg/calls/demand"
 	"github.com/balsamvale/balsamvale/pkg/calls/policy"
@@ -60,7 +57,9 @@
 	Do func(ctx context.Context, o order.Order) reply.Reply
 	// Tell exchanges digests with a peer, and Ask asks one for credits.
 	Tell func(ctx context.Context, addr netip.AddrPort, d digest.Digest) (digest.Digest, error)
-	Ask  func(ctx context.Context, addr netip.AddrPort, a demand.Demand) ([]credit.Credit, error)
+	// Probe asks an upstream for its load.
+	Probe func(ctx context.Context, name string, addr netip.AddrPort, path string) result.Result
+	Ask   func(ctx context.Context, addr netip.AddrPort, a demand.Demand) ([]credit.Credit, error)
 
 	clock   clock.Clock
 	log     *logs.Log
@@ -77,7 +76,6 @@
 	done    chan struct{}
 	errands sync.WaitGroup
 	rand    *rand.Rand
-	prober  *http.Client
 	ready   atomic.Bool
 	table   atomic.Pointer[table]
 	// Dropped counts the news that control had no room for.
@@ -113,7 +111,6 @@
 		waits:   make(chan struct{}, 1),
 		done:    make(chan struct{}),
 		rand:    rand.New(rand.NewPCG(me.Boot, seed)),
-		prober:  &http.Client{Timeout: tune.ProbeTimeout},
 	}
 	co.table.Store(&table{snapshot: &snap.Snapshot{}, pools: map[string]*pool.Pool{}})
 	co.control.Stale = co.stale
@@ -425,16 +422,6 @@
 	if p == nil {
 		return
 	}
-	req, err := http.NewRequestWithContext(e.ctx, http.MethodGet, "http://"+e.effect.Addr.String()+"/load", nil)
-	if err != nil {
-		return
-	}
-	res, err := e.core.prober.Do(req)
-	if err != nil {
-		p.Probed(e.core.clock.Now(), e.effect.Upstream, &result.Result{Cause: cause.Broken})
-		return
-	}
-	defer func() { _ = res.Body.Close() }()
-	r := &result.Result{Status: res.StatusCode, Report: wire.ParseReport(res.Header.Get(wire.Load))}
-	p.Probed(e.core.clock.Now(), e.effect.Upstream, r)
+	r := e.core.Probe(e.ctx, e.effect.Upstream, e.effect.Addr, tune.LoadPath)
+	p.Probed(e.core.clock.Now(), e.effect.Upstream, &r)
 }
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -70,9 +70,11 @@
 	o := d.options
 	k := claims.New(d.clock, fmt.Sprintf("%s.%d", o.Name, boot))
 	k.Get, k.Swap, k.Entries = d.seams.Get, d.seams.Swap, d.core.Entries
+	b := back.New(d.clock, d.seams.Dialect)
+	d.core.Probe = b.Probe
 	f := &front.Front{
 		Rule: d.core.Rule, Ready: d.core.Known, Dialect: d.seams.Dialect,
-		Service: d.core.Service, Send: back.New(d.clock, d.seams.Dialect.Judge).Send, Claim: k.Claim, Settle: k.Settle,
+		Service: d.core.Service, Send: b.Send, Probe: b.Probe, Claim: k.Claim, Settle: k.Settle,
 		Clock: d.clock, Log: d.log, Poison: d.core.Poison(), Name: o.Name, Boot: boot, Body: o.Body,
 	}
 	f.Init(d.metrics)
--- a/internal/dialct/dialect.go
+++ b/internal/dialct/dialect.go
@@ -27,6 +27,8 @@
 	Ask func(h http.Header, c *call.Call, s *step.Step, own string, left time.Duration) string
 	// Judge reads the head of the answer to an attempt that was sent with an identity.
 	Judge func(res *http.Response, id string) result.Result
+	// Probe reads the answer of an upstream that was asked for its load under the given name.
+	Probe func(res *http.Response, name string) result.Result
 	// Answer strips and completes the headers of an answer that is passed on.
 	Answer func(h http.Header)
 	// Refuse completes the headers of a refusal; after is when the caller may come back, or 0.
@@ -35,7 +37,7 @@
 
 // Own returns the project's own dialect.
 func Own() *Dialect {
-	return &Dialect{Left: left, Mark: mark, Strip: wire.Strip, Ask: ask, Judge: judge, Answer: answer, Refuse: refuse}
+	return &Dialect{Left: left, Mark: mark, Strip: wire.Strip, Ask: ask, Judge: judge, Probe: probe, Answer: answer, Refuse: refuse}
 }
 
 func left(h http.Header) time.Duration {
@@ -74,6 +76,10 @@
 	return out
 }
 
+func probe(res *http.Response, _ string) result.Result {
+	return result.Result{Status: res.StatusCode, Report: wire.ParseReport(res.Header.Get(wire.Load))}
+}
+
 func answer(h http.Header) {
 	wire.Strip(h)
 	h.Set(wire.Fate, fate.Answered.String())
--- a/internal/front/exchange.go
+++ b/internal/front/exchange.go
@@ -156,6 +156,9 @@
 		case stage.Claim:
 			s = e.claim()
 			continue
+		case stage.Ask:
+			s = e.ask(s)
+			continue
 		case stage.Send:
 			e.front.Log.Route(e.call, &s)
 			e.send(s)
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"net/http"
+	"net/netip"
 	"strconv"
 	"strings"
 	"sync/atomic"
@@ -45,6 +46,8 @@
 	Service func(name string) (*svcrec.Service, *pool.Pool)
 	// Send makes an attempt.
 	Send func(ctx context.Context, r *outreq.Request) (*http.Response, result.Result)
+	// Probe asks an upstream for its load.
+	Probe func(ctx context.Context, name string, addr netip.AddrPort, path string) result.Result
 	// Claim and Settle keep idempotency keys.
 	Claim  func(ctx context.Context, service string, key, attempt uint64, until time.Time) (grant.Grant, answer.Answer)
 	Settle func(service string, key, attempt uint64, st state.State, a answer.Answer)
@@ -125,7 +128,7 @@
 	svc, rt := pl.service, pl.route
 	c := &call.Call{
 		ID: f.next.Add(1), Mark: f.Dialect.Mark(r.Header), Service: svc.Name, Route: rt.Path, Caller: caller(r), Class: rt.Class,
-		Repeat: repeats(rt.Repeat, r.Method), Buffered: buffered, Arrived: now,
+		Repeat: repeats(rt.Repeat, r.Method), Buffered: buffered, Bytes: int64(len(body)), Arrived: now,
 		Depth: wire.ParseCount(r.Header.Get(wire.Depth)), Attempt: wire.ParseCount(r.Header.Get(wire.Try)),
 	}
 	c.Deadline = deadline(now, f.Dialect.Left(r.Header), pl.timeout, rt.Class)
--- a/internal/front/front_test.go
+++ b/internal/front/front_test.go
@@ -70,7 +70,7 @@
 			}
 			return &svc, p
 		},
-		Send: back.New(clock.Wall(), dialct.Own().Judge).Send, Clock: clock.Wall(), Poison: poison.New(), Name: "e", Boot: 1, Body: limit,
+		Send: back.New(clock.Wall(), dialct.Own()).Send, Clock: clock.Wall(), Poison: poison.New(), Name: "e", Boot: 1, Body: limit,
 		Log: logs.New(io.Discard, zapcore.InfoLevel, 1),
 		Claim: func(context.Context, string, uint64, uint64, time.Time) (grant.Grant, answer.Answer) {
 			return grant.Mine, answer.Answer{}
--- a/pkg/calls/call/call.go
+++ b/pkg/calls/call/call.go
@@ -33,6 +33,11 @@
 	Rank int
 	// Most is the number of upstreams that may run the call; 0 for the default.
 	Most int
+	// Bytes is the size of the request body as far as it is known.
+	Bytes int64
+	// Version is the version drawn for the call when Drawn is set; it may be empty.
+	Version string
+	Drawn   bool
 	// Depth is the number of services above this call.
 	Depth int
 	// Attempt is the attempt number given by the service above; 0 for a first attempt.
--- a/pkg/calls/report/report.go
+++ b/pkg/calls/report/report.go
@@ -16,4 +16,6 @@
 	// Pace is how long work takes at the moment, as a multiple of the usual; 0 when not reported.
 	Pace  float64
 	Leave bool
+	// Warm is how long the upstream says that it stays cold; 0 when it does not say.
+	Warm time.Duration
 }
--- a/pkg/calls/stage/stage.go
+++ b/pkg/calls/stage/stage.go
@@ -9,6 +9,8 @@
 const (
 	// Send starts an attempt.
 	Send Stage = iota // send
+	// Ask asks some upstreams for their load before one is chosen.
+	Ask // ask
 	// Claim claims the idempotency key.
 	Claim // claim
 	// Wait waits for an event or a time.
--- a/pkg/calls/stage/stage_string.go
+++ b/pkg/calls/stage/stage_string.go
@@ -9,16 +9,17 @@
 	// Re-run the stringer command to generate them again.
 	var x [1]struct{}
 	_ = x[Send-0]
-	_ = x[Claim-1]
-	_ = x[Wait-2]
-	_ = x[Deliver-3]
-	_ = x[Replay-4]
-	_ = x[Refuse-5]
+	_ = x[Ask-1]
+	_ = x[Claim-2]
+	_ = x[Wait-3]
+	_ = x[Deliver-4]
+	_ = x[Replay-5]
+	_ = x[Refuse-6]
 }
 
-const _Stage_name = "sendclaimwaitdeliverreplayrefuse"
+const _Stage_name = "sendaskclaimwaitdeliverreplayrefuse"
 
-var _Stage_index = [...]uint8{0, 4, 9, 13, 20, 26, 32}
+var _Stage_index = [...]uint8{0, 4, 7, 12, 16, 23, 29, 35}
 
 func (i Stage) String() string {
 	idx := int(i) - 0
--- a/pkg/calls/step/step.go
+++ b/pkg/calls/step/step.go
@@ -7,6 +7,7 @@
 	"github.com/balsamvale/balsamvale/pkg/calls/fate"
 	"github.com/balsamvale/balsamvale/pkg/calls/reason"
 	"github.com/balsamvale/balsamvale/pkg/calls/stage"
+	"github.com/balsamvale/balsamvale/pkg/shared/target"
 )
 
 // Step is one instruction of a flow to its driver.
@@ -16,6 +17,8 @@
 	Attempt int
 	// Choice is the routing decision behind Send and Refuse.
 	Choice choice.Choice
+	// Ask lists the upstreams to ask for their load, when Stage is Ask.
+	Ask []*target.Target
 	// Alarm is when the driver calls Alarm unless something else happens first; zero for never.
 	Alarm  time.Time
 	Fate   fate.Fate
--- a/pkg/control/config/config.go
+++ b/pkg/control/config/config.go
@@ -298,7 +298,7 @@
 // Owned reports whether some service needs entries that own duties for its upstreams.
 func (c *Config) Owned() bool {
 	for _, s := range c.Services {
-		if s.Rate == 0 || s.Budget > 0 {
+		if s.Rate == 0 || (s.Budget > 0 && s.Ask == 0) {
 			return true
 		}
 	}
--- a/pkg/records/svcrec/service.go
+++ b/pkg/records/svcrec/service.go
@@ -20,8 +20,13 @@
 	// Rate is the number of calls a second that a cold upstream bears from all entries; 0 bounds them by Cold.
 	Rate int
 	Warm time.Duration
-	// Budget is the number of probes a second that one upstream may cost.
+	// Budget is the number of probes a second that one upstream may cost; with Ask, calls spend it, and no
+	// entry probes on its own.
 	Budget int
+	// Ask is the number of upstreams that are asked for their load before a call is placed.
+	Ask int
+	// Health is the path under which upstreams tell their load; empty for the default.
+	Health string
 	// Retry is the number of retries for each hundred calls.
 	Retry int
 	// Burst is the number of retries beyond that which all entries together may save up; 0 for the default of each.
--- a/pkg/shared/tune/constants.go
+++ b/pkg/shared/tune/constants.go
@@ -18,6 +18,24 @@
 	RunForget = time.Second
 	// FailWeight is the weight of a new outcome in the moving failure rate.
 	FailWeight = 0.2
+	// AskWait bounds the time that a call waits for the load of the upstreams that were asked.
+	AskWait = 15 * time.Millisecond
+	// AskFresh is the age up to which a report makes asking needless.
+	AskFresh = 10 * time.Millisecond
+	// AskBurst is the number of probes of one upstream that an entry saves up for.
+	AskBurst = 3
+	// AskTimeout bounds a probe; an answer that comes after AskWait still counts for later calls.
+	AskTimeout = 250 * time.Millisecond
+	// TempoFade is the time in which an upstream's word on its pace loses its weight.
+	TempoFade = 300 * time.Millisecond
+	// KneeFrom is the part of its slots above which an upstream is taken to become slower.
+	KneeFrom = 0.8
+	// KneeCost is how much slower, as a part of the run time.
+	KneeCost = 0.7
+	// DomainByte is what a byte between failure domains counts for in the choice, as time.
+	DomainByte = 800 * time.Nanosecond
+	// AnswerBytes is the assumed size of an answer in that.
+	AnswerBytes = 4 << 10
 	// Backlog is the number of calls beyond its slots that an upstream is predicted to bear.
 	Backlog = 8
 )
@@ -96,6 +114,8 @@
 	Watchers = 24
 	// WatchLag is how long an entry hears nothing before it watches the store itself.
 	WatchLag = 5 * time.Second
+	// LoadPath is where upstreams tell their load unless their service says otherwise.
+	LoadPath = "/load"
 	// ProbeTimeout bounds a probe.
 	ProbeTimeout = time.Second
 	// ProbeIdle is the age of the last report at which a healthy upstream is probed.
--- a/pkg/traffic/flow/flow.go
+++ b/pkg/traffic/flow/flow.go
@@ -70,14 +70,26 @@
 	if f.call.Key != 0 {
 		return step.Step{Stage: stage.Claim, Alarm: f.call.Deadline}
 	}
-	return f.pick(now)
+	return f.first(now)
 }
 
+// first asks some upstreams for their load, where the service wants that, before the first choice.
+func (f *Flow) first(now time.Time) step.Step {
+	asked := f.pool.Candidates(now, f.call)
+	if len(asked) == 0 {
+		return f.pick(now)
+	}
+	return step.Step{Stage: stage.Ask, Ask: asked, Alarm: earlier(now.Add(tune.AskWait), f.call.Deadline)}
+}
+
+// Asked goes on once enough is known of the load, or the time for that has passed.
+func (f *Flow) Asked(now time.Time) step.Step { return f.pick(now) }
+
 // Claimed goes on after the attempt to claim the idempotency key.
 func (f *Flow) Claimed(now time.Time, g grant.Grant) step.Step {
 	switch g {
 	case grant.Mine:
-		return f.pick(now)
+		return f.first(now)
 	case grant.Answered:
 		return step.Step{Stage: stage.Replay, Fate: fate.Answered, Reason: reason.Duplicate}
 	case grant.Unknown:
--- a/pkg/traffic/pool/choose.go
+++ b/pkg/traffic/pool/choose.go
@@ -30,7 +30,7 @@
 // choose picks an upstream or says why there is none; Wait means that all are busy.
 func (p *Pool) choose(now time.Time, c *call.Call, tried []string) choice.Choice {
 	ch := choice.Choice{At: now, Route: c.Route, Bulk: c.Class == class.Bulk}
-	first := p.draw()
+	first := p.drawn(c)
 	best := p.search(now, c, tried, first, &ch)
 	for i := range p.groups {
 		if best.server != nil {
@@ -90,6 +90,18 @@
 	return ch
 }
 
+// drawn returns the version group that was drawn for a call before, or draws one.
+func (p *Pool) drawn(c *call.Call) int {
+	if c.Drawn {
+		for i := range p.groups {
+			if p.groups[i].version == c.Version && p.groups[i].weight > 0 {
+				return i
+			}
+		}
+	}
+	return p.draw()
+}
+
 // draw picks a version group by weight.
 func (p *Pool) draw() int {
 	if len(p.groups) < 2 {
@@ -158,7 +170,7 @@
 	if !ok {
 		return
 	}
-	score := p.score(now, s, load)
+	score := p.score(now, c, s, load)
 	if best.server == nil || score < best.score {
 		*best = candidate{s, score, trial}
 	}
@@ -212,7 +224,7 @@
 }
 
 // score predicts the time until an upstream answers, or ranks it as the policy does.
-func (p *Pool) score(now time.Time, s *server, load float64) time.Duration {
+func (p *Pool) score(now time.Time, c *call.Call, s *server, load float64) time.Duration {
 	switch p.policy {
 	case policy.Random:
 		return 0
@@ -221,11 +233,26 @@
 	case policy.LeastInFlight, policy.TwoChoices:
 		return time.Duration(s.own)
 	}
-	run := s.runTime(p, now)
+	run := time.Duration(float64(s.runTime(p, now)) * s.pacing(p, now))
 	slots := float64(s.slots(p))
 	wait := max(0, load+1-slots)
 	ahead := wait/slots + tieBreak*load/slots
-	return run + time.Duration(ahead*float64(run)) + 2*s.target.Delay
+	if p.fleet.Service.Ask > 0 && load+1 > tune.KneeFrom*slots {
+		ahead += tune.KneeCost
+	}
+	return run + time.Duration(ahead*float64(run)) + p.distance(c, s)
+}
+
+// distance is what it costs to send a call to the upstream's failure domain, as time.
+func (p *Pool) distance(c *call.Call, s *server) time.Duration {
+	if s.target.Delay == 0 {
+		return 0
+	}
+	d := 2 * s.target.Delay
+	if p.fleet.Service.Ask > 0 {
+		d += time.Duration(c.Bytes+tune.AnswerBytes) * tune.DomainByte
+	}
+	return d
 }
 
 // tieBreak spreads calls over upstreams that are all predicted to have a free slot.
--- a/pkg/traffic/pool/pool.go
+++ b/pkg/traffic/pool/pool.go
@@ -49,6 +49,8 @@
 	others float64
 	// run is the average run time of the service.
 	run time.Duration
+	// tempo is the average pace that upstreams report.
+	tempo float64
 	// gap is the average time between ends of this entry's calls.
 	gap     time.Duration
 	lastEnd time.Time
@@ -88,6 +90,7 @@
 		queue:  queue.New[*waiter](),
 		budget: budget.New(tune.RetryBurst),
 		run:    tune.RunFirst,
+		tempo:  1,
 	}
 }
 
@@ -220,20 +223,34 @@
 }
 
 // Probed learns from a probe of an upstream; r is nil when the probe failed.
-func (p *Pool) Probed(now time.Time, upstream string, r *result.Result) {
+//
+// It reports whether the upstream has a free slot and works at its usual pace, so that no other need be asked.
+func (p *Pool) Probed(now time.Time, upstream string, r *result.Result) (good bool) {
 	p.mu.Lock()
 	defer p.unlock()
 	now = p.step(now)
 	s := p.byName[upstream]
 	if s == nil {
-		return
+		return false
 	}
 	s.hear(p, now, r.Report)
-	if r.Cause != cause.None {
+	switch {
+	case r.Cause == cause.Down:
+		s.down = true
+		s.circuit.Open(now)
+	case r.Stranger:
+		s.circuit.Open(now)
+	case r.Cause == cause.Unsent, r.Cause == cause.Canceled, r.Cause == cause.Timeout, r.Cause == cause.Shed:
+	case r.Cause != cause.None && p.fleet.Service.Ask == 0:
 		s.circuit.Fail(now)
 	}
+	rep := r.Report
+	return r.Cause == cause.None && rep != nil && rep.Pace <= goodPace && float64(rep.Busy+1) <= tune.KneeFrom*float64(s.slots(p))
 }
 
+// goodPace is the pace up to which an upstream counts as undisturbed.
+const goodPace = 1.2
+
 // Merge takes over what another entry found out about an upstream.
 func (p *Pool) Merge(now time.Time, f fact.Fact) {
 	p.mu.Lock()
--- a/pkg/traffic/pool/server.go
+++ b/pkg/traffic/pool/server.go
@@ -53,6 +53,9 @@
 	paceAt time.Time
 	// tempo is the upstream's own word on how long work takes, as a multiple of the usual.
 	tempo float64
+	// probes is what is left of this entry's probes of the upstream, as of probedAt.
+	probes   float64
+	probedAt time.Time
 	// down is set when a connection could not be opened, until an answer comes.
 	down bool
 	// suspects are the calls that were running when connections to the upstream broke.
@@ -194,6 +197,15 @@
 // fadeMost is the age in units at which nothing is left.
 const fadeMost = 6
 
+// pacing predicts how much longer than usual work takes at the upstream, from its last word and the average.
+func (s *server) pacing(p *Pool, now time.Time) float64 {
+	if s.tempo == 0 {
+		return p.tempo
+	}
+	w := fade(now.Sub(s.heardAt), tune.TempoFade)
+	return p.tempo + w*(s.tempo-p.tempo)
+}
+
 // runTime predicts how long a call runs, from answers and from calls that are overdue.
 func (s *server) runTime(p *Pool, now time.Time) time.Duration {
 	w := fade(now.Sub(s.runAt), tune.RunForget)
@@ -271,6 +283,9 @@
 // observe takes the time of one answer into the averages.
 func (s *server) observe(p *Pool, now time.Time, took time.Duration) {
 	run := max(0, took-2*s.target.Delay)
+	if s.tempo > 0 && s.heardAt.Equal(now) {
+		run = time.Duration(float64(run) / s.tempo)
+	}
 	over := float64(s.busy+1) / float64(s.slots(p))
 	if over > 1 && s.heardAt.Equal(now) {
 		run = time.Duration(float64(run) / over)
@@ -291,7 +306,13 @@
 		return
 	}
 	s.busy, s.busyOwn, s.heardAt = r.Busy, s.own, now
-	s.tempo = r.Pace
+	if r.Pace > 0 {
+		s.tempo = r.Pace
+		p.tempo += tune.RunWeight / float64(len(p.ups)) * (r.Pace - p.tempo)
+	}
+	if r.Warm > 0 && p.fleet.Service.Rate > 0 {
+		s.chillUntil(p, now.Add(r.Warm))
+	}
 	p.others += tune.RunWeight / float64(len(p.ups)) * (float64(max(0, s.busy-s.busyOwn)) - p.others)
 	if r.Leave {
 		s.leave(p, now)
