control: a few entries watch the store, with short waits and a pause after news

Ruled out: longer waits with TCP keep-alive (the connection was alive); reads that may be stale (they lag in the same trouble). Change: 4 entries, and one more for each 16, watch with waits of 2 s and pause 250 ms after news; the others ask one of them each half second and are told news at once. Digests carry the age of the sender's knowledge; an entry whose knowledge is older than 1.5 s watches by itself.

--- a/internal/codec/peer.go
+++ b/internal/codec/peer.go
@@ -32,7 +32,7 @@
 
 // ToDigest converts a peer's message; facts lapse by this entry's clock.
 func ToDigest(now time.Time, d *pb.Digest) digest.Digest {
-	out := digest.Digest{From: d.GetFrom(), Revision: d.GetRevision()}
+	out := digest.Digest{From: d.GetFrom(), Revision: d.GetRevision(), Age: d.GetAge().AsDuration()}
 	for _, f := range d.GetFact() {
 		out.Facts = append(out.Facts, fact.Fact{
 			Topic: topic.Topic(f.GetTopic()), Subject: f.GetSubject(), Value: f.GetValue(),
@@ -48,7 +48,7 @@
 // FromDigest converts a message for a peer.
 func FromDigest(now time.Time, d digest.Digest) *pb.Digest {
 	out := &pb.Digest{
-		From: d.From, Revision: d.Revision,
+		From: d.From, Revision: d.Revision, Age: duration(d.Age),
 		Base: d.Change.Base, Upto: d.Change.Upto, Full: d.Change.Full,
 	}
 	for _, f := range d.Facts {
--- a/internal/demo/process.go
+++ b/internal/demo/process.go
@@ -52,7 +52,7 @@
 // poll asks for readiness as a balancer does.
 func (p *process) poll() bool {
 	res, err := pollClient.Get("http://" + p.admin.String() + "/ready")
-	ok := err == nil && res.StatusCode == http.StatusNoContent
+	ok := err == nil && res.StatusCode == http.StatusOK
 	if err == nil {
 		_ = res.Body.Close()
 	}
--- a/internal/replay/claims.go
+++ b/internal/replay/claims.go
@@ -31,7 +31,7 @@
 	}
 	k.busy = true
 	if v == verb.Get {
-		k.entry.sim.store.do(order.Order{Verb: verb.Get, Key: k.key}, k.entry.cut(), func(r reply.Reply) {
+		k.entry.sim.store.do(order.Order{Verb: verb.Get, Key: k.key}, k.entry.cut, func(r reply.Reply) {
 			k.entry.live(func() { k.got(r) })
 		})
 		return
--- a/internal/replay/entry.go
+++ b/internal/replay/entry.go
@@ -119,7 +119,7 @@
 func (e *entry) perform(ef effect.Effect) {
 	switch ef.Deed {
 	case deed.Call:
-		e.sim.store.do(ef.Order, e.cut(), func(r reply.Reply) {
+		e.sim.store.do(ef.Order, e.cut, func(r reply.Reply) {
 			e.live(func() { e.step(event.Event{Signal: signal.Reply, Reply: r}) })
 		})
 	case deed.Send:
@@ -150,6 +150,12 @@
 // cut reports whether the entry is cut off from the store.
 func (e *entry) cut() bool { return (e.sim.split || e.sim.severed) && e.index%2 == 1 }
 
+// unaware reports whether nothing could tell the entry of a change at a time: it has been cut off from the store, and
+// from all entries that are not, since before the change.
+func (e *entry) unaware(at time.Time) bool {
+	return e.sim.split && e.index%2 == 1 && e.sim.splitAt.Before(at)
+}
+
 func (e *entry) install(ef effect.Effect) {
 	if ef.Snapshot.Revision < e.revision {
 		e.sim.figures.reverts++
--- a/internal/replay/faults.go
+++ b/internal/replay/faults.go
@@ -74,7 +74,7 @@
 	case pb.Fault_LOST:
 		s.store.lost = true
 	case pb.Fault_SPLIT:
-		s.split = true
+		s.split, s.splitAt = true, s.agenda.now
 	case pb.Fault_CUT:
 		s.severed = true
 	case pb.Fault_CROSSED:
--- a/internal/replay/sim.go
+++ b/internal/replay/sim.go
@@ -32,6 +32,7 @@
 	calls     []*simCall
 	// split keeps every second entry from the others and from the store, severed only from the store.
 	split   bool
+	splitAt time.Time
 	severed bool
 	began   time.Time
 	oracle  bool
--- a/internal/replay/storage.go
+++ b/internal/replay/storage.go
@@ -43,9 +43,9 @@
 }
 
 // do carries out an order and calls done with the reply, or with a failure after the timeout.
-func (st *storage) do(o order.Order, cut bool, done func(reply.Reply)) {
+func (st *storage) do(o order.Order, cut func() bool, done func(reply.Reply)) {
 	fail := func() { done(reply.Reply{ID: o.ID, Failed: true}) }
-	if st.down || cut {
+	if st.down || cut() {
 		st.sim.agenda.after(tune.StoreTimeout, fail)
 		return
 	}
@@ -56,7 +56,7 @@
 		}
 		if o.Verb == verb.Watch {
 			st.reads++
-			st.watch(o, done)
+			st.watch(o, cut, done)
 			return
 		}
 		r := st.serve(o)
@@ -164,12 +164,13 @@
 }
 
 // watch waits for changes after a revision, or for the end of the order's patience.
-func (st *storage) watch(o order.Order, done func(reply.Reply)) {
+func (st *storage) watch(o order.Order, cut func() bool, done func(reply.Reply)) {
 	w := &watcher{order: o}
 	w.done = func(r reply.Reply) {
 		w.done = func(reply.Reply) {}
 		r.ID = o.ID
-		if st.lost && st.sim.rand.Float64() < lostPart {
+		// A cut also loses the answer to a watch that began before it.
+		if cut() || st.lost && st.sim.rand.Float64() < lostPart {
 			st.sim.agenda.after(tune.StoreTimeout, func() { done(reply.Reply{ID: o.ID, Failed: true}) })
 			return
 		}
--- a/internal/replay/upstream.go
+++ b/internal/replay/upstream.go
@@ -248,7 +248,7 @@
 // seeOut counts new work that came too long after the upstream was to get none.
 func (u *upstream) seeOut(v *visit) {
 	for _, at := range []time.Time{u.outAt, u.leftAt} {
-		if !at.IsZero() && v.sent.After(at.Add(outTime)) {
+		if !at.IsZero() && v.sent.After(at.Add(outTime)) && !v.entry.unaware(at) {
 			u.sim.figures.out++
 		}
 	}
--- a/pkg/control/contrl/peers.go
+++ b/pkg/control/contrl/peers.go
@@ -28,7 +28,18 @@
 	if !c.synced || c.now.Sub(c.heardAt) > tune.WatchLag {
 		return true
 	}
-	return shard.Shard(0).Rank(c.config.Live(), c.me.Name) < tune.Watchers
+	return shard.Shard(0).Rank(c.config.Live(), c.me.Name) < c.watchers()
+}
+
+// watchers is the number of entries that watch the store; the others hear from them.
+func (c *Control) watchers() int { return tune.Watchers + len(c.config.Members)/tune.WatchersPer }
+
+// freshAt is the time at which this entry's catalog was surely that of the store.
+func (c *Control) freshAt() time.Time {
+	if f := c.feed.FreshAt(c.now); f.After(c.heardAt) {
+		return f
+	}
+	return c.heardAt
 }
 
 // install takes in changes of the control keys, and passes news on.
@@ -48,10 +59,10 @@
 	}
 	c.trackDuties()
 	if !c.synced && c.catalog.Upto() > 0 {
-		c.synced, c.syncedAt, c.heardAt = true, c.now, c.now
+		c.synced, c.syncedAt = true, c.now
 	}
 	c.introduce()
-	if len(news) > 0 && c.introduced && len(c.config.Members) > tune.Watchers {
+	if len(news) > 0 && c.introduced && len(c.config.Members) > c.watchers() {
 		c.push(digest.Digest{Change: change.Change{Items: news, Base: base, Upto: c.catalog.Upto()}})
 	}
 }
@@ -124,7 +135,7 @@
 // gossip exchanges digests with one random peer.
 func (c *Control) gossip() {
 	c.gossipAt = c.now.Add(tune.Gossip/2 + time.Duration(c.rand.Int64N(int64(tune.Gossip))))
-	for _, p := range c.peers(1) {
+	for _, p := range c.partners() {
 		d := digest.Digest{Facts: c.rumor.Live(c.now, tune.FactsMost)}
 		if rev, ok := c.revisions[p]; ok && rev < c.catalog.Upto() {
 			d.Change = c.catalog.Since(rev, tune.ChangesMost)
@@ -133,6 +144,28 @@
 	}
 }
 
+// partners returns the peers of one exchange: a random one, and one that watches the store.
+func (c *Control) partners() []string {
+	all := c.peers(len(c.config.Members))
+	if len(all) == 0 {
+		return nil
+	}
+	out := all[:1]
+	if c.watches() {
+		return out
+	}
+	live, most := c.config.Live(), c.watchers()
+	for _, name := range all {
+		if shard.Shard(0).Rank(live, name) < most {
+			if name != out[0] {
+				out = append(out, name)
+			}
+			break
+		}
+	}
+	return out
+}
+
 // push sends news to a few peers at once.
 func (c *Control) push(d digest.Digest) {
 	for _, p := range c.peers(tune.Fanout) {
@@ -145,7 +178,7 @@
 	if m == nil {
 		return
 	}
-	d.From, d.Revision = c.me.Name, c.catalog.Upto()
+	d.From, d.Revision, d.Age = c.me.Name, c.catalog.Upto(), c.age()
 	c.emit(effect.Effect{Deed: deed.Send, Peer: peer, Addr: m.Peer, Digest: d})
 }
 
@@ -165,7 +198,7 @@
 // heard takes in a peer's digest and answers with what the peer lacks.
 func (c *Control) heard(ev event.Event) {
 	c.learn(ev.Digest)
-	d := digest.Digest{From: c.me.Name, Revision: c.catalog.Upto(), Facts: c.rumor.Live(c.now, tune.FactsMost)}
+	d := digest.Digest{From: c.me.Name, Revision: c.catalog.Upto(), Age: c.age(), Facts: c.rumor.Live(c.now, tune.FactsMost)}
 	if ev.Digest.Revision < c.catalog.Upto() {
 		d.Change = c.catalog.Since(ev.Digest.Revision, tune.ChangesMost)
 	}
@@ -189,14 +222,17 @@
 		c.noted(f)
 	}
 	if d.Change.Upto > c.catalog.Upto() {
-		c.heardAt = c.now
 		c.install(d.Change)
 	}
-	if d.Revision >= c.catalog.Upto() && c.synced {
-		c.heardAt = c.now
+	// The sender knew at least this entry's revision to be the store's when its knowledge was fresh.
+	if at := c.now.Add(-d.Age); c.synced && d.Revision <= c.catalog.Upto() && at.After(c.heardAt) && d.Revision > 0 {
+		c.heardAt = at
 	}
 }
 
+// age is how long ago this entry's catalog was surely that of the store.
+func (c *Control) age() time.Duration { return c.now.Sub(c.freshAt()) }
+
 // noted takes in a fact, hands it to the traffic side, and passes it on while it is news.
 func (c *Control) noted(f fact.Fact) {
 	if f.From == "" {
--- a/pkg/control/feed/feed.go
+++ b/pkg/control/feed/feed.go
@@ -27,6 +27,10 @@
 	after  string
 	// goodAt is when the store last answered.
 	goodAt time.Time
+	// sentAt is when the order under way was issued.
+	sentAt time.Time
+	// againAt puts the next watch off after news, so that it brings all that changes within a moment.
+	againAt time.Time
 	// failures counts the calls in a row that were not answered, and away is set from the first on.
 	failures int
 	away     bool
@@ -37,7 +41,7 @@
 
 // Next returns the next order once the last has ended, and whether there is one.
 func (f *Feed) Next(now time.Time, id uint64, upto int64) (order.Order, bool) {
-	if f.current.ID != 0 || !f.backoff.Ready(now) {
+	if f.current.ID != 0 || !f.backoff.Ready(now) || now.Before(f.againAt) {
 		return order.Order{}, false
 	}
 	o := order.Order{ID: id, Verb: verb.Watch, Key: keys.Control, Since: upto, Wait: tune.WatchWait}
@@ -45,6 +49,7 @@
 		o = order.Order{ID: id, Verb: verb.List, Key: keys.Control, After: f.after}
 	}
 	f.current = o
+	f.sentAt = now
 	return o, true
 }
 
@@ -71,6 +76,9 @@
 		f.relist = true
 		return change.Change{}, false
 	}
+	if len(r.Items) > 0 {
+		f.againAt = now.Add(tune.WatchGap)
+	}
 	return change.Change{Items: r.Items, Base: o.Since, Upto: r.Revision}, true
 }
 
@@ -95,6 +103,16 @@
 // Returned reports whether the last reply ended a time in which the store did not answer.
 func (f *Feed) Returned() bool { return f.away }
 
+// FreshAt returns the time at which the catalog was surely that of the store.
+//
+// A watch that waits hears of every change, but for a store that loses track of it: then it is fresh only when it ends.
+func (f *Feed) FreshAt(now time.Time) time.Time {
+	if f.current.Verb == verb.Watch && f.current.ID != 0 && f.failures == 0 && now.Sub(f.sentAt) <= tune.WatchWait {
+		return now
+	}
+	return f.goodAt
+}
+
 // Healthy reports whether the store answered within the time of two watches.
 func (f *Feed) Healthy(now time.Time) bool {
 	return !f.goodAt.IsZero() && now.Sub(f.goodAt) < 2*tune.WatchWait
--- a/pkg/events/digest/digest.go
+++ b/pkg/events/digest/digest.go
@@ -1,6 +1,8 @@
 package digest
 
 import (
+	"time"
+
 	"github.com/balsamvale/balsamvale/pkg/events/fact"
 	"github.com/balsamvale/balsamvale/pkg/stored/change"
 )
@@ -10,6 +12,8 @@
 	From string
 	// Revision is that up to which the sender's catalog is complete.
 	Revision int64
-	Facts    []fact.Fact
-	Change   change.Change
+	// Age is how long ago the sender's catalog was surely that of the store.
+	Age    time.Duration
+	Facts  []fact.Fact
+	Change change.Change
 }
--- a/pkg/shared/tune/constants.go
+++ b/pkg/shared/tune/constants.go
@@ -110,10 +110,14 @@
 	CreditMargin = 100 * time.Millisecond
 	// CreditMost bounds the credits that one request may bring.
 	CreditMost = 4
-	// Watchers is the number of entries that watch the store; others hear from them.
-	Watchers = 24
-	// WatchLag is how long an entry hears nothing before it watches the store itself.
-	WatchLag = 5 * time.Second
+	// Watchers is the number of entries of a small fleet that watch the store; others hear from them.
+	Watchers = 4
+	// WatchersPer is the number of entries for each further one that watches.
+	WatchersPer = 16
+	// WatchGap is the pause after news, so that one watch brings all that changes within a moment.
+	WatchGap = 250 * time.Millisecond
+	// WatchLag is the age of its knowledge at which an entry watches the store itself.
+	WatchLag = 1500 * time.Millisecond
 	// LoadPath is where upstreams tell their load unless their service says otherwise.
 	LoadPath = "/load"
 	// ProbeTimeout bounds a probe.
@@ -132,7 +136,7 @@
 	// Tick is the interval of control's timer.
 	Tick = 50 * time.Millisecond
 	// Gossip is the interval of exchanges with a random peer.
-	Gossip = time.Second
+	Gossip = 500 * time.Millisecond
 	// Fanout is the number of peers that urgent facts go to at once.
 	Fanout = 3
 	// FactsMost bounds the facts in one message.
@@ -144,7 +148,7 @@
 	// PageMost bounds the items in one page of a listing.
 	PageMost = 1000
 	// WatchWait is how long a watch waits for a change.
-	WatchWait = 10 * time.Second
+	WatchWait = 2 * time.Second
 	// StoreTimeout bounds a store call other than a watch.
 	StoreTimeout = time.Second
 	// BackoffFirst and BackoffMost bound the pause after a failed store call.
