--- a/internal/cmds/serve.go
+++ b/internal/cmds/serve.go
@@ -51,9 +51,12 @@
 	defer func() { _ = log.Close() }()
 	stop, cancel := signal.NotifyContext(ctx, syscall.SIGTERM, os.Interrupt)
 	defer cancel()
+	hup := make(chan os.Signal, 1)
+	signal.Notify(hup, syscall.SIGHUP)
+	defer signal.Stop(hup)
 	// The start time makes a start unlike any other of the same name.
 	boot := uint64(c.Now().UnixNano())
-	return daemon.New(o, c, log, boot, s).Run(stop)
+	return daemon.New(o, c, log, boot, s).Run(stop, hup)
 }
 
 // ownStore reads the project's own settings, and joins the entry to the project's own store protocol.
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"net/http/pprof"
 	"net/netip"
+	"os"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -139,7 +140,9 @@
 }
 
 // Run serves until stop is done, and then until the calls in flight have ended; errors match ErrListen.
-func (d *Daemon) Run(stop context.Context) error {
+//
+// Each value on hup reads the settings again.
+func (d *Daemon) Run(stop context.Context, hup <-chan os.Signal) error {
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	if err := d.listen(d.admin, d.options.Admin); err != nil {
@@ -152,6 +155,7 @@
 	if err := d.listen(d.front, d.options.Front); err != nil {
 		return err
 	}
+	go (&reloader{daemon: d, hup: hup}).loop(ctx)
 	d.log.Info("started", zap.String("name", d.options.Name), zap.Stringer("front", d.options.Front))
 	select {
 	case <-stop.Done():
@@ -161,6 +165,38 @@
 	return d.stop()
 }
 
+// reloader follows the settings file; its loop method is a goroutine.
+type reloader struct {
+	daemon *Daemon
+	hup    <-chan os.Signal
+}
+
+// reloadEvery is the interval at which the settings are read without a signal, since the file may change without one.
+const reloadEvery = 5 * time.Second
+
+func (r *reloader) loop(ctx context.Context) {
+	for {
+		t, stop := r.daemon.clock.Timer(reloadEvery)
+		asked := false
+		select {
+		case <-r.hup:
+			asked = true
+		case <-t:
+		case <-ctx.Done():
+			stop()
+			return
+		}
+		stop()
+		changed, err := r.daemon.seams.Reload()
+		switch {
+		case err != nil:
+			r.daemon.log.Warn("settings not reloaded, the old ones stay in force", zap.Error(err))
+		case changed || asked:
+			r.daemon.log.Info("settings reloaded", zap.Bool("changed", changed), zap.Bool("signal", asked))
+		}
+	}
+}
+
 // stop tells that the entry leaves, serves on while the balancer notices, and finishes all calls.
 func (d *Daemon) stop() error {
 	d.log.Info("stopping")
--- a/internal/daemon/daemon_test.go
+++ b/internal/daemon/daemon_test.go
@@ -45,7 +45,7 @@
 	done chan error
 }
 
-func (r *runner) run() { r.done <- r.d.Run(r.stop) }
+func (r *runner) run() { r.done <- r.d.Run(r.stop, nil) }
 
 // trickle is an upload that comes in parts, and goes on after the stop has begun.
 type trickle struct {
--- a/internal/seams/seams.go
+++ b/internal/seams/seams.go
@@ -20,6 +20,9 @@
 	// Decode turns an item into a value.
 	Decode  func(it item.Item) (value.Value, error)
 	Dialect *dialct.Dialect
+	// Reload reads the settings file again, puts in force what can change while the entry runs, and reports whether
+	// the file was another one.
+	Reload func() (changed bool, err error)
 	// Reads and Writes tell how many calls were made.
 	Reads  func() uint64
 	Writes func() uint64
--- a/internal/store/client.go
+++ b/internal/store/client.go
@@ -48,7 +48,8 @@
 func (c *Client) Seams() *seams.Seams {
 	return &seams.Seams{
 		Do: c.Do, Get: c.Get, Swap: c.Swap, Decode: codec.Decode, Dialect: dialct.Own(),
-		Reads: c.Reads.Load, Writes: c.Writes.Load,
+		Reload: func() (bool, error) { return false, nil },
+		Reads:  c.Reads.Load, Writes: c.Writes.Load,
 	}
 }
 
--- a/pkg/control/config/config.go
+++ b/pkg/control/config/config.go
@@ -57,6 +57,7 @@
 	// rank is the place of this entry among the members.
 	rank int
 	home string
+	me   string
 
 	byName map[string]*rulrec.Rule
 	// table is built from byName, and nil after a change.
@@ -67,8 +68,8 @@
 	lapsed map[string]item.Item
 }
 
-// New returns an empty configuration of an entry that stands in the failure domain home.
-func New(home string, decode func(item.Item) (value.Value, error)) *Config {
+// New returns an empty configuration of the entry me that stands in the failure domain home.
+func New(me, home string, decode func(item.Item) (value.Value, error)) *Config {
 	return &Config{
 		Decode:    decode,
 		Services:  map[string]*svcrec.Service{},
@@ -84,6 +85,7 @@
 		cold:      map[string]coldStart{},
 		dirty:     map[string]bool{},
 		home:      home,
+		me:        me,
 		byName:    map[string]*rulrec.Rule{},
 		lapsed:    map[string]item.Item{},
 	}
@@ -428,7 +430,7 @@
 	if s == nil {
 		return nil
 	}
-	f := &fleet.Fleet{Service: *s, Entries: max(1, len(c.Members)), Rank: c.rank, Shares: c.shares(service, reverted)}
+	f := &fleet.Fleet{Service: *s, Entries: max(1, len(c.Members)), Entry: c.me, Rank: c.rank, Shares: c.shares(service, reverted)}
 	if s.Burst > 0 {
 		f.RetryBurst = max(1, s.Burst/f.Entries)
 	}
--- a/pkg/shared/fleet/fleet.go
+++ b/pkg/shared/fleet/fleet.go
@@ -18,6 +18,8 @@
 	Entries int
 	// RetryBurst is the number of retries that this entry may save up; 0 for the default.
 	RetryBurst int
+	// Entry is the name of this entry.
+	Entry string
 	// Rank is the place of this entry among them, from 0.
 	Rank int
 }
--- a/pkg/shared/tune/constants.go
+++ b/pkg/shared/tune/constants.go
@@ -36,6 +36,12 @@
 	DomainByte = 800 * time.Nanosecond
 	// AnswerBytes is the assumed size of an answer in that.
 	AnswerBytes = 4 << 10
+	// NearFrom is the number of upstreams of a service up to which an entry keeps connections to all.
+	NearFrom = 24
+	// NearMost is the number that it keeps connections to beyond that.
+	NearMost = 12
+	// NearOwn is how many of these may stand in the entry's own failure domain.
+	NearOwn = 8
 	// Backlog is the number of calls beyond its slots that an upstream is predicted to bear.
 	Backlog = 8
 )
--- a/pkg/traffic/pool/ask.go
+++ b/pkg/traffic/pool/ask.go
@@ -39,8 +39,8 @@
 func (p *Pool) rank(now time.Time, c *call.Call, gi int) []candidate {
 	var ch choice.Choice
 	g := &p.groups[gi]
-	out := make([]candidate, 0, len(g.members))
-	for _, s := range g.members {
+	out := make([]candidate, 0, len(g.near))
+	for _, s := range g.near {
 		load := s.load(p, now)
 		if _, ok := p.admit(now, c, nil, s, load, &ch); ok && !s.cold(now) {
 			spread := 1 + askSpread*(2*p.rand.Float64()-1)
--- a/pkg/traffic/pool/choose.go
+++ b/pkg/traffic/pool/choose.go
@@ -123,19 +123,27 @@
 	return 0
 }
 
-// search looks for the best upstream of one group: in a sample, then among all.
+// search looks for the best upstream of one group: among the near ones, in a sample, then among all.
 func (p *Pool) search(now time.Time, c *call.Call, tried []string, gi int, ch *choice.Choice) candidate {
 	if gi >= len(p.groups) {
 		return candidate{}
 	}
 	g := &p.groups[gi]
 	ch.Out += g.total - len(g.members)
+	var best candidate
+	if len(g.near) < len(g.members) {
+		for _, s := range g.near {
+			p.weigh(now, c, tried, s, &best, ch)
+		}
+		if best.server != nil {
+			return best
+		}
+	}
 	n := len(g.members)
 	if n == 0 {
 		return candidate{}
 	}
 	k := p.sample(n)
-	var best candidate
 	for i := range k {
 		j := i + p.rand.IntN(n-i)
 		g.members[i], g.members[j] = g.members[j], g.members[i]
--- a/pkg/traffic/pool/pool.go
+++ b/pkg/traffic/pool/pool.go
@@ -70,7 +70,9 @@
 	// except is a version that does not belong to a group without a version of its own.
 	except  string
 	members []*server
-	total   int
+	// near are the members that this entry keeps connections to; all of them in a small group.
+	near  []*server
+	total int
 }
 
 // holds reports whether upstreams of a version belong to the group.
@@ -147,6 +149,9 @@
 			}
 		}
 	}
+	for i := range p.groups {
+		p.groups[i].near = p.nearest(p.groups[i].members)
+	}
 }
 
 // Pick decides where a call goes and, when that is an upstream, counts it as in flight there.
