config: a finished move is no longer judged; front: an upload is not read after its call

Cause 2: the transport went on reading an upload after its answer; net/http then broke the connection (invalid concurrent Body.Read call). Change: done and taken back are final; the handler ends the body's reader before it returns, and closes the connection when the body was not read to its end. Bodies up to 512 KiB are read whole. The budget for probes counts the entries that ask an upstream, not all.

--- a/internal/front/exchange.go
+++ b/internal/front/exchange.go
@@ -147,6 +147,7 @@
 
 // serve follows the flow's steps until the caller has its outcome.
 func (e *exchange) serve() {
+	defer e.endStream()
 	e.heads = make(chan *attempt, tune.MaxAttempts)
 	e.woken = make(chan choice.Choice, 1)
 	e.flow.Wake = func(ch choice.Choice) { e.woken <- ch }
@@ -177,6 +178,23 @@
 	}
 }
 
+// endStream waits until nobody reads the request body, which net/http takes back when the handler returns.
+//
+// After a body that was not read to its end, the connection cannot be used again.
+func (e *exchange) endStream() {
+	if e.stream == nil {
+		return
+	}
+	rc := http.NewResponseController(e.w)
+	whole := e.stream.stop(func() {
+		// A connection that takes no deadline is closed already, which ends the read too.
+		_ = rc.SetReadDeadline(e.now())
+	})
+	if !whole {
+		e.w.Header().Set("Connection", "close")
+	}
+}
+
 func (e *exchange) now() time.Time { return e.front.Clock.Now() }
 
 // wait returns the step after the next thing that happens.
--- a/internal/front/front_test.go
+++ b/internal/front/front_test.go
@@ -6,6 +6,7 @@
 	"context"
 	"fmt"
 	"io"
+	"log"
 	"math/rand/v2"
 	"net"
 	"net/http"
@@ -222,6 +223,33 @@
 		})
 	}
 
+	It("leave the connection in order when an upload is answered before its end", func() {
+		up := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+			w.Header().Set("Connection", "close")
+			w.WriteHeader(http.StatusForbidden)
+		}))
+		DeferCleanup(up.Close)
+		var logged bytes.Buffer
+		srv := entryFor(up, bodyLimit, func(f func()) { DeferCleanup(f) })
+		srv.Config.ErrorLog = log.New(&logged, "", 0)
+		for range 20 {
+			c, err := net.Dial("tcp", srv.Listener.Addr().String())
+			Expect(err).NotTo(HaveOccurred())
+			_, err = fmt.Fprintf(c, "POST /s/a HTTP/1.1\r\nHost: h\r\nContent-Length: %d\r\n\r\n%s", 2*tune.ReplayBody, strings.Repeat("x", tune.ReplayBody/8))
+			Expect(err).NotTo(HaveOccurred())
+			Expect(c.SetDeadline(time.Now().Add(5 * time.Second))).To(Succeed())
+			res, err := http.ReadResponse(bufio.NewReader(c), nil)
+			Expect(err).NotTo(HaveOccurred())
+			Expect(res.StatusCode).To(Equal(http.StatusForbidden))
+			// The caller goes on with the body that it began.
+			_, _ = io.WriteString(c, strings.Repeat("x", tune.ReplayBody/8))
+			_, _ = io.Copy(io.Discard, c)
+			_ = c.Close()
+		}
+		srv.Close()
+		Expect(logged.String()).NotTo(ContainSubstring("panic"))
+	})
+
 	It("pass trailers and early answers on", func() {
 		srv := entry(func(w http.ResponseWriter, r *http.Request) {
 			_, _ = io.Copy(io.Discard, r.Body)
--- a/pkg/control/config/config.go
+++ b/pkg/control/config/config.go
@@ -434,7 +434,7 @@
 	if s.Burst > 0 {
 		f.RetryBurst = max(1, s.Burst/f.Entries)
 	}
-	if m := c.current(service); m != nil {
+	if m := c.current(service); m != nil && !c.ended(m.Name) {
 		f.Move = m.Name
 	}
 	names := make([]string, 0, len(c.byService[service]))
@@ -491,7 +491,7 @@
 			part = 0
 		}
 	}
-	if reverted(m.Name) {
+	if !c.ended(m.Name) && reverted(m.Name) {
 		part = 0
 	}
 	return []share.Share{
@@ -500,6 +500,12 @@
 	}
 }
 
+// ended reports whether a move is done or taken back, so that nothing is judged any more.
+func (c *Config) ended(move string) bool {
+	p := c.Progress[move]
+	return p != nil && (p.Phase == phase.Done || p.Phase == phase.Reverted)
+}
+
 // wholeShare is the weight of all calls, in thousandths.
 const wholeShare = 1000
 
--- /dev/null
+++ b/pkg/control/config/config_test.go
@@ -0,0 +1,176 @@
+package config_test
+
+import (
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"github.com/rotisserie/eris"
+
+	"github.com/balsamvale/balsamvale/pkg/control/config"
+	"github.com/balsamvale/balsamvale/pkg/records/domrec"
+	"github.com/balsamvale/balsamvale/pkg/records/movrec"
+	"github.com/balsamvale/balsamvale/pkg/records/part"
+	"github.com/balsamvale/balsamvale/pkg/records/record"
+	"github.com/balsamvale/balsamvale/pkg/records/rulrec"
+	"github.com/balsamvale/balsamvale/pkg/records/svcrec"
+	"github.com/balsamvale/balsamvale/pkg/records/upsrec"
+	"github.com/balsamvale/balsamvale/pkg/shared/share"
+	"github.com/balsamvale/balsamvale/pkg/stored/batch"
+	"github.com/balsamvale/balsamvale/pkg/stored/item"
+	"github.com/balsamvale/balsamvale/pkg/stored/phase"
+	"github.com/balsamvale/balsamvale/pkg/stored/progrs"
+	"github.com/balsamvale/balsamvale/pkg/stored/value"
+)
+
+var start = time.Unix(1000, 0)
+
+// fixture feeds values to a configuration under keys of its own.
+type fixture struct {
+	config   *config.Config
+	values   map[string]value.Value
+	revision int64
+}
+
+func newFixture() *fixture {
+	f := &fixture{values: map[string]value.Value{}}
+	f.config = config.New("e", "za", func(it item.Item) (value.Value, error) {
+		v, ok := f.values[string(it.Value)]
+		if !ok {
+			return value.Value{}, eris.New("broken")
+		}
+		return v, nil
+	})
+	return f
+}
+
+func (f *fixture) put(now time.Time, key string, v value.Value) {
+	f.revision++
+	f.values[key] = v
+	f.config.Apply(now, item.Item{Key: key, Value: []byte(key), Revision: f.revision}, true)
+}
+
+func (f *fixture) remove(now time.Time, key string) {
+	f.revision++
+	f.config.Apply(now, item.Item{Key: key, Gone: true, Revision: f.revision}, true)
+}
+
+func upstream(warm time.Duration) value.Value {
+	return value.Value{Record: &record.Record{Upstream: &upsrec.Upstream{
+		Name: "u", Service: "s", Domain: "zb", Version: "v1", Boot: 7, Warm: warm,
+	}}}
+}
+
+func service() value.Value {
+	return value.Value{Record: &record.Record{Service: &svcrec.Service{Name: "s", Slots: 4, Rate: 18, Warm: 3 * time.Second}}}
+}
+
+var _ = Describe("Shares of a move", func() {
+	never, always := func(string) bool { return false }, func(string) bool { return true }
+	for _, tc := range []struct {
+		name     string
+		progress *progrs.Progress
+		reverted func(string) bool
+		to       int
+		judged   bool
+	}{
+		{"that is planned", nil, never, 0, true},
+		{"under way", &progrs.Progress{Move: "m", Share: 150, Phase: phase.Moving}, never, 150, true},
+		{"under way that an entry saw fail", &progrs.Progress{Move: "m", Share: 150, Phase: phase.Moving}, always, 0, true},
+		{"taken back", &progrs.Progress{Move: "m", Share: 150, Phase: phase.Reverted}, never, 0, false},
+		{"done", &progrs.Progress{Move: "m", Share: 1000, Phase: phase.Done}, never, 1000, false},
+		{"done, after which an entry saw failures", &progrs.Progress{Move: "m", Share: 1000, Phase: phase.Done}, always, 1000, false},
+	} {
+		It(tc.name, func() {
+			f := newFixture()
+			f.put(start, "s", service())
+			f.put(start, "m", value.Value{Record: &record.Record{Move: &movrec.Move{Name: "m", Service: "s", To: "v2", Span: 10 * time.Second}}})
+			if tc.progress != nil {
+				f.put(start, "p", value.Value{Progress: tc.progress})
+			}
+			fl := f.config.Fleet("s", tc.reverted)
+			Expect(fl.Shares).To(Equal([]share.Share{{Version: "", Weight: 1000 - tc.to}, {Version: "v2", Weight: tc.to}}))
+			Expect(fl.Move != "").To(Equal(tc.judged))
+		})
+	}
+
+	It("keep the start of the order over a restart of the entry", func() {
+		f := newFixture()
+		f.put(start, "p", value.Value{Progress: &progrs.Progress{Move: "m", Share: 20, Phase: phase.Moving, Start: start}})
+		f.put(start.Add(5*time.Second), "m", value.Value{Record: &record.Record{Move: &movrec.Move{Name: "m", Service: "s", To: "v2", Span: 10 * time.Second}}})
+		Expect(f.config.Moves["m"].Start).To(Equal(start))
+		Expect(f.config.Moves["m"].Deadline).To(Equal(start.Add(10 * time.Second)))
+	})
+})
+
+var _ = Describe("Upstreams that announce themselves", func() {
+	cold := func(f *fixture, now time.Time) bool {
+		fl := f.config.Fleet("s", func(string) bool { return false })
+		return len(fl.Targets) == 1 && fl.Targets[0].Cold.After(now)
+	}
+	for _, tc := range []struct {
+		name string
+		play func(f *fixture)
+		// there and cold are what holds at 3 s.
+		there, cold bool
+	}{
+		{"are warm when they say so", func(f *fixture) { f.put(start, "u", upstream(0)) }, true, false},
+		{"are cold for as long as they say", func(f *fixture) { f.put(start, "u", upstream(4*time.Second)) }, true, true},
+		{"go at once when they are removed", func(f *fixture) {
+			f.put(start, "u", upstream(0))
+			f.remove(start, "u")
+		}, false, false},
+		{"go at once when their word cannot be read", func(f *fixture) {
+			f.put(start, "u", upstream(0))
+			delete(f.values, "u")
+			f.config.Apply(start, item.Item{Key: "u", Value: []byte("u"), Revision: 99}, true)
+		}, false, false},
+		{"stay for a moment after an outage of the store", func(f *fixture) {
+			f.put(start, "u", upstream(0))
+			f.config.Doubt(start.Add(4 * time.Second))
+			f.remove(start.Add(2*time.Second), "u")
+			f.config.Sweep(start.Add(3 * time.Second))
+		}, true, false},
+		{"go when they are still missing then", func(f *fixture) {
+			f.put(start, "u", upstream(0))
+			f.config.Doubt(start.Add(2 * time.Second))
+			f.remove(start.Add(time.Second), "u")
+			f.config.Sweep(start.Add(3 * time.Second))
+		}, false, false},
+		{"stay when they are back by then", func(f *fixture) {
+			f.put(start, "u", upstream(0))
+			f.config.Doubt(start.Add(2 * time.Second))
+			f.remove(start.Add(time.Second), "u")
+			f.put(start.Add(1500*time.Millisecond), "u", upstream(0))
+			f.config.Sweep(start.Add(3 * time.Second))
+		}, true, false},
+		{"come back cold with their failure domain", func(f *fixture) {
+			f.put(start, "u", upstream(0))
+			f.put(start, "d", value.Value{Record: &record.Record{Domain: &domrec.Domain{Name: "zb", Out: true}}})
+			f.remove(start.Add(2*time.Second), "d")
+		}, true, true},
+	} {
+		It(tc.name, func() {
+			f := newFixture()
+			f.put(start, "s", service())
+			tc.play(f)
+			now := start.Add(3 * time.Second)
+			Expect(f.config.Upstreams).To(HaveLen(map[bool]int{true: 1, false: 0}[tc.there]))
+			Expect(cold(f, now)).To(Equal(tc.cold))
+		})
+	}
+})
+
+var _ = Describe("A batch of records", func() {
+	It("replaces the one before it as a whole", func() {
+		f := newFixture()
+		rule := func(name, path, service string) *record.Record {
+			return &record.Record{Rule: &rulrec.Rule{Name: name, Host: "h", Path: path, Parts: []part.Part{{Service: service, Weight: 1}}}}
+		}
+		f.put(start, "set", value.Value{Batch: &batch.Batch{Records: []*record.Record{service().Record, rule("a", "/a/", "s"), rule("b", "/", "s")}}})
+		Expect(f.config.Rules().Find("h", "/a/x").Name).To(Equal("a"))
+		f.put(start, "set", value.Value{Batch: &batch.Batch{Records: []*record.Record{service().Record, rule("b", "/", "t")}}})
+		Expect(f.config.Rules().Find("h", "/a/x").Parts[0].Service).To(Equal("t"))
+		Expect(f.config.Rules().Len()).To(Equal(1))
+	})
+})
--- a/pkg/shared/tune/constants.go
+++ b/pkg/shared/tune/constants.go
@@ -93,7 +93,7 @@
 	// ComeBackFirst is the shortest time after which a refused caller is told to come back.
 	ComeBackFirst = 50 * time.Millisecond
 	// ReplayBody is the largest request body in bytes that is kept for a second attempt.
-	ReplayBody = 64 << 10
+	ReplayBody = 512 << 10
 )
 
 // Duties, credits and probes.
--- a/pkg/traffic/pool/ask.go
+++ b/pkg/traffic/pool/ask.go
@@ -59,7 +59,7 @@
 	if now.Sub(s.heardAt) < tune.AskFresh {
 		return false
 	}
-	rate := float64(p.fleet.Service.Budget) / float64(max(1, p.fleet.Entries))
+	rate := float64(p.fleet.Service.Budget) / p.askers()
 	s.probes = min(tune.AskBurst, s.probes+rate*now.Sub(s.probedAt).Seconds())
 	s.probedAt = now
 	if s.probes < 1 {
@@ -68,3 +68,12 @@
 	s.probes--
 	return true
 }
+
+// askers is the number of entries that ask one upstream, as the near sets spread.
+func (p *Pool) askers() float64 {
+	n := float64(max(1, p.fleet.Entries))
+	if p.fleet.Service.Ask == 0 || len(p.ups) <= tune.NearFrom {
+		return n
+	}
+	return max(1, n*tune.NearMost/float64(len(p.ups)))
+}
--- a/pkg/traffic/pool/pool.go
+++ b/pkg/traffic/pool/pool.go
@@ -128,7 +128,7 @@
 	}
 	for i, sh := range p.fleet.Shares {
 		w := sh.Weight
-		if p.convicted {
+		if p.convicted && p.move != "" {
 			w = fullShare * (1 - i)
 		}
 		g := group{version: sh.Version, weight: w}
