--- a/internal/front/asker.go
+++ b/internal/front/asker.go
@@ -39,13 +39,13 @@
 		select {
 		case good := <-heard:
 			if good {
-				return e.flow.Asked(e.now())
+				return e.flow.Asked(e.now(), true)
 			}
 		case <-rings:
-			return e.flow.Asked(e.now())
+			return e.flow.Asked(e.now(), false)
 		case <-e.r.Context().Done():
 			return e.flow.Cancel(e.now())
 		}
 	}
-	return e.flow.Asked(e.now())
+	return e.flow.Asked(e.now(), false)
 }
--- a/pkg/shared/tune/constants.go
+++ b/pkg/shared/tune/constants.go
@@ -22,8 +22,12 @@
 	AskWait = 15 * time.Millisecond
 	// AskFresh is the age up to which a report makes asking needless.
 	AskFresh = 10 * time.Millisecond
-	// AskBurst is the number of probes of one upstream that an entry saves up for.
-	AskBurst = 3
+	// AskRounds is the number of times that a call asks upstreams before it takes one that is not free.
+	AskRounds = 2
+	// AskSpan is the time over which an entry may save up probes of one upstream.
+	AskSpan = 8 * time.Second
+	// AskDecay is the time in which the weight of a report falls to 1/e where calls ask for one.
+	AskDecay = 50 * time.Millisecond
 	// AskTimeout bounds a probe; an answer that comes after AskWait still counts for later calls.
 	AskTimeout = 250 * time.Millisecond
 	// TempoFade is the time in which an upstream's word on its pace loses its weight.
--- a/pkg/traffic/budget/budget.go
+++ b/pkg/traffic/budget/budget.go
@@ -4,6 +4,7 @@
 type Budget struct {
 	tokens float64
 	burst  float64
+	bound  bool
 }
 
 // New returns a full budget that saves up to burst retries.
@@ -13,10 +14,15 @@
 
 // Bound sets the number of retries that may be saved up; 0 leaves it.
 func (b *Budget) Bound(burst int) {
-	if burst > 0 {
-		b.burst = float64(burst)
-		b.tokens = min(b.tokens, b.burst)
+	if burst <= 0 {
+		return
 	}
+	if !b.bound {
+		// Entries that start together must not begin with more than their fleet may spend.
+		b.bound, b.tokens = true, 0
+	}
+	b.burst = float64(burst)
+	b.tokens = min(b.tokens, b.burst)
 }
 
 // Earn adds one call's worth of retries at a rate in percent.
--- a/pkg/traffic/flow/flow.go
+++ b/pkg/traffic/flow/flow.go
@@ -36,6 +36,9 @@
 	// ran is set once an upstream may have run the call.
 	ran   bool
 	final bool
+	// asked names the upstreams that were asked for their load, in so many rounds.
+	asked  []string
+	rounds int
 	// runs counts the attempts that an upstream may have run.
 	runs  int
 	alarm time.Time
@@ -75,15 +78,26 @@
 
 // first asks some upstreams for their load, where the service wants that, before the first choice.
 func (f *Flow) first(now time.Time) step.Step {
-	asked := f.pool.Candidates(now, f.call)
+	asked := f.pool.Candidates(now, f.call, f.asked)
 	if len(asked) == 0 {
 		return f.pick(now)
 	}
+	for _, t := range asked {
+		f.asked = append(f.asked, t.Name)
+	}
 	return step.Step{Stage: stage.Ask, Ask: asked, Alarm: earlier(now.Add(tune.AskWait), f.call.Deadline)}
 }
 
-// Asked goes on once enough is known of the load, or the time for that has passed.
-func (f *Flow) Asked(now time.Time) step.Step { return f.pick(now) }
+// Asked goes on once a free upstream is known, all have answered, or the time for that has passed.
+//
+// While none is free, others are asked once more.
+func (f *Flow) Asked(now time.Time, free bool) step.Step {
+	f.rounds++
+	if free || f.rounds >= tune.AskRounds {
+		return f.pick(now)
+	}
+	return f.first(now)
+}
 
 // Claimed goes on after the attempt to claim the idempotency key.
 func (f *Flow) Claimed(now time.Time, g grant.Grant) step.Step {
--- a/pkg/traffic/pool/ask.go
+++ b/pkg/traffic/pool/ask.go
@@ -12,17 +12,17 @@
 
 // Candidates draws the version of a call and returns the upstreams to ask for their load before it is placed.
 //
-// They are those with the lowest predicted time, shuffled a little, so that entries with the same reports ask different ones.
-func (p *Pool) Candidates(now time.Time, c *call.Call) []*target.Target {
+// before names those that were asked already. They are those with the lowest predicted time, shuffled a little, so that entries with the same reports ask different ones.
+func (p *Pool) Candidates(now time.Time, c *call.Call, before []string) []*target.Target {
 	p.mu.Lock()
 	defer p.unlock()
 	now = p.step(now)
 	if p.fleet == nil || p.fleet.Service.Ask == 0 || p.behind(c) {
 		return nil
 	}
-	gi := p.draw()
+	gi := p.drawn(c)
 	c.Version, c.Drawn = p.groups[gi].version, true
-	ranked := p.rank(now, c, gi)
+	ranked := p.rank(now, c, gi, before)
 	var out []*target.Target
 	for i := range ranked {
 		if len(out) == p.fleet.Service.Ask {
@@ -36,13 +36,13 @@
 }
 
 // rank orders the upstreams of a group that a call may go to by predicted time.
-func (p *Pool) rank(now time.Time, c *call.Call, gi int) []candidate {
+func (p *Pool) rank(now time.Time, c *call.Call, gi int, before []string) []candidate {
 	var ch choice.Choice
 	g := &p.groups[gi]
 	out := make([]candidate, 0, len(g.near))
 	for _, s := range g.near {
 		load := s.load(p, now)
-		if _, ok := p.admit(now, c, nil, s, load, &ch); ok && !s.cold(now) {
+		if _, ok := p.admit(now, c, before, s, load, &ch); ok && !s.cold(now) {
 			spread := 1 + askSpread*(2*p.rand.Float64()-1)
 			out = append(out, candidate{server: s, score: time.Duration(float64(p.score(now, c, s, load)) * spread)})
 		}
@@ -60,7 +60,7 @@
 		return false
 	}
 	rate := float64(p.fleet.Service.Budget) / p.askers()
-	s.probes = min(tune.AskBurst, s.probes+rate*now.Sub(s.probedAt).Seconds())
+	s.probes = min(max(1, rate*tune.AskSpan.Seconds()), s.probes+rate*now.Sub(s.probedAt).Seconds())
 	s.probedAt = now
 	if s.probes < 1 {
 		return false
--- a/pkg/traffic/pool/server.go
+++ b/pkg/traffic/pool/server.go
@@ -180,11 +180,19 @@
 	if s.heardAt.IsZero() {
 		return float64(s.own) + p.others
 	}
-	w := fade(now.Sub(s.heardAt), tune.ReportDecay)
+	w := fade(now.Sub(s.heardAt), p.decay())
 	seen := float64(max(0, s.busy-s.busyOwn))
 	return float64(s.own) + w*seen + (1-w)*p.others
 }
 
+// decay is the time in which a report loses its weight.
+func (p *Pool) decay() time.Duration {
+	if p.fleet.Service.Ask > 0 {
+		return tune.AskDecay
+	}
+	return tune.ReportDecay
+}
+
 // fade approximates exp(-age/unit) by the reciprocal of its series, at a third of the cost.
 func fade(age, unit time.Duration) float64 {
 	if age >= fadeMost*unit {
