flow: a call holds for a free upstream while it can make its goal

Change: while none of six upstreams is free, the call waits 20 ms and asks again. Conclusion: kept for what follows; what ends its wait still goes to a busy upstream, so that the overload stays.

--- a/pkg/shared/tune/constants.go
+++ b/pkg/shared/tune/constants.go
@@ -24,6 +24,8 @@
 	AskFresh = 10 * time.Millisecond
 	// AskRounds is the number of times that a call asks upstreams before it takes one that is not free.
 	AskRounds = 2
+	// HoldTime is how long a call waits before it asks again, while no upstream is free.
+	HoldTime = 20 * time.Millisecond
 	// AskSpan is the time over which an entry may save up probes of one upstream.
 	AskSpan = 8 * time.Second
 	// AskDecay is the time in which the weight of a report falls to 1/e where calls ask for one.
--- a/pkg/traffic/flow/flow.go
+++ b/pkg/traffic/flow/flow.go
@@ -39,6 +39,8 @@
 	// asked names the upstreams that were asked for their load, in so many rounds.
 	asked  []string
 	rounds int
+	// holding is set while the call waits for a free upstream without a place in the queue.
+	holding bool
 	// runs counts the attempts that an upstream may have run.
 	runs  int
 	alarm time.Time
@@ -78,8 +80,11 @@
 
 // first asks some upstreams for their load, where the service wants that, before the first choice.
 func (f *Flow) first(now time.Time) step.Step {
-	asked := f.pool.Candidates(now, f.call, f.asked)
+	asked, busy := f.pool.Candidates(now, f.call, f.asked)
 	if len(asked) == 0 {
+		if busy && f.holds(now) {
+			return f.hold(now)
+		}
 		return f.pick(now)
 	}
 	for _, t := range asked {
@@ -90,13 +95,30 @@
 
 // Asked goes on once a free upstream is known, all have answered, or the time for that has passed.
 //
-// While none is free, others are asked once more.
+// While none is free, others are asked, and then the call holds for a moment as long as it can still make its goal.
 func (f *Flow) Asked(now time.Time, free bool) step.Step {
 	f.rounds++
-	if free || f.rounds >= tune.AskRounds {
+	if free {
 		return f.pick(now)
 	}
-	return f.first(now)
+	if f.rounds%tune.AskRounds != 0 {
+		return f.first(now)
+	}
+	if f.holds(now) {
+		return f.hold(now)
+	}
+	return f.pick(now)
+}
+
+// holds reports whether the call can wait for a free upstream and still make its goal.
+func (f *Flow) holds(now time.Time) bool {
+	return !f.call.Goal.IsZero() && now.Add(tune.HoldTime+f.pool.Expected()).Before(f.call.Goal)
+}
+
+// hold waits for a moment before upstreams are asked again.
+func (f *Flow) hold(now time.Time) step.Step {
+	f.holding, f.asked = true, nil
+	return step.Step{Stage: stage.Wait, Alarm: now.Add(tune.HoldTime), Reason: reason.Full}
 }
 
 // Claimed goes on after the attempt to claim the idempotency key.
@@ -170,6 +192,10 @@
 	if f.late(now) {
 		return f.refuse(reason.Late)
 	}
+	if f.holding {
+		f.holding = false
+		return f.first(now)
+	}
 	if f.running == 0 || f.hedged || !f.call.Repeat || !f.call.Buffered {
 		return f.wait()
 	}
--- a/pkg/traffic/pool/ask.go
+++ b/pkg/traffic/pool/ask.go
@@ -12,27 +12,47 @@
 
 // Candidates draws the version of a call and returns the upstreams to ask for their load before it is placed.
 //
-// before names those that were asked already. They are those with the lowest predicted time, shuffled a little, so that entries with the same reports ask different ones.
-func (p *Pool) Candidates(now time.Time, c *call.Call, before []string) []*target.Target {
+// before names those that were asked already. They are those with the lowest predicted time, shuffled a little, so that
+// entries with the same reports ask different ones. With none to ask, busy reports whether enough are known to be.
+func (p *Pool) Candidates(now time.Time, c *call.Call, before []string) (out []*target.Target, busy bool) {
 	p.mu.Lock()
 	defer p.unlock()
 	now = p.step(now)
 	if p.fleet == nil || p.fleet.Service.Ask == 0 || p.behind(c) {
-		return nil
+		return nil, false
 	}
 	gi := p.drawn(c)
 	c.Version, c.Drawn = p.groups[gi].version, true
-	ranked := p.rank(now, c, gi, before)
-	var out []*target.Target
-	for i := range ranked {
+	known := 0
+	for _, r := range p.rank(now, c, gi, before) {
 		if len(out) == p.fleet.Service.Ask {
 			break
 		}
-		if s := ranked[i].server; p.mayAsk(now, s) {
+		s := r.server
+		if now.Sub(s.heardAt) < tune.AskFresh {
+			if s.free(p) {
+				return nil, false
+			}
+			known++
+			continue
+		}
+		if p.mayAsk(now, s) {
 			out = append(out, &s.target)
 		}
 	}
-	return out
+	return out, known >= p.fleet.Service.Ask
+}
+
+// free reports whether the last report showed a slot below the knee and an undisturbed upstream.
+func (s *server) free(p *Pool) bool {
+	return s.tempo <= goodPace && float64(max(s.busy, s.own)+1) <= tune.KneeFrom*float64(s.slots(p))
+}
+
+// Expected is the average run time of the service's calls.
+func (p *Pool) Expected() time.Duration {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.run
 }
 
 // rank orders the upstreams of a group that a call may go to by predicted time.
@@ -54,11 +74,8 @@
 // askSpread is the part by which the order of candidates is shuffled.
 const askSpread = 0.3
 
-// mayAsk takes a probe from the budget of an upstream, unless its load is known well enough.
+// mayAsk takes a probe from the budget of an upstream.
 func (p *Pool) mayAsk(now time.Time, s *server) bool {
-	if now.Sub(s.heardAt) < tune.AskFresh {
-		return false
-	}
 	rate := float64(p.fleet.Service.Budget) / p.askers()
 	s.probes = min(max(1, rate*tune.AskSpan.Seconds()), s.probes+rate*now.Sub(s.probedAt).Seconds())
 	s.probedAt = now
--- a/pkg/traffic/pool/pool.go
+++ b/pkg/traffic/pool/pool.go
@@ -249,8 +249,7 @@
 	case r.Cause != cause.None && p.fleet.Service.Ask == 0:
 		s.circuit.Fail(now)
 	}
-	rep := r.Report
-	return r.Cause == cause.None && rep != nil && rep.Pace <= goodPace && float64(rep.Busy+1) <= tune.KneeFrom*float64(s.slots(p))
+	return r.Cause == cause.None && r.Report != nil && s.free(p)
 }
 
 // goodPace is the pace up to which an upstream counts as undisturbed.
