logs: lines are written by a goroutine of its own, bounded a second; limits from the configuration

Cause: a stalled standard output held up calls, and the volume had no bound. Change: lines go through a bounded buffer that drops and counts; 600 lines a second, of which routine ones may use 400; the end of each attempt is logged with the load and pace that its upstream reported. The largest body comes from the configuration in force. Tests: a stalled writer, the bound of a second.

--- a/internal/cmds/serve.go
+++ b/internal/cmds/serve.go
@@ -47,8 +47,8 @@
 		debug.SetMemoryLimit(o.Memory)
 	}
 	c := clock.Wall()
-	log := logs.New(a.Out, o.Level, o.Sample)
-	defer func() { _ = log.Close() }()
+	log := logs.New(a.Out, c, o.Level, o.Sample)
+	defer log.Close()
 	stop, cancel := signal.NotifyContext(ctx, syscall.SIGTERM, os.Interrupt)
 	defer cancel()
 	hup := make(chan os.Signal, 1)
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -33,6 +33,7 @@
 	"github.com/balsamvale/balsamvale/pkg/events/fact"
 	"github.com/balsamvale/balsamvale/pkg/events/signal"
 	"github.com/balsamvale/balsamvale/pkg/events/topic"
+	"github.com/balsamvale/balsamvale/pkg/records/bounds"
 	"github.com/balsamvale/balsamvale/pkg/records/rulrec"
 	"github.com/balsamvale/balsamvale/pkg/records/svcrec"
 	"github.com/balsamvale/balsamvale/pkg/shared/clock"
@@ -140,6 +141,9 @@
 	return t.Find(host, path), true
 }
 
+// Bounds returns what callers may send as operators wrote it, or nil for the settings.
+func (co *Core) Bounds() *bounds.Bounds { return co.table.Load().snapshot.Bounds }
+
 // Entries returns the number of entries in the fleet as far as is known.
 func (co *Core) Entries() int {
 	for _, f := range co.table.Load().snapshot.Fleets {
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -25,6 +25,7 @@
 	"github.com/balsamvale/balsamvale/internal/peers"
 	"github.com/balsamvale/balsamvale/internal/seams"
 	"github.com/balsamvale/balsamvale/pkg/shared/clock"
+	"github.com/balsamvale/balsamvale/pkg/shared/tune"
 	"github.com/balsamvale/balsamvale/pkg/stored/member"
 )
 
@@ -74,15 +75,16 @@
 	b := back.New(d.clock, d.seams.Dialect)
 	d.core.Probe = b.Probe
 	f := &front.Front{
-		Rule: d.core.Rule, Ready: d.core.Known, Dialect: d.seams.Dialect,
+		Rule: d.core.Rule, Bounds: d.core.Bounds, Ready: d.core.Known, Dialect: d.seams.Dialect,
 		Service: d.core.Service, Send: b.Send, Probe: b.Probe, Claim: k.Claim, Settle: k.Settle,
 		Clock: d.clock, Log: d.log, Poison: d.core.Poison(), Name: o.Name, Boot: boot, Body: o.Body,
 	}
 	f.Init(d.metrics)
 	d.metrics.NewGauge("balsamvale_store_reads_total", func() float64 { return float64(d.seams.Reads()) })
 	d.metrics.NewGauge("balsamvale_store_writes_total", func() float64 { return float64(d.seams.Writes()) })
+	d.metrics.NewGauge("balsamvale_log_lines_dropped_total", func() float64 { return float64(d.log.Dropped()) })
 	d.metrics.NewGauge("balsamvale_news_dropped_total", func() float64 { return float64(d.core.Dropped.Load()) })
-	d.front = &http.Server{Handler: f, ReadHeaderTimeout: o.Read, MaxHeaderBytes: o.Header, Protocols: bothProtocols()}
+	d.front = &http.Server{Handler: f, ReadHeaderTimeout: o.Read, IdleTimeout: tune.IdleCaller, MaxHeaderBytes: o.Header, Protocols: bothProtocols()}
 }
 
 func bothProtocols() *http.Protocols {
--- a/internal/front/exchange.go
+++ b/internal/front/exchange.go
@@ -101,7 +101,7 @@
 		return e.readChunks()
 	}
 	if e.r.ContentLength < 0 || e.r.ContentLength > tune.ReplayBody {
-		e.stream = &stream{ReadCloser: http.MaxBytesReader(e.w, e.r.Body, e.front.Body)}
+		e.stream = &stream{ReadCloser: http.MaxBytesReader(e.w, e.r.Body, e.front.bodyMost())}
 		// HTTP/2 is full duplex anyway and says that it does not need this.
 		_ = http.NewResponseController(e.w).EnableFullDuplex()
 		return nil
@@ -117,7 +117,7 @@
 
 // readChunks keeps a small body of unknown length, and leaves the rest of a larger one to be streamed.
 func (e *exchange) readChunks() error {
-	all := http.MaxBytesReader(e.w, e.r.Body, e.front.Body)
+	all := http.MaxBytesReader(e.w, e.r.Body, e.front.bodyMost())
 	body, err := io.ReadAll(io.LimitReader(all, tune.ReplayBody+1))
 	if err != nil {
 		return err
@@ -207,7 +207,7 @@
 	}
 	select {
 	case a := <-e.heads:
-		e.front.Log.End(e.call, a.id, &a.result)
+		e.front.Log.End(e.call, a.id, &a.result, e.now().Sub(e.call.Arrived))
 		s := e.flow.Headed(e.now(), a.id, a.result)
 		if s.Stage != stage.Deliver {
 			a.drop()
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -24,6 +24,7 @@
 	"github.com/balsamvale/balsamvale/pkg/calls/grant"
 	"github.com/balsamvale/balsamvale/pkg/calls/result"
 	"github.com/balsamvale/balsamvale/pkg/calls/state"
+	"github.com/balsamvale/balsamvale/pkg/records/bounds"
 	"github.com/balsamvale/balsamvale/pkg/records/repeat"
 	"github.com/balsamvale/balsamvale/pkg/records/rulrec"
 	"github.com/balsamvale/balsamvale/pkg/records/svcrec"
@@ -38,6 +39,8 @@
 type Front struct {
 	// Rule finds the rule of a call; known is false when no rules are in force, and calls name their service in the path.
 	Rule func(host, path string) (r *rulrec.Rule, known bool)
+	// Bounds returns what callers may send as operators wrote it, or nil for the settings.
+	Bounds func() *bounds.Bounds
 	// Dialect reads and writes headers.
 	Dialect *dialct.Dialect
 	// Ready reports whether a configuration is in force.
@@ -95,7 +98,7 @@
 		f.notReady(w, r)
 		return
 	}
-	if r.ContentLength > f.Body {
+	if r.ContentLength > f.bodyMost() {
 		f.refuseEarly(w, r, http.StatusRequestEntityTooLarge, "the body is too large")
 		return
 	}
@@ -109,6 +112,14 @@
 	e.serve()
 }
 
+// bodyMost is the largest request body in bytes.
+func (f *Front) bodyMost() int64 {
+	if b := f.Bounds(); b != nil && b.Body > 0 {
+		return min(b.Body, f.Body)
+	}
+	return f.Body
+}
+
 // notReady refuses a call for which no configuration is in force yet.
 func (f *Front) notReady(w http.ResponseWriter, r *http.Request) {
 	w.Header().Set("Retry-After", strconv.FormatFloat(tune.ComeBackFirst.Seconds(), 'f', -1, 64))
--- a/internal/logs/log.go
+++ b/internal/logs/log.go
@@ -2,51 +2,71 @@
 
 import (
 	"io"
-	"sync/atomic"
 	"time"
 
 	"go.uber.org/zap"
 	"go.uber.org/zap/zapcore"
 
+	"sync/atomic"
+
 	"github.com/balsamvale/balsamvale/pkg/calls/call"
+	"github.com/balsamvale/balsamvale/pkg/calls/cause"
 	"github.com/balsamvale/balsamvale/pkg/calls/result"
 	"github.com/balsamvale/balsamvale/pkg/calls/stage"
 	"github.com/balsamvale/balsamvale/pkg/calls/step"
 	"github.com/balsamvale/balsamvale/pkg/events/note"
+	"github.com/balsamvale/balsamvale/pkg/shared/clock"
 )
 
-// Log writes a line for each routing and placement decision; it is safe for concurrent use.
+// Log writes a line for each routing and placement decision; it is safe for concurrent use and never blocks.
 type Log struct {
 	*zap.Logger
 	sample uint64
 	count  atomic.Uint64
-	buffer *zapcore.BufferedWriteSyncer
+	clock  clock.Clock
+	pipe   *pipe
+	quota  quota
 }
 
-const (
-	bufferSize  = 256 << 10
-	flushPeriod = time.Second
-)
-
-// New returns a log that writes one in sample routing decisions, and every refusal.
-func New(w io.Writer, level zapcore.Level, sample int) *Log {
+// New returns a log that writes one in sample routing decisions, and every refusal, within a bound a second.
+func New(w io.Writer, c clock.Clock, level zapcore.Level, sample int) *Log {
 	cfg := zap.NewProductionEncoderConfig()
 	cfg.EncodeTime = zapcore.RFC3339NanoTimeEncoder
 	cfg.EncodeDuration = zapcore.StringDurationEncoder
-	buf := &zapcore.BufferedWriteSyncer{WS: zapcore.AddSync(w), Size: bufferSize, FlushInterval: flushPeriod}
-	core := zapcore.NewCore(zapcore.NewJSONEncoder(cfg), buf, level)
-	return &Log{Logger: zap.New(core), sample: uint64(max(1, sample)), buffer: buf}
+	p := newPipe(w, c)
+	core := zapcore.NewCore(zapcore.NewJSONEncoder(cfg), p, level)
+	return &Log{Logger: zap.New(core), sample: uint64(max(1, sample)), clock: c, pipe: p}
 }
 
-// Close writes out what is buffered.
-func (l *Log) Close() error { return l.buffer.Stop() }
+// Close writes out what waits, for a bounded time.
+func (l *Log) Close() { l.pipe.close() }
+
+// Dropped returns the number of lines that were lost to a writer that stalled.
+func (l *Log) Dropped() uint64 { return l.pipe.dropped.Load() }
+
+// check returns a line to write, unless the level or the bound for the second leaves it out.
+func (l *Log) check(msg string, routine bool) *zapcore.CheckedEntry {
+	ce := l.Check(zapcore.InfoLevel, msg)
+	if ce == nil {
+		return nil
+	}
+	ok, missed := l.quota.admit(l.clock.Now(), routine)
+	if missed > 0 {
+		l.Warn("lines left out", zap.Uint64("count", missed))
+	}
+	if !ok {
+		return nil
+	}
+	return ce
+}
 
 // Route writes a routing decision.
 func (l *Log) Route(c *call.Call, s *step.Step) {
-	if s.Stage == stage.Send && l.sample > 1 && l.count.Add(1)%l.sample != 0 {
+	routine := s.Stage == stage.Send
+	if routine && l.sample > 1 && l.count.Add(1)%l.sample != 0 {
 		return
 	}
-	ce := l.Check(zapcore.InfoLevel, "route")
+	ce := l.check("route", routine)
 	if ce == nil {
 		return
 	}
@@ -65,22 +85,33 @@
 	)
 }
 
-// End writes how an attempt ended, when debugging.
-func (l *Log) End(c *call.Call, attempt int, r *result.Result) {
-	if ce := l.Check(zapcore.DebugLevel, "end"); ce != nil {
-		ce.Write(zap.Uint64("call", c.ID), zap.String("mark", c.Mark), zap.Int("attempt", attempt),
-			zap.Stringer("cause", r.Cause), zap.Int("status", r.Status), zap.Duration("took", r.Took))
+// End writes how an attempt ended, with the load that the upstream reported then; since counts from the call's arrival.
+func (l *Log) End(c *call.Call, attempt int, r *result.Result, since time.Duration) {
+	ce := l.check("end", r.Cause == cause.None)
+	if ce == nil {
+		return
+	}
+	busy, pace := -1, 0.0
+	if r.Report != nil {
+		busy, pace = r.Report.Busy, r.Report.Pace
 	}
+	ce.Write(zap.Uint64("call", c.ID), zap.String("mark", c.Mark), zap.Int("attempt", attempt),
+		zap.Stringer("cause", r.Cause), zap.Int("status", r.Status), zap.Duration("took", r.Took),
+		zap.Duration("since", since), zap.Int("busy", busy), zap.Float64("pace", pace))
 }
 
 // Early writes a refusal that came before any decision on where the call goes.
 func (l *Log) Early(mark, host, path string, status int, why string) {
-	l.Info("early", zap.String("mark", mark), zap.String("host", host), zap.String("path", path),
-		zap.Int("status", status), zap.String("reason", why))
+	if ce := l.check("early", false); ce != nil {
+		ce.Write(zap.String("mark", mark), zap.String("host", host), zap.String("path", path),
+			zap.Int("status", status), zap.String("reason", why))
+	}
 }
 
 // Place writes a placement decision.
 func (l *Log) Place(n note.Note) {
-	l.Info("place", zap.Stringer("what", n.What), zap.String("subject", n.Subject),
-		zap.String("reason", n.Reason), zap.Int("share", n.Share))
+	if ce := l.check("place", false); ce != nil {
+		ce.Write(zap.Stringer("what", n.What), zap.String("subject", n.Subject),
+			zap.String("reason", n.Reason), zap.Int("share", n.Share))
+	}
 }
--- /dev/null
+++ b/internal/logs/log_test.go
@@ -0,0 +1,95 @@
+package logs
+
+import (
+	"bytes"
+	"strings"
+	"sync"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"go.uber.org/zap/zapcore"
+
+	"github.com/balsamvale/balsamvale/pkg/calls/call"
+	"github.com/balsamvale/balsamvale/pkg/calls/stage"
+	"github.com/balsamvale/balsamvale/pkg/calls/step"
+	"github.com/balsamvale/balsamvale/pkg/shared/clock"
+)
+
+// stalled is a writer that blocks until it is released.
+type stalled struct {
+	release chan struct{}
+	mu      sync.Mutex
+	got     bytes.Buffer
+}
+
+func (s *stalled) Write(p []byte) (int, error) {
+	<-s.release
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.got.Write(p)
+}
+
+func (s *stalled) text() string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.got.String()
+}
+
+// still is a clock whose time stands until it is moved; its timers are the machine's.
+type still struct {
+	clock.Clock
+	mu  sync.Mutex
+	now time.Time
+}
+
+func (s *still) Now() time.Time {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.now
+}
+
+func (s *still) move(d time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.now = s.now.Add(d)
+}
+
+var _ = Describe("The log", func() {
+	c := &call.Call{ID: 1, Mark: "m"}
+
+	It("never blocks on a stalled writer, and counts what is lost", func() {
+		w := &stalled{release: make(chan struct{})}
+		cl := &still{Clock: clock.Wall(), now: time.Unix(1000, 0)}
+		l := New(w, cl, zapcore.InfoLevel, 1)
+		for range 20 {
+			for range linesMost {
+				l.Route(c, &step.Step{Stage: stage.Refuse})
+			}
+			cl.move(time.Second)
+		}
+		Expect(l.Dropped()).To(BeNumerically(">", 0))
+		close(w.release)
+		l.Close()
+		Expect(w.text()).To(ContainSubstring(`"mark":"m"`))
+	})
+
+	It("bounds the lines of a second, keeps refusals longest, and says what it left out", func() {
+		w := &stalled{release: make(chan struct{})}
+		close(w.release)
+		cl := &still{Clock: clock.Wall(), now: time.Unix(1000, 0)}
+		l := New(w, cl, zapcore.InfoLevel, 1)
+		for range 2 * linesMost {
+			l.Route(c, &step.Step{Stage: stage.Send})
+		}
+		for range 50 {
+			l.Route(c, &step.Step{Stage: stage.Refuse})
+		}
+		cl.move(time.Second)
+		l.Route(c, &step.Step{Stage: stage.Send})
+		l.Close()
+		Expect(strings.Count(w.text(), `"step":"send"`)).To(Equal(routineMost + 1))
+		Expect(strings.Count(w.text(), `"step":"refuse"`)).To(Equal(50))
+		Expect(w.text()).To(ContainSubstring(`"lines left out","count":800`))
+	})
+})
--- a/pkg/shared/tune/constants.go
+++ b/pkg/shared/tune/constants.go
@@ -90,6 +90,8 @@
 	AliveEvery = 500 * time.Millisecond
 	// AliveCount is the number of unanswered probes that ends a connection.
 	AliveCount = 3
+	// IdleCaller is how long a caller may leave a connection unused.
+	IdleCaller = time.Minute
 	// IdleConn is how long an unused connection is kept.
 	IdleConn = 10 * time.Second
 	// DialTimeout bounds the opening of a connection.
