--- a/pkg/shared/tune/constants.go
+++ b/pkg/shared/tune/constants.go
@@ -112,8 +112,6 @@
 	LeaseTTL = 6 * time.Second
 	// MemberTTL is the life of the lease of an entry that stands for no duties.
 	MemberTTL = 30 * time.Second
-	// LeaseRenew is the interval of lease renewals.
-	LeaseRenew = 2 * time.Second
 	// LeaseFleet is the number of entries from which leases grow longer with the fleet.
 	LeaseFleet = 32
 	// LeaseMargin is the part of a lease that its holder does not use.
@@ -134,8 +132,6 @@
 	WatchLag = 1500 * time.Millisecond
 	// LoadPath is where upstreams tell their load unless their service says otherwise.
 	LoadPath = "/load"
-	// ProbeTimeout bounds a probe.
-	ProbeTimeout = time.Second
 	// ProbeIdle is the age of the last report at which a healthy upstream is probed.
 	ProbeIdle = 5 * time.Second
 	// LeaveCloses is the number of connections closed in a row that count as leaving; servers
--- a/pkg/traffic/pool/server.go
+++ b/pkg/traffic/pool/server.go
@@ -58,14 +58,6 @@
 	probedAt time.Time
 	// down is set when a connection could not be opened, until an answer comes.
 	down bool
-	// suspects are the calls that were running when connections to the upstream broke.
-	suspects []suspect
-}
-
-// suspect is a call whose connection broke, by its fingerprint.
-type suspect struct {
-	print uint64
-	at    time.Time
 }
 
 func (s *server) install(p *Pool, t *target.Target) {
