--- a/internal/cmds/app.go
+++ b/internal/cmds/app.go
@@ -33,6 +33,8 @@
 
 // App is the command line with its output streams.
 type App struct {
+	// In is what commands read that take their input from a pipe.
+	In  io.Reader
 	Out io.Writer
 	Err io.Writer
 	// Platform reads a settings file of the users' platform, and joins an entry to it.
@@ -54,7 +56,7 @@
 			&cli.BoolFlag{Name: "trace", Usage: "print where an error arose"},
 		},
 		Commands: []*cli.Command{
-			a.serve(), a.check(), a.apply(), a.get(), a.status(), a.wait(), a.demo(), a.replay(), a.version(),
+			a.serve(), a.check(), a.apply(), a.get(), a.status(), a.wait(), a.explain(), a.demo(), a.replay(), a.version(),
 		},
 		// The exit code is this function's to choose.
 		ExitErrHandler: func(context.Context, *cli.Command, error) {},
--- /dev/null
+++ b/internal/cmds/explain.go
@@ -0,0 +1,146 @@
+package cmds
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"github.com/urfave/cli/v3"
+)
+
+// believed is how long before a call the decisions about its upstreams are shown.
+const believed = 5 * time.Second
+
+// lineMost is the longest log line in bytes that is read.
+const lineMost = 1 << 20
+
+// logLine is one line of an entry's log.
+type logLine struct {
+	// host is what stood before the JSON, as where the logs of many hosts are gathered.
+	host string
+	text string
+	at   time.Time
+	kind string
+	// fields are the line's own, whatever its kind.
+	fields map[string]any
+}
+
+func (a *App) explain() *cli.Command {
+	return &cli.Command{
+		Name: "explain", Usage: "order the log lines of one request, from the logs of any number of hosts", ArgsUsage: "ID",
+		Description: example("explain 9c41d07be2a35f68 < entries.log"),
+		Flags:       []cli.Flag{outputFlag()},
+		Action:      a.doExplain,
+	}
+}
+
+func (a *App) doExplain(_ context.Context, cmd *cli.Command) error {
+	if cmd.NArg() != 1 {
+		return eris.Wrap(errInvalid, "explain takes the identity of one request")
+	}
+	lines, err := readLog(a.In)
+	if err != nil {
+		return eris.Wrap(errInvalid, err.Error())
+	}
+	found := about(lines, cmd.Args().First())
+	if len(found) == 0 {
+		return eris.Wrapf(errRefused, "no line names request %s; it may have been left out above the bound for a second", cmd.Args().First())
+	}
+	for _, l := range found {
+		if cmd.String("output") == "json" {
+			fmt.Fprintln(a.Out, l.text)
+			continue
+		}
+		fmt.Fprintf(a.Out, "%s  %-22s %s\n", l.at.Format("15:04:05.000000"), l.host, l.sentence())
+	}
+	return nil
+}
+
+// readLog reads the lines that hold a JSON object, and passes over all others.
+func readLog(r io.Reader) ([]logLine, error) {
+	var out []logLine
+	in := bufio.NewScanner(r)
+	in.Buffer(nil, lineMost)
+	for in.Scan() {
+		i := bytes.IndexByte(in.Bytes(), '{')
+		if i < 0 {
+			continue
+		}
+		l := logLine{host: strings.TrimSpace(string(in.Bytes()[:i])), text: string(in.Bytes()[i:])}
+		if err := json.Unmarshal(in.Bytes()[i:], &l.fields); err != nil {
+			continue
+		}
+		at, err := time.Parse(time.RFC3339Nano, l.field("ts"))
+		if err != nil {
+			continue
+		}
+		l.at, l.kind = at, l.field("msg")
+		out = append(out, l)
+	}
+	return out, in.Err()
+}
+
+// field returns a field as text.
+func (l *logLine) field(name string) string {
+	if v, ok := l.fields[name]; ok {
+		return fmt.Sprint(v)
+	}
+	return ""
+}
+
+// about selects the lines of a request, and what was decided about its upstreams shortly before.
+func about(lines []logLine, id string) []logLine {
+	var out []logLine
+	names := map[string]bool{}
+	var first time.Time
+	for _, l := range lines {
+		if l.field("mark") != id {
+			continue
+		}
+		out = append(out, l)
+		for _, f := range []string{"upstream", "domain"} {
+			names[l.field(f)] = true
+		}
+		if first.IsZero() || l.at.Before(first) {
+			first = l.at
+		}
+	}
+	delete(names, "")
+	for _, l := range lines {
+		if l.kind == "place" && names[l.field("subject")] && !l.at.After(first) && first.Sub(l.at) <= believed {
+			out = append(out, l)
+		}
+	}
+	slices.SortStableFunc(out, func(a, b logLine) int { return a.at.Compare(b.at) })
+	return out
+}
+
+// sentence tells a line in words.
+func (l *logLine) sentence() string {
+	switch l.kind {
+	case "route":
+		s := fmt.Sprintf("%s, attempt %s: %s", l.field("step"), l.field("attempt"), l.field("reason"))
+		if up := l.field("upstream"); up != "" {
+			s += fmt.Sprintf(", upstream %s of %s, version %s, predicted %s", up, l.field("domain"), l.field("version"), l.field("wait"))
+		} else {
+			s += fmt.Sprintf(", fate %s; left out: %s leaving, %s cold, %s failing, %s without connections, %s busy, %s tried",
+				l.field("fate"), l.field("leaving"), l.field("cold"), l.field("open"), l.field("conns"), l.field("busy"), l.field("tried"))
+		}
+		return s
+	case "end":
+		return fmt.Sprintf("attempt %s ended: %s, status %s, after %s; load %s, pace %s",
+			l.field("attempt"), l.field("cause"), l.field("status"), l.field("took"), l.field("busy"), l.field("pace"))
+	case "early":
+		return fmt.Sprintf("answered %s for %s%s: %s", l.field("status"), l.field("host"), l.field("path"), l.field("reason"))
+	case "place":
+		return fmt.Sprintf("%s %s: %s", l.field("what"), l.field("subject"), l.field("reason"))
+	}
+	return l.text
+}
--- /dev/null
+++ b/internal/cmds/explain_test.go
@@ -0,0 +1,56 @@
+package cmds_test
+
+import (
+	"bytes"
+	"context"
+	"strings"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/balsamvale/balsamvale/internal/cmds"
+)
+
+const gathered = `
+ 3.2 host-b {"level":"info","ts":"2026-01-01T00:00:03.3Z","msg":"end","call":7,"mark":"a1","attempt":0,"cause":"broken","status":0,"took":"100ms","busy":-1,"pace":0}
+not a log line
+ 1.0 host-b {"level":"info","ts":"2026-01-01T00:00:01Z","msg":"place","what":"cold","subject":"u-1","reason":"seen by e-2","share":0}
+ 3.2 host-b {"level":"info","ts":"2026-01-01T00:00:03.2Z","msg":"route","call":7,"mark":"a1","step":"send","reason":"credit","attempt":0,"upstream":"u-1","domain":"d","version":"v1","wait":"60ms"}
+ 3.2 host-b {"level":"info","ts":"2026-01-01T00:00:03.1Z","msg":"route","call":6,"mark":"a2","step":"send","reason":"lowest","attempt":0,"upstream":"u-2"}
+ 0.0 host-c {"level":"info","ts":"2025-12-31T23:00:00Z","msg":"place","what":"cold","subject":"u-1","reason":"long ago"}
+ 3.3 host-b {"level":"info","ts":"2026-01-01T00:00:03.4Z","msg":"route","call":7,"mark":"a1","step":"refuse","reason":"once","attempt":0,"upstream":"","fate":"unknown"}
+`
+
+var _ = Describe("explain", func() {
+	run := func(args ...string) (int, string) {
+		var out bytes.Buffer
+		app := &cmds.App{In: strings.NewReader(gathered), Out: &out, Err: &out}
+		code := app.Run(context.Background(), append([]string{"balsamvale", "explain"}, args...))
+		return code, out.String()
+	}
+
+	It("orders the lines of one request with what was believed of its upstream", func() {
+		code, out := run("a1")
+		Expect(code).To(Equal(0))
+		lines := strings.Split(strings.TrimSpace(out), "\n")
+		Expect(lines).To(HaveLen(4))
+		for i, want := range []string{"cold u-1: seen by e-2", "send, attempt 0: credit, upstream u-1", "attempt 0 ended: broken", "fate unknown"} {
+			Expect(lines[i]).To(ContainSubstring(want))
+		}
+	})
+
+	for _, tc := range []struct {
+		name string
+		args []string
+		code int
+	}{
+		{"no identity", nil, 2},
+		{"an identity that no line names", []string{"zz"}, 3},
+		{"JSON lines", []string{"--output", "json", "a1"}, 0},
+	} {
+		It("exits as documented with "+tc.name, func() {
+			code, _ := run(tc.args...)
+			Expect(code).To(Equal(tc.code))
+		})
+	}
+})
