metrics: calls by service, route, fate and reason; age and revision of the configuration

Cause: one counter for each fate told nothing of where or why; the age of what an entry knows showed nowhere.

--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -78,7 +78,9 @@
 	errands sync.WaitGroup
 	rand    *rand.Rand
 	ready   atomic.Bool
-	table   atomic.Pointer[table]
+	// fresh is when the configuration was surely that of the store, as of the last tick.
+	fresh atomic.Pointer[time.Time]
+	table atomic.Pointer[table]
 	// Dropped counts the news that control had no room for.
 	Dropped atomic.Uint64
 }
@@ -141,6 +143,18 @@
 	return t.Find(host, path), true
 }
 
+// Age returns how long ago the configuration in force was surely that of the store; ok is false while there is none.
+func (co *Core) Age() (age time.Duration, ok bool) {
+	at := co.fresh.Load()
+	if at == nil || at.IsZero() {
+		return 0, false
+	}
+	return co.clock.Now().Sub(*at), true
+}
+
+// Revision returns that of the configuration in force; 0 while there is none.
+func (co *Core) Revision() int64 { return co.table.Load().snapshot.Revision }
+
 // Bounds returns what callers may send as operators wrote it, or nil for the settings.
 func (co *Core) Bounds() *bounds.Bounds { return co.table.Load().snapshot.Bounds }
 
@@ -197,6 +211,8 @@
 func (co *Core) tick(ctx context.Context) {
 	co.step(ctx, event.Event{Signal: signal.Tick})
 	now := co.clock.Now()
+	fresh := co.control.FreshAt()
+	co.fresh.Store(&fresh)
 	co.poison.Sweep(now)
 	for service, p := range co.table.Load().pools {
 		p.Wants(now, func(upstream string, boot uint64, want int, back []uint64) {
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -82,6 +82,14 @@
 	f.Init(d.metrics)
 	d.metrics.NewGauge("balsamvale_store_reads_total", func() float64 { return float64(d.seams.Reads()) })
 	d.metrics.NewGauge("balsamvale_store_writes_total", func() float64 { return float64(d.seams.Writes()) })
+	d.metrics.NewGauge("balsamvale_configuration_age_seconds", func() float64 {
+		age, ok := d.core.Age()
+		if !ok {
+			return -1
+		}
+		return age.Seconds()
+	})
+	d.metrics.NewGauge("balsamvale_configuration_revision", func() float64 { return float64(d.core.Revision()) })
 	d.metrics.NewGauge("balsamvale_log_lines_dropped_total", func() float64 { return float64(d.log.Dropped()) })
 	d.metrics.NewGauge("balsamvale_news_dropped_total", func() float64 { return float64(d.core.Dropped.Load()) })
 	d.front = &http.Server{Handler: f, ReadHeaderTimeout: o.Read, IdleTimeout: tune.IdleCaller, MaxHeaderBytes: o.Header, Protocols: bothProtocols()}
--- a/internal/front/exchange.go
+++ b/internal/front/exchange.go
@@ -351,8 +351,7 @@
 	for k, v := range a.res.Trailer {
 		h[k] = v
 	}
-	e.front.counts[fate.Answered].Inc()
-	e.front.took.Update(e.now().Sub(e.call.Arrived).Seconds())
+	e.front.count(e.call, fate.Answered, reason.None)
 }
 
 // copyBuffer is the size of the buffer between an upstream and a caller in bytes.
@@ -413,7 +412,7 @@
 	h.Set(wire.Reason, s.Reason.String())
 	e.w.WriteHeader(e.remember.Status)
 	_, _ = e.w.Write(e.remember.Body)
-	e.front.counts[fate.Answered].Inc()
+	e.front.count(e.call, fate.Answered, s.Reason)
 }
 
 // refuse ends the call without an answer.
@@ -426,7 +425,7 @@
 		}
 		e.front.Settle(e.call.Service, e.call.Key, e.attemptID(), st, answer.Answer{})
 	}
-	e.front.counts[s.Fate].Inc()
+	e.front.count(e.call, s.Fate, s.Reason)
 	if e.stream != nil && e.stream.failure() != nil {
 		e.badBody(e.stream.failure())
 		return
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"net"
 	"net/http"
 	"net/netip"
@@ -22,6 +23,7 @@
 	"github.com/balsamvale/balsamvale/pkg/calls/class"
 	"github.com/balsamvale/balsamvale/pkg/calls/fate"
 	"github.com/balsamvale/balsamvale/pkg/calls/grant"
+	"github.com/balsamvale/balsamvale/pkg/calls/reason"
 	"github.com/balsamvale/balsamvale/pkg/calls/result"
 	"github.com/balsamvale/balsamvale/pkg/calls/state"
 	"github.com/balsamvale/balsamvale/pkg/records/bounds"
@@ -66,17 +68,19 @@
 
 	next    atomic.Uint64
 	metrics *metrics.Set
-	counts  [3]*metrics.Counter
-	took    *metrics.Histogram
 }
 
 // Init registers the metrics of the front.
 func (f *Front) Init(set *metrics.Set) {
 	f.metrics = set
-	for ft := fate.Answered; ft <= fate.Unknown; ft++ {
-		f.counts[ft] = set.NewCounter(`balsamvale_calls_total{fate="` + ft.String() + `"}`)
-	}
-	f.took = set.NewHistogram("balsamvale_call_seconds")
+}
+
+// count counts a call that has ended; the labels come from operators' records, which bounds their number.
+func (f *Front) count(c *call.Call, ft fate.Fate, why reason.Reason) {
+	f.metrics.GetOrCreateCounter(fmt.Sprintf(`balsamvale_calls_total{service=%q,route=%q,fate=%q,reason=%q}`,
+		c.Service, c.Route, ft, why)).Inc()
+	f.metrics.GetOrCreateHistogram(fmt.Sprintf(`balsamvale_call_seconds{service=%q,fate=%q}`, c.Service, ft)).
+		Update(f.Clock.Now().Sub(c.Arrived).Seconds())
 }
 
 // ServeHTTP serves one call.
--- a/pkg/control/contrl/status.go
+++ b/pkg/control/contrl/status.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"slices"
+	"time"
 
 	"github.com/balsamvale/balsamvale/pkg/control/keys"
 	"github.com/balsamvale/balsamvale/pkg/records/reject"
@@ -45,3 +46,11 @@
 	}
 	return p
 }
+
+// FreshAt is the time at which the configuration in force was surely that of the store; zero while there is none.
+func (c *Control) FreshAt() time.Time {
+	if !c.synced {
+		return time.Time{}
+	}
+	return c.freshAt()
+}
