--- a/pkg/control/config/config.go
+++ b/pkg/control/config/config.go
@@ -3,7 +3,6 @@
 import (
 	"maps"
 	"slices"
-	"strings"
 	"time"
 
 	"github.com/balsamvale/balsamvale/pkg/control/rules"
@@ -17,12 +16,10 @@
 	"github.com/balsamvale/balsamvale/pkg/records/svcrec"
 	"github.com/balsamvale/balsamvale/pkg/records/upsrec"
 	"github.com/balsamvale/balsamvale/pkg/shared/fleet"
-	"github.com/balsamvale/balsamvale/pkg/shared/share"
 	"github.com/balsamvale/balsamvale/pkg/shared/target"
 	"github.com/balsamvale/balsamvale/pkg/shared/tune"
 	"github.com/balsamvale/balsamvale/pkg/stored/item"
 	"github.com/balsamvale/balsamvale/pkg/stored/member"
-	"github.com/balsamvale/balsamvale/pkg/stored/phase"
 	"github.com/balsamvale/balsamvale/pkg/stored/progrs"
 	"github.com/balsamvale/balsamvale/pkg/stored/tenure"
 	"github.com/balsamvale/balsamvale/pkg/stored/value"
@@ -261,27 +258,6 @@
 	}
 }
 
-// announce takes over what an upstream says of its own warm-up.
-func (c *Config) announce(now time.Time, u *upsrec.Upstream) {
-	cs := c.cold[u.Name]
-	if u.Warm > 0 {
-		cs.until = now.Add(u.Warm)
-	} else if cs.boot == u.Boot {
-		cs.until = time.Time{}
-	}
-	cs.boot = u.Boot
-	c.cold[u.Name] = cs
-}
-
-// resume takes the start of a move that begins when it is read from its progress, if there is any.
-func (c *Config) resume(move string) {
-	m, p := c.Moves[move], c.Progress[move]
-	if m == nil || p == nil || m.Span == 0 || !p.Start.Before(m.Start) {
-		return
-	}
-	m.Start, m.Deadline = p.Start, p.Start.Add(m.Span)
-}
-
 // Rules returns the routing rules, or nil when there are none.
 func (c *Config) Rules() *rules.Rules {
 	if len(c.byName) == 0 {
@@ -332,48 +308,6 @@
 // Shard lists the upstreams that belong to a shard, in order.
 func (c *Config) Shard(s shard.Shard) []string { return c.byShard[s] }
 
-// chill marks an upstream cold for the warm-up time of its service.
-func (c *Config) chill(now time.Time, name string) {
-	u := c.Upstreams[name]
-	warm := defaultWarm
-	if s := c.Services[u.Service]; s != nil {
-		warm = s.Warm
-	}
-	c.cold[name] = coldStart{until: now.Add(warm)}
-	c.dirty[u.Service] = true
-}
-
-// coldStart is the cold start of an upstream; boot is 0 when its start identity is not known.
-type coldStart struct {
-	until time.Time
-	boot  uint64
-}
-
-// Chill notes a cold start that an entry saw, for traffic state that is built later.
-func (c *Config) Chill(upstream string, boot uint64, until time.Time) {
-	c.cold[upstream] = coldStart{until, boot}
-}
-
-// defaultWarm is the warm-up of an upstream whose service is not known yet.
-const defaultWarm = 10 * time.Second
-
-func (c *Config) chillDomain(now time.Time, domain string) {
-	for name, u := range c.Upstreams {
-		if u.Domain == domain {
-			c.chill(now, name)
-		}
-	}
-}
-
-// ChillAll marks every upstream cold, as when nothing is known of any.
-func (c *Config) ChillAll(now time.Time) {
-	for name, u := range c.Upstreams {
-		if u.Boot == 0 {
-			c.chill(now, name)
-		}
-	}
-}
-
 func (c *Config) touchDomain(domain string) {
 	for _, u := range c.Upstreams {
 		if u.Domain == domain {
@@ -382,12 +316,6 @@
 	}
 }
 
-func (c *Config) touchMove(move string) {
-	if m := c.Moves[move]; m != nil {
-		c.dirty[m.Service] = true
-	}
-}
-
 // Touch marks a service as changed.
 func (c *Config) Touch(service string) { c.dirty[service] = true }
 
@@ -477,51 +405,3 @@
 
 // regionDelay is the assumed one-way delay between regions.
 const regionDelay = 30 * time.Millisecond
-
-// shares splits the calls of a service by the move that is under way.
-func (c *Config) shares(service string, reverted func(move string) bool) []share.Share {
-	m := c.current(service)
-	if m == nil {
-		return nil
-	}
-	part := 0
-	if p := c.Progress[m.Name]; p != nil {
-		part = p.Share
-		if p.Phase == phase.Reverted {
-			part = 0
-		}
-	}
-	if !c.ended(m.Name) && reverted(m.Name) {
-		part = 0
-	}
-	return []share.Share{
-		{Version: m.From, Weight: wholeShare - part},
-		{Version: m.To, Weight: part},
-	}
-}
-
-// ended reports whether a move is done or taken back, so that nothing is judged any more.
-func (c *Config) ended(move string) bool {
-	p := c.Progress[move]
-	return p != nil && (p.Phase == phase.Done || p.Phase == phase.Reverted)
-}
-
-// wholeShare is the weight of all calls, in thousandths.
-const wholeShare = 1000
-
-// current returns the newest move of a service by its start time.
-func (c *Config) current(service string) *movrec.Move {
-	var best *movrec.Move
-	for _, m := range c.Moves {
-		if m.Service != service {
-			continue
-		}
-		if best == nil || m.Start.After(best.Start) || (m.Start.Equal(best.Start) && strings.Compare(m.Name, best.Name) > 0) {
-			best = m
-		}
-	}
-	return best
-}
-
-// Current returns the move that decides the versions of a service, or nil.
-func (c *Config) Current(service string) *movrec.Move { return c.current(service) }
