proxy, demux: close the connection when an upload is answered before its end

Cause: stopBody set Connection: close after the header had been written, so the connection stayed open and net/http read the rest of the body as the next request. Ruled out: net/http closes by itself (it does only if more than 256 KiB are left or the length is unknown to it; the read that stopBody interrupts hides both). Change: the header is set before it is written, whenever the body has not been read to its end. demux counts the bytes of each request that the server has read and closes the connection if the server goes idle before the last one, whatever the handler does.

--- a/internal/demux/conn.go
+++ b/internal/demux/conn.go
@@ -187,7 +187,11 @@
 
 // assign gives a request its sequence number and its virtual connection.
 func (c *conn) assign(vc *virtualConn, h *head) *virtualConn {
-	vc.busy, vc.seq = true, c.nextSeq
+	vc.busy, vc.seq, vc.due = true, c.nextSeq, 0
+	vc.consumed.Store(0)
+	if !h.passthrough {
+		vc.due = int64(len(h.bytes)) + h.bodyLen
+	}
 	c.nextSeq++
 	c.passthrough = h.passthrough
 	return vc
@@ -230,12 +234,18 @@
 
 // responseDone lets the next response be written after the one on vc is complete. In passthrough mode, the virtual
 // connection of the latest request keeps its turn, since the server reads all further requests from it.
+//
+// If the server has not read the whole request, it would read the rest as another request, so the connection closes.
 func (c *conn) responseDone(vc *virtualConn) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if !vc.busy || c.passthrough && vc.seq+1 == c.nextSeq {
 		return
 	}
+	if vc.consumed.Load() < vc.due {
+		c.closeCaller()
+		return
+	}
 	vc.busy = false
 	c.responseSeq++
 	if c.aborted && c.responseSeq == c.abortedSeq {
--- a/internal/demux/demux_test.go
+++ b/internal/demux/demux_test.go
@@ -53,6 +53,10 @@
 }
 
 func (s *gatedHandler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if r.URL.Path == "/unread" {
+		abandonBody(w, r)
+		return
+	}
 	body, _ := io.ReadAll(r.Body)
 	s.mu.Lock()
 	s.started = append(s.started, r.URL.Path)
@@ -70,6 +74,14 @@
 	_, _ = io.WriteString(w, r.URL.Path+":"+string(body))
 }
 
+// abandonBody makes the server take the request as complete although its body has not been read.
+func abandonBody(w http.ResponseWriter, r *http.Request) {
+	rc := http.NewResponseController(w)
+	_ = rc.EnableFullDuplex()
+	_ = rc.SetReadDeadline(time.Now())
+	_, _ = r.Body.Read(make([]byte, 1))
+}
+
 // fixture is a server behind a Listener, with a connection of a caller to it.
 type fixture struct {
 	handler  *gatedHandler
@@ -230,6 +242,16 @@
 		})
 	}
 
+	It("closes a connection whose server takes a request as complete before it has read its body", func() {
+		f := newFixture(nil)
+		f.send("POST /unread HTTP/1.1\r\nHost: a\r\nContent-Length: 100\r\n\r\n")
+		_, _ = f.readResponse()
+		_, _ = io.WriteString(f.conn, get("/smuggled"))
+		_, closing := f.readResponse()
+		Expect(closing).To(BeTrue())
+		Expect(f.handler.snapshot(&f.handler.started)()).To(BeEmpty())
+	})
+
 	It("does not count the time that a request runs as idle", func() {
 		f := newFixture(&bounds.Bounds{IdleTimeout: 20 * time.Millisecond})
 		f.send(get("/a"))
--- a/internal/demux/virtual.go
+++ b/internal/demux/virtual.go
@@ -2,6 +2,7 @@
 
 import (
 	"net"
+	"sync/atomic"
 	"time"
 )
 
@@ -19,6 +20,10 @@
 	// seq is the sequence number of the request on the caller's connection. It changes only under conn.mu and while busy is
 	// not set, so that the server can read it without the lock during a request.
 	seq uint64
+	// due is the length of the request in bytes, with its head and body; 0 if it is not known. consumed counts the bytes of
+	// it that the server has read. Both start anew with each request.
+	due      int64
+	consumed atomic.Int64
 	// busy is set while a request is assigned and not fully answered; guarded by conn.mu.
 	busy bool
 }
@@ -32,6 +37,13 @@
 	return vc.conn.raw.Write(p)
 }
 
+// Read reads a part of the request.
+func (vc *virtualConn) Read(p []byte) (int, error) {
+	n, err := vc.Conn.Read(p)
+	vc.consumed.Add(int64(n))
+	return n, err
+}
+
 // release lets the next response be written and makes vc available for another request.
 func (vc *virtualConn) release() { vc.conn.responseDone(vc) }
 
--- a/internal/proxy/body.go
+++ b/internal/proxy/body.go
@@ -90,23 +90,27 @@
 		outcome = outcom.Unknown
 	}
 	d.w.Header().Set(wire.Outcome, outcome.String())
+	d.w.Header().Set("Connection", "close")
 	http.Error(d.w, "the request body cannot be read", status)
 }
 
 // stopBody stops a streamed request body and waits for a read in progress, since net/http takes the body back when the
 // handler returns.
-//
-// If the body was not read to its end, the connection cannot be reused.
 func (d *callDriver) stopBody() {
 	if d.stream == nil {
 		return
 	}
 	rc := http.NewResponseController(d.w)
-	complete := d.stream.stop(func() {
+	d.stream.stop(func() {
 		// If setting the deadline fails, the connection is already closed, which ends the read too.
 		_ = rc.SetReadDeadline(d.now())
 	})
-	if !complete {
+}
+
+// closeUnlessBodyRead makes the connection close after the response if the request body has not been read to its end, as
+// the rest of the body would be read as the next request. It must be called before the header is written.
+func (d *callDriver) closeUnlessBodyRead() {
+	if d.stream != nil && !d.stream.complete() {
 		d.w.Header().Set("Connection", "close")
 	}
 }
--- a/internal/proxy/driver.go
+++ b/internal/proxy/driver.go
@@ -257,6 +257,7 @@
 	for k := range a.res.Trailer {
 		h.Add("Trailer", k)
 	}
+	d.closeUnlessBodyRead()
 	d.w.WriteHeader(a.res.StatusCode)
 	saved, err := d.copyBody(a)
 	d.flow.Close(d.now(), a.id)
@@ -330,6 +331,7 @@
 	}
 	h.Set(wire.Outcome, outcom.Answered.String())
 	h.Set(wire.Reason, s.Reason.String())
+	d.closeUnlessBodyRead()
 	d.w.WriteHeader(d.savedResponse.Status)
 	_, _ = d.w.Write(d.savedResponse.Body)
 	d.handler.countCall(d.call, outcom.Answered, s.Reason)
@@ -357,6 +359,7 @@
 		retryAfter = d.retryAfter(s.Choice.PredictedWait)
 	}
 	d.handler.Headers.PrepareRefusal(h, &s, retryAfter)
+	d.closeUnlessBodyRead()
 	http.Error(d.w, "refused: "+s.Reason.String()+"; fate: "+s.Outcome.String(), refusalStatus(s))
 }
 
--- a/internal/proxy/stream.go
+++ b/internal/proxy/stream.go
@@ -4,6 +4,7 @@
 	"errors"
 	"io"
 	"sync"
+	"sync/atomic"
 
 	"github.com/rotisserie/eris"
 )
@@ -15,29 +16,30 @@
 	mu sync.Mutex
 	// err is the last error of a read other than io.EOF.
 	err error
-	// readMu is held during each read; it guards stopped and eof.
+	// readMu is held during each read; it guards stopped.
 	readMu sync.Mutex
 	// stopped is set once no further read may start.
 	stopped bool
 	// eof is set once the body has been read to its end.
-	eof bool
+	eof atomic.Bool
 }
 
 // errCallEnded is the error of a read after stop.
 var errCallEnded = eris.New("request body read after the call had ended")
 
-// stop waits for a read in progress, which abort must interrupt, and makes further reads fail with errCallEnded. It reports
-// whether the body has been read to its end.
-func (s *stream) stop(abort func()) bool {
+// stop waits for a read in progress, which abort must interrupt, and makes further reads fail with errCallEnded.
+func (s *stream) stop(abort func()) {
 	if !s.readMu.TryLock() {
 		abort()
 		s.readMu.Lock()
 	}
 	defer s.readMu.Unlock()
 	s.stopped = true
-	return s.eof
 }
 
+// complete reports whether the body has been read to its end.
+func (s *stream) complete() bool { return s.eof.Load() }
+
 // Read reads from the request body of the caller.
 func (s *stream) Read(p []byte) (int, error) {
 	s.readMu.Lock()
@@ -46,7 +48,9 @@
 		return 0, errCallEnded
 	}
 	n, err := s.ReadCloser.Read(p)
-	s.eof = s.eof || errors.Is(err, io.EOF)
+	if errors.Is(err, io.EOF) {
+		s.eof.Store(true)
+	}
 	if err != nil && !errors.Is(err, io.EOF) {
 		s.mu.Lock()
 		s.err = err
