sender, platform: bound heads and informational responses; close connections that are out of step

Cause: net/http reads up to 10 MiB of a response head and, as the sender has a Got1xxResponse hook, any number of 1xx responses, so an upstream that sends without end held 10 MiB a connection, or the call until its deadline. A second copy of an answer that was cut in its status line became a part of the next status line, and the status of the copy was delivered. Ruled out: chunk extensions, chunk lengths, trailers and bodies without end (15 rows, net/http bounds these or the deadline does); whole copies (their ID differs).

--- a/internal/sender/sender.go
+++ b/internal/sender/sender.go
@@ -11,9 +11,12 @@
 	"net/netip"
 	"net/textproto"
 	"net/url"
+	"strings"
 	"sync/atomic"
 	"time"
 
+	"github.com/rotisserie/eris"
+
 	"github.com/balsamvale/balsamvale/internal/header"
 	"github.com/balsamvale/balsamvale/internal/outreq"
 	"github.com/balsamvale/balsamvale/internal/wire"
@@ -33,8 +36,17 @@
 	unpooled *http.Transport
 }
 
-// maxIdlePerHost is the maximum number of idle connections kept to one upstream.
-const maxIdlePerHost = 32
+const (
+	// maxIdlePerHost is the maximum number of idle connections kept to one upstream.
+	maxIdlePerHost = 32
+	// maxHeadBytes is the maximum size of the head of a response in bytes.
+	maxHeadBytes = 64 << 10
+	// maxInformational is the maximum number of 1xx responses to one attempt.
+	maxInformational = 16
+)
+
+// errTooManyInformational is the error of an attempt with more than maxInformational 1xx responses.
+var errTooManyInformational = eris.New("too many informational responses")
 
 // New returns a Sender without connections. The Codec classifies the responses to attempts and probes.
 func New(c clock.Clock, headers *header.Codec) *Sender {
@@ -47,11 +59,13 @@
 
 func (s *Sender) newTransport() *http.Transport {
 	return &http.Transport{
-		DialContext:           s.dial,
-		MaxIdleConnsPerHost:   maxIdlePerHost,
-		IdleConnTimeout:       tune.ConnIdleTimeout,
-		DisableCompression:    true,
-		ExpectContinueTimeout: time.Second,
+		DialContext:         s.dial,
+		MaxIdleConnsPerHost: maxIdlePerHost,
+		IdleConnTimeout:     tune.ConnIdleTimeout,
+		DisableCompression:  true,
+		// Without this, net/http reads 10 MiB of a head that does not end.
+		MaxResponseHeaderBytes: maxHeadBytes,
+		ExpectContinueTimeout:  time.Second,
 	}
 }
 
@@ -75,6 +89,8 @@
 	writesAtStart int64
 	// stale is set if gotConn closed conn because it was not proven live.
 	stale bool
+	// informational counts the 1xx responses.
+	informational int
 }
 
 // Send makes an attempt and returns the head of the response. If there is none, the response is nil and the cause is in
@@ -137,15 +153,23 @@
 		return nil, result.Result{Cause: t.failureCause(ctx), Latency: latency}, t.stale
 	}
 	out := s.headers.ClassifyResponse(res, r.ID)
+	if mergedStatusLines(res) {
+		out = result.Result{Status: res.StatusCode, Cause: cause.AttemptMismatch}
+	}
 	out.Latency = latency
 	out.ConnClose = res.Close && rt == s.pooled
 	if out.Cause == cause.AttemptMismatch {
 		_ = res.Body.Close()
+		t.closeConn()
 		return nil, out, false
 	}
 	return res, out, false
 }
 
+// mergedStatusLines reports whether a part of a status line came before the one of the response, so that the status may be
+// that of another response.
+func mergedStatusLines(res *http.Response) bool { return strings.Contains(res.Status, "HTTP/") }
+
 // newRequest builds the outgoing HTTP request of an attempt, so that net/http never sends it twice by itself.
 func (s *Sender) newRequest(ctx context.Context, r *outreq.Request) *http.Request {
 	u := &url.URL{Scheme: "http", Host: r.Addr.String()}
@@ -208,14 +232,27 @@
 	}
 }
 
-// got1xx is the Got1xxResponse hook: it passes informational responses on, except 100 Continue.
+// got1xx is the Got1xxResponse hook: it passes informational responses on, except 100 Continue. With this hook, net/http sets
+// no limit on their number.
 func (t *attemptTrace) got1xx(code int, h textproto.MIMEHeader) error {
+	t.informational++
+	if t.informational > maxInformational {
+		return errTooManyInformational
+	}
 	if t.req.OnInformational != nil && code != http.StatusContinue {
 		t.req.OnInformational(code, http.Header(h))
 	}
 	return nil
 }
 
+// closeConn closes the connection of the attempt. After a response to another attempt, all further responses on it would be
+// out of step.
+func (t *attemptTrace) closeConn() {
+	if c := t.conn.Load(); c != nil {
+		_ = c.Close()
+	}
+}
+
 // dialCause returns the cause of an attempt that got no connection.
 func (t *attemptTrace) dialCause(ctx context.Context) cause.Cause {
 	if ctx.Err() != nil {
