proxy: informational responses are written by the goroutine of the call

Cause: the transport's goroutine wrote 1xx responses into the header map and the connection of the caller, beside the final response or after it. A concurrent write of a map ends the process and cannot be recovered; after the call, the bytes went into the next response. Ruled out: only hedges are affected (a plain deadline is enough). Change: attempts pass informational responses to the driver over a channel that ends with the attempt.

--- a/internal/proxy/driver.go
+++ b/internal/proxy/driver.go
@@ -45,12 +45,20 @@
 	attempts []*attempt
 	// responded receives attempts that got the head of a response or failed.
 	responded chan *attempt
+	// informational receives the informational responses of attempts, which only the goroutine of the driver may write.
+	informational chan informational
 	// dequeued receives the choice for a call that waits in the pool, for admission or for an upstream.
 	dequeued chan choice.Choice
 	// savedResponse is the answer of an earlier call with the same idempotency key.
 	savedResponse answer.Answer
 }
 
+// informational is a 1xx response to an attempt.
+type informational struct {
+	status int
+	header http.Header
+}
+
 // attempt is one request to an upstream; its run method is a goroutine.
 type attempt struct {
 	id        int
@@ -79,6 +87,7 @@
 func (d *callDriver) serve() {
 	defer d.stopBody()
 	d.responded = make(chan *attempt, tune.MaxAttempts)
+	d.informational = make(chan informational)
 	d.dequeued = make(chan choice.Choice, 1)
 	d.flow.Wake = func(ch choice.Choice) { d.dequeued <- ch }
 	s := d.flow.Start(d.now())
@@ -119,23 +128,33 @@
 		defer stop()
 		fired = t
 	}
-	select {
-	case a := <-d.responded:
-		d.handler.Log.AttemptEnd(d.call, a.id, &a.result, d.now().Sub(d.call.Arrived))
-		s := d.flow.AttemptResult(d.now(), a.id, a.result)
-		if s.Stage != stage.Deliver {
-			a.discard()
+	for {
+		select {
+		case i := <-d.informational:
+			d.forwardInformational(i)
+			continue
+		case a := <-d.responded:
+			return d.attemptEnded(a)
+		case ch := <-d.dequeued:
+			return d.flow.Woken(d.now(), ch)
+		case <-fired:
+			return d.flow.TimerFired(d.now())
+		case <-d.r.Context().Done():
+			return d.flow.Cancel(d.now())
 		}
-		return s
-	case ch := <-d.dequeued:
-		return d.flow.Woken(d.now(), ch)
-	case <-fired:
-		return d.flow.TimerFired(d.now())
-	case <-d.r.Context().Done():
-		return d.flow.Cancel(d.now())
 	}
 }
 
+// attemptEnded returns the step that follows the end of an attempt.
+func (d *callDriver) attemptEnded(a *attempt) step.Step {
+	d.handler.Log.AttemptEnd(d.call, a.id, &a.result, d.now().Sub(d.call.Arrived))
+	s := d.flow.AttemptResult(d.now(), a.id, a.result)
+	if s.Stage != stage.Deliver {
+		a.discard()
+	}
+	return s
+}
+
 // claimKey claims the idempotency key. A claim that took longer than half of tune.ClaimTTL counts as failed.
 func (d *callDriver) claimKey() step.Step {
 	until := d.now().Add(unboundedClaimTTL)
@@ -166,6 +185,12 @@
 	}
 	a := &attempt{id: s.Attempt, ctx: ctx, cancel: cancel, handler: d.handler, responded: d.responded}
 	a.req = d.newRequest(s, limit)
+	a.req.OnInformational = func(status int, h http.Header) {
+		select {
+		case d.informational <- informational{status, h}:
+		case <-ctx.Done():
+		}
+	}
 	d.attempts = append(d.attempts, a)
 	go a.run()
 }
@@ -195,7 +220,7 @@
 	req := &outreq.Request{
 		Method: d.r.Method, RequestURI: d.match.requestURI, Host: d.r.Host, Header: h,
 		ID:         id,
-		Idempotent: d.call.Idempotent, Addr: s.Choice.Target.Addr, OnInformational: d.forwardInformational, SentAt: now,
+		Idempotent: d.call.Idempotent, Addr: s.Choice.Target.Addr, SentAt: now,
 	}
 	if d.buffered {
 		req.Body, req.Buffered, req.Chunked = d.body, true, d.chunked
@@ -207,12 +232,12 @@
 }
 
 // forwardInformational passes a 1xx response on to the caller.
-func (d *callDriver) forwardInformational(status int, h http.Header) {
-	for k, v := range h {
+func (d *callDriver) forwardInformational(i informational) {
+	for k, v := range i.header {
 		d.w.Header()[k] = v
 	}
-	d.w.WriteHeader(status)
-	for k := range h {
+	d.w.WriteHeader(i.status)
+	for k := range i.header {
 		d.w.Header().Del(k)
 	}
 }
