core, proxy: a panic ends one message or one call, not the process

Cause: attempts, probes of calls, store calls, exchanges and the control loop run in goroutines without a recover, so one unexpected error ended the entry. Ruled out: the handlers of callers, peers and admin requests (net/http recovers these, but without the ID of the call). Change: control drops the message, keeps the effects it had requested (it waits for the results of some) and tells the one who waits; a store call that panics counts as unanswered; decoding that panics rejects one item, so that the items beside it apply; an attempt that panics may have run. All are logged with their stack, calls with their ID.

--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -53,6 +53,9 @@
 // requester gave up first.
 var ErrStopped = eris.New("control has stopped")
 
+// ErrFailed is matched by the errors of requests that control could not process because of an unexpected error.
+var ErrFailed = eris.New("control failed to process the request")
+
 // Core holds the control state and the pools of one entry.
 type Core struct {
 	// CallStore carries out a request to the store.
@@ -116,7 +119,7 @@
 		clock:          c,
 		log:            log,
 		poison:         poison.New(),
-		control:        contrl.New(self, rnd, decode),
+		control:        contrl.New(self, rnd, (&safeDecoder{decode: decode, log: log}).decodeItem),
 		self:           self,
 		seeds:          seeds,
 		events:         make(chan event.Event, tune.EventQueueSize),
@@ -248,9 +251,26 @@
 
 // step passes an event to control and carries out the effects that it requests.
 func (co *Core) step(ctx context.Context, ev event.Event) {
-	for _, e := range co.control.Step(co.clock.Now(), ev) {
+	effects, ok := co.decide(ev)
+	for _, e := range effects {
 		co.perform(ctx, e)
 	}
+	if req, waits := co.pending[ev.CorrelationID]; waits && !ok {
+		delete(co.pending, ev.CorrelationID)
+		close(req.result)
+	}
+}
+
+// decide passes an event to control. If control panics, ok is false, and the effects are those that control requested before,
+// because control waits for the results of some of them.
+func (co *Core) decide(ev event.Event) (effects []effect.Effect, ok bool) {
+	defer func() {
+		if v := recover(); v != nil {
+			co.log.Panic("control, event "+ev.Kind.String(), "", v)
+			effects = co.control.Abandon()
+		}
+	}()
+	return co.control.Step(co.clock.Now(), ev), true
 }
 
 // perform carries out one effect: at once if it needs no network I/O, otherwise in the goroutine of an effectTask.
@@ -354,7 +374,7 @@
 	return 0, false
 }
 
-// Submit passes an event to control and returns the effect that answers it; errors match ErrStopped.
+// Submit passes an event to control and returns the effect that answers it; errors match ErrStopped or ErrFailed.
 //
 // Once control has accepted the event, Submit waits for the effect even if ctx is done.
 func (co *Core) Submit(ctx context.Context, ev event.Event) (effect.Effect, error) {
@@ -367,7 +387,10 @@
 		return effect.Effect{}, eris.Wrap(ErrStopped, ctx.Err().Error())
 	}
 	select {
-	case e := <-req.result:
+	case e, ok := <-req.result:
+		if !ok {
+			return effect.Effect{}, ErrFailed
+		}
 		return e, nil
 	case <-co.done:
 		return effect.Effect{}, ErrStopped
--- /dev/null
+++ b/internal/core/decode.go
@@ -0,0 +1,29 @@
+package core
+
+import (
+	"github.com/rotisserie/eris"
+
+	"github.com/balsamvale/balsamvale/internal/logs"
+	"github.com/balsamvale/balsamvale/pkg/stored/item"
+	"github.com/balsamvale/balsamvale/pkg/stored/value"
+)
+
+// errDecodePanic is matched by the errors about an item whose decoding panicked.
+var errDecodePanic = eris.New("decoding panicked")
+
+// safeDecoder turns a panic of decode into an error, so that one malformed item is rejected and the items beside it apply.
+type safeDecoder struct {
+	decode func(item.Item) (value.Value, error)
+	log    *logs.Log
+}
+
+// decodeItem decodes an item; errors are those of decode, or match errDecodePanic.
+func (d *safeDecoder) decodeItem(it item.Item) (v value.Value, err error) {
+	defer func() {
+		if p := recover(); p != nil {
+			d.log.Panic("decoding "+it.Key, "", p)
+			err = eris.Wrapf(errDecodePanic, "%s at revision %d: %v", it.Key, it.Revision, p)
+		}
+	}()
+	return d.decode(it)
+}
--- /dev/null
+++ b/internal/core/panic_test.go
@@ -0,0 +1,119 @@
+package core_test
+
+import (
+	"bytes"
+	"context"
+	"net/netip"
+	"sync"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"go.uber.org/zap/zapcore"
+
+	"github.com/balsamvale/balsamvale/internal/core"
+	"github.com/balsamvale/balsamvale/internal/logs"
+	"github.com/balsamvale/balsamvale/pkg/calls/credit"
+	"github.com/balsamvale/balsamvale/pkg/calls/demand"
+	"github.com/balsamvale/balsamvale/pkg/calls/result"
+	"github.com/balsamvale/balsamvale/pkg/control/keys"
+	"github.com/balsamvale/balsamvale/pkg/events/digest"
+	"github.com/balsamvale/balsamvale/pkg/events/event"
+	"github.com/balsamvale/balsamvale/pkg/events/evkind"
+	"github.com/balsamvale/balsamvale/pkg/shared/clock"
+	"github.com/balsamvale/balsamvale/pkg/stored/delta"
+	"github.com/balsamvale/balsamvale/pkg/stored/item"
+	"github.com/balsamvale/balsamvale/pkg/stored/kvop"
+	"github.com/balsamvale/balsamvale/pkg/stored/kvreq"
+	"github.com/balsamvale/balsamvale/pkg/stored/kvresp"
+	"github.com/balsamvale/balsamvale/pkg/stored/member"
+	"github.com/balsamvale/balsamvale/pkg/stored/value"
+)
+
+func TestSuite(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "core")
+}
+
+// lockedBuffer is a bytes.Buffer for concurrent use.
+type lockedBuffer struct {
+	mu  sync.Mutex
+	buf bytes.Buffer
+}
+
+func (b *lockedBuffer) Write(p []byte) (int, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.buf.Write(p)
+}
+
+func (b *lockedBuffer) String() string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.buf.String()
+}
+
+// brokenCore starts a core whose functions panic at the given point: "decode", "store", "digest".
+func brokenCore(at string) (*core.Core, *lockedBuffer) {
+	out := &lockedBuffer{}
+	log := logs.New(out, clock.Wall(), zapcore.InfoLevel, 1)
+	DeferCleanup(log.Close)
+	explode := func(point string) {
+		if at == point {
+			panic("unexpected " + point)
+		}
+	}
+	self := member.Member{Name: "e1", Domain: "z", Peer: netip.MustParseAddrPort("127.0.0.1:1"), Incarnation: 1}
+	seeds := []netip.AddrPort{netip.MustParseAddrPort("127.0.0.1:2")}
+	co := core.New(clock.Wall(), log, self, seeds, 1, func(item.Item) (value.Value, error) {
+		explode("decode")
+		return value.Value{}, nil
+	})
+	co.CallStore = func(_ context.Context, req kvreq.Request) kvresp.Response {
+		explode("store")
+		if req.Op != kvop.List {
+			return kvresp.Response{ID: req.ID, OutcomeUnknown: true}
+		}
+		return kvresp.Response{ID: req.ID, Applied: true, Revision: 7, Items: []item.Item{{Key: keys.Record("service", "s"), Revision: 7}}}
+	}
+	co.SendDigest = func(context.Context, netip.AddrPort, digest.Digest) (digest.Digest, error) {
+		explode("digest")
+		return digest.Digest{}, core.ErrStopped
+	}
+	co.Probe = func(context.Context, string, netip.AddrPort, string) result.Result { return result.Result{} }
+	co.RequestCredits = func(context.Context, netip.AddrPort, demand.Demand) ([]credit.Credit, error) { return nil, nil }
+	ctx, cancel := context.WithCancel(context.Background())
+	DeferCleanup(cancel)
+	co.Start(ctx)
+	return co, out
+}
+
+// An unexpected error in one message must not end the process, and the one who waits for its answer must not wait forever.
+var _ = Describe("A panic", func() {
+	for _, tc := range []struct {
+		name, at string
+	}{
+		{"in decoding a stored value", "decode"},
+		{"in a store call", "store"},
+		{"in an exchange with a peer", "digest"},
+	} {
+		It("leaves control running: "+tc.name, func() {
+			co, out := brokenCore(tc.at)
+			ctx, cancel := context.WithTimeout(context.Background(), 2*time.Second)
+			defer cancel()
+			d := digest.Digest{From: "e2", Revision: 9, Delta: delta.Delta{
+				Items: []item.Item{{Key: keys.Record("service", "t"), Revision: 9}}, Revision: 9, Full: true,
+			}}
+			answered := make(chan error, 1)
+			go func() {
+				_, err := co.Submit(ctx, event.Event{Kind: evkind.DigestReceived, Digest: d})
+				answered <- err
+			}()
+			Eventually(answered, "1s").Should(Receive())
+			Eventually(out.String, "1s").Should(ContainSubstring("unexpected " + tc.at))
+			_, err := co.Status(ctx)
+			Expect(err).NotTo(HaveOccurred())
+		})
+	}
+})
--- a/internal/core/task.go
+++ b/internal/core/task.go
@@ -20,6 +20,7 @@
 
 func (t *effectTask) run() {
 	defer t.core.tasks.Done()
+	defer t.recoverPanic()
 	e := &t.effect
 	switch e.Action {
 	case action.CallStore:
@@ -35,6 +36,21 @@
 	}
 }
 
+// recoverPanic logs a panic of the task, and tells control that the effect failed.
+func (t *effectTask) recoverPanic() {
+	v := recover()
+	if v == nil {
+		return
+	}
+	t.core.log.Panic("effect "+t.effect.Action.String(), "", v)
+	switch t.effect.Action {
+	case action.CallStore:
+		t.postResponse(kvresp.Response{ID: t.effect.Request.ID, OutcomeUnknown: true})
+	case action.SendDigest:
+		t.core.postOrDrop(event.Event{Kind: evkind.PeerUnreachable, Peer: t.effect.Peer})
+	}
+}
+
 // postResponse queues a store response for control; it is never dropped, since control waits for it.
 func (t *effectTask) postResponse(r kvresp.Response) {
 	select {
--- a/internal/logs/log.go
+++ b/internal/logs/log.go
@@ -121,6 +121,13 @@
 	}
 }
 
+// Panic logs a recovered panic with its value and the stack of the goroutine; requestID is that of the call it ended, if any.
+func (l *Log) Panic(where, requestID string, value any) {
+	if ce := l.check("panic", false); ce != nil {
+		ce.Write(zap.String("where", where), zap.String("mark", requestID), zap.Any("value", value), zap.StackSkip("stack", 1))
+	}
+}
+
 // ControlDecision logs a placement decision of control.
 func (l *Log) ControlDecision(m logmsg.Message) {
 	if ce := l.check("place", false); ce != nil {
--- a/internal/proxy/driver.go
+++ b/internal/proxy/driver.go
@@ -61,7 +61,9 @@
 
 // attempt is one request to an upstream; its run method is a goroutine.
 type attempt struct {
-	id        int
+	id int
+	// requestID is the ID that the caller gave the call.
+	requestID string
 	req       *outreq.Request
 	ctx       context.Context
 	cancel    context.CancelFunc
@@ -75,7 +77,16 @@
 }
 
 // run sends the attempt and passes it on to responded. Unless the upstream shed the call, it first buffers a small response.
+//
+// After a panic, the attempt has failed and the upstream may have run the call.
 func (a *attempt) run() {
+	defer func() {
+		if v := recover(); v != nil {
+			a.handler.Log.Panic("attempt", a.requestID, v)
+			a.res, a.result = nil, result.Result{Cause: cause.ConnBroken}
+			a.responded <- a
+		}
+	}()
 	a.res, a.result = a.handler.Send(a.ctx, a.req)
 	if a.res != nil && a.result.Cause != cause.Shed {
 		a.bufferResponse()
@@ -86,6 +97,7 @@
 // serve carries out the steps of the flow until the call has an outcome.
 func (d *callDriver) serve() {
 	defer d.stopBody()
+	defer d.releaseOnPanic()
 	d.responded = make(chan *attempt, tune.MaxAttempts)
 	d.informational = make(chan informational)
 	d.dequeued = make(chan choice.Choice, 1)
@@ -117,6 +129,18 @@
 	}
 }
 
+// releaseOnPanic gives up what the call holds if it panics, other than to abort the connection of the caller.
+func (d *callDriver) releaseOnPanic() {
+	v := recover()
+	if v == nil {
+		return
+	}
+	if v != http.ErrAbortHandler {
+		d.cancelOthers(-1)
+	}
+	panic(v)
+}
+
 func (d *callDriver) now() time.Time { return d.handler.Clock.Now() }
 
 // awaitEvent waits for the next event of the call and returns the step that follows it. Without another event, the timer
@@ -183,7 +207,7 @@
 	if !limit.IsZero() {
 		ctx, cancel = context.WithDeadline(d.r.Context(), limit)
 	}
-	a := &attempt{id: s.Attempt, ctx: ctx, cancel: cancel, handler: d.handler, responded: d.responded}
+	a := &attempt{id: s.Attempt, requestID: d.call.RequestID, ctx: ctx, cancel: cancel, handler: d.handler, responded: d.responded}
 	a.req = d.newRequest(s, limit)
 	a.req.OnInformational = func(status int, h http.Header) {
 		select {
--- a/internal/proxy/handler.go
+++ b/internal/proxy/handler.go
@@ -87,8 +87,23 @@
 		Update(h.Clock.Now().Sub(c.Arrived).Seconds())
 }
 
-// ServeHTTP serves one call.
+// ServeHTTP serves one call. A panic is logged with the ID of the request and aborts the connection.
 func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	defer func() {
+		v := recover()
+		if v == nil {
+			return
+		}
+		if v != http.ErrAbortHandler {
+			h.Log.Panic("call", h.Headers.RequestID(r.Header), v)
+		}
+		panic(http.ErrAbortHandler)
+	}()
+	h.serve(w, r)
+}
+
+// serve refuses a request that cannot be served, or drives its call.
+func (h *Handler) serve(w http.ResponseWriter, r *http.Request) {
 	if r.Method == http.MethodConnect || strings.Contains(strings.ToLower(r.Header.Get("Connection")), "upgrade") && r.Header.Get("Upgrade") != "h2c" {
 		h.refuseEarly(w, r, http.StatusNotImplemented, "upgrades and tunnels are not served")
 		return
--- a/internal/proxy/probe.go
+++ b/internal/proxy/probe.go
@@ -17,8 +17,15 @@
 	available chan<- bool
 }
 
-// run sends the probe and records its result in the pool, even if the call no longer waits for it.
+// run sends the probe and records its result in the pool, even if the call no longer waits for it. After a panic, the
+// upstream counts as not available.
 func (p *loadProbe) run() {
+	defer func() {
+		if v := recover(); v != nil {
+			p.handler.Log.Panic("probe of "+p.target.Name, "", v)
+			p.available <- false
+		}
+	}()
 	path := p.match.service.LoadPath
 	if path == "" {
 		path = tune.DefaultLoadPath
--- a/pkg/control/contrl/control.go
+++ b/pkg/control/contrl/control.go
@@ -139,6 +139,9 @@
 	return c.effects
 }
 
+// Abandon returns the effects of a Step that panicked, up to that point.
+func (c *Control) Abandon() []effect.Effect { return c.effects }
+
 // tick does the work that is due with time alone.
 func (c *Control) tick() {
 	for _, key := range c.config.ApplyDeferred(c.now) {
