pool: a target never changes, and a new incarnation starts without the state of the earlier one

An announced new incarnation kept the draining mark, the credits, the connection closes and the start time of the earlier one, so it got no calls for up to 30 s, calls used credits of a process that had ended, and a late report of the earlier incarnation was taken for a newer one. markColdUntil ran before the target was set, so that one entry went first at every new cold upstream.

--- a/pkg/events/fact/fact.go
+++ b/pkg/events/fact/fact.go
@@ -12,7 +12,8 @@
 	Topic topic.Topic
 	// Subject is the name of the upstream or rollout, or the fingerprint as text.
 	Subject string
-	// Value is the upstream's incarnation for ColdStart, and the number of crashes for Poison.
+	// Value is the upstream's incarnation for ColdStart and, if it is known, for Draining; for Poison it is the number of
+	// crashes.
 	Value uint64
 	// Origin is the name of the entry that first saw it.
 	Origin string
--- a/pkg/traffic/pool/choose.go
+++ b/pkg/traffic/pool/choose.go
@@ -74,7 +74,7 @@
 // A call to a cold upstream also uses this entry's turn at the cold rate, or a credit where the service has no cold rate.
 func (p *Pool) reserveCandidate(now time.Time, c *call.Call, best candidate, ch choice.Choice) choice.Choice {
 	s := best.upstream
-	ch.Stage, ch.Reason, ch.Target, ch.PredictedWait = stage.Send, reason.LowestWait, &s.target, best.score
+	ch.Stage, ch.Reason, ch.Target, ch.PredictedWait = stage.Send, reason.LowestWait, s.target, best.score
 	ch.Load, ch.Slowdown, ch.ReportAge = best.load, s.predictedSlowdown(p, now), s.reportAge(now)
 	if p.policy == policy.LeastPredictedWait {
 		ch.HedgeDelay = max(tune.MinHedgeDelay, time.Duration(tune.HedgeDelayFactor*float64(best.score)))
--- a/pkg/traffic/pool/probe.go
+++ b/pkg/traffic/pool/probe.go
@@ -39,7 +39,7 @@
 			continue
 		}
 		if p.takeProbe(now, s) {
-			targets = append(targets, &s.target)
+			targets = append(targets, s.target)
 		}
 	}
 	return targets, knownBusy >= p.config.Service.ProbesPerCall
--- a/pkg/traffic/pool/upstream.go
+++ b/pkg/traffic/pool/upstream.go
@@ -23,7 +23,8 @@
 
 // upstreamState is what this entry knows about one upstream.
 type upstreamState struct {
-	target target.Target
+	// target is replaced as a whole and never changed, since calls read it without the lock.
+	target *target.Target
 	// subsetWeight is the rank of the upstream for this entry; the entry prefers the highest.
 	subsetWeight uint64
 	// ownInFlight is the number of calls of this entry in flight at the upstream.
@@ -71,7 +72,10 @@
 
 // install applies the target of a new configuration.
 func (s *upstreamState) install(p *Pool, t *target.Target) {
-	if s.target.Name == "" {
+	old := s.target
+	s.target = t
+	if old == nil {
+		old = &target.Target{}
 		s.subsetWeight = p.subsetWeight(t.Name)
 		s.avgRunTime = p.avgRunTime
 		s.ownAtReport = -1
@@ -81,27 +85,28 @@
 		return
 	}
 	known := t.Incarnation != 0 && t.Incarnation == s.incarnation
-	if t.ColdUntil.After(s.coldUntil) && !known && !t.ColdUntil.Equal(s.target.ColdUntil) {
+	if t.ColdUntil.After(s.coldUntil) && !known && !t.ColdUntil.Equal(old.ColdUntil) {
 		s.coldUntil = t.ColdUntil
 		if t.Incarnation != 0 {
 			s.incarnation, s.startedAt = t.Incarnation, t.ColdUntil.Add(-p.config.Service.Warmup)
 		}
 	}
-	s.target = *t
 }
 
-// applyAnnouncement applies what an upstream announced about itself in the store. For a new incarnation, it first clears the
-// failures and the cold state of the earlier one.
+// applyAnnouncement applies what an upstream announced about itself in the store. For a new incarnation, it first clears what
+// is known of the earlier one. The new one started before now, and later than any report of the earlier one says.
 func (s *upstreamState) applyAnnouncement(p *Pool, t *target.Target) {
 	if t.Upstream.Incarnation != s.incarnation {
 		s.incarnation = t.Upstream.Incarnation
+		s.startedAt = p.now
 		s.breaker.Succeed()
-		s.dialFailed, s.failureRate, s.coldUntil = false, 0, time.Time{}
+		s.wallet.Clear()
+		s.dialFailed, s.failureRate, s.coldUntil, s.drainUntil = false, 0, time.Time{}, time.Time{}
+		s.keptConn, s.consecutiveCloses = false, 0
 	}
 	if t.ColdUntil.After(s.coldUntil) {
 		s.markColdUntil(p, t.ColdUntil)
 	}
-	s.target = *t
 }
 
 // markColdUntil marks the upstream cold until a time. If it was not cold before and its service has a cold rate, the first
@@ -366,7 +371,7 @@
 		return
 	}
 	s.drainUntil = now.Add(tune.DrainTTL)
-	p.queueFact(fact.Fact{Topic: topic.Draining, Subject: s.target.Name, Until: s.drainUntil})
+	p.queueFact(fact.Fact{Topic: topic.Draining, Subject: s.target.Name, Value: s.incarnation, Until: s.drainUntil})
 }
 
 // trackConnClose treats an upstream as draining when it used to keep connections open and closes several in a row.
@@ -438,7 +443,10 @@
 		s.coldUntil = f.Until
 		s.wallet.Clear()
 	case topic.Draining:
-		s.drainUntil = f.Until
+		// A value of 0 means that the incarnation is not known.
+		if f.Value == 0 || s.incarnation == 0 || f.Value == s.incarnation {
+			s.drainUntil = f.Until
+		}
 	}
 }
 
