watch, kvrepl: the end of an outage and writes between pages

Cause 1: when the first response after an outage of the store was compacted, or a page that is not the last, the end of the outage was reported with a response that brought no changes, so the removals that came later were not deferred and announced upstreams were dropped at once. Cause 2: a key written between two pages of a list entered the log of writes above the revision of the list, and the changes that followed came after it; the binary search in Since then skipped it, and a peer that asked for those changes kept the old value, a removed server for instance.

--- a/pkg/control/kvrepl/replica.go
+++ b/pkg/control/kvrepl/replica.go
@@ -101,10 +101,19 @@
 		r.tombstones++
 	}
 	r.items[it.Key] = it
-	r.log = append(r.log, write{it.Revision, it.Key})
+	r.appendLog(write{it.Revision, it.Key})
 	return true
 }
 
+// appendLog adds a write to the log. Writes made between two pages of a list have higher revisions than the changes that
+// follow the list, so a write does not always belong at the end.
+func (r *Replica) appendLog(w write) {
+	r.log = append(r.log, w)
+	for i := len(r.log) - 1; i > 0 && r.log[i-1].revision > w.revision; i-- {
+		r.log[i-1], r.log[i] = r.log[i], r.log[i-1]
+	}
+}
+
 // Since returns the changes after a revision.
 //
 // Once it has limit changes, it stops at the next revision, so that the changes of one revision stay together. If
@@ -121,7 +130,7 @@
 	for ; i < len(r.log); i++ {
 		w := r.log[i]
 		if len(d.Items) >= limit && w.revision > d.Items[len(d.Items)-1].Revision {
-			d.Revision = d.Items[len(d.Items)-1].Revision
+			d.Revision = min(r.revision, d.Items[len(d.Items)-1].Revision)
 			return d
 		}
 		if it := r.items[w.key]; it.Revision == w.revision {
--- a/pkg/control/watch/watcher.go
+++ b/pkg/control/watch/watcher.go
@@ -38,8 +38,10 @@
 	nextWatchAt time.Time
 	// failures counts the requests in a row whose outcome is unknown or whose response was out of date.
 	failures int
-	// recovered is set when the last usable response was the first after failures.
-	recovered bool
+	// interrupted is set from a failure until changes are returned again, and recovered if the last response returned the
+	// first changes after a failure.
+	interrupted bool
+	recovered   bool
 }
 
 // New returns a watcher whose first request is a list.
@@ -69,14 +71,22 @@
 // to apply: a watch without changes yields an empty delta; an incomplete list, a failed request and a compacted history
 // yield none.
 func (w *Watcher) HandleResponse(now time.Time, resp kvresp.Response) (delta.Delta, bool) {
+	d, ok := w.handle(now, resp)
+	w.recovered = ok && w.interrupted
+	w.interrupted = w.interrupted && !ok
+	return d, ok
+}
+
+// handle does the work of HandleResponse, apart from noticing the end of an outage.
+func (w *Watcher) handle(now time.Time, resp kvresp.Response) (delta.Delta, bool) {
 	req := w.pending
 	w.pending = kvreq.Request{}
 	if resp.OutcomeUnknown || resp.Revision < req.SinceRevision {
 		w.backoff.Fail(now, w.rand)
 		w.failures++
+		w.interrupted = true
 		return delta.Delta{}, false
 	}
-	w.recovered = w.failures > 0
 	w.failures = 0
 	w.backoff.Succeed()
 	if resp.Compacted {
@@ -112,7 +122,7 @@
 // OutageBegan reports whether exactly one request has failed since the last usable response.
 func (w *Watcher) OutageBegan() bool { return w.failures == 1 }
 
-// OutageEnded reports whether the last usable response was the first after one or more failed requests.
+// OutageEnded reports whether the last response returned the first changes after one or more failed requests.
 func (w *Watcher) OutageEnded() bool { return w.recovered }
 
 // FreshAt returns the latest time at which the replica is known to have matched the store.
