contrl: an entry that starts takes a stale peer's state only if the store does not answer

Cause: the first full delta that reached a new entry was put in force, also from a peer whose replica matched the store a minute ago, so a server that had left or a key that was withdrawn since was in use again until the list came; at the same revision the list was even ignored. Change: state older than tune.MaxPeerStaleness is held until a list fails, and the newest is taken.

--- a/pkg/control/contrl/control.go
+++ b/pkg/control/contrl/control.go
@@ -33,6 +33,7 @@
 	"github.com/balsamvale/balsamvale/pkg/shared/snap"
 	"github.com/balsamvale/balsamvale/pkg/shared/svcfg"
 	"github.com/balsamvale/balsamvale/pkg/shared/tune"
+	"github.com/balsamvale/balsamvale/pkg/stored/delta"
 	"github.com/balsamvale/balsamvale/pkg/stored/item"
 	"github.com/balsamvale/balsamvale/pkg/stored/kvreq"
 	"github.com/balsamvale/balsamvale/pkg/stored/member"
@@ -75,6 +76,9 @@
 	bootstrapped bool
 	// syncedAt is when synced was set.
 	syncedAt time.Time
+	// heldDelta is the newest state that a stale peer sent before the first sync. It may hold what has been removed since,
+	// so it is only applied once the store does not answer.
+	heldDelta delta.Delta
 	// knownFreshAt is the latest time at which the replica is known to have matched the store, from a response of the
 	// store or a peer's digest.
 	knownFreshAt time.Time
@@ -168,7 +172,10 @@
 				c.log(logmsg.Message{Type: msgtyp.DependencyRestored, Subject: "store", Reason: "a list or watch request succeeded again"})
 			}
 			c.applyDelta(d)
-		} else if c.watcher.OutageBegan() {
+		} else if c.watcher.Failing() {
+			c.applyHeldDelta()
+		}
+		if c.watcher.OutageBegan() {
 			c.log(logmsg.Message{Type: msgtyp.DependencyLost, Subject: "store", Reason: "a list or watch request got no valid response"})
 		}
 	case c.keeper.Awaits(resp.ID):
--- a/pkg/control/contrl/gossip.go
+++ b/pkg/control/contrl/gossip.go
@@ -235,7 +235,13 @@
 	for _, f := range d.Facts {
 		c.addFact(f)
 	}
-	if d.Delta.Revision > c.replica.Revision() {
+	switch {
+	case d.Delta.Revision <= c.replica.Revision():
+	case !c.synced && d.Age > tune.MaxPeerStaleness && !c.watcher.Failing():
+		if d.Delta.Revision > c.heldDelta.Revision {
+			c.heldDelta = d.Delta
+		}
+	default:
 		c.applyDelta(d.Delta)
 	}
 	// The sender's replica matched the store d.Age ago. Its revision is not above that of this entry's replica, so this
@@ -245,6 +251,14 @@
 	}
 }
 
+// applyHeldDelta applies the newest state that a stale peer sent to this entry before its first sync.
+func (c *Control) applyHeldDelta() {
+	if d := c.heldDelta; !c.synced && d.Revision > c.replica.Revision() {
+		c.applyDelta(d)
+	}
+	c.heldDelta = delta.Delta{}
+}
+
 // age returns how long ago this entry's replica is last known to have matched the store.
 func (c *Control) age() time.Duration { return c.now.Sub(c.freshAt()) }
 
--- a/pkg/control/watch/watcher.go
+++ b/pkg/control/watch/watcher.go
@@ -122,6 +122,9 @@
 // OutageBegan reports whether exactly one request has failed since the last usable response.
 func (w *Watcher) OutageBegan() bool { return w.failures == 1 }
 
+// Failing reports whether the last request has failed.
+func (w *Watcher) Failing() bool { return w.failures > 0 }
+
 // OutageEnded reports whether the last response returned the first changes after one or more failed requests.
 func (w *Watcher) OutageEnded() bool { return w.recovered }
 
