--- a/internal/cmds/status.go
+++ b/internal/cmds/status.go
@@ -18,9 +18,11 @@
 	"github.com/balsamvale/balsamvale/internal/codec"
 	pb "github.com/balsamvale/balsamvale/internal/gen/balsamvale/v1"
 	"github.com/balsamvale/balsamvale/internal/peers"
+	"github.com/balsamvale/balsamvale/internal/store"
 	"github.com/balsamvale/balsamvale/pkg/control/keys"
 	"github.com/balsamvale/balsamvale/pkg/shared/clock"
 	"github.com/balsamvale/balsamvale/pkg/stored/phase"
+	"github.com/balsamvale/balsamvale/pkg/stored/progrs"
 )
 
 func (a *App) status() *cli.Command {
@@ -154,28 +156,59 @@
 	ctx, cancel := context.WithTimeout(ctx, cmd.Duration("for"))
 	defer cancel()
 	name := cmd.Args().First()
-	watched := int64(0)
+	reached, watched := false, int64(0)
+	var lastErr error
 	for ctx.Err() == nil {
-		it, err := c.Get(ctx, keys.Rollout(name))
-		if err != nil {
-			continue
-		}
-		if v, derr := codec.Decode(it); derr == nil && it.Revision > 0 && v.Progress != nil {
-			switch v.Progress.Phase {
-			case phase.Done:
-				fmt.Fprintf(a.Out, "move %s is done: %s\n", name, v.Progress.Reason)
+		p, rev, err := getProgress(ctx, c, name)
+		if err == nil {
+			reached = true
+			if p != nil && p.Phase == phase.Done {
+				fmt.Fprintf(a.Out, "move %s is done: %s\n", name, p.Reason)
 				return nil
-			case phase.RolledBack:
-				return eris.Wrapf(errRefused, "move %s was rolled back: %s", name, v.Progress.Reason)
 			}
+			if p != nil && p.Phase == phase.RolledBack {
+				return eris.Wrapf(errRefused, "move %s was rolled back: %s", name, p.Reason)
+			}
+			_, watched, err = c.Watch(ctx, keys.Rollout(name), max(watched, rev), maxWatchWait)
 		}
-		_, rev, err := c.Watch(ctx, keys.Rollout(name), max(watched, it.Revision), maxWatchWait)
-		if err == nil {
-			watched = rev
+		if err != nil {
+			lastErr = err
+			pause(ctx, storeRetryDelay)
 		}
 	}
+	if !reached {
+		return eris.Wrapf(errStore, "move %s: %v", name, lastErr)
+	}
 	return eris.Errorf("move %s did not end within %v", name, cmd.Duration("for"))
 }
 
+// getProgress reads the progress of a rollout and its revision; it is nil if there is none that can be read. Errors are
+// those of the client.
+func getProgress(ctx context.Context, c *store.Client, rollout string) (*progrs.Progress, int64, error) {
+	it, err := c.Get(ctx, keys.Rollout(rollout))
+	if err != nil || it.Revision == 0 {
+		return nil, 0, err
+	}
+	v, err := codec.Decode(it)
+	if err != nil {
+		// A newer build may have written it; a later change may be readable.
+		return nil, it.Revision, nil
+	}
+	return v.Progress, it.Revision, nil
+}
+
+// pause waits for d, or until ctx is done.
+func pause(ctx context.Context, d time.Duration) {
+	fired, stop := clock.Wall().Timer(d)
+	defer stop()
+	select {
+	case <-fired:
+	case <-ctx.Done():
+	}
+}
+
+// storeRetryDelay is the pause after a request that the store did not answer.
+const storeRetryDelay = 500 * time.Millisecond
+
 // maxWatchWait is the longest time that one request waits for a change.
 const maxWatchWait = 10 * time.Second
--- a/internal/replay/replay_test.go
+++ b/internal/replay/replay_test.go
@@ -13,6 +13,7 @@
 	. "github.com/onsi/gomega"
 
 	"github.com/balsamvale/balsamvale/internal/replay"
+	"github.com/balsamvale/balsamvale/internal/tomlpb"
 	"github.com/balsamvale/balsamvale/pkg/calls/policy"
 )
 
@@ -112,6 +113,18 @@
 	}
 })
 
+var _ = Describe("Load", func() {
+	for _, tc := range []struct{ name, fault, problem string }{
+		{"noise that would be drawn again without end", "[[fault]]\nkind = \"noise\"\nat = \"100ms\"\nlast = \"1s\"\nfactor = 3", "every"},
+	} {
+		It("refuses "+tc.name, func() {
+			_, err := replay.Load(tc.name, []byte(fmt.Sprintf(traceTemplate, tc.fault)))
+			Expect(err).To(MatchError(tomlpb.ErrInvalid))
+			Expect(err.Error()).To(ContainSubstring(tc.problem))
+		})
+	}
+})
+
 // FuzzLoad checks that Load does not panic on any input.
 func FuzzLoad(f *testing.F) {
 	f.Add([]byte(fmt.Sprintf(traceTemplate, "")))
--- a/internal/replay/trace.go
+++ b/internal/replay/trace.go
@@ -30,6 +30,11 @@
 	if len(t.GetBound()) == 0 {
 		return nil, eris.Wrapf(tomlpb.ErrInvalid, "%s: a trace needs at least one [[bound]]", name)
 	}
+	for i, fault := range t.GetFault() {
+		if fault.GetKind() == pb.Fault_NOISE && fault.GetEvery().AsDuration() <= 0 {
+			return nil, eris.Wrapf(tomlpb.ErrInvalid, "%s: fault %d: noise needs every, the time between two draws", name, i+1)
+		}
+	}
 	return t, nil
 }
 
