demux, daemon: a planned stop answers what has begun to arrive, and ends in time

Cause: http.Server closes a connection as idle while the head of its next request is half read, and resets the connections in the queue of the listener; a connection without a request held the stop up for 5 s. The entry waited 3 s for the handover after the wait for calls, 7.5 s of a grace period of 6 s, and calls that still waited for an upstream were cut by the exit.

--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -89,6 +89,8 @@
 	tasks sync.WaitGroup
 	rand  *rand.Rand
 	ready atomic.Bool
+	// stopping is set by Drain; a snapshot that control publishes before it knows does not make the entry ready again.
+	stopping atomic.Bool
 	// freshAt is when the configuration was last known to match the store, as of the last tick.
 	freshAt atomic.Pointer[time.Time]
 	view    atomic.Pointer[trafficView]
@@ -192,7 +194,7 @@
 }
 
 // Ready reports whether the entry should get calls: it has a configuration and is not stopping.
-func (co *Core) Ready() bool { return co.ready.Load() }
+func (co *Core) Ready() bool { return co.ready.Load() && !co.stopping.Load() }
 
 // Configured reports whether a configuration is in force.
 func (co *Core) Configured() bool { return co.view.Load().snapshot.Revision > 0 }
@@ -412,7 +414,7 @@
 
 // Drain begins a planned stop: the entry is no longer ready, and control is told.
 func (co *Core) Drain() {
-	co.ready.Store(false)
+	co.stopping.Store(true)
 	select {
 	case co.events <- event.Event{Kind: evkind.Stop}:
 	case <-co.done:
--- a/internal/core/panic_test.go
+++ b/internal/core/panic_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"net/netip"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -21,6 +22,8 @@
 	"github.com/balsamvale/balsamvale/pkg/events/digest"
 	"github.com/balsamvale/balsamvale/pkg/events/event"
 	"github.com/balsamvale/balsamvale/pkg/events/evkind"
+	"github.com/balsamvale/balsamvale/pkg/records/record"
+	"github.com/balsamvale/balsamvale/pkg/records/svcrec"
 	"github.com/balsamvale/balsamvale/pkg/shared/clock"
 	"github.com/balsamvale/balsamvale/pkg/stored/delta"
 	"github.com/balsamvale/balsamvale/pkg/stored/item"
@@ -66,9 +69,9 @@
 	}
 	self := member.Member{Name: "e1", Domain: "z", Peer: netip.MustParseAddrPort("127.0.0.1:1"), Incarnation: 1}
 	seeds := []netip.AddrPort{netip.MustParseAddrPort("127.0.0.1:2")}
-	co := core.New(clock.Wall(), log, self, seeds, 1, func(item.Item) (value.Value, error) {
+	co := core.New(clock.Wall(), log, self, seeds, 1, func(it item.Item) (value.Value, error) {
 		explode("decode")
-		return value.Value{}, nil
+		return value.Value{Record: &record.Record{Service: &svcrec.Service{Name: strings.TrimPrefix(it.Key, keys.Record("service", ""))}}}, nil
 	})
 	co.CallStore = func(_ context.Context, req kvreq.Request) kvresp.Response {
 		explode("store")
@@ -117,3 +120,17 @@
 		})
 	}
 })
+
+var _ = Describe("An entry that stops", func() {
+	It("is not made ready again by a configuration that comes into force meanwhile", func() {
+		co, _ := brokenCore("")
+		Eventually(co.Ready, "3s").Should(BeTrue())
+		co.Drain()
+		d := digest.Digest{From: "e2", Revision: 99, Delta: delta.Delta{
+			Items: []item.Item{{Key: keys.Record("service", "t"), Revision: 99}}, Revision: 99, Full: true,
+		}}
+		_, err := co.Submit(context.Background(), event.Event{Kind: evkind.DigestReceived, Digest: d})
+		Expect(err).NotTo(HaveOccurred())
+		Consistently(co.Ready, "200ms").Should(BeFalse())
+	})
+})
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -46,6 +46,8 @@
 	callerListener *demux.Listener
 	peerServer     *http.Server
 	adminServer    *http.Server
+	// stopping is closed when calls that still wait are to be refused.
+	stopping chan struct{}
 	// errs receives the error of each server that fails; its buffer has room for one error of each server.
 	errs chan error
 }
@@ -54,7 +56,7 @@
 //
 // It opens no listener and starts no goroutine; Run does.
 func New(o *option.Options, c clock.Clock, log *logs.Log, incarnation uint64, s *seams.Seams) *Daemon {
-	d := &Daemon{options: o, clock: c, log: log, seams: s, metrics: metrics.NewSet(), errs: make(chan error, serverCount)}
+	d := &Daemon{options: o, clock: c, log: log, seams: s, metrics: metrics.NewSet(), stopping: make(chan struct{}), errs: make(chan error, serverCount)}
 	self := member.Member{Name: o.Name, Domain: o.Domain, Peer: o.Peer, Incarnation: incarnation}
 	d.core = core.New(c, log, self, o.Seeds, incarnation, s.Decode)
 	d.peers = peers.New(c, &http.Client{})
@@ -82,7 +84,7 @@
 	handler := &proxy.Handler{
 		Rule: d.core.Rule, Bounds: d.core.Bounds, Configured: d.core.Configured, Headers: d.seams.Headers,
 		Service: d.core.Service, Send: upstreams.Send, Probe: upstreams.Probe, Claim: claimClient.Claim, CompleteClaim: claimClient.Complete,
-		Clock: d.clock, Log: d.log, Poison: d.core.Poison(), Name: o.Name, Incarnation: incarnation, MaxBodyBytes: o.MaxBodyBytes,
+		Clock: d.clock, Log: d.log, Poison: d.core.Poison(), Name: o.Name, Incarnation: incarnation, MaxBodyBytes: o.MaxBodyBytes, Stopping: d.stopping,
 	}
 	handler.SetMetrics(d.metrics)
 	d.metrics.NewGauge("balsamvale_store_reads_total", func() float64 { return float64(d.seams.StoreReads()) })
@@ -241,8 +243,8 @@
 //
 // The entry first reports that it is not ready, starts to hand over its shards, and closes each connection of a caller
 // after the last response due on it. New connections are still accepted during the shutdown delay, until the balancer in
-// front of the entry has noticed. Then the entry closes the listener and waits for the calls in flight, and after that for
-// the end of the handover.
+// front of the entry has noticed. Then the entry closes the listener and waits for the calls in flight. When the drain timeout
+// passes, it refuses the calls that have not been sent to an upstream. After that it waits for the end of the handover.
 func (d *Daemon) shutdown() error {
 	d.log.Info("stopping")
 	d.core.Drain()
@@ -250,16 +252,7 @@
 	delay, stopTimer := d.clock.Timer(d.options.ShutdownDelay)
 	defer stopTimer()
 	<-delay
-	ctx := context.Background()
-	if d.options.DrainTimeout > 0 {
-		var cancel context.CancelFunc
-		ctx, cancel = context.WithTimeout(ctx, d.options.DrainTimeout)
-		defer cancel()
-	}
-	err := d.callerServer.Shutdown(ctx)
-	if err != nil {
-		d.log.Warn("calls were still in flight when the drain timeout (stop.wait) passed", zap.Error(err))
-	}
+	d.awaitCalls()
 	d.awaitHandover()
 	_ = d.peerServer.Close()
 	_ = d.adminServer.Close()
@@ -267,13 +260,36 @@
 	return nil
 }
 
-// awaitHandover waits until this entry has released its shards to other entries, for at most handoverTimeout.
+// awaitCalls closes the listener for callers and waits for the calls in flight, for at most the drain timeout if one is set.
+func (d *Daemon) awaitCalls() {
+	ctx, cancel := context.Background(), context.CancelFunc(func() {})
+	if d.options.DrainTimeout > 0 {
+		ctx, cancel = context.WithTimeout(ctx, max(0, d.options.DrainTimeout-refusalTime))
+	}
+	err := d.callerListener.Shutdown(ctx)
+	cancel()
+	if err == nil {
+		return
+	}
+	close(d.stopping)
+	ctx, cancel = context.WithTimeout(context.Background(), refusalTime)
+	defer cancel()
+	if err := d.callerListener.Shutdown(ctx); err != nil {
+		d.log.Warn("calls were still in flight when the drain timeout (stop.wait) passed", zap.Error(err))
+	}
+}
+
+// refusalTime is the end of the drain timeout in which calls that still wait are refused.
+const refusalTime = 200 * time.Millisecond
+
+// awaitHandover waits until this entry has released its shards to other entries, for at most the handover timeout.
 //
 // It returns at once if there is no other entry, or if control has ended.
 func (d *Daemon) awaitHandover() {
-	deadline := d.clock.Now().Add(handoverTimeout)
-	for d.clock.Now().Before(deadline) {
-		s, err := d.core.Status(context.Background())
+	ctx, cancel := context.WithTimeout(context.Background(), d.options.HandoverTimeout)
+	defer cancel()
+	for ctx.Err() == nil {
+		s, err := d.core.Status(ctx)
 		if err != nil || len(s.OwnedShards) == 0 || s.Members < 2 {
 			return
 		}
@@ -283,12 +299,8 @@
 	}
 }
 
-const (
-	// handoverTimeout bounds the wait for the shards to be released.
-	handoverTimeout = 3 * time.Second
-	// handoverPoll is the interval at which the shards still owned are checked.
-	handoverPoll = 20 * time.Millisecond
-)
+// handoverPoll is the interval at which the shards still owned are checked.
+const handoverPoll = 20 * time.Millisecond
 
 // status returns the state of the entry for status requests to the peer service; errors match core.ErrStopped.
 func (d *Daemon) status(ctx context.Context) (*pb.StatusResponse, error) {
--- a/internal/daemon/daemon_test.go
+++ b/internal/daemon/daemon_test.go
@@ -7,7 +7,9 @@
 	"net/http"
 	"net/http/httptest"
 	"net/netip"
+	"strconv"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -22,6 +24,7 @@
 	"github.com/balsamvale/balsamvale/internal/logs"
 	"github.com/balsamvale/balsamvale/internal/option"
 	"github.com/balsamvale/balsamvale/internal/store"
+	"github.com/balsamvale/balsamvale/internal/wire"
 	"github.com/balsamvale/balsamvale/pkg/control/keys"
 	"github.com/balsamvale/balsamvale/pkg/shared/clock"
 	"github.com/balsamvale/balsamvale/pkg/stored/item"
@@ -69,6 +72,33 @@
 	return copy(p, "0123456789"), nil
 }
 
+// startDaemon starts a daemon whose service "s" has the one given upstream, and waits until it is ready. The first call of the
+// result begins the planned stop.
+func startDaemon(up *httptest.Server, o *option.Options) (stop func(), done <-chan error) {
+	kv := kvsim.New(clock.Wall(), 1)
+	mux := http.NewServeMux()
+	mux.Handle(rpc.NewStoreHandler(kv))
+	kvServer := httptest.NewServer(mux)
+	DeferCleanup(kvServer.Close)
+	o.Name, o.Domain, o.Front, o.Peer, o.Admin = "e", "zone-1", freeAddr(), freeAddr(), freeAddr()
+	o.Store, o.MaxHeaderBytes, o.MaxBodyBytes, o.ReadHeaderTimeout = []netip.AddrPort{address(kvServer)}, 1<<16, 1<<30, time.Second
+	putRecords(o.Store, "[[domain]]\nschema = 1\nname = \"zone-1\"\n[[service]]\nschema = 2\nname = \"s\"\nslots = 4\nconns = 10\nwarm = \"0s\"\n[[service.route]]\npath = \"/up\"\nclass = \"bulk\"\n[[upstream]]\nschema = 1\nname = \"u\"\nservice = \"s\"\ndomain = \"zone-1\"\nversion = \"v1\"\naddr = \""+address(up).String()+"\"\n")
+	ctx, cancel := context.WithCancel(context.Background())
+	DeferCleanup(cancel)
+	r := &daemonRunner{daemon.New(o, clock.Wall(), logs.New(io.Discard, clock.Wall(), zapcore.ErrorLevel, 1), 1, store.New(&http.Client{}, o.Store).Seams()), ctx, make(chan error, 1)}
+	go r.run()
+	ready := func() int {
+		res, err := http.Get("http://" + o.Admin.String() + "/ready")
+		if err != nil {
+			return 0
+		}
+		defer func() { _ = res.Body.Close() }()
+		return res.StatusCode
+	}
+	Eventually(ready, "10s", "20ms").Should(Equal(http.StatusOK))
+	return cancel, r.done
+}
+
 var _ = Describe("A planned stop", func() {
 	for _, tc := range []struct {
 		name  string
@@ -80,40 +110,66 @@
 				_, _ = io.WriteString(w, strings.Repeat("x", int(n)))
 			}))
 			DeferCleanup(up.Close)
-			kv := kvsim.New(clock.Wall(), 1)
-			mux := http.NewServeMux()
-			mux.Handle(rpc.NewStoreHandler(kv))
-			kvServer := httptest.NewServer(mux)
-			DeferCleanup(kvServer.Close)
-			o := &option.Options{
-				Name: "e", Domain: "zone-1", Front: freeAddr(), Peer: freeAddr(), Admin: freeAddr(),
-				Store: []netip.AddrPort{address(kvServer)}, MaxHeaderBytes: 1 << 16, MaxBodyBytes: 1 << 30, ReadHeaderTimeout: time.Second, ShutdownDelay: 100 * time.Millisecond,
-			}
-			putRecords(o.Store, "[[domain]]\nschema = 1\nname = \"zone-1\"\n[[service]]\nschema = 2\nname = \"s\"\nslots = 4\nconns = 10\nwarm = \"0s\"\n[[service.route]]\npath = \"/up\"\nclass = \"bulk\"\n[[upstream]]\nschema = 1\nname = \"u\"\nservice = \"s\"\ndomain = \"zone-1\"\nversion = \"v1\"\naddr = \""+address(up).String()+"\"\n")
-			stop, cancel := context.WithCancel(context.Background())
-			DeferCleanup(cancel)
-			r := &daemonRunner{daemon.New(o, clock.Wall(), logs.New(io.Discard, clock.Wall(), zapcore.ErrorLevel, 1), 1, store.New(&http.Client{}, o.Store).Seams()), stop, make(chan error, 1)}
-			go r.run()
-			ready := func() int {
-				res, err := http.Get("http://" + o.Admin.String() + "/ready")
-				if err != nil {
-					return 0
-				}
-				defer func() { _ = res.Body.Close() }()
-				return res.StatusCode
-			}
-			Eventually(ready, "10s", "20ms").Should(Equal(http.StatusOK))
-			res, err := http.Post("http://"+o.Front.String()+"/s/up", "x/y", &slowUpload{tc.parts, tc.parts / 2, cancel})
+			o := &option.Options{ShutdownDelay: 100 * time.Millisecond}
+			stop, done := startDaemon(up, o)
+			res, err := http.Post("http://"+o.Front.String()+"/s/up", "x/y", &slowUpload{tc.parts, tc.parts / 2, stop})
 			Expect(err).NotTo(HaveOccurred())
 			defer func() { _ = res.Body.Close() }()
 			data, err := io.ReadAll(res.Body)
 			Expect(err).NotTo(HaveOccurred())
 			Expect(data).To(HaveLen(10 * tc.parts))
-			Eventually(r.done, "10s").Should(Receive(BeNil()))
+			Eventually(done, "10s").Should(Receive(BeNil()))
 		})
 	}
+
+	// The stop once took its time for the calls and 3 s more for the handover, past the end of the grace period.
+	It("ends within its limits while an upstream holds calls, and refuses the calls that still wait", func() {
+		var held atomic.Int64
+		release := make(chan struct{})
+		up := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) {
+			held.Add(1)
+			<-release
+		}))
+		DeferCleanup(up.Close)
+		DeferCleanup(func() { close(release) })
+		o := &option.Options{ShutdownDelay: 100 * time.Millisecond, DrainTimeout: 600 * time.Millisecond, HandoverTimeout: 100 * time.Millisecond}
+		stop, done := startDaemon(up, o)
+		const calls = 30
+		outcomes := make(chan string, calls)
+		for range calls {
+			go (&heldCall{url: "http://" + o.Front.String() + "/s/a", outcomes: outcomes}).run()
+		}
+		Eventually(held.Load, "2s").Should(BeNumerically(">=", 4))
+		time.Sleep(50 * time.Millisecond)
+		start := time.Now()
+		stop()
+		Eventually(done, "5s").Should(Receive(BeNil()))
+		Expect(time.Since(start)).To(BeNumerically("<", o.ShutdownDelay+o.DrainTimeout+o.HandoverTimeout+100*time.Millisecond))
+		for range calls - int(held.Load()) {
+			Eventually(outcomes, "1s").Should(Receive(Equal("503 notrun")), "each call that no upstream has is refused")
+		}
+		Consistently(outcomes, "50ms").ShouldNot(Receive(Equal("503 notrun")))
+	})
 })
 
+// heldCall sends a call that may run once, and its outcome to outcomes; its run method is a goroutine.
+type heldCall struct {
+	url      string
+	outcomes chan<- string
+}
+
+func (c *heldCall) run() {
+	req, _ := http.NewRequest(http.MethodPost, c.url, strings.NewReader("x"))
+	req.Header.Set(wire.Deadline, "30s")
+	res, err := http.DefaultClient.Do(req)
+	if err != nil {
+		c.outcomes <- "cut"
+		return
+	}
+	_ = res.Body.Close()
+	c.outcomes <- strconv.Itoa(res.StatusCode) + " " + res.Header.Get(wire.Outcome)
+}
+
 // putRecords creates the records of a TOML text in the store.
 func putRecords(addrs []netip.AddrPort, text string) {
 	records, err := codec.ReadRecords("r", []byte(text))
--- a/internal/demux/conn.go
+++ b/internal/demux/conn.go
@@ -28,6 +28,8 @@
 	nextSeq uint64
 	// responseSeq is the sequence number of the request whose response may be written.
 	responseSeq uint64
+	// waiting is set while loop waits for the first byte of a request.
+	waiting bool
 	// listenerClosed is set once the listener accepts no further virtual connections.
 	listenerClosed bool
 	// passthrough is set once the virtual connection of the latest request gets all bytes that are still to come.
@@ -91,27 +93,79 @@
 
 // nextHead reads the head of the next request. Before the first byte, the idle timeout applies while no request is
 // pending; from the first byte on, the timeout for the head applies.
+//
+// During a shutdown of the listener, an idle connection only gets lastReadTime for another request.
 func (c *conn) nextHead() (*head, error) {
+	read, idle := c.timeouts()
 	for {
-		read, idle := c.timeouts()
-		if err := c.raw.SetReadDeadline(c.deadlineAfter(idle)); err != nil {
+		final, err := c.beginWait(idle)
+		if err != nil {
 			return nil, err
 		}
-		_, err := c.reader.Peek(1)
-		if errors.Is(err, os.ErrDeadlineExceeded) && c.hasPending() {
-			continue
-		}
-		if err != nil {
+		_, err = c.reader.Peek(1)
+		if err := c.endWait(read); err != nil {
 			return nil, err
 		}
-		if err := c.raw.SetReadDeadline(c.deadlineAfter(read)); err != nil {
+		if err == nil {
+			break
+		}
+		if !errors.Is(err, os.ErrDeadlineExceeded) || final {
 			return nil, err
 		}
-		h, err := readHead(c.reader)
-		if err != nil {
+		// The deadline was that of a connection that has been in use since, or a shutdown has interrupted the wait.
+		if !c.hasPending() && !c.listener.isClosing() {
 			return nil, err
 		}
-		return h, c.raw.SetReadDeadline(time.Time{})
+	}
+	h, err := readHead(c.reader)
+	if err != nil {
+		return nil, err
+	}
+	return h, c.raw.SetReadDeadline(time.Time{})
+}
+
+// lastReadTime is how long an idle connection is read during a shutdown, for a request that has arrived already.
+const lastReadTime = 5 * time.Millisecond
+
+// beginWait sets the deadline for the first byte of a request. With final, the connection closes unless one comes by then.
+func (c *conn) beginWait(idle time.Duration) (final bool, err error) {
+	closing := c.listener.isClosing()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.waiting = true
+	if final = closing && c.responseSeq == c.nextSeq; final {
+		idle = lastReadTime
+	}
+	return final, c.raw.SetReadDeadline(c.deadlineAfter(idle))
+}
+
+// endWait sets the deadline for the rest of a head, which no shutdown interrupts.
+func (c *conn) endWait(read time.Duration) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.waiting = false
+	return c.raw.SetReadDeadline(c.deadlineAfter(read))
+}
+
+// beginClosing interrupts the wait for a request if none is pending. The listener must be closing.
+func (c *conn) beginClosing() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.interruptIdle()
+}
+
+// passesThrough reports whether the server reads all further requests by itself.
+func (c *conn) passesThrough() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.passthrough
+}
+
+// interruptIdle interrupts the wait for a request if none is pending. The caller of the method must hold mu.
+func (c *conn) interruptIdle() {
+	if c.waiting && c.responseSeq == c.nextSeq {
+		// If this fails, the connection is closed, which ends the wait too.
+		_ = c.raw.SetReadDeadline(c.listener.clock.Now())
 	}
 }
 
@@ -237,6 +291,7 @@
 //
 // If the server has not read the whole request, it would read the rest as another request, so the connection closes.
 func (c *conn) responseDone(vc *virtualConn) {
+	closing := c.listener.isClosing()
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if !vc.busy || c.passthrough && vc.seq+1 == c.nextSeq {
@@ -248,6 +303,9 @@
 	}
 	vc.busy = false
 	c.responseSeq++
+	if closing {
+		c.interruptIdle()
+	}
 	if c.aborted && c.responseSeq == c.abortedSeq {
 		c.closeCaller()
 	}
@@ -302,6 +360,7 @@
 	}
 	c.closed = true
 	_ = c.raw.Close()
+	c.listener.remove(c)
 	for _, vc := range c.virtualConns {
 		_ = vc.input.Close()
 	}
--- a/internal/demux/listener.go
+++ b/internal/demux/listener.go
@@ -12,10 +12,14 @@
 
 import (
 	"context"
+	"errors"
+	"maps"
 	"net"
 	"net/http"
+	"slices"
 	"sync"
 	"sync/atomic"
+	"time"
 
 	"github.com/balsamvale/balsamvale/pkg/records/bounds"
 	"github.com/balsamvale/balsamvale/pkg/shared/clock"
@@ -34,6 +38,16 @@
 	done      chan struct{}
 	closeOnce sync.Once
 	draining  atomic.Bool
+	// mu guards conns and closing.
+	mu sync.Mutex
+	// conns are the open connections of callers.
+	conns map[*conn]struct{}
+	// closing is set once connections close as soon as no request is pending on them.
+	closing bool
+	// accepting is set while loop runs.
+	accepting atomic.Bool
+	// server serves the virtual connections.
+	server *http.Server
 }
 
 // New returns a Listener that splits the connections accepted by inner. Read deadlines are computed from the time of c.
@@ -41,6 +55,7 @@
 	return &Listener{
 		Bounds: func() *bounds.Bounds { return nil },
 		inner:  inner, clock: c, accepted: make(chan *virtualConn), done: make(chan struct{}),
+		conns: map[*conn]struct{}{},
 	}
 }
 
@@ -55,10 +70,12 @@
 			vc.release()
 		}
 	}
+	l.server = s
 	next := s.Handler
 	s.Handler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		next.ServeHTTP(&writer{ResponseWriter: w, listener: l, ctx: r.Context()}, r)
 	})
+	l.accepting.Store(true)
 	go l.loop()
 	return s.Serve(l)
 }
@@ -69,16 +86,99 @@
 // Drain makes each connection close after the response to the last request that was accepted from it.
 func (l *Listener) Drain() { l.draining.Store(true) }
 
-// loop accepts connections; each starts with one virtual connection.
+// Shutdown accepts the connections that callers have opened already, closes the listener, and waits until each request that
+// has begun to arrive is answered. It closes the other connections. Drain must have been called before.
+//
+// The error is that of ctx if it is done first; Shutdown may then be called again.
+func (l *Listener) Shutdown(ctx context.Context) error {
+	if d, ok := l.inner.(interface{ SetDeadline(time.Time) error }); ok {
+		// Accepting ends at the deadline. Closing the listener instead would reset the connections in its queue.
+		if err := d.SetDeadline(l.clock.Now().Add(acceptGrace)); err != nil && !errors.Is(err, net.ErrClosed) {
+			return err
+		}
+	}
+	l.beginClosing()
+	for !l.idle() {
+		fired, stop := l.clock.Timer(shutdownPoll)
+		select {
+		case <-fired:
+		case <-ctx.Done():
+			stop()
+			return ctx.Err()
+		}
+	}
+	return l.server.Shutdown(ctx)
+}
+
+const (
+	// acceptGrace is how long a shutdown accepts connections from the queue of the listener.
+	acceptGrace = 50 * time.Millisecond
+	// shutdownPoll is the interval at which a shutdown checks for open connections.
+	shutdownPoll = 5 * time.Millisecond
+)
+
+// beginClosing makes the open connections, and those accepted from now on, close once no request is pending on them.
+func (l *Listener) beginClosing() {
+	l.mu.Lock()
+	l.closing = true
+	l.mu.Unlock()
+	for _, c := range l.open() {
+		c.beginClosing()
+	}
+}
+
+// open returns the open connections.
+func (l *Listener) open() []*conn {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return slices.Collect(maps.Keys(l.conns))
+}
+
+// idle reports whether the listener accepts no further connections, and those that are open are left to the server, as it
+// reads their requests itself.
+func (l *Listener) idle() bool {
+	return !l.accepting.Load() && !slices.ContainsFunc(l.open(), func(c *conn) bool { return !c.passesThrough() })
+}
+
+// isClosing reports whether connections close once no request is pending on them.
+func (l *Listener) isClosing() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.closing
+}
+
+// add registers an open connection.
+func (l *Listener) add(c *conn) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.conns[c] = struct{}{}
+}
+
+// remove removes a connection that is closed.
+func (l *Listener) remove(c *conn) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	delete(l.conns, c)
+}
+
+// loop accepts connections; each starts with one virtual connection. At the deadline that Shutdown sets, the listener stays
+// open for the server, which otherwise would end.
 func (l *Listener) loop() {
+	defer l.accepting.Store(false)
 	for {
 		raw, err := l.inner.Accept()
+		if err != nil && l.isClosing() {
+			_ = l.inner.Close()
+			return
+		}
 		if err != nil {
 			_ = l.Close()
 			return
 		}
 		c := newConn(l, raw)
+		l.add(c)
 		if !l.offer(c.newVirtualConn()) {
+			l.remove(c)
 			_ = raw.Close()
 			return
 		}
@@ -109,7 +209,11 @@
 // Close stops accepting connections; open ones stay open.
 func (l *Listener) Close() error {
 	l.closeOnce.Do(func() { close(l.done) })
-	return l.inner.Close()
+	if err := l.inner.Close(); !errors.Is(err, net.ErrClosed) {
+		return err
+	}
+	// A shutdown has closed it before.
+	return nil
 }
 
 // Addr returns the address that callers connect to.
--- a/internal/option/options.go
+++ b/internal/option/options.go
@@ -46,6 +46,8 @@
 	ShutdownDelay time.Duration
 	// DrainTimeout is the longest wait for calls in flight at a planned stop; 0 for no limit.
 	DrainTimeout time.Duration
+	// HandoverTimeout is the longest wait, after the calls in flight, until other entries can take over what this one holds.
+	HandoverTimeout time.Duration
 	// MemoryLimitBytes is the soft memory limit of the Go runtime in bytes; 0 for none.
 	MemoryLimitBytes int64
 }
@@ -72,6 +74,9 @@
 	return fromSettings(&s), nil
 }
 
+// defaultHandoverTimeout is the time for a handover, which settings in the project's format do not contain.
+const defaultHandoverTimeout = 3 * time.Second
+
 // fromSettings converts settings that were decoded and checked.
 func fromSettings(s *pb.Settings) *Options {
 	return &Options{
@@ -89,6 +94,7 @@
 		ReadHeaderTimeout: s.GetBounds().GetRead().AsDuration(),
 		ShutdownDelay:     s.GetStop().GetLag().AsDuration(),
 		DrainTimeout:      s.GetStop().GetWait().AsDuration(),
+		HandoverTimeout:   defaultHandoverTimeout,
 	}
 }
 
--- a/internal/proxy/driver.go
+++ b/internal/proxy/driver.go
@@ -49,6 +49,8 @@
 	informational chan informational
 	// dequeued receives the choice for a call that waits in the pool, for admission or for an upstream.
 	dequeued chan choice.Choice
+	// stopping is closed when the entry stops; nil after the call has been told.
+	stopping <-chan struct{}
 	// savedResponse is the answer of an earlier call with the same idempotency key.
 	savedResponse answer.Answer
 }
@@ -100,6 +102,7 @@
 	defer d.releaseOnPanic()
 	d.responded = make(chan *attempt, tune.MaxAttempts)
 	d.informational = make(chan informational)
+	d.stopping = d.handler.Stopping
 	d.dequeued = make(chan choice.Choice, 1)
 	d.flow.Wake = func(ch choice.Choice) { d.dequeued <- ch }
 	s := d.flow.Start(d.now())
@@ -163,6 +166,9 @@
 			return d.flow.Woken(d.now(), ch)
 		case <-fired:
 			return d.flow.TimerFired(d.now())
+		case <-d.stopping:
+			d.stopping = nil
+			return d.flow.Stop(d.now())
 		case <-d.r.Context().Done():
 			return d.flow.Cancel(d.now())
 		}
--- a/internal/proxy/handler.go
+++ b/internal/proxy/handler.go
@@ -66,6 +66,8 @@
 	// Name and Incarnation make the IDs of attempts unique.
 	Name        string
 	Incarnation uint64
+	// Stopping is closed when the entry stops and calls that still wait are to be refused; it may be nil.
+	Stopping <-chan struct{}
 	// MaxBodyBytes is the maximum size of a request body in bytes; Bounds may lower it.
 	MaxBodyBytes int64
 
--- a/pkg/traffic/flow/flow.go
+++ b/pkg/traffic/flow/flow.go
@@ -242,6 +242,18 @@
 	return f.refuse(reason.CallerGone)
 }
 
+// Stop refuses the call, because the entry stops, if no attempt is in flight; otherwise the call goes on.
+func (f *Flow) Stop(now time.Time) step.Step {
+	if f.inFlight > 0 {
+		return step.Step{Stage: stage.Wait, TimerAt: f.timerAt}
+	}
+	if f.waiting {
+		f.waiting = !f.pool.CancelWait(f.call)
+	}
+	f.CloseOthers(now, -1)
+	return f.refuse(reason.Stopping)
+}
+
 // Waiting reports whether the call is still queued in the pool or a call of Wake is still to come.
 func (f *Flow) Waiting() bool { return f.waiting }
 
--- a/pkg/traffic/flow/flow_test.go
+++ b/pkg/traffic/flow/flow_test.go
@@ -20,6 +20,7 @@
 	"github.com/balsamvale/balsamvale/pkg/records/upsrec"
 	"github.com/balsamvale/balsamvale/pkg/shared/svcfg"
 	"github.com/balsamvale/balsamvale/pkg/shared/target"
+	"github.com/balsamvale/balsamvale/pkg/shared/tune"
 	"github.com/balsamvale/balsamvale/pkg/traffic/flow"
 	"github.com/balsamvale/balsamvale/pkg/traffic/poison"
 	"github.com/balsamvale/balsamvale/pkg/traffic/pool"
@@ -88,6 +89,29 @@
 		})
 	}
 
+	for _, tc := range []struct {
+		name  string
+		ahead int
+		stage stage.Stage
+		out   outcom.Outcome
+	}{
+		{"a call in flight goes on", 0, stage.Wait, 0},
+		{"a call that waits for an upstream is refused", 4 + tune.MaxBacklog, stage.Refuse, outcom.NotRun},
+	} {
+		It("is told that the entry stops: "+tc.name, func() {
+			p := newPool(1)
+			for range tc.ahead {
+				Expect(flow.New(&call.Call{Service: "s", Buffered: true, Deadline: start.Add(time.Minute)}, p, poison.New()).Start(start).Stage).To(Equal(stage.Send))
+			}
+			f := flow.New(&call.Call{Service: "s", Buffered: true, Fingerprint: 9, Deadline: start.Add(time.Minute)}, p, poison.New())
+			f.Start(start)
+			s := f.Stop(start)
+			Expect(s.Stage).To(Equal(tc.stage))
+			Expect(s.Outcome).To(Equal(tc.out))
+			Expect(f.Waiting()).To(BeFalse())
+		})
+	}
+
 	for _, tc := range []struct {
 		name    string
 		attempt int
