core: the test of a stop during a publish shows the fault

It now begins the stop while control is putting a configuration in force, and fails without the change (Ready stays true).

--- a/internal/core/panic_test.go
+++ b/internal/core/panic_test.go
@@ -6,6 +6,7 @@
 	"net/netip"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -57,6 +58,12 @@
 	return b.buf.String()
 }
 
+// decodeGate holds the decoding of one item up until gate is closed.
+type decodeGate struct{ entered, gate chan struct{} }
+
+// blockDecode holds up the next decoding; nil for none.
+var blockDecode atomic.Pointer[decodeGate]
+
 // brokenCore starts a core whose functions panic at the given point: "decode", "store", "digest".
 func brokenCore(at string) (*core.Core, *lockedBuffer) {
 	out := &lockedBuffer{}
@@ -71,6 +78,10 @@
 	seeds := []netip.AddrPort{netip.MustParseAddrPort("127.0.0.1:2")}
 	co := core.New(clock.Wall(), log, self, seeds, 1, func(it item.Item) (value.Value, error) {
 		explode("decode")
+		if g := blockDecode.Swap(nil); g != nil {
+			close(g.entered)
+			<-g.gate
+		}
 		return value.Value{Record: &record.Record{Service: &svcrec.Service{Name: strings.TrimPrefix(it.Key, keys.Record("service", ""))}}}, nil
 	})
 	co.CallStore = func(_ context.Context, req kvreq.Request) kvresp.Response {
@@ -125,12 +136,17 @@
 	It("is not made ready again by a configuration that comes into force meanwhile", func() {
 		co, _ := brokenCore("")
 		Eventually(co.Ready, "3s").Should(BeTrue())
-		co.Drain()
+		entered, gate := make(chan struct{}), make(chan struct{})
+		blockDecode.Store(&decodeGate{entered, gate})
+		DeferCleanup(func() { blockDecode.Store(nil) })
 		d := digest.Digest{From: "e2", Revision: 99, Delta: delta.Delta{
 			Items: []item.Item{{Key: keys.Record("service", "t"), Revision: 99}}, Revision: 99, Full: true,
 		}}
-		_, err := co.Submit(context.Background(), event.Event{Kind: evkind.DigestReceived, Digest: d})
-		Expect(err).NotTo(HaveOccurred())
+		go func() { _, _ = co.Submit(context.Background(), event.Event{Kind: evkind.DigestReceived, Digest: d}) }()
+		Eventually(entered).Should(BeClosed())
+		// Control is putting the configuration in force when the stop begins.
+		co.Drain()
+		close(gate)
 		Consistently(co.Ready, "200ms").Should(BeFalse())
 	})
 })
