pool, canary: failures of a new version are pooled at every fleet size

Change: failures are pooled from 2 entries, with the outcomes of the old version beside them; a call that was sent to an upstream without a free slot says nothing about its version.

--- a/pkg/shared/tune/constants.go
+++ b/pkg/shared/tune/constants.go
@@ -269,9 +269,12 @@
 	CanaryMinUpstreams = 2
 	// CanaryMaxUpstreamPart is the largest fraction of the evidence that may come from one upstream.
 	CanaryMaxUpstreamPart = 0.6
-	// PooledMinEntries is the number of entries from which a few analyze a version for all. An entry on its own needs
-	// about 5 bad calls to find a version bad; for up to 32 entries, that is fewer in total than users allow.
-	PooledMinEntries = 33
+	// PooledMinEntries is the number of entries from which a few analyze the failures of a version for all. An entry on its
+	// own needs about 5 bad calls to find a version bad; if the failures are rare, that is too many in total.
+	PooledMinEntries = 2
+	// PooledSlowMinEntries is the number of entries from which slow answers are pooled as well. What is normal differs between
+	// entries, so that a few entries that were paused or lost can make a good version look slow to the others.
+	PooledSlowMinEntries = 33
 	// PooledReportGap is the time between two evidence reports of one entry, for each entry of the fleet; 10 ms makes
 	// 100 reports a second in total.
 	PooledReportGap = 10 * time.Millisecond
--- a/pkg/traffic/canary/analyzer.go
+++ b/pkg/traffic/canary/analyzer.go
@@ -26,8 +26,11 @@
 	// beyond it.
 	meanTime    time.Duration
 	outlierRate float64
-	// pooled holds the sums over the tallies that were passed to RecordTally.
-	pooled cusums
+	// pooled holds the sums over the tallies that were passed to RecordTally, and pooledFailureRate and pooledSlowRate the
+	// recent rates of the old version in those passed to RecordBaselineTally.
+	pooled            cusums
+	pooledFailureRate float64
+	pooledSlowRate    float64
 }
 
 // baseline holds what is known about the old version on one route.
@@ -210,14 +213,27 @@
 	return "", false
 }
 
+// RecordBaselineTally adds the outcomes that an entry saw of the old version.
+//
+// Entries that were paused, or that cannot reach some upstreams, see failures of both versions. Without those of the old
+// version, their failures of the new one would count against it.
+func (a *Analyzer) RecordBaselineTally(t tally.Tally) {
+	if t.Calls <= 0 {
+		return
+	}
+	w := 1 - math.Pow(1-tune.MinMeanWeight, float64(t.Calls))
+	a.pooledFailureRate += w * (float64(t.Failures)/float64(t.Calls) - a.pooledFailureRate)
+	a.pooledSlowRate += w * (float64(t.SlowCalls)/float64(t.Calls) - a.pooledSlowRate)
+}
+
 // RecordTally adds the outcomes that an entry saw of the new version at one upstream. It reports whether the evidence is now
 // enough to call the new version bad, and if so the reason, for operators; upstreams is the number of its upstreams.
 //
 // The sending entry compared response times with those of the old version; here only the rate of slow answers is compared.
 func (a *Analyzer) RecordTally(t tally.Tally, upstreams int) (reason string, bad bool) {
 	c := &a.pooled
-	goodFailures := min(max(tune.CanaryGoodFailureRate, 2*a.worstFailureRate()), maxRate)
-	goodSlow := min(max(tune.CanaryGoodSlowRate, 2*a.outlierRate), maxRate)
+	goodFailures := min(max(tune.CanaryGoodFailureRate, 2*a.worstFailureRate(), 2*a.pooledFailureRate), maxRate)
+	goodSlow := min(max(tune.CanaryGoodSlowRate, 2*a.outlierRate, 2*a.pooledSlowRate), maxRate)
 	for i := range t.Calls {
 		c.failures.add(t.Upstream, i < t.Failures, goodFailures, max(tune.CanaryBadFailureRate, 2*goodFailures), a.baselineCalls)
 		if i >= t.Failures {
--- a/pkg/traffic/pool/canary.go
+++ b/pkg/traffic/pool/canary.go
@@ -18,7 +18,7 @@
 	if cfg.Rollout == p.rollout {
 		return
 	}
-	p.rollout, p.analyzer, p.rolledBack, p.tallies = cfg.Rollout, nil, false, nil
+	p.rollout, p.analyzer, p.rolledBack, p.tallies, p.baseline = cfg.Rollout, nil, false, nil, upstreamTally{}
 	if cfg.Rollout != "" {
 		p.analyzer = canary.New()
 	}
@@ -35,13 +35,13 @@
 	took := r.Latency
 	if r.Cause == cause.Canceled {
 		took = now.Sub(ch.At)
-		if !p.analyzer.IsSlow(ch.Route, took) && !(p.poolsEvidence() && p.analyzer.IsSlowCanary(ch.Route, took)) {
+		if !p.analyzer.IsSlow(ch.Route, took) && !(p.poolsSlowCalls() && p.analyzer.IsSlowCanary(ch.Route, took)) {
 			return
 		}
 	}
 	failed := r.Cause != cause.None && r.Cause != cause.Canceled
-	if !failed && r.Report != nil && r.Report.InFlight >= s.slots(p) {
-		// All slots are busy: the call may have waited for others, which says nothing about the version.
+	if !failed && (ch.Load >= float64(s.slots(p)) || r.Report != nil && r.Report.InFlight >= s.slots(p)) {
+		// All slots were or are busy: the call may have waited for others, which says nothing about the version.
 		return
 	}
 	to := p.config.Shares[1].Version
@@ -49,9 +49,10 @@
 	var bad bool
 	switch s.target.Version {
 	case to:
-		p.countOutcome(s.target.Name, failed, !failed && p.analyzer.IsSlowCanary(ch.Route, took))
+		p.countOutcome(s.target.Name, failed, !failed && p.poolsSlowCalls() && p.analyzer.IsSlowCanary(ch.Route, took))
 		detail, bad = p.analyzer.RecordCanary(s.target.Name, ch.Route, p.memberCount(to), failed, took)
 	default:
+		p.countBaseline(failed, !failed && p.poolsSlowCalls() && p.analyzer.IsSlowCanary(ch.Route, took))
 		detail, bad = p.analyzer.RecordBaseline(ch.Route, p.memberCount(to), failed, took)
 	}
 	if bad {
--- a/pkg/traffic/pool/pool.go
+++ b/pkg/traffic/pool/pool.go
@@ -67,8 +67,10 @@
 	analyzer   *canary.Analyzer
 	rollout    string
 	rolledBack bool
-	// tallies are the outcomes of the new version since evidence was sent at evidenceSentAt.
+	// tallies are the outcomes of the new version, and baseline those of the old one, since evidence was sent at
+	// evidenceSentAt.
 	tallies        []upstreamTally
+	baseline       upstreamTally
 	evidenceSentAt time.Time
 	// facts and toWake are handed out by unlock, after it has released the lock.
 	facts  []fact.Fact
