contrl: large fleets exchange within the failure domain, and do not push members

Change: from 60 entries on, seven of eight exchanges and two of three pushes of changes stay in the domain; changes of members alone wait for the exchanges.

--- a/pkg/control/contrl/gossip.go
+++ b/pkg/control/contrl/gossip.go
@@ -68,11 +68,21 @@
 		c.synced, c.syncedAt = true, c.now
 	}
 	c.bootstrap()
-	if len(changed) > 0 && c.bootstrapped && len(c.config.Members) > c.watcherCount() {
-		c.push(digest.Digest{Delta: delta.Delta{Items: changed, BaseRevision: base, Revision: c.replica.Revision()}})
+	if c.worthPushing(changed) && c.bootstrapped && len(c.config.Members) > c.watcherCount() {
+		c.pushDelta(delta.Delta{Items: changed, BaseRevision: base, Revision: c.replica.Revision()})
 	}
 }
 
+// worthPushing reports whether changes have to reach the other entries before their next exchanges. If all entries of a large
+// fleet pushed each entry that joins or leaves, a restart of the fleet would cost a number of messages that grows with the
+// square of its size.
+func (c *Control) worthPushing(changed []item.Item) bool {
+	if !c.largeFleet() {
+		return len(changed) > 0
+	}
+	return slices.ContainsFunc(changed, func(it item.Item) bool { return !strings.HasPrefix(it.Key, keys.MemberPrefix) })
+}
+
 // apply puts one item in force, and logs what it changes.
 func (c *Control) apply(it item.Item) {
 	before := c.messageFor(it.Key)
@@ -155,14 +165,25 @@
 	}
 }
 
+// largeFleet reports whether the fleet is so large that bytes between failure domains are saved. In a small one, the entries of
+// a failure domain are too few to pass news on to each other quickly.
+func (c *Control) largeFleet() bool { return len(c.config.Members) >= tune.LargeFleetEntries }
+
 // gossipPeers returns the peers of one exchange: a random one, and, unless this entry watches the store, one that
-// does.
+// does. In a large fleet both are of this entry's failure domain if it has any, but for one in tune.RemoteExchanges.
 func (c *Control) gossipPeers() []string {
-	all := c.randomPeers(len(c.config.Members))
+	all := c.randomPeers()
 	if len(all) == 0 {
 		return nil
 	}
-	out := all[:1]
+	if c.largeFleet() {
+		local, remote := c.splitByDomain(all)
+		all = append(local, remote...)
+		if c.rand.IntN(tune.RemoteExchanges) == 0 {
+			all = append(remote, local...)
+		}
+	}
+	out := all[:1:1]
 	if c.watchesStore() {
 		return out
 	}
@@ -180,11 +201,29 @@
 
 // push sends a digest to a few random peers at once.
 func (c *Control) push(d digest.Digest) {
-	for _, peer := range c.randomPeers(tune.Fanout) {
+	all := c.randomPeers()
+	for _, peer := range all[:min(tune.Fanout, len(all))] {
 		c.send(peer, d)
 	}
 }
 
+// pushDelta pushes changes of the store. In a large fleet, all but one of the peers are of this entry's failure domain, since
+// some entry of each domain learns of the changes from elsewhere soon; if there are too few of one kind, others take their
+// place.
+func (c *Control) pushDelta(d delta.Delta) {
+	all := c.randomPeers()
+	if c.largeFleet() {
+		local, remote := c.splitByDomain(all)
+		if len(remote) > 0 {
+			local = append(slices.Insert(local, min(len(local), tune.Fanout-1), remote[0]), remote[1:]...)
+		}
+		all = local
+	}
+	for _, peer := range all[:min(tune.Fanout, len(all))] {
+		c.send(peer, digest.Digest{Delta: d})
+	}
+}
+
 // send adds the name, revision and age of this entry to a digest and sends it to a peer, if that is still a member.
 func (c *Control) send(peer string, d digest.Digest) {
 	m := c.config.Members[peer]
@@ -195,8 +234,8 @@
 	c.emit(effect.Effect{Action: action.SendDigest, Peer: peer, Addr: m.Peer, Digest: d})
 }
 
-// randomPeers returns the names of up to n other members, in random order.
-func (c *Control) randomPeers(n int) []string {
+// randomPeers returns the names of the other members in random order.
+func (c *Control) randomPeers() []string {
 	names := make([]string, 0, len(c.config.Members))
 	for name := range c.config.Members {
 		if name != c.self.Name {
@@ -205,7 +244,19 @@
 	}
 	slices.Sort(names)
 	c.rand.Shuffle(len(names), func(i, j int) { names[i], names[j] = names[j], names[i] })
-	return names[:min(n, len(names))]
+	return names
+}
+
+// splitByDomain returns the names of the members in this entry's failure domain and those of the others, in the given order.
+func (c *Control) splitByDomain(names []string) (local, remote []string) {
+	for _, name := range names {
+		if c.config.Members[name].Domain == c.self.Domain {
+			local = append(local, name)
+		} else {
+			remote = append(remote, name)
+		}
+	}
+	return local, remote
 }
 
 // handleDigest merges a peer's digest, and answers with this entry's facts and the changes that the peer lacks.
--- a/pkg/shared/tune/constants.go
+++ b/pkg/shared/tune/constants.go
@@ -177,6 +177,10 @@
 	Tick = 50 * time.Millisecond
 	// GossipInterval is the average interval between exchanges with a random peer.
 	GossipInterval = 500 * time.Millisecond
+	// LargeFleetEntries is the number of entries from which exchanges keep to the failure domain.
+	LargeFleetEntries = 60
+	// RemoteExchanges is the number of regular exchanges of a large fleet of which one goes to another failure domain.
+	RemoteExchanges = 8
 	// Fanout is the number of peers that facts and store changes are pushed to between exchanges.
 	Fanout = 3
 	// MaxFacts bounds the facts in one digest.
