proxy: the time of a call counts from its head, and a body that stops is answered 408

Cause: the deadline was set after the body had been read, so a body that took 1 s lengthened the time that the upstream was given by 1 s, and a body that stopped held the call without end. Change: deadlines count from the arrival of the head; reading a body to keep ends at the deadline with 408, as nothing has been sent.

--- a/internal/proxy/body.go
+++ b/internal/proxy/body.go
@@ -5,6 +5,8 @@
 	"errors"
 	"io"
 	"net/http"
+	"os"
+	"time"
 
 	"github.com/balsamvale/balsamvale/internal/wire"
 	"github.com/balsamvale/balsamvale/pkg/calls/cause"
@@ -40,6 +42,18 @@
 	io.Closer
 }
 
+// readBodyUntil is readBody with a limit on the time; the zero time means none. The error is then os.ErrDeadlineExceeded.
+func (d *callDriver) readBodyUntil(limit time.Time) error {
+	if d.r.ContentLength == 0 || limit.IsZero() {
+		return d.readBody()
+	}
+	rc := http.NewResponseController(d.w)
+	// If setting a deadline fails, the connection is closed, which ends the read too.
+	_ = rc.SetReadDeadline(limit)
+	defer func() { _ = rc.SetReadDeadline(time.Time{}) }()
+	return d.readBody()
+}
+
 // readBody reads a request body of up to tune.MaxReplayBody bytes, so that it can be sent more than once. A larger one, or
 // one of unknown length with trailers, is left to be streamed.
 func (d *callDriver) readBody() error {
@@ -78,13 +92,17 @@
 	return nil
 }
 
-// refuseBadBody answers a request whose body could not be read: with status 413 if it exceeds the limit, otherwise 400.
+// refuseBadBody answers a request whose body could not be read: with status 413 if it exceeds the limit, 408 if it did not
+// arrive in time, otherwise 400.
 func (d *callDriver) refuseBadBody(err error) {
 	status := http.StatusBadRequest
 	var tooLarge *http.MaxBytesError
 	if errors.As(err, &tooLarge) {
 		status = http.StatusRequestEntityTooLarge
 	}
+	if errors.Is(err, os.ErrDeadlineExceeded) && len(d.attempts) == 0 {
+		status = http.StatusRequestTimeout
+	}
 	outcome := flow.OutcomeBeforeClaim(d.r.Header.Get(wire.IdempotencyKey) != "")
 	if len(d.attempts) > 0 {
 		outcome = outcom.Unknown
--- a/internal/proxy/handler.go
+++ b/internal/proxy/handler.go
@@ -132,11 +132,14 @@
 		return
 	}
 	d := &callDriver{handler: h, w: w, r: r, match: m}
-	if err := d.readBody(); err != nil {
+	arrived := h.Clock.Now()
+	limit := deadline(arrived, h.Headers.RemainingTime(r.Header), m.timeout, m.route.Class)
+	if err := d.readBodyUntil(limit); err != nil {
 		d.refuseBadBody(err)
 		return
 	}
-	d.call = h.newCall(r, m, d.body, d.buffered)
+	d.call = h.newCall(r, m, d.body, d.buffered, arrived)
+	d.call.Deadline = limit
 	d.flow = flow.New(d.call, m.pool, h.Poison)
 	d.serve()
 }
@@ -174,20 +177,19 @@
 	http.Error(w, text, status)
 }
 
-// newCall returns the data of a request that routing and retry decisions need.
-func (h *Handler) newCall(r *http.Request, m routeMatch, body []byte, buffered bool) *call.Call {
-	now := h.Clock.Now()
+// newCall returns the data of a request that routing and retry decisions need, apart from its deadline. The request arrived, with
+// its head, at the given time.
+func (h *Handler) newCall(r *http.Request, m routeMatch, body []byte, buffered bool, arrived time.Time) *call.Call {
 	svc, rt := m.service, m.route
 	c := &call.Call{
 		ID: h.lastCallID.Add(1), RequestID: h.Headers.RequestID(r.Header), Service: svc.Name, Route: rt.Path, Caller: callerAddr(r), Class: rt.Class,
-		Idempotent: isIdempotent(rt.Retry, r.Method), Buffered: buffered, BodyBytes: int64(len(body)), Arrived: now,
+		Idempotent: isIdempotent(rt.Retry, r.Method), Buffered: buffered, BodyBytes: int64(len(body)), Arrived: arrived,
 		Depth: wire.ParseCount(r.Header.Get(wire.Depth)), Attempt: wire.ParseCount(r.Header.Get(wire.AttemptNumber)),
 	}
-	c.Deadline = deadline(now, h.Headers.RemainingTime(r.Header), m.timeout, rt.Class)
 	if m.rule != nil {
 		c.Priority, c.MaxRuns = m.rule.Priority, m.rule.MaxAttempts
 		if m.rule.TargetLatency > 0 {
-			c.SoftDeadline = now.Add(m.rule.TargetLatency)
+			c.SoftDeadline = arrived.Add(m.rule.TargetLatency)
 		}
 	}
 	key := r.Header.Get(wire.IdempotencyKey)
@@ -198,16 +200,16 @@
 	return c
 }
 
-// deadline returns the deadline of a call that arrives now, or the zero time for none. It is the caller's own, which
+// deadline returns the deadline of a call that arrived at a time, or the zero time for none. It is the caller's own, which
 // timeLeft gives (0 for none); an interactive call gets timeout at most.
-func deadline(now time.Time, timeLeft, timeout time.Duration, cl class.Class) time.Time {
+func deadline(arrived time.Time, timeLeft, timeout time.Duration, cl class.Class) time.Time {
 	if cl == class.Interactive && (timeLeft == 0 || timeLeft > timeout) {
 		timeLeft = timeout
 	}
 	if timeLeft == 0 {
 		return time.Time{}
 	}
-	return now.Add(timeLeft)
+	return arrived.Add(timeLeft)
 }
 
 // isIdempotent reports whether a call may be sent more than once: by the retry policy or else by the method.
