peers, store: messages are bounded in size; watch: the pause grows with the watchers

Cause 1: a message without end from a peer, as a request or as a response, was read until its time limit (1.9 GB in 2 s on loopback), or without any for a request. Change: 16 MiB at most, after which the connection closes; peers send a request within 5 s. Before: the 3 rows of endless_test.go (peers) failed; after: none. Cause 2: each watcher paused 250 ms after changes, so the calls for frequent changes grew with the number of watchers, one for 32 entries. Change: the average pause grows with the number of watchers, up to 750 ms, and varies by half so that they take turns. Before: 2 of 3 rows of watching_test.go failed (749 and 1391 watches in 30 s, 576 allowed).

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -110,11 +110,18 @@
 	return p
 }
 
+const (
+	// peerReadTimeout bounds the time in which a peer sends a request.
+	peerReadTimeout = 5 * tune.PeerTimeout
+	// peerIdleTimeout is longer than net/http keeps an idle connection as a client, so that no request meets a closing one.
+	peerIdleTimeout = 2 * time.Minute
+)
+
 // initPeerServer builds the server for gossip, credit and status requests of other entries.
 func (d *Daemon) initPeerServer() {
 	mux := http.NewServeMux()
 	mux.Handle(d.peers.Handler())
-	d.peerServer = &http.Server{Handler: mux, ReadHeaderTimeout: d.options.ReadHeaderTimeout}
+	d.peerServer = &http.Server{Handler: mux, ReadHeaderTimeout: d.options.ReadHeaderTimeout, ReadTimeout: peerReadTimeout, IdleTimeout: peerIdleTimeout}
 }
 
 // initAdminServer builds the server for metrics, health checks and profiles.
--- a/internal/peers/service.go
+++ b/internal/peers/service.go
@@ -9,6 +9,7 @@
 	"github.com/rotisserie/eris"
 	"google.golang.org/protobuf/types/known/durationpb"
 
+	"github.com/balsamvale/balsamvale/internal/capped"
 	"github.com/balsamvale/balsamvale/internal/codec"
 	pb "github.com/balsamvale/balsamvale/internal/gen/balsamvale/v1"
 	rpc "github.com/balsamvale/balsamvale/internal/gen/balsamvale/v1/balsamvalev1connect"
@@ -37,10 +38,17 @@
 }
 
 // New returns a service that calls peers through client; Submit and LocalStatus have to be set before it serves.
-func New(c clock.Clock, client *http.Client) *Service { return &Service{clock: c, http: client} }
+func New(c clock.Clock, client *http.Client) *Service {
+	bounded := *client
+	bounded.Transport = &capped.Transport{Base: client.Transport}
+	return &Service{clock: c, http: &bounded}
+}
 
-// Handler returns the URL path of the service and its HTTP handler.
-func (s *Service) Handler() (string, http.Handler) { return rpc.NewPeerHandler(s) }
+// Handler returns the URL path of the service and its HTTP handler, which reads at most tune.MaxMessageBytes of a request.
+func (s *Service) Handler() (string, http.Handler) {
+	path, h := rpc.NewPeerHandler(s, connect.WithReadMaxBytes(tune.MaxMessageBytes))
+	return path, http.MaxBytesHandler(h, tune.MaxMessageBytes)
+}
 
 // Exchange passes a peer's digest to control and answers with this entry's facts and the changes that the peer lacks.
 func (s *Service) Exchange(ctx context.Context, req *connect.Request[pb.Digest]) (*connect.Response[pb.Digest], error) {
@@ -80,7 +88,7 @@
 
 // client returns an RPC client for the peer at addr.
 func (s *Service) client(addr netip.AddrPort) rpc.PeerClient {
-	return rpc.NewPeerClient(s.http, "http://"+addr.String(), connect.WithAcceptCompression("gzip", nil, nil))
+	return rpc.NewPeerClient(s.http, "http://"+addr.String(), connect.WithAcceptCompression("gzip", nil, nil), connect.WithReadMaxBytes(tune.MaxMessageBytes))
 }
 
 // SendDigest sends a digest to a peer and returns its answer; errors match ErrPeer.
--- a/internal/store/client.go
+++ b/internal/store/client.go
@@ -11,6 +11,7 @@
 	"github.com/rotisserie/eris"
 	"google.golang.org/protobuf/types/known/durationpb"
 
+	"github.com/balsamvale/balsamvale/internal/capped"
 	"github.com/balsamvale/balsamvale/internal/codec"
 	pb "github.com/balsamvale/balsamvale/internal/gen/balsamvale/v1"
 	rpc "github.com/balsamvale/balsamvale/internal/gen/balsamvale/v1/balsamvalev1connect"
@@ -42,9 +43,11 @@
 
 // New returns a client that reaches the store through h at the given addresses, of which there must be one at least.
 func New(h *http.Client, addrs []netip.AddrPort) *Client {
+	bounded := *h
+	bounded.Transport = &capped.Transport{Base: h.Transport}
 	c := &Client{}
 	for _, a := range addrs {
-		c.endpoints = append(c.endpoints, rpc.NewStoreClient(h, "http://"+a.String(), connect.WithAcceptCompression("gzip", nil, nil)))
+		c.endpoints = append(c.endpoints, rpc.NewStoreClient(&bounded, "http://"+a.String(), connect.WithAcceptCompression("gzip", nil, nil), connect.WithReadMaxBytes(tune.MaxMessageBytes)))
 	}
 	return c
 }
--- a/pkg/control/contrl/control.go
+++ b/pkg/control/contrl/control.go
@@ -192,6 +192,7 @@
 // issueRequests issues the store requests that are due.
 func (c *Control) issueRequests() {
 	if c.watchesStore() {
+		c.watcher.Pause = c.watchPause()
 		if req, ok := c.watcher.Next(c.now, c.nextID(), c.replica.Revision()); ok {
 			c.callStore(req)
 		}
--- a/pkg/control/contrl/gossip.go
+++ b/pkg/control/contrl/gossip.go
@@ -39,6 +39,12 @@
 	return tune.MinWatchers + len(c.config.Members)/tune.EntriesPerWatcher
 }
 
+// watchPause returns the pause after a watch that returned changes. It grows with the number of watchers, which tell each other
+// what they see, so that the calls of all of them for frequent changes do not grow.
+func (c *Control) watchPause() time.Duration {
+	return min(tune.MaxWatchPause, tune.WatchPause*time.Duration(c.watcherCount())/tune.MinWatchers)
+}
+
 // freshAt returns the latest time at which this entry's replica is known to have matched the store.
 func (c *Control) freshAt() time.Time {
 	if f := c.watcher.FreshAt(c.now); f.After(c.knownFreshAt) {
--- a/pkg/control/watch/watcher.go
+++ b/pkg/control/watch/watcher.go
@@ -18,6 +18,10 @@
 //
 // It is not safe for concurrent use.
 type Watcher struct {
+	// Pause is the pause after a watch that returned changes; 0 means tune.WatchPause. A longer one varies by half, so that the
+	// watches of several entries do not end together.
+	Pause time.Duration
+
 	rand    *rand.Rand
 	backoff backof.Backoff
 	// pending is the request that awaits its response; its ID is 0 when there is none.
@@ -99,11 +103,19 @@
 		return w.handlePage(req, resp)
 	}
 	if len(resp.Items) > 0 {
-		w.nextWatchAt = now.Add(tune.WatchPause)
+		w.nextWatchAt = now.Add(w.pause())
 	}
 	return delta.Delta{Items: resp.Items, BaseRevision: req.SinceRevision, Revision: resp.Revision}, true
 }
 
+// pause returns the pause after a watch that returned changes.
+func (w *Watcher) pause() time.Duration {
+	if w.Pause <= tune.WatchPause {
+		return tune.WatchPause
+	}
+	return w.Pause/2 + time.Duration(w.rand.Int64N(int64(w.Pause)))
+}
+
 // handlePage processes one page of a list, and returns the full delta once the last page has arrived.
 func (w *Watcher) handlePage(req kvreq.Request, resp kvresp.Response) (delta.Delta, bool) {
 	if req.After == "" {
--- a/pkg/shared/tune/constants.go
+++ b/pkg/shared/tune/constants.go
@@ -158,6 +158,8 @@
 	// WatchPause is the pause after a watch that returned changes; the next watch then returns all changes made in the
 	// meantime.
 	WatchPause = 250 * time.Millisecond
+	// MaxWatchPause is the longest average of this pause, in a fleet with many watchers.
+	MaxWatchPause = 750 * time.Millisecond
 	// MaxPeerStaleness is the age of the configuration received from peers beyond which an entry watches the store itself.
 	MaxPeerStaleness = 1500 * time.Millisecond
 	// DefaultLoadPath is the path of the load report, unless the service sets another for the probes that calls send.
@@ -205,6 +207,9 @@
 	ReannounceGrace = 2 * time.Second
 	// MinProcessPause is the shortest gap in an entry's own activity that counts as a pause of the process.
 	MinProcessPause = 250 * time.Millisecond
+	// MaxMessageBytes is the largest message in bytes that is read from a peer or the store; a full list at the design size
+	// has about half of that.
+	MaxMessageBytes = 16 << 20
 	// PeerTimeout bounds an exchange with a peer.
 	PeerTimeout = time.Second
 	// EventQueueSize is the number of events that wait for control before further ones are dropped; store responses and a
