--- /dev/null
+++ b/internal/codec/digest_test.go
@@ -0,0 +1,41 @@
+package codec_test
+
+import (
+	"testing"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+	"google.golang.org/protobuf/types/known/durationpb"
+
+	"github.com/balsamvale/balsamvale/internal/codec"
+	pb "github.com/balsamvale/balsamvale/internal/gen/balsamvale/v1"
+)
+
+// FuzzDigest checks that no message of a peer makes decoding panic or yields counts that are negative.
+func FuzzDigest(f *testing.F) {
+	for _, d := range []*pb.Digest{
+		{From: "e", Revision: 3, Age: durationpb.New(time.Second), Fact: []*pb.Fact{{Topic: 1, Subject: "u", Left: durationpb.New(time.Hour)}}},
+		{Fact: []*pb.Fact{{Tally: []*pb.Tally{{Upstream: "u", Calls: 1 << 31, Fails: 1 << 31}}}}, Item: []*pb.Item{{Key: "k", Revision: -1}}},
+	} {
+		data, err := proto.Marshal(d)
+		if err != nil {
+			f.Fatal(err)
+		}
+		f.Add(data)
+	}
+	f.Fuzz(func(t *testing.T, data []byte) {
+		var m pb.Digest
+		if proto.Unmarshal(data, &m) != nil {
+			return
+		}
+		d := codec.DigestFromProto(time.Unix(1000, 0), &m)
+		for _, fact := range d.Facts {
+			for _, tl := range fact.Tallies {
+				if tl.Calls < 0 || tl.Failures < 0 || tl.SlowCalls < 0 {
+					t.Errorf("negative count in %+v", tl)
+				}
+			}
+		}
+		_ = codec.DigestToProto(time.Unix(1000, 0), d)
+	})
+}
