--- a/internal/claims/client.go
+++ b/internal/claims/client.go
@@ -139,9 +139,10 @@
 
 // run makes the store calls that the bucket plans, until no claim or completion is left.
 //
-// After too many calls in a row without progress, or with errors, all waiting claims fail as unavailable.
+// After too many calls without progress since the last successful write, or with errors in a row, all waiting claims fail as
+// unavailable.
 func (w *worker) run() {
-	failures := 0 // store calls in a row without progress
+	failures := 0 // store calls without progress since the last write that succeeded
 	for {
 		now := w.client.clock.Now()
 		w.mu.Lock()
@@ -161,7 +162,9 @@
 		case !ok:
 			w.sleep(planAt.Sub(now))
 		case w.callStore(op, value, expect):
-			failures = 0
+			if op == kvop.CompareAndSwap {
+				failures = 0
+			}
 		default:
 			failures++
 			w.sleep(backoff(failures))
--- a/internal/claims/client_test.go
+++ b/internal/claims/client_test.go
@@ -22,6 +22,8 @@
 	"github.com/balsamvale/balsamvale/pkg/calls/dedup"
 	"github.com/balsamvale/balsamvale/pkg/calls/state"
 	"github.com/balsamvale/balsamvale/pkg/shared/clock"
+	"github.com/balsamvale/balsamvale/pkg/shared/tune"
+	"github.com/balsamvale/balsamvale/pkg/stored/item"
 )
 
 // newClients returns the claim clients of n entries that share one simulated store.
@@ -94,6 +96,19 @@
 		})
 	}
 
+	It("gives up a claim whose writes another writer always overtakes", func() {
+		_, clients := newClients(1)
+		swap, swaps := clients[0].CompareAndSwap, atomic.Int64{}
+		clients[0].CompareAndSwap = func(ctx context.Context, it item.Item, expect, lease int64) (bool, item.Item, error) {
+			swaps.Add(1)
+			_, _, err := swap(ctx, item.Item{Key: it.Key}, expect, lease)
+			return false, item.Item{}, err
+		}
+		result, _ := clients[0].Claim(ctx, "s", 5, 1, until)
+		Expect(result).To(Equal(dedup.Unavailable))
+		Expect(swaps.Load()).To(BeNumerically("<=", tune.MaxClaimAttempts))
+	})
+
 	It("returns unavailable while the store is down", func() {
 		kv, clients := newClients(1)
 		kv.SetDown(true)
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -14,7 +14,6 @@
 	"context"
 	"math/rand/v2"
 	"net/netip"
-	"sync"
 	"sync/atomic"
 	"time"
 
@@ -86,7 +85,6 @@
 	dispatchWake chan struct{}
 	// done is closed when loop ends.
 	done  chan struct{}
-	tasks sync.WaitGroup
 	rand  *rand.Rand
 	ready atomic.Bool
 	// stopping is set by Drain; a snapshot that control publishes before it knows does not make the entry ready again.
@@ -204,7 +202,6 @@
 	go co.loop(ctx)
 	go co.dispatchLoop(ctx)
 	for _, addr := range co.seeds {
-		co.tasks.Add(1)
 		go (&effectTask{core: co, ctx: ctx, effect: effect.Effect{Action: action.SendDigest, Addr: addr, Digest: digest.Digest{From: co.self.Name}}}).run()
 	}
 }
@@ -292,7 +289,6 @@
 	case action.Log:
 		co.log.ControlDecision(e.Message)
 	default:
-		co.tasks.Add(1)
 		go (&effectTask{core: co, ctx: ctx, effect: e}).run()
 	}
 }
--- a/internal/core/task.go
+++ b/internal/core/task.go
@@ -19,7 +19,6 @@
 }
 
 func (t *effectTask) run() {
-	defer t.core.tasks.Done()
 	defer t.recoverPanic()
 	e := &t.effect
 	switch e.Action {
@@ -71,10 +70,14 @@
 
 // probe asks an upstream for its load report and records the result in the pool of its service.
 func (t *effectTask) probe() {
-	p := t.core.view.Load().pools[t.effect.Service]
+	svc, p := t.core.Service(t.effect.Service)
 	if p == nil {
 		return
 	}
-	r := t.core.Probe(t.ctx, t.effect.Upstream, t.effect.Addr, tune.DefaultLoadPath)
+	path := svc.LoadPath
+	if path == "" {
+		path = tune.DefaultLoadPath
+	}
+	r := t.core.Probe(t.ctx, t.effect.Upstream, t.effect.Addr, path)
 	p.RecordProbe(t.core.clock.Now(), t.effect.Upstream, &r)
 }
--- a/internal/header/codec.go
+++ b/internal/header/codec.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"net/http"
 	"strconv"
 	"time"
@@ -91,6 +92,6 @@
 	h.Set(wire.Reason, s.Reason.String())
 	h.Set(wire.Retry, wire.RetryNo)
 	if retryAfter > 0 {
-		h.Set("Retry-After", strconv.Itoa(int(max(1, retryAfter.Seconds()))))
+		h.Set("Retry-After", strconv.Itoa(int(math.Ceil(retryAfter.Seconds()))))
 	}
 }
--- a/internal/proxy/body.go
+++ b/internal/proxy/body.go
@@ -31,7 +31,6 @@
 		a.res.Body = &prefixedBody{Reader: io.MultiReader(bytes.NewReader(body), a.res.Body), Closer: a.res.Body}
 		return
 	}
-	a.fullBody = body
 	_ = a.res.Body.Close()
 	a.res.Body = io.NopCloser(bytes.NewReader(body))
 }
--- a/internal/proxy/driver.go
+++ b/internal/proxy/driver.go
@@ -51,6 +51,8 @@
 	dequeued chan choice.Choice
 	// stopping is closed when the entry stops; nil after the call has been told.
 	stopping <-chan struct{}
+	// claimed is set once the call holds a claim of its idempotency key.
+	claimed bool
 	// savedResponse is the answer of an earlier call with the same idempotency key.
 	savedResponse answer.Answer
 }
@@ -74,8 +76,6 @@
 	// res is the head of the response; nil if the attempt failed.
 	res    *http.Response
 	result result.Result
-	// fullBody is the body of a response that was read in full before it is passed on.
-	fullBody []byte
 }
 
 // run sends the attempt and passes it on to responded. Unless the upstream shed the call, it first buffers a small response.
@@ -194,6 +194,7 @@
 	start := d.now()
 	claimed, a := d.handler.Claim(d.r.Context(), d.call.Service, d.call.Key, d.callID(), until)
 	d.savedResponse = a
+	d.claimed = claimed == dedup.Acquired
 	if claimed == dedup.Acquired && d.now().Sub(start) > tune.ClaimTTL/2 {
 		claimed = dedup.Unavailable
 	}
@@ -392,11 +393,11 @@
 	d.handler.countCall(d.call, outcom.Answered, s.Reason)
 }
 
-// refuse cancels all attempts and answers the call with a refusal. It completes the claim of the idempotency key, unless
-// the claim failed, the key is a duplicate or the call is poisoned.
+// refuse cancels all attempts and answers the call with a refusal. It completes the claim of the idempotency key, if the call
+// holds one.
 func (d *callDriver) refuse(s step.Step) {
 	d.cancelOthers(-1)
-	if d.call.Key != 0 && s.Reason != reason.ClaimFailed && s.Reason != reason.Duplicate && s.Reason != reason.Poisoned {
+	if d.claimed {
 		st := state.Unknown
 		if s.Outcome == outcom.NotRun {
 			st = state.NotRun
--- a/internal/proxy/handler.go
+++ b/internal/proxy/handler.go
@@ -6,7 +6,6 @@
 	"net"
 	"net/http"
 	"net/netip"
-	"strconv"
 	"strings"
 	"sync/atomic"
 	"time"
@@ -26,6 +25,7 @@
 	"github.com/balsamvale/balsamvale/pkg/calls/reason"
 	"github.com/balsamvale/balsamvale/pkg/calls/result"
 	"github.com/balsamvale/balsamvale/pkg/calls/state"
+	"github.com/balsamvale/balsamvale/pkg/calls/step"
 	"github.com/balsamvale/balsamvale/pkg/records/bounds"
 	"github.com/balsamvale/balsamvale/pkg/records/retry"
 	"github.com/balsamvale/balsamvale/pkg/records/rulrec"
@@ -166,7 +166,7 @@
 
 // refuseUnconfigured refuses a call with status 503 because no configuration is in force for it yet.
 func (h *Handler) refuseUnconfigured(w http.ResponseWriter, r *http.Request) {
-	w.Header().Set("Retry-After", strconv.FormatFloat(tune.MinRetryAfter.Seconds(), 'f', -1, 64))
+	h.Headers.PrepareRefusal(w.Header(), &step.Step{Outcome: outcom.NotRun, Reason: reason.UnknownService}, tune.MinRetryAfter)
 	h.refuseEarly(w, r, http.StatusServiceUnavailable, "no configuration is in force yet")
 }
 
--- a/pkg/control/contrl/control.go
+++ b/pkg/control/contrl/control.go
@@ -82,6 +82,8 @@
 	// knownFreshAt is the latest time at which the replica is known to have matched the store, from a response of the
 	// store or a peer's digest.
 	knownFreshAt time.Time
+	// sweepAt is when the state of upstreams that are gone is discarded next.
+	sweepAt time.Time
 	// gossipAt is when the next exchange with peers is due.
 	gossipAt time.Time
 	// peerRevisions holds the last known revision of each peer's replica, by entry name.
@@ -158,8 +160,16 @@
 	}
 	c.probeOwned()
 	c.driveRollouts()
+	if !c.now.Before(c.sweepAt) {
+		c.issuer.Sweep(c.now)
+		c.scheduler.Sweep(c.now)
+		c.sweepAt = c.now.Add(sweepInterval)
+	}
 }
 
+// sweepInterval is the interval at which the state of upstreams that are gone is discarded.
+const sweepInterval = 10 * time.Second
+
 // handleResponse passes the response to a store request on to the component that issued the request.
 func (c *Control) handleResponse(ev event.Event) {
 	resp := ev.Response
--- a/pkg/control/contrl/status.go
+++ b/pkg/control/contrl/status.go
@@ -12,11 +12,12 @@
 	"github.com/balsamvale/balsamvale/pkg/stored/status"
 )
 
-// Status returns the configuration revision, shards, rejected records and rollouts of this entry.
+// Status returns the configuration revision, shards, rejected records and rollouts of this entry. An entry that does not watch the
+// store, since it gets fresh changes from its peers, counts the store as reachable.
 func (c *Control) Status() status.Status {
 	s := status.Status{
 		Name: c.self.Name, Domain: c.self.Domain, Revision: c.snapshot.Revision, RevisionSince: c.revisionSince,
-		Ready: c.Ready(), StoreReachable: c.watcher.Healthy(c.now), Members: len(c.config.Members),
+		Ready: c.Ready(), StoreReachable: c.watcher.Healthy(c.now) || !c.watchesStore(), Members: len(c.config.Members),
 	}
 	for _, sh := range c.elector.Owned() {
 		s.OwnedShards = append(s.OwnedShards, keys.Owner(sh))
--- a/pkg/control/issuer/issuer.go
+++ b/pkg/control/issuer/issuer.go
@@ -77,5 +77,14 @@
 	return n
 }
 
-// Forget discards the credits of an upstream that is warm or no longer owned.
-func (i *Issuer) Forget(upstream string) { delete(i.upstreams, upstream) }
+// Sweep discards the upstreams without outstanding credits, so that memory does not grow with those that are replaced.
+func (i *Issuer) Sweep(now time.Time) {
+	for name := range i.upstreams {
+		if i.Outstanding(now, name) == 0 {
+			delete(i.upstreams, name)
+		}
+	}
+}
+
+// Len returns the number of upstreams for which credits are kept.
+func (i *Issuer) Len() int { return len(i.upstreams) }
--- a/pkg/control/issuer/issuer_test.go
+++ b/pkg/control/issuer/issuer_test.go
@@ -1,6 +1,7 @@
 package issuer_test
 
 import (
+	"fmt"
 	"math/rand/v2"
 	"time"
 
@@ -50,3 +51,18 @@
 		})
 	}
 })
+
+// Upstreams are replaced by others of new names, thousands a day.
+var _ = Describe("Sweep", func() {
+	It("keeps only the upstreams with outstanding credits", func() {
+		now := time.Unix(1000, 0)
+		is := issuer.New(0)
+		for i := range 1000 {
+			now = now.Add(time.Millisecond)
+			is.Grant(now, fmt.Sprint("u", i), 1, 1, 1, 100*time.Millisecond)
+		}
+		is.Sweep(now)
+		Expect(is.Len()).To(Equal(100))
+		Expect(is.Grant(now, "u999", 1, 1, 1, time.Second)).To(BeEmpty(), "its credit is outstanding")
+	})
+})
--- a/pkg/control/probe/scheduler.go
+++ b/pkg/control/probe/scheduler.go
@@ -36,5 +36,14 @@
 	return true
 }
 
-// Forget discards the state of an upstream that this entry no longer probes.
-func (s *Scheduler) Forget(upstream string) { delete(s.last, upstream) }
+// Sweep discards the upstreams that were not probed for a while, so that memory does not grow with those that are replaced.
+func (s *Scheduler) Sweep(now time.Time) {
+	for name, last := range s.last {
+		if now.Sub(last) > 2*tune.ProbeReportAge {
+			delete(s.last, name)
+		}
+	}
+}
+
+// Len returns the number of upstreams that are kept.
+func (s *Scheduler) Len() int { return len(s.last) }
--- a/pkg/traffic/flow/flow.go
+++ b/pkg/traffic/flow/flow.go
@@ -215,7 +215,7 @@
 		f.backingOff = false
 		return f.probe(now)
 	}
-	if f.inFlight == 0 || f.hedged || !f.call.Idempotent || !f.call.Buffered {
+	if f.inFlight == 0 || f.hedged || !f.call.Idempotent || !f.call.Buffered || len(f.attempts) >= tune.MaxAttempts {
 		return f.wait()
 	}
 	f.hedged = true
--- a/pkg/traffic/flow/flow_test.go
+++ b/pkg/traffic/flow/flow_test.go
@@ -89,6 +89,17 @@
 		})
 	}
 
+	It("does not hedge beside the last attempt", func() {
+		c := &call.Call{Service: "s", Idempotent: true, Buffered: true, Arrived: start, Deadline: start.Add(time.Minute)}
+		f := flow.New(c, newPool(tune.MaxAttempts+2), poison.New())
+		s := f.Start(start)
+		for range tune.MaxAttempts - 1 {
+			s = f.AttemptResult(start, s.Attempt, result.Result{Cause: cause.Unsent})
+		}
+		Expect(s.Attempt).To(Equal(tune.MaxAttempts - 1))
+		Expect(f.TimerFired(start.Add(time.Second)).Stage).To(Equal(stage.Wait))
+	})
+
 	for _, tc := range []struct {
 		name  string
 		ahead int
