replay: a lapsed credit ends its attempt with a timeout, and an encoding error does not block a bucket

Cause: the attempt was closed before its result was passed on, so the call waited for its deadline; a failed encoding left the request marked as in flight.

--- a/internal/replay/call.go
+++ b/internal/replay/call.go
@@ -332,7 +332,7 @@
 	}
 	req.entry.schedule(s.Choice.CreditUntil.Sub(req.entry.now()), func() {
 		if !a.closed {
-			req.cancel(a)
+			req.cancelAtUpstream(a)
 			a.respond(result.Result{Cause: cause.Timeout})
 		}
 	})
@@ -352,10 +352,14 @@
 }
 
 // cancel closes an attempt and cancels it at the upstream.
-//
-// This closes its connection too, so that later attempts do not use a connection that has gone silent.
 func (req *simRequest) cancel(a *simAttempt) {
 	a.closed = true
+	req.cancelAtUpstream(a)
+}
+
+// cancelAtUpstream cancels an attempt at the upstream. This closes its connection too, so that later attempts do not use a
+// connection that has gone silent.
+func (req *simRequest) cancelAtUpstream(a *simAttempt) {
 	e := req.entry
 	for _, u := range e.sim.upstreams {
 		if req.flow != nil && u.name == req.upstreamName(a) {
--- a/internal/replay/claims.go
+++ b/internal/replay/claims.go
@@ -40,6 +40,8 @@
 	}
 	data, err := codec.EncodeClaims(value)
 	if err != nil {
+		w.requestInFlight = false
+		w.retry()
 		return
 	}
 	w.entry.sim.storage.compareAndSwapClaims(item.Item{Key: w.key, Value: data}, expected, w.entry.storeUnreachable(), func(r kvresp.Response) {
