--- a/internal/demux/conn.go
+++ b/internal/demux/conn.go
@@ -78,15 +78,15 @@
 			break
 		}
 		vc := c.acquire(h)
-		if vc == nil {
+		if vc != nil && c.forward(vc, h) != nil {
+			break
+		}
+		if vc == nil || h.last {
 			// Reading on detects that the caller has closed the connection, and keeps unread data from turning the close into
 			// a reset.
 			_, _ = io.Copy(io.Discard, c.reader)
 			break
 		}
-		if c.forward(vc, h) != nil {
-			break
-		}
 	}
 	c.closeInputs()
 }
--- a/internal/demux/demux_test.go
+++ b/internal/demux/demux_test.go
@@ -252,6 +252,24 @@
 		Expect(f.handler.snapshot(&f.handler.started)()).To(BeEmpty())
 	})
 
+	for _, tc := range []struct{ name, first string }{
+		{"of HTTP/1.0", "GET /a HTTP/1.0\r\nHost: a\r\n\r\n"},
+		{"that closes the connection", "GET /a HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n"},
+	} {
+		It("serves no request behind one "+tc.name+", since the caller sends it again", func() {
+			f := newFixture(nil)
+			f.send(tc.first + get("/b"))
+			Eventually(f.handler.snapshot(&f.handler.started)).Should(Equal([]string{"/a"}))
+			Consistently(f.handler.snapshot(&f.handler.started), 50*time.Millisecond).Should(HaveLen(1))
+			f.handler.release("/a")
+			text, closing := f.readResponse()
+			Expect(text).To(Equal("/a:"))
+			Expect(closing).To(BeTrue())
+			_, err := f.reader.ReadByte()
+			Expect(err).To(MatchError(io.EOF))
+		})
+	}
+
 	It("does not count the time that a request runs as idle", func() {
 		f := newFixture(&bounds.Bounds{IdleTimeout: 20 * time.Millisecond})
 		f.send(get("/a"))
--- a/internal/demux/head.go
+++ b/internal/demux/head.go
@@ -20,6 +20,9 @@
 	passthrough bool
 	// concurrent is set for a GET or HEAD request without a body, which may run concurrently with those before it.
 	concurrent bool
+	// last is set if the connection closes after the response to the request. What follows the request is not served, since the
+	// caller sends it again on another connection.
+	last bool
 }
 
 // readHead reads the head of a request up to and including the empty line after the header fields.
@@ -53,6 +56,7 @@
 		h.passthrough = true
 		return
 	}
+	h.last = r.Close
 	h.bodyLen = r.ContentLength
 	h.concurrent = h.bodyLen == 0 && (r.Method == http.MethodGet || r.Method == http.MethodHead)
 }
