kvrepl, contrl: an entry never starts with a part of the state

Cause: a peer answered an entry at revision 0 with its first 512 changes. Ruled out: a listing cut by pages or size (a page that fails fails the listing). Change: for revision 0 all keys are sent, as a full delta, and an entry without a state takes only full ones. Before: one row each in order_test.go and restart_test.go failed; after: none.

--- a/pkg/control/contrl/gossip.go
+++ b/pkg/control/contrl/gossip.go
@@ -294,6 +294,8 @@
 	}
 	switch {
 	case d.Delta.Revision <= c.replica.Revision():
+	case !c.synced && !d.Delta.Full:
+		// A part of the state, without the operators' configuration for instance, must not come into force.
 	case !c.synced && d.Age > tune.MaxPeerStaleness && !c.watcher.Failing():
 		if d.Delta.Revision > c.heldDelta.Revision {
 			c.heldDelta = d.Delta
--- a/pkg/control/contrl/restart_test.go
+++ b/pkg/control/contrl/restart_test.go
@@ -127,6 +127,10 @@
 			f.fail()
 			f.peer(stale, 9, "a", "b")
 		}, []string{"a", "b"}},
+		{"does not take a part of the state of a fresh peer", func(f *restartFixture) {
+			d := digest.Digest{From: "peer", Revision: 9, Delta: delta.Delta{Items: itemsWith("a"), Revision: 5}}
+			f.step(event.Event{Kind: evkind.DigestAnswered, Digest: d})
+		}, nil},
 		{"takes the newest state of stale peers once the store does not answer", func(f *restartFixture) {
 			f.peer(stale, 12, "a")
 			f.peer(stale, 9, "a", "left")
--- a/pkg/control/kvrepl/order_test.go
+++ b/pkg/control/kvrepl/order_test.go
@@ -11,6 +11,26 @@
 	"github.com/balsamvale/balsamvale/pkg/stored/item"
 )
 
+// A key whose last write is beyond the limit is in no part before that write, so the first part alone would lack it: an entry
+// that starts among hundreds of others would be without the operators' configuration.
+var _ = Describe("The changes for an empty replica", func() {
+	It("are complete, whatever their number", func() {
+		r := kvrepl.New()
+		items := []item.Item{{Key: "configuration", Revision: 2000}}
+		for i := range 1000 {
+			items = append(items, item.Item{Key: fmt.Sprint("member-", i), Revision: int64(i + 1)})
+		}
+		r.Apply(delta.Delta{Full: true, Revision: 2000, Items: items})
+		d := r.Since(0, 512)
+		Expect(d.Full).To(BeTrue())
+		Expect(d.Items).To(HaveLen(len(items)))
+		fresh := kvrepl.New()
+		fresh.Apply(d)
+		_, ok := fresh.Get("configuration")
+		Expect(ok).To(BeTrue())
+	})
+})
+
 // The pages of a list are not of one revision: a key that is written between two pages comes with a higher revision than the
 // list as a whole, and the watch after the list then returns changes of lower revisions.
 var _ = Describe("A replica that was listed while keys were written", func() {
--- a/pkg/control/kvrepl/replica.go
+++ b/pkg/control/kvrepl/replica.go
@@ -116,14 +116,15 @@
 
 // Since returns the changes after a revision.
 //
-// Once it has limit changes, it stops at the next revision, so that the changes of one revision stay together. If
-// tombstones after the given revision have been discarded, it returns all keys instead.
+// Once it has limit changes, it stops at the next revision, so that the changes of one revision stay together. For revision 0,
+// and if tombstones after the given revision have been discarded, it returns all keys instead: a part of them lacks the keys
+// that were written last.
 func (r *Replica) Since(revision int64, limit int) delta.Delta {
 	d := delta.Delta{BaseRevision: revision, Revision: r.revision}
 	if revision >= r.revision {
 		return d
 	}
-	if revision < r.compacted {
+	if revision == 0 || revision < r.compacted {
 		return r.all()
 	}
 	i := sort.Search(len(r.log), func(i int) bool { return r.log[i].revision > revision })
