watch, contrl: a pending watch does not count as a confirmation of the configuration

Cause: an entry that watches the store counted its replica as current for as long as its watch was pending, up to 2 s, and told its peers so. When all watchers were cut off from the store, the other entries believed them for these 2 s and for the 1.5 s of MaxPeerStaleness after that, and did not ask the store themselves. The class: absence of news taken for news of absence.

Ruled out by the logs: the late entries were not cut off themselves, and their replicas never went back.

Change: freshness is the time up to which the last response confirmed the replica, also in what peers are told. So that the others still hear of it within MaxPeerStaleness, watches wait 1 s in a small fleet, and up to 2 s in one with more watchers, which together confirm as often.

In the model of 17 entries, the store gets no more than 5 watches a second.

watcher_test compared freshness with the time of a response that took longer than the wait; such a response was delayed on its way, so it confirms the replica up to the end of the wait only. The test now says so in a row of its own and checks that a pending watch does not count.

--- a/pkg/control/contrl/control.go
+++ b/pkg/control/contrl/control.go
@@ -79,9 +79,8 @@
 	// heldDelta is the newest state that a stale peer sent before the first sync. It may hold what has been removed since,
 	// so it is only applied once the store does not answer.
 	heldDelta delta.Delta
-	// knownFreshAt is the latest time at which the replica is known to have matched the store, from a response of the
-	// store or a peer's digest.
-	knownFreshAt time.Time
+	// peersFreshAt is the latest time at which the replica is known to have matched the store, from peers' digests.
+	peersFreshAt time.Time
 	// sweepAt is when the state of upstreams that are gone is discarded next.
 	sweepAt time.Time
 	// gossipAt is when the next exchange with peers is due.
@@ -176,7 +175,6 @@
 	switch {
 	case c.watcher.Awaits(resp.ID):
 		if d, ok := c.watcher.HandleResponse(c.now, resp); ok {
-			c.knownFreshAt = c.now
 			if c.watcher.OutageEnded() {
 				c.config.DeferRemovals(c.now.Add(tune.ReannounceGrace))
 				c.log(logmsg.Message{Type: msgtyp.DependencyRestored, Subject: "store", Reason: "a list or watch request succeeded again"})
@@ -202,7 +200,7 @@
 // issueRequests issues the store requests that are due.
 func (c *Control) issueRequests() {
 	if c.watchesStore() {
-		c.watcher.Pause = c.watchPause()
+		c.watcher.Pause, c.watcher.Wait = c.watchPause(), c.watchWait()
 		if req, ok := c.watcher.Next(c.now, c.nextID(), c.replica.Revision()); ok {
 			c.callStore(req)
 		}
--- /dev/null
+++ b/pkg/control/contrl/fleet_test.go
@@ -0,0 +1,244 @@
+package contrl_test
+
+import (
+	"cmp"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/balsamvale/balsamvale/pkg/control/contrl"
+	"github.com/balsamvale/balsamvale/pkg/control/keys"
+	"github.com/balsamvale/balsamvale/pkg/control/shard"
+	"github.com/balsamvale/balsamvale/pkg/events/action"
+	"github.com/balsamvale/balsamvale/pkg/events/effect"
+	"github.com/balsamvale/balsamvale/pkg/events/event"
+	"github.com/balsamvale/balsamvale/pkg/events/evkind"
+	"github.com/balsamvale/balsamvale/pkg/records/domrec"
+	"github.com/balsamvale/balsamvale/pkg/records/record"
+	"github.com/balsamvale/balsamvale/pkg/shared/tune"
+	"github.com/balsamvale/balsamvale/pkg/stored/item"
+	"github.com/balsamvale/balsamvale/pkg/stored/kvop"
+	"github.com/balsamvale/balsamvale/pkg/stored/kvreq"
+	"github.com/balsamvale/balsamvale/pkg/stored/kvresp"
+	"github.com/balsamvale/balsamvale/pkg/stored/member"
+	"github.com/balsamvale/balsamvale/pkg/stored/value"
+)
+
+// oneWay is the time that a message takes between two entries, or between an entry and the store.
+const oneWay = 2 * time.Millisecond
+
+// fleet simulates the control of several entries, their exchange and the store, with virtual time.
+type fleet struct {
+	now     time.Time
+	rand    *rand.Rand
+	entries []*fleetEntry
+	timers  []fleetTimer
+
+	revision int64
+	items    map[string]item.Item
+	history  []item.Item
+	watches  []*fleetWatch
+	// watchCalls counts the watch requests that have reached the store.
+	watchCalls int
+}
+
+// fleetEntry is one entry of a fleet.
+type fleetEntry struct {
+	name    string
+	control *contrl.Control
+	// cut is set while nothing passes between the entry and the store.
+	cut bool
+	// silent is the time of the last moment at which all open connections of the entry went silent: what was sent before it
+	// is not answered.
+	silent time.Time
+	// revision is that of the configuration in force, since inForceAt.
+	revision  int64
+	inForceAt time.Time
+}
+
+// fleetTimer is an action that is due at a time.
+type fleetTimer struct {
+	at time.Time
+	do func()
+}
+
+// fleetWatch is a watch that the store has not answered.
+type fleetWatch struct {
+	req    kvreq.Request
+	answer func(kvresp.Response)
+}
+
+// newFleet starts n entries and lets them run for ten seconds.
+func newFleet(n int, seed uint64) *fleet {
+	f := &fleet{now: time.Unix(1000, 0), rand: rand.New(rand.NewPCG(seed, 0)), revision: 1, items: map[string]item.Item{}}
+	for i := range n {
+		e := &fleetEntry{name: fmt.Sprintf("entry-%02d", i)}
+		self := member.Member{Name: e.name, Domain: fmt.Sprint("zone-", i%4), Incarnation: uint64(i + 1)}
+		e.control = contrl.New(self, rand.New(rand.NewPCG(seed, uint64(i))), decodeFleetItem)
+		f.entries = append(f.entries, e)
+		f.after(time.Duration(f.rand.Int64N(int64(300*time.Millisecond))), func() { f.tick(e) })
+	}
+	f.run(10 * time.Second)
+	return f
+}
+
+// decodeFleetItem decodes the members and the records of the simulated store by their keys.
+func decodeFleetItem(it item.Item) (value.Value, error) {
+	if name, ok := strings.CutPrefix(it.Key, keys.MemberPrefix); ok {
+		return value.Value{Member: &member.Member{Name: name, Domain: "zone-0"}}, nil
+	}
+	return value.Value{Record: &record.Record{Domain: &domrec.Domain{Name: it.Key}}}, nil
+}
+
+// after schedules an action.
+func (f *fleet) after(d time.Duration, do func()) {
+	f.timers = append(f.timers, fleetTimer{f.now.Add(d), do})
+}
+
+// run lets the fleet run for a time.
+func (f *fleet) run(d time.Duration) {
+	end := f.now.Add(d)
+	for {
+		next := 0
+		for i, t := range f.timers {
+			if t.at.Before(f.timers[next].at) {
+				next = i
+			}
+		}
+		t := f.timers[next]
+		if t.at.After(end) {
+			f.now = end
+			return
+		}
+		f.timers = slices.Delete(f.timers, next, next+1)
+		f.now = t.at
+		t.do()
+	}
+}
+
+// watchers returns the entries that watch the store for the fleet, in the order of their rank.
+func (f *fleet) watchers() []*fleetEntry {
+	var names []string
+	for _, e := range f.entries {
+		names = append(names, e.name)
+	}
+	rank := func(e *fleetEntry) int { return shard.Shard(0).Rank(names, e.name) }
+	sorted := slices.SortedFunc(slices.Values(f.entries), func(a, b *fleetEntry) int { return cmp.Compare(rank(a), rank(b)) })
+	return sorted[:tune.MinWatchers]
+}
+
+// tick passes a tick to an entry, and schedules the next one.
+func (f *fleet) tick(e *fleetEntry) {
+	f.after(tune.Tick, func() { f.tick(e) })
+	f.step(e, event.Event{Kind: evkind.Tick})
+}
+
+// step passes an event to an entry and carries out the effects.
+func (f *fleet) step(e *fleetEntry, ev event.Event) {
+	for _, ef := range e.control.Step(f.now, ev) {
+		switch ef.Action {
+		case action.CallStore:
+			f.callStore(e, ef.Request)
+		case action.SendDigest:
+			f.sendDigest(e, ef)
+		case action.PublishSnapshot:
+			e.revision, e.inForceAt = ef.Snapshot.Revision, f.now
+		}
+	}
+}
+
+// sendDigest delivers a digest to a peer, and its answer.
+func (f *fleet) sendDigest(from *fleetEntry, ef effect.Effect) {
+	i := slices.IndexFunc(f.entries, func(e *fleetEntry) bool { return e.name == ef.Peer })
+	to := f.entries[i]
+	f.after(oneWay, func() {
+		for _, out := range to.control.Step(f.now, event.Event{Kind: evkind.DigestReceived, Digest: ef.Digest}) {
+			switch out.Action {
+			case action.AnswerDigest:
+				f.after(oneWay, func() { f.step(from, event.Event{Kind: evkind.DigestAnswered, Digest: out.Digest}) })
+			case action.SendDigest:
+				f.sendDigest(to, out)
+			case action.CallStore:
+				f.callStore(to, out.Request)
+			case action.PublishSnapshot:
+				to.revision, to.inForceAt = out.Snapshot.Revision, f.now
+			}
+		}
+	})
+}
+
+// callStore carries out a store request of an entry; without an answer it fails after tune.StoreTimeout, a watch after its wait
+// besides.
+func (f *fleet) callStore(e *fleetEntry, req kvreq.Request) {
+	answered, sent := false, f.now
+	finish := func(r kvresp.Response) {
+		if !answered {
+			answered = true
+			r.ID = req.ID
+			f.step(e, event.Event{Kind: evkind.StoreResponse, Response: r})
+		}
+	}
+	f.after(tune.StoreTimeout+req.Wait, func() { finish(kvresp.Response{OutcomeUnknown: true}) })
+	answer := func(r kvresp.Response) {
+		f.after(oneWay, func() {
+			if !e.cut && !e.silent.After(sent) {
+				finish(r)
+			}
+		})
+	}
+	if e.cut {
+		return
+	}
+	f.after(oneWay, func() { f.serve(req, answer) })
+}
+
+// serve carries out a request in the store.
+func (f *fleet) serve(req kvreq.Request, answer func(kvresp.Response)) {
+	r := kvresp.Response{Applied: true, Revision: f.revision}
+	switch req.Op {
+	case kvop.Watch:
+		f.watchCalls++
+		f.watch(req, answer)
+		return
+	case kvop.List:
+		for _, it := range f.items {
+			r.Items = append(r.Items, it)
+		}
+	case kvop.Lease:
+		r.LeaseID = 1
+	case kvop.CompareAndSwap:
+		f.write(req.Key)
+		r.Revision = f.revision
+	}
+	answer(r)
+}
+
+// watch answers a watch at once if there are changes, and otherwise with the next one or after its wait.
+func (f *fleet) watch(req kvreq.Request, answer func(kvresp.Response)) {
+	if i := slices.IndexFunc(f.history, func(it item.Item) bool { return it.Revision > req.SinceRevision }); i >= 0 {
+		answer(kvresp.Response{Applied: true, Revision: f.revision, Items: slices.Clone(f.history[i:])})
+		return
+	}
+	w := &fleetWatch{req, answer}
+	f.watches = append(f.watches, w)
+	f.after(req.Wait, func() {
+		if i := slices.Index(f.watches, w); i >= 0 {
+			f.watches = slices.Delete(f.watches, i, i+1)
+			answer(kvresp.Response{Applied: true, Revision: f.revision})
+		}
+	})
+}
+
+// write writes a key and answers the watches.
+func (f *fleet) write(key string) {
+	f.revision++
+	it := item.Item{Key: key, Revision: f.revision}
+	f.items[key] = it
+	f.history = append(f.history, it)
+	for _, w := range f.watches {
+		w.answer(kvresp.Response{Applied: true, Revision: f.revision, Items: []item.Item{it}})
+	}
+	f.watches = nil
+}
--- a/pkg/control/contrl/gossip.go
+++ b/pkg/control/contrl/gossip.go
@@ -28,7 +28,7 @@
 // Besides the chosen watchers, an entry does so before its first sync, while it needs a full list, and while its replica
 // is older than tune.MaxPeerStaleness.
 func (c *Control) watchesStore() bool {
-	if !c.synced || c.watcher.NeedsList() || c.now.Sub(c.knownFreshAt) > tune.MaxPeerStaleness {
+	if !c.synced || c.watcher.NeedsList() || c.age() > tune.MaxPeerStaleness {
 		return true
 	}
 	return shard.Shard(0).Rank(c.config.ActiveMembers(), c.self.Name) < c.watcherCount()
@@ -45,12 +45,18 @@
 	return min(tune.MaxWatchPause, tune.WatchPause*time.Duration(c.watcherCount())/tune.MinWatchers)
 }
 
+// watchWait returns how long a watch waits for a change. It grows with the number of watchers, so that all of them together
+// confirm the state of the store to the others equally often.
+func (c *Control) watchWait() time.Duration {
+	return min(tune.MaxWatchTimeout, tune.WatchTimeout*time.Duration(c.watcherCount())/tune.MinWatchers)
+}
+
 // freshAt returns the latest time at which this entry's replica is known to have matched the store.
 func (c *Control) freshAt() time.Time {
-	if f := c.watcher.FreshAt(c.now); f.After(c.knownFreshAt) {
+	if f := c.watcher.FreshAt(); f.After(c.peersFreshAt) {
 		return f
 	}
-	return c.knownFreshAt
+	return c.peersFreshAt
 }
 
 // applyDelta applies changes of the control keys. If some entries do not watch the store, it pushes new changes to a few
@@ -305,8 +311,8 @@
 	}
 	// The sender's replica matched the store d.Age ago. Its revision is not above that of this entry's replica, so this
 	// one is at least as fresh.
-	if at := c.now.Add(-d.Age); c.synced && d.Revision <= c.replica.Revision() && at.After(c.knownFreshAt) && d.Revision > 0 {
-		c.knownFreshAt = at
+	if at := c.now.Add(-d.Age); c.synced && d.Revision <= c.replica.Revision() && at.After(c.peersFreshAt) && d.Revision > 0 {
+		c.peersFreshAt = at
 	}
 }
 
--- /dev/null
+++ b/pkg/control/contrl/staleness_test.go
@@ -0,0 +1,69 @@
+package contrl_test
+
+import (
+	"fmt"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/balsamvale/balsamvale/pkg/control/keys"
+	"github.com/balsamvale/balsamvale/pkg/shared/tune"
+)
+
+// Guards against a configuration that is in force late because the entries that watch the store for the fleet are cut off from
+// it, and the others take their word that nothing has changed.
+var _ = Describe("A change while the watchers cannot hear of it", func() {
+	const bound = 2 * time.Second
+	// Reset connections excuse an entry for this time.
+	const resetBound = 3 * time.Second
+	for _, tc := range []struct {
+		name    string
+		entries int
+		// cut is the number of watchers that are cut off from the store.
+		cut int
+		// silent is set if all open connections to the store go silent instead, without a reset.
+		silent bool
+	}{
+		{"one of four watchers is cut off", 12, 1, false},
+		{"all watchers of a small fleet are cut off", 12, tune.MinWatchers, false},
+		{"all watchers of a fleet of 17 are cut off", 17, tune.MinWatchers, false},
+		{"all watchers of a fleet of 30 are cut off", 30, tune.MinWatchers, false},
+		{"the connections of a fleet of 17 go silent", 17, 0, true},
+	} {
+		It("is in force in time at the entries that reach the store: "+tc.name, func() {
+			for seed := range uint64(4) {
+				for _, lead := range []time.Duration{0, 500 * time.Millisecond, time.Second, 1500 * time.Millisecond, 2 * time.Second} {
+					f := newFleet(tc.entries, seed)
+					for _, e := range f.watchers()[:tc.cut] {
+						e.cut = true
+					}
+					due := f.now.Add(lead + bound)
+					for _, e := range f.entries {
+						if tc.silent {
+							e.silent = f.now
+							due = f.now.Add(max(lead+bound, resetBound))
+						}
+					}
+					f.run(lead)
+					f.write(keys.Record("domain", "changed"))
+					f.run(due.Sub(f.now))
+					for _, e := range f.entries {
+						if !e.cut {
+							Expect(e.revision).To(BeNumerically(">=", f.revision), fmt.Sprintf("seed %d, %v before the change: %s", seed, lead, e.name))
+						}
+					}
+				}
+			}
+		})
+	}
+
+	// What the watchers confirm must reach the others before they turn to the store themselves.
+	It("is looked for by the watchers alone while all is well", func() {
+		const seconds, slack = 20, 1.25
+		f := newFleet(17, 1)
+		before := f.watchCalls
+		f.run(seconds * time.Second)
+		Expect(float64(f.watchCalls - before)).To(BeNumerically("<=", slack*tune.MinWatchers*seconds/tune.WatchTimeout.Seconds()))
+	})
+})
--- a/pkg/control/watch/watcher.go
+++ b/pkg/control/watch/watcher.go
@@ -21,6 +21,8 @@
 	// Pause is the pause after a watch that returned changes; 0 means tune.WatchPause. A longer one varies by half, so that the
 	// watches of several entries do not end together.
 	Pause time.Duration
+	// Wait is how long a watch waits for a change; 0 means tune.WatchTimeout.
+	Wait time.Duration
 
 	rand    *rand.Rand
 	backoff backof.Backoff
@@ -31,9 +33,11 @@
 	// listedItems are the items of the pages received so far, and listRevision the revision of the first page.
 	listedItems  []item.Item
 	listRevision int64
+	// listSentAt is when the request for the first page was issued.
+	listSentAt time.Time
 	// after is the last key of the previous page, or empty for the first page.
 	after string
-	// freshAt is when the store last answered without reporting that the history is compacted.
+	// freshAt is the latest time at which the replica is known to have matched the store.
 	freshAt time.Time
 	// sentAt is when the last request was issued.
 	sentAt time.Time
@@ -59,7 +63,7 @@
 	if w.pending.ID != 0 || !w.backoff.Ready(now) || now.Before(w.nextWatchAt) {
 		return kvreq.Request{}, false
 	}
-	req := kvreq.Request{ID: id, Op: kvop.Watch, Key: keys.ControlPrefix, SinceRevision: since, Wait: tune.WatchTimeout}
+	req := kvreq.Request{ID: id, Op: kvop.Watch, Key: keys.ControlPrefix, SinceRevision: since, Wait: max(w.Wait, tune.WatchTimeout)}
 	if w.relist {
 		req = kvreq.Request{ID: id, Op: kvop.List, Key: keys.ControlPrefix, After: w.after}
 	}
@@ -98,16 +102,27 @@
 		w.relist = true
 		return delta.Delta{}, false
 	}
-	w.freshAt = now
 	if req.Op == kvop.List {
 		return w.handlePage(req, resp)
 	}
+	// A response that took longer than the wait was delayed on its way.
+	w.setFresh(now, w.sentAt.Add(req.Wait))
 	if len(resp.Items) > 0 {
 		w.nextWatchAt = now.Add(w.pause())
 	}
 	return delta.Delta{Items: resp.Items, BaseRevision: req.SinceRevision, Revision: resp.Revision}, true
 }
 
+// setFresh records that the replica matched the store at the earlier of two times.
+func (w *Watcher) setFresh(now, at time.Time) {
+	if at.After(now) {
+		at = now
+	}
+	if at.After(w.freshAt) {
+		w.freshAt = at
+	}
+}
+
 // pause returns the pause after a watch that returned changes.
 func (w *Watcher) pause() time.Duration {
 	if w.Pause <= tune.WatchPause {
@@ -119,7 +134,7 @@
 // handlePage processes one page of a list, and returns the full delta once the last page has arrived.
 func (w *Watcher) handlePage(req kvreq.Request, resp kvresp.Response) (delta.Delta, bool) {
 	if req.After == "" {
-		w.listRevision, w.listedItems = resp.Revision, nil
+		w.listRevision, w.listedItems, w.listSentAt = resp.Revision, nil, w.sentAt
 	}
 	w.listedItems = append(w.listedItems, resp.Items...)
 	if resp.More && len(resp.Items) > 0 {
@@ -128,6 +143,7 @@
 	}
 	full := delta.Delta{Items: w.listedItems, Revision: w.listRevision, Full: true}
 	w.relist, w.after, w.listedItems = false, "", nil
+	w.setFresh(w.sentAt, w.listSentAt)
 	return full, true
 }
 
@@ -140,23 +156,16 @@
 // OutageEnded reports whether the last response returned the first changes after one or more failed requests.
 func (w *Watcher) OutageEnded() bool { return w.recovered }
 
-// FreshAt returns the latest time at which the replica is known to have matched the store.
+// FreshAt returns the latest time at which the replica is known to have matched the store: that of the last response.
 //
-// While a watch is pending, that is now, because the store reports every change to it. A watch that follows a failed
-// request or has taken longer than tune.WatchTimeout does not count until it ends, because the store may have lost track
-// of it.
-func (w *Watcher) FreshAt(now time.Time) time.Time {
-	if w.pending.Op == kvop.Watch && w.pending.ID != 0 && w.failures == 0 && now.Sub(w.sentAt) <= tune.WatchTimeout {
-		return now
-	}
-	return w.freshAt
-}
+// A pending watch does not count, since the store cannot report a change to an entry that it does not reach.
+func (w *Watcher) FreshAt() time.Time { return w.freshAt }
 
 // NeedsList reports whether a full list is needed: before the first one, or after changes were missed.
 func (w *Watcher) NeedsList() bool { return w.relist }
 
-// Healthy reports whether the store answered a list or watch within twice tune.WatchTimeout. A response that reports the
+// Healthy reports whether the store answered a list or watch within twice tune.MaxWatchTimeout. A response that reports the
 // history as compacted does not count.
 func (w *Watcher) Healthy(now time.Time) bool {
-	return !w.freshAt.IsZero() && now.Sub(w.freshAt) < 2*tune.WatchTimeout
+	return !w.freshAt.IsZero() && now.Sub(w.freshAt) < 2*tune.MaxWatchTimeout
 }
--- a/pkg/control/watch/watcher_test.go
+++ b/pkg/control/watch/watcher_test.go
@@ -8,24 +8,26 @@
 	. "github.com/onsi/gomega"
 
 	"github.com/balsamvale/balsamvale/pkg/control/watch"
+	"github.com/balsamvale/balsamvale/pkg/shared/tune"
 	"github.com/balsamvale/balsamvale/pkg/stored/item"
 	"github.com/balsamvale/balsamvale/pkg/stored/kvop"
 	"github.com/balsamvale/balsamvale/pkg/stored/kvresp"
 )
 
 var _ = Describe("Watcher", func() {
-	const watchTime = 2500 * time.Millisecond
 	start := time.Unix(1000, 0)
 	for _, tc := range []struct {
 		name     string
 		response kvresp.Response
-		// fresh is whether the replica counts as fresh after the response, and next the operation that follows.
-		fresh bool
-		next  kvop.Op
+		// took is the time of the watch. fresh is the time after its start up to which the replica counts as fresh after the
+		// response, and next the operation that follows.
+		took, fresh time.Duration
+		next        kvop.Op
 	}{
-		{"a watch with changes makes the replica fresh", kvresp.Response{Revision: 8, Applied: true, Items: []item.Item{{Key: "a", Revision: 8}}}, true, kvop.Watch},
-		{"a watch without changes makes the replica fresh", kvresp.Response{Revision: 7, Applied: true}, true, kvop.Watch},
-		{"a watch whose history is compacted does not, and a list follows at once", kvresp.Response{Revision: 7, Applied: true, Compacted: true}, false, kvop.List},
+		{"a watch with changes makes the replica fresh", kvresp.Response{Revision: 8, Applied: true, Items: []item.Item{{Key: "a", Revision: 8}}}, 600 * time.Millisecond, 600 * time.Millisecond, kvop.Watch},
+		{"a watch without changes makes the replica fresh", kvresp.Response{Revision: 7, Applied: true}, tune.WatchTimeout, tune.WatchTimeout, kvop.Watch},
+		{"a response that is delayed makes it fresh up to the end of the wait", kvresp.Response{Revision: 7, Applied: true}, 1800 * time.Millisecond, tune.WatchTimeout, kvop.Watch},
+		{"a watch whose history is compacted does not, and a list follows at once", kvresp.Response{Revision: 7, Applied: true, Compacted: true}, tune.WatchTimeout, 0, kvop.List},
 	} {
 		It(tc.name, func() {
 			w := watch.New(rand.New(rand.NewPCG(1, 1)))
@@ -35,11 +37,12 @@
 			w.HandleResponse(start, kvresp.Response{ID: 1, Revision: 7, Applied: true})
 			req, _ = w.Next(start, 2, 7)
 			Expect(req.Op).To(Equal(kvop.Watch))
-			now := start.Add(watchTime)
+			now := start.Add(tc.took)
+			Expect(w.FreshAt()).To(Equal(start), "a pending watch does not count")
 			r := tc.response
 			r.ID = 2
 			w.HandleResponse(now, r)
-			Expect(w.FreshAt(now).Equal(now)).To(Equal(tc.fresh))
+			Expect(w.FreshAt().Sub(start)).To(Equal(tc.fresh))
 			Expect(w.NeedsList()).To(Equal(tc.next == kvop.List))
 			if tc.next == kvop.List {
 				req, ok = w.Next(now, 3, 7)
--- a/pkg/shared/tune/constants.go
+++ b/pkg/shared/tune/constants.go
@@ -194,8 +194,11 @@
 	MaxTombstones = 4096
 	// MaxPageItems bounds the items in one page of a store listing.
 	MaxPageItems = 1000
-	// WatchTimeout is how long a watch waits for a change.
-	WatchTimeout = 2 * time.Second
+	// WatchTimeout is how long a watch waits for a change in a small fleet. It is below MaxPeerStaleness, because the entries
+	// that do not watch know only what the last responses to watches have confirmed.
+	WatchTimeout = time.Second
+	// MaxWatchTimeout is the longest wait, in a fleet with many watchers.
+	MaxWatchTimeout = 2 * time.Second
 	// StoreTimeout bounds a store call other than a watch.
 	StoreTimeout = time.Second
 	// MinBackoff and MaxBackoff bound the backoff after a failed store call.
