redial: calls to the store and to peers give up connections that may have gone silent

Cause: the client of the store kept idle connections without a limit. When all connections of an entry are silent, each call takes the next of them and waits for its whole timeout: a watch fails after 2 s, and the one that follows it too. The clients of peers and of the project's own store protocol had the same pool.

Change: a transport that keeps idle connections to the store for 1 s, and closes all idle connections after a request without a response.

--- a/internal/cmds/serve.go
+++ b/internal/cmds/serve.go
@@ -15,9 +15,11 @@
 	"github.com/balsamvale/balsamvale/internal/daemon"
 	"github.com/balsamvale/balsamvale/internal/logs"
 	"github.com/balsamvale/balsamvale/internal/option"
+	"github.com/balsamvale/balsamvale/internal/redial"
 	"github.com/balsamvale/balsamvale/internal/seams"
 	"github.com/balsamvale/balsamvale/internal/store"
 	"github.com/balsamvale/balsamvale/pkg/shared/clock"
+	"github.com/balsamvale/balsamvale/pkg/shared/tune"
 )
 
 func (a *App) serve() *cli.Command {
@@ -66,7 +68,7 @@
 	if err != nil {
 		return nil, nil, err
 	}
-	return o, store.New(&http.Client{}, o.Store).Seams(), nil
+	return o, store.New(&http.Client{Transport: redial.New(tune.StoreConnIdle)}, o.Store).Seams(), nil
 }
 
 func (a *App) version() *cli.Command {
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -23,6 +23,7 @@
 	"github.com/balsamvale/balsamvale/internal/option"
 	"github.com/balsamvale/balsamvale/internal/peers"
 	"github.com/balsamvale/balsamvale/internal/proxy"
+	"github.com/balsamvale/balsamvale/internal/redial"
 	"github.com/balsamvale/balsamvale/internal/seams"
 	"github.com/balsamvale/balsamvale/internal/sender"
 	"github.com/balsamvale/balsamvale/pkg/shared/clock"
@@ -59,7 +60,7 @@
 	d := &Daemon{options: o, clock: c, log: log, seams: s, metrics: metrics.NewSet(), stopping: make(chan struct{}), errs: make(chan error, serverCount)}
 	self := member.Member{Name: o.Name, Domain: o.Domain, Peer: o.Peer, Incarnation: incarnation}
 	d.core = core.New(c, log, self, o.Seeds, incarnation, s.Decode)
-	d.peers = peers.New(c, &http.Client{})
+	d.peers = peers.New(c, &http.Client{Transport: redial.New(tune.PeerConnIdle)})
 	d.core.CallStore = s.CallStore
 	d.core.SendDigest = d.peers.SendDigest
 	d.core.RequestCredits = d.peers.RequestCredits
--- /dev/null
+++ b/internal/redial/transport.go
@@ -0,0 +1,47 @@
+package redial
+
+import (
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/balsamvale/balsamvale/pkg/shared/tune"
+)
+
+// Transport is an http.RoundTripper that keeps idle connections for a limited time, and closes all of them after a request
+// without a response: they may have gone silent together, and each would cost the next request its whole timeout.
+//
+// It is safe for concurrent use.
+type Transport struct {
+	base *http.Transport
+}
+
+// New returns a transport that closes connections after they were idle for the given time.
+func New(idle time.Duration) *Transport {
+	d := net.Dialer{
+		Timeout: tune.DialTimeout,
+		// Keep-alive probes detect a connection that has gone silent while a watch waits on it.
+		KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: tune.KeepAliveIdle, Interval: tune.KeepAliveInterval, Count: tune.KeepAliveCount},
+	}
+	return &Transport{base: &http.Transport{DialContext: d.DialContext, MaxIdleConns: maxIdleConns, MaxIdleConnsPerHost: maxIdlePerHost, IdleConnTimeout: idle}}
+}
+
+const (
+	// maxIdleConns is the number of idle connections that are kept.
+	maxIdleConns = 100
+	// maxIdlePerHost is the number of idle connections to one host that are kept: in the case of the store, one for watches
+	// and one for writes.
+	maxIdlePerHost = 2
+)
+
+// RoundTrip makes a request; errors are those of http.Transport.
+func (t *Transport) RoundTrip(r *http.Request) (*http.Response, error) {
+	res, err := t.base.RoundTrip(r)
+	if err != nil {
+		t.base.CloseIdleConnections()
+	}
+	return res, err
+}
+
+// CloseIdleConnections closes the connections that no request uses.
+func (t *Transport) CloseIdleConnections() { t.base.CloseIdleConnections() }
--- a/pkg/shared/tune/constants.go
+++ b/pkg/shared/tune/constants.go
@@ -199,6 +199,11 @@
 	WatchTimeout = time.Second
 	// MaxWatchTimeout is the longest wait, in a fleet with many watchers.
 	MaxWatchTimeout = 2 * time.Second
+	// StoreConnIdle is how long an unused connection to the store is kept. One that was in use more recently may have gone
+	// silent as well, but fewer entries hold such a connection at the same time.
+	StoreConnIdle = time.Second
+	// PeerConnIdle is how long an unused connection to a peer is kept.
+	PeerConnIdle = time.Minute
 	// StoreTimeout bounds a store call other than a watch.
 	StoreTimeout = time.Second
 	// MinBackoff and MaxBackoff bound the backoff after a failed store call.
