canary: slow answers are judged by the evidence of all entries in fleets of any size

Cause: below 33 entries each entry compared slow answers on its own. A service with 22 calls a second at 12 entries gives an entry about two calls a second of the old version and, at the first steps, one of the new version in ten seconds. Where slow answers were pooled, they were still confirmed by ten calls of the old version in the evaluating entry alone, which do not come any more once the shares have moved, and entries that had just started counted every answer as not slow because they did not know what is normal. The class: a decision that needs the evidence of all is taken on the sample of one.

Ruled out: uploads are not left out as bulk calls; the evidence did reach the evaluators.

Change: entries report the outcomes of both versions at every size of fleet, the confirming calls are those of all entries, and answers that an entry cannot compare go along as response times. With the evidence of all, that of one entry no longer decides on slow answers.

analyzer_test gave the calls of the old version to the entry's own analysis; the pooled analysis gets them as tallies now.

--- a/internal/codec/digest.go
+++ b/internal/codec/digest.go
@@ -51,9 +51,13 @@
 func talliesFromProto(list []*pb.Tally) []tally.Tally {
 	var out []tally.Tally
 	for _, t := range list {
-		out = append(out, tally.Tally{
-			Upstream: t.GetUpstream(), Calls: int(t.GetCalls()), Failures: int(t.GetFails()), SlowCalls: int(t.GetSlows()),
-		})
+		in := tally.Tally{
+			Upstream: t.GetUpstream(), Calls: int(t.GetCalls()), Failures: int(t.GetFails()), SlowCalls: int(t.GetSlows()), TotalTime: t.GetTotal().AsDuration(),
+		}
+		for _, d := range t.GetTimes() {
+			in.UnjudgedTimes = append(in.UnjudgedTimes, d.AsDuration())
+		}
+		out = append(out, in)
 	}
 	return out
 }
@@ -61,7 +65,11 @@
 func talliesToProto(list []tally.Tally) []*pb.Tally {
 	var out []*pb.Tally
 	for _, t := range list {
-		out = append(out, &pb.Tally{Upstream: t.Upstream, Calls: uint32(t.Calls), Fails: uint32(t.Failures), Slows: uint32(t.SlowCalls)})
+		o := &pb.Tally{Upstream: t.Upstream, Calls: uint32(t.Calls), Fails: uint32(t.Failures), Slows: uint32(t.SlowCalls), Total: duration(t.TotalTime)}
+		for _, d := range t.UnjudgedTimes {
+			o.Times = append(o.Times, duration(d))
+		}
+		out = append(out, o)
 	}
 	return out
 }
--- a/pkg/shared/tune/constants.go
+++ b/pkg/shared/tune/constants.go
@@ -278,6 +278,9 @@
 	CanaryGoodSlowRate = 0.1
 	// CanaryBadSlowRate is the lowest rate of slow responses assumed for a bad version.
 	CanaryBadSlowRate = 0.5
+	// CanaryPooledBadSlowRate is the same for the answers that all entries saw. These are many more, so that a smaller difference
+	// is certain.
+	CanaryPooledBadSlowRate = 0.3
 	// CanaryCommonSlowRate is the baseline's rate of slow responses above which slowness is attributed to a common cause.
 	CanaryCommonSlowRate = 0.25
 	// CanaryLLRLimit is the cumulative log-likelihood ratio from which a version counts as bad.
@@ -286,15 +289,16 @@
 	CanaryMinUpstreams = 2
 	// CanaryMaxUpstreamPart is the largest fraction of the evidence that may come from one upstream.
 	CanaryMaxUpstreamPart = 0.6
-	// PooledMinEntries is the number of entries from which a few analyze the failures of a version for all. An entry on its
-	// own needs about 5 bad calls to find a version bad; if the failures are rare, that is too many in total.
+	// PooledMinEntries is the number of entries from which a few analyze a version for all. An entry on its own needs about
+	// 5 bad calls to find a version bad; if its calls are few or failures are rare, that is too many in total.
 	PooledMinEntries = 2
-	// PooledSlowMinEntries is the number of entries from which slow answers are pooled as well. What is normal differs between
-	// entries, so that a few entries that were paused or lost can make a good version look slow to the others.
-	PooledSlowMinEntries = 33
 	// PooledReportGap is the time between two evidence reports of one entry, for each entry of the fleet; 10 ms makes
 	// 100 reports a second in total.
 	PooledReportGap = 10 * time.Millisecond
+	// PooledBaselineGaps is the number of these gaps between two reports without outcomes of the new version.
+	PooledBaselineGaps = 4
+	// MaxUnjudgedTimes is the largest number of response times in the outcomes of one upstream in a report.
+	MaxUnjudgedTimes = 16
 	// PooledEvaluators is the number of entries that analyze a version for all; with 2, one may fail.
 	PooledEvaluators = 2
 	// RollbackTTL is how long entries remember a rollback independently of the store.
--- a/pkg/traffic/canary/analyzer.go
+++ b/pkg/traffic/canary/analyzer.go
@@ -16,6 +16,10 @@
 // version and over each route. The old version on the same route shows what is normal. The evidence of a single upstream
 // is not enough against a version that runs on several.
 type Analyzer struct {
+	// Pooled is set while the outcomes of all entries are compared together. The slow answers that this entry sees then do not
+	// decide alone: in the rush after a pause, a few entries see many at once of a good version as well.
+	Pooled bool
+
 	routes map[string]*baseline
 	// cusums holds the sums by route, and under allRoutes those over all routes.
 	cusums map[string]*cusums
@@ -26,11 +30,15 @@
 	// beyond it.
 	meanTime    time.Duration
 	outlierRate float64
-	// pooled holds the sums over the tallies that were passed to RecordTally, and pooledFailureRate and pooledSlowRate the
-	// recent rates of the old version in those passed to RecordBaselineTally.
-	pooled            cusums
-	pooledFailureRate float64
-	pooledSlowRate    float64
+	// pooled holds the sums over the tallies that were passed to RecordTally, pooledBaselineCalls the number of calls of the old
+	// version in those passed to RecordBaselineTally, pooledFailureRate, pooledSlowRate and pooledMeanTime the rates and the mean
+	// response time of the old version in them, and latestSlowRate the rate of its slow answers over the last ten calls or so.
+	pooled              cusums
+	pooledBaselineCalls int
+	pooledFailureRate   float64
+	pooledSlowRate      float64
+	pooledMeanTime      time.Duration
+	latestSlowRate      float64
 }
 
 // baseline holds what is known about the old version on one route.
@@ -182,6 +190,12 @@
 	return b != nil && b.calls >= tune.CanaryMinRouteCalls && b.isSlow(took)
 }
 
+// CanCompare reports whether enough calls of the old version are known to tell whether an answer on a route is slow.
+func (a *Analyzer) CanCompare(route string) bool {
+	b := a.routes[route]
+	return a.baselineCalls >= tune.CanaryBaselineCalls || b != nil && b.calls >= tune.CanaryMinRouteCalls
+}
+
 // IsSlowCanary reports whether an answer of the new version is slow. If this entry has seen too few calls of the old version
 // on the route to know what is normal there, the answer is slow if it takes far longer than the mean of all routes.
 func (a *Analyzer) IsSlowCanary(route string, took time.Duration) bool {
@@ -213,41 +227,68 @@
 	return "", false
 }
 
-// RecordBaselineTally adds the outcomes that an entry saw of the old version.
+// RecordBaselineTally adds the outcomes that an entry saw of the old version. It reports whether the evidence is now enough to
+// call the new version bad, and if so the reason, for operators; upstreams is the number of upstreams of the new version.
 //
 // Entries that were paused, or that cannot reach some upstreams, see failures of both versions. Without those of the old
 // version, their failures of the new one would count against it.
-func (a *Analyzer) RecordBaselineTally(t tally.Tally) {
+func (a *Analyzer) RecordBaselineTally(t tally.Tally, upstreams int) (reason string, bad bool) {
 	if t.Calls <= 0 {
-		return
+		return "", false
 	}
-	w := 1 - math.Pow(1-tune.MinMeanWeight, float64(t.Calls))
+	a.pooledBaselineCalls += t.Calls
+	slowRate := float64(t.SlowCalls) / float64(t.Calls)
+	w := weightOf(tune.MinMeanWeight, t.Calls)
 	a.pooledFailureRate += w * (float64(t.Failures)/float64(t.Calls) - a.pooledFailureRate)
-	a.pooledSlowRate += w * (float64(t.SlowCalls)/float64(t.Calls) - a.pooledSlowRate)
+	a.pooledSlowRate += w * (slowRate - a.pooledSlowRate)
+	if answered := t.Calls - t.Failures; answered > 0 {
+		w := max(w, float64(answered)/float64(a.pooledBaselineCalls))
+		a.pooledMeanTime += time.Duration(w * float64(t.TotalTime/time.Duration(answered)-a.pooledMeanTime))
+	}
+	a.latestSlowRate += weightOf(tune.CanaryRateWeight, t.Calls) * (slowRate - a.latestSlowRate)
+	return a.checkPooledSlow(upstreams)
 }
 
+// weightOf returns the weight of n outcomes in a moving rate in which one has the given weight.
+func weightOf(one float64, n int) float64 { return 1 - math.Pow(1-one, float64(n)) }
+
 // RecordTally adds the outcomes that an entry saw of the new version at one upstream. It reports whether the evidence is now
 // enough to call the new version bad, and if so the reason, for operators; upstreams is the number of its upstreams.
 //
-// The sending entry compared response times with those of the old version; here only the rate of slow answers is compared.
+// The sending entry has compared response times with those of the old version, as far as it could; the others are compared here
+// with the mean of the old version in all entries.
 func (a *Analyzer) RecordTally(t tally.Tally, upstreams int) (reason string, bad bool) {
 	c := &a.pooled
 	goodFailures := min(max(tune.CanaryGoodFailureRate, 2*a.worstFailureRate(), 2*a.pooledFailureRate), maxRate)
-	goodSlow := min(max(tune.CanaryGoodSlowRate, 2*a.outlierRate, 2*a.pooledSlowRate), maxRate)
+	goodSlow := min(max(tune.CanaryGoodSlowRate, 2*a.pooledSlowRate), maxRate)
 	for i := range t.Calls {
-		c.failures.add(t.Upstream, i < t.Failures, goodFailures, max(tune.CanaryBadFailureRate, 2*goodFailures), a.baselineCalls)
+		c.failures.add(t.Upstream, i < t.Failures, goodFailures, max(tune.CanaryBadFailureRate, 2*goodFailures), a.pooledBaselineCalls)
 		if i >= t.Failures {
-			c.slowCalls.add(t.Upstream, i < t.Failures+t.SlowCalls, goodSlow, max(tune.CanaryBadSlowRate, 2*goodSlow), a.baselineCalls)
+			c.slowCalls.add(t.Upstream, i < t.Failures+t.SlowCalls, goodSlow, max(tune.CanaryPooledBadSlowRate, 2*goodSlow), a.pooledBaselineCalls)
 		}
 	}
-	switch {
-	case c.failures.conclusive(upstreams):
+	if a.pooledBaselineCalls >= tune.CanaryBaselineCalls {
+		for _, took := range t.UnjudgedTimes {
+			slow := took > tune.CanaryMeanFactor*a.pooledMeanTime
+			c.slowCalls.add(t.Upstream, slow, goodSlow, max(tune.CanaryPooledBadSlowRate, 2*goodSlow), a.pooledBaselineCalls)
+		}
+	}
+	if c.failures.conclusive(upstreams) {
 		return fmt.Sprintf("the version fails on %d of %d upstreams, as several entries saw", len(c.failures.hits), upstreams), true
-	case c.slowCalls.confirmed(a.baselineCalls, a.outlierRate) && c.slowCalls.conclusive(upstreams):
-		return fmt.Sprintf("the version is slow on %d of %d upstreams, as several entries saw; the old version's mean is %v",
-			len(c.slowCalls.hits), upstreams, a.meanTime.Round(time.Millisecond)), true
 	}
-	return "", false
+	return a.checkPooledSlow(upstreams)
+}
+
+// checkPooledSlow reports whether the new version is bad because of slow answers that several entries saw, and returns the
+// reason. The calls of the old version that confirm it are those of all entries: with few calls a second, a single entry may
+// see too few of them before the rollout ends.
+func (a *Analyzer) checkPooledSlow(upstreams int) (string, bool) {
+	c := &a.pooled.slowCalls
+	if !c.confirmed(a.pooledBaselineCalls, a.latestSlowRate) || !c.conclusive(upstreams) {
+		return "", false
+	}
+	return fmt.Sprintf("the version is slow on %d of %d upstreams, as several entries saw; the old version's mean is %v",
+		len(c.hits), upstreams, a.meanTime.Round(time.Millisecond)), true
 }
 
 // worstFailureRate returns the failure rate of the old version on its worst route.
@@ -294,7 +335,7 @@
 	if key == allRoutes {
 		baselineCalls, rate = a.baselineCalls, a.slowRate
 	}
-	if !c.slowCalls.confirmed(baselineCalls, rate) || !c.slowCalls.conclusive(upstreams) {
+	if a.Pooled || !c.slowCalls.confirmed(baselineCalls, rate) || !c.slowCalls.conclusive(upstreams) {
 		return "", false
 	}
 	return fmt.Sprintf("%s is slow on %d of %d upstreams; the old version's 95th percentile is %v",
--- a/pkg/traffic/canary/analyzer_test.go
+++ b/pkg/traffic/canary/analyzer_test.go
@@ -65,7 +65,6 @@
 })
 
 var _ = Describe("Analyzer with the evidence of several entries", func() {
-	const runTime = 100 * time.Millisecond
 	for _, tc := range []struct {
 		name string
 		// first and others are the tallies that each of 20 entries sends for the first and for the other 3 of 4 upstreams.
@@ -82,7 +81,8 @@
 			a := canary.New()
 			bad := false
 			for range 20 {
-				_, _ = a.RecordBaseline("r", 4, false, runTime)
+				_, nowBad := a.RecordBaselineTally(tally.Tally{Calls: 1}, 4)
+				bad = bad || nowBad
 				for u := range 4 {
 					t := tc.others
 					if u == 0 {
--- a/pkg/traffic/canary/pooled_test.go
+++ b/pkg/traffic/canary/pooled_test.go
@@ -27,7 +27,7 @@
 	} {
 		It("judges the version as one: "+tc.name, func() {
 			a := canary.New()
-			a.RecordBaselineTally(tc.baseline)
+			_, _ = a.RecordBaselineTally(tc.baseline, 2)
 			found := false
 			for i := range 4 {
 				t := tally.Tally{Upstream: fmt.Sprint("u", i%2), Calls: tc.calls, Failures: tc.fails}
--- a/pkg/traffic/pool/canary.go
+++ b/pkg/traffic/pool/canary.go
@@ -35,7 +35,7 @@
 	took := r.Latency
 	if r.Cause == cause.Canceled {
 		took = now.Sub(ch.At)
-		if !p.analyzer.IsSlow(ch.Route, took) && !(p.poolsSlowCalls() && p.analyzer.IsSlowCanary(ch.Route, took)) {
+		if !p.analyzer.IsSlow(ch.Route, took) && !(p.poolsEvidence() && p.analyzer.IsSlowCanary(ch.Route, took)) {
 			return
 		}
 	}
@@ -44,15 +44,16 @@
 		// All slots were or are busy: the call may have waited for others, which says nothing about the version.
 		return
 	}
+	p.analyzer.Pooled = p.poolsEvidence()
 	to := p.config.Shares[1].Version
 	var detail string
 	var bad bool
 	switch s.target.Version {
 	case to:
-		p.countOutcome(s.target.Name, failed, !failed && p.poolsSlowCalls() && p.analyzer.IsSlowCanary(ch.Route, took))
+		p.countOutcome(s.target.Name, ch.Route, failed, took)
 		detail, bad = p.analyzer.RecordCanary(s.target.Name, ch.Route, p.memberCount(to), failed, took)
 	default:
-		p.countBaseline(failed, !failed && p.poolsSlowCalls() && p.analyzer.IsSlowCanary(ch.Route, took))
+		p.countBaseline(ch.Route, failed, took)
 		detail, bad = p.analyzer.RecordBaseline(ch.Route, p.memberCount(to), failed, took)
 	}
 	if bad {
--- a/pkg/traffic/pool/evidence.go
+++ b/pkg/traffic/pool/evidence.go
@@ -1,6 +1,7 @@
 package pool
 
 import (
+	"slices"
 	"time"
 
 	"github.com/balsamvale/balsamvale/pkg/events/fact"
@@ -10,34 +11,37 @@
 )
 
 // countOutcome counts the outcome of a call to the new version, as evidence for the entries that analyze the rollout for all.
-func (p *Pool) countOutcome(upstream string, failed, slow bool) {
+func (p *Pool) countOutcome(upstream, route string, failed bool, took time.Duration) {
 	if !p.poolsEvidence() {
 		return
 	}
-	for i := range p.tallies {
-		if p.tallies[i].Upstream == upstream {
-			p.tallies[i].count(failed, slow)
-			return
-		}
+	i := slices.IndexFunc(p.tallies, func(t upstreamTally) bool { return t.Upstream == upstream })
+	if i < 0 {
+		i = len(p.tallies)
+		p.tallies = append(p.tallies, upstreamTally{tally.Tally{Upstream: upstream}})
+	}
+	t := &p.tallies[i]
+	if failed || p.analyzer.CanCompare(route) {
+		t.count(failed, !failed && p.analyzer.IsSlowCanary(route, took))
+	} else if len(t.UnjudgedTimes) < tune.MaxUnjudgedTimes {
+		t.UnjudgedTimes = append(t.UnjudgedTimes, took)
 	}
-	p.tallies = append(p.tallies, upstreamTally{tally.Tally{Upstream: upstream}})
-	p.tallies[len(p.tallies)-1].count(failed, slow)
 }
 
 // countBaseline counts the outcome of a call to the old version, which shows what is normal for the entries together.
-func (p *Pool) countBaseline(failed, slow bool) {
-	if p.poolsEvidence() {
-		p.baseline.count(failed, slow)
+func (p *Pool) countBaseline(route string, failed bool, took time.Duration) {
+	if !p.poolsEvidence() {
+		return
+	}
+	p.baseline.count(failed, !failed && p.analyzer.IsSlowCanary(route, took))
+	if !failed {
+		p.baseline.TotalTime += took
 	}
 }
 
-// poolsEvidence reports whether a few entries analyze the failures of rollouts for all.
+// poolsEvidence reports whether a few entries analyze rollouts for all.
 func (p *Pool) poolsEvidence() bool { return p.config.EntryCount >= tune.PooledMinEntries }
 
-// poolsSlowCalls reports whether there are so many entries that the evidence on slow answers is pooled as well. With fewer,
-// each entry sees enough answers of both versions to compare them itself.
-func (p *Pool) poolsSlowCalls() bool { return p.config.EntryCount >= tune.PooledSlowMinEntries }
-
 // upstreamTally counts the outcomes at one upstream since evidence was last sent.
 type upstreamTally struct{ tally.Tally }
 
@@ -55,12 +59,19 @@
 // those of calls to the old version.
 //
 // The time between two such facts grows with the number of entries, so that the entries that analyze the rollout for all
-// receive a bounded number each second.
+// receive a bounded number each second. Outcomes of the old version alone are sent less often.
 func (p *Pool) PublishEvidence(now time.Time) {
 	p.mu.Lock()
 	defer p.unlock()
 	now = p.advanceTime(now)
-	if len(p.tallies) == 0 || now.Sub(p.evidenceSentAt) < time.Duration(p.config.EntryCount)*tune.PooledReportGap {
+	if len(p.tallies) == 0 && p.baseline.Calls == 0 {
+		return
+	}
+	gap := time.Duration(p.config.EntryCount) * tune.PooledReportGap
+	if len(p.tallies) == 0 {
+		gap *= tune.PooledBaselineGaps
+	}
+	if now.Sub(p.evidenceSentAt) < gap {
 		return
 	}
 	f := fact.Fact{Topic: topic.Evidence, Subject: p.rollout, Until: now.Add(tune.PeerTimeout)}
@@ -80,16 +91,15 @@
 	if p.analyzer == nil || p.rolledBack || f.Subject != p.rollout {
 		return
 	}
+	upstreams := p.memberCount(p.config.Shares[1].Version)
 	for _, t := range f.Tallies {
+		record := p.analyzer.RecordTally
 		if t.Upstream == "" {
-			p.analyzer.RecordBaselineTally(t)
-			continue
-		}
-		s := p.byName[t.Upstream]
-		if s == nil || s.cold(now) {
+			record = p.analyzer.RecordBaselineTally
+		} else if s := p.byName[t.Upstream]; s == nil || s.cold(now) {
 			continue
 		}
-		if detail, bad := p.analyzer.RecordTally(t, p.memberCount(p.config.Shares[1].Version)); bad {
+		if detail, bad := record(t, upstreams); bad {
 			p.rollBack(now, detail)
 			return
 		}
