turns, pool: entries keep together to the limit that an upstream names

Cause: no code read the header. Keeping to it in each entry alone would have allowed the limit times the number of entries.

Change: the adapter reads the limit from each answer that belongs to the call and the upstream, also from failures. An entry sends one call in each of its turns, entries/limit apart and offset by rank, for first attempts, retries and hedges alike, and a turn that is not used ends after 1.5 s. No message is needed, and the sum holds for any number of entries: at most 5.5 times the limit in 4 s. An entry that is told later than others joins with its own share.

Route lines say how many upstreams were passed over for a limit (`limited`), and a gauge counts the upstreams that name one.

--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -149,12 +149,12 @@
 	return &cfg.Service, view.pools[name]
 }
 
-// VisitLimits calls visit for each service with its admission limit in this entry, in calls, and the number of calls
-// that wait for admission.
-func (co *Core) VisitLimits(visit func(service string, limit, waiting int)) {
+// VisitLimits calls visit for each service with its admission limit in this entry, in calls, the number of calls that wait
+// for admission, and the number of upstreams that name a limit.
+func (co *Core) VisitLimits(visit func(service string, limit, waiting, limited int)) {
 	for name, p := range co.view.Load().pools {
 		limit, waiting := p.AdmissionStats()
-		visit(name, limit, waiting)
+		visit(name, limit, waiting, p.LimitedUpstreams())
 	}
 }
 
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -129,9 +129,10 @@
 func (d *Daemon) initAdminServer() {
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /metrics", func(w http.ResponseWriter, _ *http.Request) {
-		d.core.VisitLimits(func(service string, limit, waiting int) {
+		d.core.VisitLimits(func(service string, limit, waiting, limited int) {
 			d.metrics.GetOrCreateGauge(fmt.Sprintf("balsamvale_admitted_limit{service=%q}", service), nil).Set(float64(limit))
 			d.metrics.GetOrCreateGauge(fmt.Sprintf("balsamvale_waiting_calls{service=%q}", service), nil).Set(float64(waiting))
+			d.metrics.GetOrCreateGauge(fmt.Sprintf("balsamvale_limited_upstreams{service=%q}", service), nil).Set(float64(limited))
 		})
 		d.metrics.WritePrometheus(w)
 		metrics.WriteProcessMetrics(w)
--- a/pkg/calls/result/result.go
+++ b/pkg/calls/result/result.go
@@ -5,6 +5,7 @@
 
 	"github.com/balsamvale/balsamvale/pkg/calls/cause"
 	"github.com/balsamvale/balsamvale/pkg/calls/report"
+	"github.com/balsamvale/balsamvale/pkg/calls/stmt"
 )
 
 // Result is the part of the result of an attempt that routing decisions depend on.
@@ -16,6 +17,8 @@
 	Latency time.Duration
 	// Report is the load report in the response; nil without one.
 	Report *report.Report
+	// Statement is what the response says of the calls that the upstream takes; nil without a response of that upstream.
+	Statement *stmt.Statement
 	// ConnClose is set when the upstream closes a connection that could have been reused.
 	ConnClose bool
 	// WrongInstance is set when another upstream responds at the address.
--- a/pkg/shared/tune/constants.go
+++ b/pkg/shared/tune/constants.go
@@ -56,6 +56,8 @@
 	SubsetSize = 8
 	// SubsetLocal is how many of these may be in the entry's own failure domain.
 	SubsetLocal = 6
+	// TurnOpen is how long an entry's turn to send a call to an upstream with a limit stays open.
+	TurnOpen = 1500 * time.Millisecond
 	// MaxBacklog is how many calls beyond its slots may be predicted at an upstream before it gets no more.
 	MaxBacklog = 8
 )
--- a/pkg/traffic/pool/admission.go
+++ b/pkg/traffic/pool/admission.go
@@ -47,6 +47,19 @@
 	return p.limiter.Limit(), p.limiter.Len()
 }
 
+// LimitedUpstreams returns the number of upstreams that name a limit on the calls that they take.
+func (p *Pool) LimitedUpstreams() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	n := 0
+	for _, s := range p.upstreams {
+		if s.turns.Limit() > 0 {
+			n++
+		}
+	}
+	return n
+}
+
 // ReleaseAdmission frees the place of an admitted call, which has ended or whose response is about to be delivered, and
 // admits waiting calls.
 func (p *Pool) ReleaseAdmission(now time.Time) {
--- a/pkg/traffic/pool/choose.go
+++ b/pkg/traffic/pool/choose.go
@@ -61,7 +61,7 @@
 func (p *Pool) noUpstream(ch choice.Choice) choice.Choice {
 	ch.Stage, ch.Reason = stage.Refuse, reason.NoUpstream
 	switch {
-	case ch.SkippedBusy+ch.SkippedCold+ch.SkippedConnLimit+ch.SkippedCircuitOpen > 0:
+	case ch.SkippedBusy+ch.SkippedLimited+ch.SkippedCold+ch.SkippedConnLimit+ch.SkippedCircuitOpen > 0:
 		ch.Stage, ch.Reason = stage.Wait, reason.AtCapacity
 	case ch.SkippedTried > 0:
 		ch.Reason = reason.RetryLimit
@@ -74,6 +74,7 @@
 // A call to a cold upstream also uses this entry's turn at the cold rate, or a credit where the service has no cold rate.
 func (p *Pool) reserveCandidate(now time.Time, c *call.Call, best candidate, ch choice.Choice) choice.Choice {
 	s := best.upstream
+	s.turns.Use(now, p.config.EntryRank, p.config.EntryCount)
 	ch.Stage, ch.Reason, ch.Target, ch.PredictedWait = stage.Send, reason.LowestWait, s.target, best.score
 	ch.Load, ch.Slowdown, ch.ReportAge = best.load, s.predictedSlowdown(p, now), s.reportAge(now)
 	if p.policy == policy.LeastPredictedWait {
@@ -217,6 +218,10 @@
 		ch.SkippedCold++
 		return false, false
 	}
+	if !s.turns.Open(now, p.config.EntryRank, p.config.EntryCount) {
+		ch.SkippedLimited++
+		return false, false
+	}
 	pass, trial := s.breaker.Allows(now)
 	if !pass {
 		ch.SkippedCircuitOpen++
--- a/pkg/traffic/pool/upstream.go
+++ b/pkg/traffic/pool/upstream.go
@@ -18,6 +18,7 @@
 	"github.com/balsamvale/balsamvale/pkg/shared/target"
 	"github.com/balsamvale/balsamvale/pkg/shared/tune"
 	"github.com/balsamvale/balsamvale/pkg/traffic/circ"
+	"github.com/balsamvale/balsamvale/pkg/traffic/turns"
 	"github.com/balsamvale/balsamvale/pkg/traffic/wallet"
 )
 
@@ -66,6 +67,9 @@
 	// probeTokens is the number of probes left in this entry's token bucket for the upstream, as of probedAt.
 	probeTokens float64
 	probedAt    time.Time
+	// turns divides the limit that the upstream names among the entries. limitNamedAt is when an answer last named one.
+	turns        turns.Turns
+	limitNamedAt time.Time
 	// dialFailed is set from a failed dial until the next answer that is not a failure, or until a restart is announced.
 	dialFailed bool
 }
@@ -254,6 +258,7 @@
 		// Without an answer, the upstream is taken to run the call still, so its credit is not returned but has to expire.
 		ch.CreditID = 0
 	}
+	s.recordStatement(now, ch, r)
 	s.trackConnClose(p, now, r)
 	p.recordCanary(now, s, ch, r)
 	switch r.Cause {
@@ -348,6 +353,18 @@
 	}
 }
 
+// recordStatement keeps the limit that the upstream names, until it answers a later call without one.
+func (s *upstreamState) recordStatement(now time.Time, ch *choice.Choice, r *result.Result) {
+	switch st := r.Statement; {
+	case st == nil || st.Unclear:
+	case st.Limit > 0:
+		s.turns.SetLimit(st.Limit)
+		s.limitNamedAt = now
+	case !ch.At.Before(s.limitNamedAt):
+		s.turns.SetLimit(0)
+	}
+}
+
 // startDraining keeps new work away from the upstream for tune.DrainTTL and tells the other entries, unless it is draining
 // already.
 func (s *upstreamState) startDraining(p *Pool, now time.Time) {
