pool, platform: an upstream that says in an answer that it is leaving gets no more calls

Upstreams that leave say so in all their answers (`Server-Leaving: 1`). No code read that, so an entry that heard nothing from the store went on sending.

--- a/pkg/calls/stmt/statement.go
+++ b/pkg/calls/stmt/statement.go
@@ -6,4 +6,6 @@
 	Limit float64
 	// Unclear is set if the upstream names a limit that cannot be read, so that the one it named before stays in force.
 	Unclear bool
+	// Leaving is set if the upstream takes no new calls and is about to end.
+	Leaving bool
 }
--- a/pkg/traffic/pool/pool.go
+++ b/pkg/traffic/pool/pool.go
@@ -263,6 +263,9 @@
 		return false
 	}
 	s.recordReport(p, now, r.Report)
+	if r.Statement != nil && r.Statement.Leaving {
+		s.leave(p, now)
+	}
 	switch {
 	case r.Cause == cause.DialFailed:
 		s.dialFailed = true
--- a/pkg/traffic/pool/upstream.go
+++ b/pkg/traffic/pool/upstream.go
@@ -57,8 +57,10 @@
 	startedAt  time.Time
 	coldUntil  time.Time
 	drainUntil time.Time
-	breaker    circ.Breaker
-	wallet     wallet.Wallet
+	// leaving is set once this incarnation has said that it is leaving.
+	leaving bool
+	breaker circ.Breaker
+	wallet  wallet.Wallet
 	// nextColdCall is the earliest time of this entry's next call to the upstream while that is cold, if its service has a
 	// cold rate.
 	nextColdCall time.Time
@@ -258,7 +260,7 @@
 		// Without an answer, the upstream is taken to run the call still, so its credit is not returned but has to expire.
 		ch.CreditID = 0
 	}
-	s.recordStatement(now, ch, r)
+	s.recordStatement(p, now, ch.At, r)
 	s.trackConnClose(p, now, r)
 	p.recordCanary(now, s, ch, r)
 	switch r.Cause {
@@ -353,18 +355,38 @@
 	}
 }
 
-// recordStatement keeps the limit that the upstream names, until it answers a later call without one.
-func (s *upstreamState) recordStatement(now time.Time, ch *choice.Choice, r *result.Result) {
-	switch st := r.Statement; {
-	case st == nil || st.Unclear:
+// recordStatement keeps what the upstream says of itself in the answer to a call sent at a time: its limit, until it answers
+// a later call without one, and that it is leaving, until a new incarnation is announced.
+func (s *upstreamState) recordStatement(p *Pool, now, sentAt time.Time, r *result.Result) {
+	st := r.Statement
+	if st == nil {
+		return
+	}
+	if st.Leaving {
+		s.leave(p, now)
+	}
+	switch {
+	case st.Unclear:
 	case st.Limit > 0:
 		s.turns.SetLimit(st.Limit)
 		s.limitNamedAt = now
-	case !ch.At.Before(s.limitNamedAt):
+	case !sentAt.Before(s.limitNamedAt):
 		s.turns.SetLimit(0)
 	}
 }
 
+// leave keeps new work away from an upstream that says itself that it is leaving, and tells the other entries.
+func (s *upstreamState) leave(p *Pool, now time.Time) {
+	if s.leaving {
+		return
+	}
+	s.leaving, s.drainUntil = true, now.Add(maxLeavingTime)
+	p.queueFact(fact.Fact{Topic: topic.Draining, Subject: s.target.Name, Value: s.incarnation, Until: s.drainUntil})
+}
+
+// maxLeavingTime is longer than an upstream lives after it has said that it is leaving.
+const maxLeavingTime = time.Hour
+
 // startDraining keeps new work away from the upstream for tune.DrainTTL and tells the other entries, unless it is draining
 // already.
 func (s *upstreamState) startDraining(p *Pool, now time.Time) {
@@ -402,7 +424,7 @@
 		s.wallet.Clear()
 	case topic.Draining:
 		// A value of 0 means that the incarnation is not known.
-		if f.Value == 0 || s.incarnation == 0 || f.Value == s.incarnation {
+		if (f.Value == 0 || s.incarnation == 0 || f.Value == s.incarnation) && f.Until.After(s.drainUntil) {
 			s.drainUntil = f.Until
 		}
 	}
