pool, platform: an upstream that refuses a call and asks for a pause is left alone for that time

An upstream that turns a call away with 503 may say in Retry-After for how long it wants nothing from the entry. No code read that, so calls and probes went on.

The entry sends neither calls nor probes until the time is over; entries return spread over a tenth of it, by rank.

--- a/internal/logs/log.go
+++ b/internal/logs/log.go
@@ -92,7 +92,7 @@
 		zap.Duration("wait", choice.PredictedWait), zap.Float64("load", choice.Load), zap.Float64("pace", choice.Slowdown), zap.Duration("age", choice.ReportAge),
 		zap.Int("limit", choice.AdmitLimit), zap.Int("waiting", choice.AdmitWaiting), zap.Stringer("fate", s.Outcome),
 		zap.Int("out", choice.SkippedUnavailable), zap.Int("leaving", choice.SkippedDraining), zap.Int("cold", choice.SkippedCold), zap.Int("open", choice.SkippedCircuitOpen),
-		zap.Int("conns", choice.SkippedConnLimit), zap.Int("busy", choice.SkippedBusy), zap.Int("limited", choice.SkippedLimited), zap.Int("tried", choice.SkippedTried),
+		zap.Int("conns", choice.SkippedConnLimit), zap.Int("busy", choice.SkippedBusy), zap.Int("limited", choice.SkippedLimited), zap.Int("paused", choice.SkippedPaused), zap.Int("tried", choice.SkippedTried),
 	)
 }
 
--- a/pkg/calls/choice/choice.go
+++ b/pkg/calls/choice/choice.go
@@ -38,5 +38,5 @@
 	// Bulk is set for calls of class Bulk.
 	Bulk bool
 	// The Skipped fields count the upstreams that were ruled out, by the first reason that applied.
-	SkippedUnavailable, SkippedDraining, SkippedCold, SkippedCircuitOpen, SkippedConnLimit, SkippedBusy, SkippedLimited, SkippedTried int
+	SkippedUnavailable, SkippedDraining, SkippedCold, SkippedCircuitOpen, SkippedConnLimit, SkippedBusy, SkippedLimited, SkippedPaused, SkippedTried int
 }
--- a/pkg/calls/stmt/statement.go
+++ b/pkg/calls/stmt/statement.go
@@ -1,5 +1,7 @@
 package stmt
 
+import "time"
+
 // Statement is what an answer says about the calls that its upstream takes from now on.
 type Statement struct {
 	// Limit is the number of calls a second that the upstream takes from all entries together; 0 if it names none.
@@ -8,4 +10,6 @@
 	Unclear bool
 	// Leaving is set if the upstream takes no new calls and is about to end.
 	Leaving bool
+	// Pause is how long the upstream wants nothing from this entry; 0 if it does not say.
+	Pause time.Duration
 }
--- a/pkg/traffic/pool/choose.go
+++ b/pkg/traffic/pool/choose.go
@@ -48,7 +48,7 @@
 		}
 	}
 	if best.upstream == nil {
-		return p.noUpstream(ch)
+		return p.refuseIfPaused(now, c, p.noUpstream(ch))
 	}
 	if best.score > c.TimeLeft(now, best.score) {
 		ch.Stage, ch.Reason, ch.PredictedWait = stage.Refuse, reason.Deadline, best.score
@@ -57,11 +57,30 @@
 	return p.reserveCandidate(now, c, best, ch)
 }
 
+// refuseIfPaused turns a wait into a refusal if the call's time ends before any upstream that asked for a pause takes calls
+// again, and there is no other upstream to wait for.
+func (p *Pool) refuseIfPaused(now time.Time, c *call.Call, ch choice.Choice) choice.Choice {
+	waitsForOthers := ch.SkippedBusy+ch.SkippedLimited+ch.SkippedCold+ch.SkippedConnLimit+ch.SkippedCircuitOpen > 0
+	if ch.Stage != stage.Wait || ch.SkippedPaused == 0 || waitsForOthers {
+		return ch
+	}
+	var first time.Duration
+	for _, s := range p.upstreams {
+		if left := s.pausedUntil.Sub(now); left > 0 && (first == 0 || left < first) {
+			first = left
+		}
+	}
+	if first > c.TimeLeft(now, first) {
+		ch.Stage, ch.Reason, ch.PredictedWait = stage.Refuse, reason.NoUpstream, first
+	}
+	return ch
+}
+
 // noUpstream completes ch with the reason why no upstream was found: stage.Wait if some upstream may take the call later.
 func (p *Pool) noUpstream(ch choice.Choice) choice.Choice {
 	ch.Stage, ch.Reason = stage.Refuse, reason.NoUpstream
 	switch {
-	case ch.SkippedBusy+ch.SkippedLimited+ch.SkippedCold+ch.SkippedConnLimit+ch.SkippedCircuitOpen > 0:
+	case ch.SkippedBusy+ch.SkippedPaused+ch.SkippedLimited+ch.SkippedCold+ch.SkippedConnLimit+ch.SkippedCircuitOpen > 0:
 		ch.Stage, ch.Reason = stage.Wait, reason.AtCapacity
 	case ch.SkippedTried > 0:
 		ch.Reason = reason.RetryLimit
@@ -218,6 +237,10 @@
 		ch.SkippedCold++
 		return false, false
 	}
+	if now.Before(s.pausedUntil) {
+		ch.SkippedPaused++
+		return false, false
+	}
 	if !s.turns.Open(now, p.config.EntryRank, p.config.EntryCount) {
 		ch.SkippedLimited++
 		return false, false
--- a/pkg/traffic/pool/pool.go
+++ b/pkg/traffic/pool/pool.go
@@ -263,8 +263,11 @@
 		return false
 	}
 	s.recordReport(p, now, r.Report)
-	if r.Statement != nil && r.Statement.Leaving {
-		s.leave(p, now)
+	if st := r.Statement; st != nil {
+		s.pause(p, now, st.Pause)
+		if st.Leaving {
+			s.leave(p, now)
+		}
 	}
 	switch {
 	case r.Cause == cause.DialFailed:
--- a/pkg/traffic/pool/restart.go
+++ b/pkg/traffic/pool/restart.go
@@ -20,7 +20,7 @@
 		s.dialFailed, s.failureRate, s.coldUntil, s.drainUntil = false, 0, time.Time{}, time.Time{}
 		s.keptConn, s.consecutiveCloses = false, 0
 		s.turns.SetLimit(0)
-		s.leaving = false
+		s.leaving, s.pausedUntil = false, time.Time{}
 	}
 	if t.ColdUntil.After(s.coldUntil) {
 		s.markColdUntil(p, t.ColdUntil)
--- a/pkg/traffic/pool/upstream.go
+++ b/pkg/traffic/pool/upstream.go
@@ -57,6 +57,8 @@
 	startedAt  time.Time
 	coldUntil  time.Time
 	drainUntil time.Time
+	// pausedUntil is when the pause ends for which the upstream wants nothing from this entry.
+	pausedUntil time.Time
 	// leaving is set once this incarnation has said that it is leaving.
 	leaving bool
 	breaker circ.Breaker
@@ -365,6 +367,7 @@
 	if st.Leaving {
 		s.leave(p, now)
 	}
+	s.pause(p, now, st.Pause)
 	switch {
 	case st.Unclear:
 	case st.Limit > 0:
@@ -384,6 +387,21 @@
 	p.queueFact(fact.Fact{Topic: topic.Draining, Subject: s.target.Name, Value: s.incarnation, Until: s.drainUntil})
 }
 
+// pause keeps calls and probes away from an upstream for the time that it asked for. All entries may have been asked for the
+// same, so each adds a part of a tenth of it by its rank.
+func (s *upstreamState) pause(p *Pool, now time.Time, asked time.Duration) {
+	if asked <= 0 {
+		return
+	}
+	spread := asked / pauseSpread * time.Duration(p.config.EntryRank) / time.Duration(max(1, p.config.EntryCount))
+	if until := now.Add(asked + spread); until.After(s.pausedUntil) {
+		s.pausedUntil = until
+	}
+}
+
+// pauseSpread is the part of a pause, as its divisor, over which the entries return.
+const pauseSpread = 10
+
 // maxLeavingTime is longer than an upstream lives after it has said that it is leaving.
 const maxLeavingTime = time.Hour
 
