codec: outcomes that no entry sends are left out of a digest

A message of a peer with 2^31 calls in the outcomes of one upstream made the canary analysis take as many steps under the lock of the service, which stops its calls for many seconds. Contradictory counts and negative times were taken as well. Seen by reading; the seed of FuzzDigest that has such counts fails with the new check on the code before.

--- a/internal/codec/digest.go
+++ b/internal/codec/digest.go
@@ -8,6 +8,7 @@
 	"github.com/balsamvale/balsamvale/pkg/events/fact"
 	"github.com/balsamvale/balsamvale/pkg/events/tally"
 	"github.com/balsamvale/balsamvale/pkg/events/topic"
+	"github.com/balsamvale/balsamvale/pkg/shared/tune"
 	"github.com/balsamvale/balsamvale/pkg/stored/delta"
 	"github.com/balsamvale/balsamvale/pkg/stored/item"
 )
@@ -48,9 +49,15 @@
 	return out
 }
 
+// talliesFromProto converts the outcomes in a fact. It leaves out those that no entry sends: contradictory or negative values, and
+// more calls than maxTallyCalls, each of which the canary analysis would count one by one.
 func talliesFromProto(list []*pb.Tally) []tally.Tally {
 	var out []tally.Tally
 	for _, t := range list {
+		bad := uint64(t.GetFails())+uint64(t.GetSlows()) > uint64(t.GetCalls()) || t.GetCalls() > maxTallyCalls
+		if bad || len(t.GetTimes()) > tune.MaxUnjudgedTimes || t.GetTotal().AsDuration() < 0 {
+			continue
+		}
 		in := tally.Tally{
 			Upstream: t.GetUpstream(), Calls: int(t.GetCalls()), Failures: int(t.GetFails()), SlowCalls: int(t.GetSlows()), TotalTime: t.GetTotal().AsDuration(),
 		}
@@ -62,6 +69,9 @@
 	return out
 }
 
+// maxTallyCalls is the highest number of calls in the outcomes of one upstream.
+const maxTallyCalls = 100_000
+
 func talliesToProto(list []tally.Tally) []*pb.Tally {
 	var out []*pb.Tally
 	for _, t := range list {
--- a/internal/codec/digest_test.go
+++ b/internal/codec/digest_test.go
@@ -34,6 +34,10 @@
 				if tl.Calls < 0 || tl.Failures < 0 || tl.SlowCalls < 0 {
 					t.Errorf("negative count in %+v", tl)
 				}
+				// The canary analysis takes a step for each call.
+				if tl.Calls > 1e6 || tl.Failures+tl.SlowCalls > tl.Calls || tl.TotalTime < 0 {
+					t.Errorf("outcomes that no entry sends: %+v", tl)
+				}
 			}
 		}
 		_ = codec.DigestToProto(time.Unix(1000, 0), d)
