demux: a stop on a busy host looks at the queue and at open connections before it closes them

Callers whose connection was still in the queue, or whose request had arrived but was not read, got no answer when an entry stopped on a busy host.

Cause: a stop gives the accepting of queued connections 50 ms, and the last read of an idle connection 5 ms. A call that begins after its deadline fails at once without a look, so a process that gets no processor time for so long closes what it has not looked at.

The new test, whose listener finds its deadline passed twice, fails on the code before.

Change: four attempts in a row must find nothing, each with a new deadline. A stop takes up to 165 ms longer.

--- a/internal/demux/conn.go
+++ b/internal/demux/conn.go
@@ -97,7 +97,7 @@
 // During a shutdown of the listener, an idle connection only gets lastReadTime for another request.
 func (c *conn) nextHead() (*head, error) {
 	read, idle := c.timeouts()
-	for {
+	for empty := 0; ; {
 		final, err := c.beginWait(idle)
 		if err != nil {
 			return nil, err
@@ -109,7 +109,10 @@
 		if err == nil {
 			break
 		}
-		if !errors.Is(err, os.ErrDeadlineExceeded) || final {
+		if final {
+			empty++
+		}
+		if !errors.Is(err, os.ErrDeadlineExceeded) || empty >= emptyAttempts {
 			return nil, err
 		}
 		// The deadline was that of a connection that has been in use since, or a shutdown has interrupted the wait.
--- a/internal/demux/listener.go
+++ b/internal/demux/listener.go
@@ -16,6 +16,7 @@
 	"maps"
 	"net"
 	"net/http"
+	"os"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -165,9 +166,14 @@
 // open for the server, which otherwise would end.
 func (l *Listener) loop() {
 	defer l.accepting.Store(false)
+	empty := 0
 	for {
 		raw, err := l.inner.Accept()
 		if err != nil && l.isClosing() {
+			// A call that begins after its deadline fails without a look at the queue.
+			if empty++; empty < emptyAttempts && l.extendAccept(err) {
+				continue
+			}
 			_ = l.inner.Close()
 			return
 		}
@@ -175,6 +181,7 @@
 			_ = l.Close()
 			return
 		}
+		empty = 0
 		c := newConn(l, raw)
 		l.add(c)
 		if !l.offer(c.newVirtualConn()) {
@@ -186,6 +193,16 @@
 	}
 }
 
+// emptyAttempts is the number of attempts in a row that must find no connection in the queue, or no data on a connection,
+// before a shutdown takes it as empty. On a busy host the deadline of one may pass before it begins.
+const emptyAttempts = 4
+
+// extendAccept gives the listener another acceptGrace if err says that its deadline has passed, and reports whether it did.
+func (l *Listener) extendAccept(err error) bool {
+	d, ok := l.inner.(interface{ SetDeadline(time.Time) error })
+	return ok && errors.Is(err, os.ErrDeadlineExceeded) && d.SetDeadline(l.clock.Now().Add(acceptGrace)) == nil
+}
+
 // offer passes a virtual connection to Accept. It returns false if the listener is closed.
 func (l *Listener) offer(vc *virtualConn) bool {
 	select {
--- a/internal/demux/shutdown_test.go
+++ b/internal/demux/shutdown_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -22,6 +23,11 @@
 func startSlow() (l *demux.Listener, addr string, begun *atomic.Int64) {
 	on, err := net.Listen("tcp", "127.0.0.1:0")
 	Expect(err).NotTo(HaveOccurred())
+	return startSlowOn(on)
+}
+
+// startSlowOn is startSlow with a listener.
+func startSlowOn(on net.Listener) (l *demux.Listener, addr string, begun *atomic.Int64) {
 	begun = &atomic.Int64{}
 	s := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		begun.Add(1)
@@ -36,6 +42,29 @@
 	return l, on.Addr().String(), begun
 }
 
+// starvedListener accepts nothing before a deadline is set, and the first calls of Accept after that find the deadline passed,
+// without a look at the queue.
+type starvedListener struct {
+	*net.TCPListener
+	deadlineSet chan struct{}
+	once        sync.Once
+	// late is the number of these calls that are left.
+	late atomic.Int64
+}
+
+func (l *starvedListener) SetDeadline(t time.Time) error {
+	l.once.Do(func() { close(l.deadlineSet) })
+	return l.TCPListener.SetDeadline(t)
+}
+
+func (l *starvedListener) Accept() (net.Conn, error) {
+	<-l.deadlineSet
+	if l.late.Add(-1) >= 0 {
+		return nil, os.ErrDeadlineExceeded
+	}
+	return l.TCPListener.Accept()
+}
+
 // dialed is a connection of a caller.
 type dialed struct {
 	net.Conn
@@ -127,6 +156,21 @@
 		Eventually(done).Should(Receive(BeNil()))
 	})
 
+	// On a busy host, the deadlines of a stop pass before the connections in the queue are looked at.
+	It("answers the connections in the queue when the process gets no processor time", func() {
+		on, err := net.Listen("tcp", "127.0.0.1:0")
+		Expect(err).NotTo(HaveOccurred())
+		starved := &starvedListener{TCPListener: on.(*net.TCPListener), deadlineSet: make(chan struct{})}
+		starved.late.Store(2)
+		l, addr, _ := startSlowOn(starved)
+		c := dial(addr)
+		_, err = io.WriteString(c, get("/a"))
+		Expect(err).NotTo(HaveOccurred())
+		done := shutdown(l, 3*time.Second)
+		Expect(c.receive()).To(Equal(http.StatusOK))
+		Eventually(done).Should(Receive(BeNil()))
+	})
+
 	It("cuts no request that it has begun, under load on kept connections", func() {
 		l, addr, begun := startSlow()
 		var answered atomic.Int64
