--- a/review/rig/store.go
+++ b/review/rig/store.go
@@ -35,6 +35,9 @@
 	changed chan struct{}
 	// cut is closed and replaced to cut the watches that wait.
 	cut chan struct{}
+	// waiting is the number of watches that wait, and cutNext is set to cut the next one, as none waited.
+	waiting int
+	cutNext bool
 	// cuts counts the watches that were cut.
 	cuts int
 
@@ -102,10 +105,14 @@
 	s.changed = make(chan struct{})
 }
 
-// cutWatches closes the connections of the watches that wait, without an answer.
+// cutWatches breaks off the answers of the watches that wait, or that of the next one if none waits.
 func (s *store) cutWatches() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if s.waiting == 0 {
+		s.cutNext = true
+		return
+	}
 	close(s.cut)
 	s.cut = make(chan struct{})
 }
@@ -210,6 +217,14 @@
 			}
 		}
 		rev, changed, cut := s.revision, s.changed, s.cut
+		if len(events) == 0 {
+			s.waiting++
+			if s.cutNext {
+				s.cutNext = false
+				close(s.cut)
+				s.cut = make(chan struct{})
+			}
+		}
 		s.mu.Unlock()
 		out := map[string]any{"events": events, "store_revision": rev}
 		if len(events) > 0 {
@@ -223,22 +238,34 @@
 			w.WriteHeader(http.StatusOK)
 			_ = http.NewResponseController(w).Flush()
 		}
+		ended := false
 		select {
 		case <-changed:
 		case <-cut:
-			s.mu.Lock()
-			s.cuts++
-			s.mu.Unlock()
+			s.countCut()
 			panic(http.ErrAbortHandler)
 		case <-timeout.C:
 			finish(out)
-			return
+			ended = true
 		case <-r.Context().Done():
+			ended = true
+		}
+		s.mu.Lock()
+		s.waiting--
+		s.mu.Unlock()
+		if ended {
 			return
 		}
 	}
 }
 
+func (s *store) countCut() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.waiting--
+	s.cuts++
+}
+
 func (s *store) txn(w http.ResponseWriter, r *http.Request) {
 	var txn struct {
 		Expected []struct {
