--- a/review/2/run.sh
+++ b/review/2/run.sh
@@ -5,4 +5,4 @@
 	echo 'run the build of the deploy file and review/build.sh first' >&2
 	exit 2
 fi
-TROUBLE="${TROUBLE:-1}" exec target/reviewrig descriptors "$PWD" "review/2/record.txt"
+TROUBLE="${TROUBLE:-1}" exec target/reviewrig stops "$PWD" "review/2/record.txt"
