--- a/review/build.sh
+++ b/review/build.sh
@@ -3,4 +3,4 @@
 set -euo pipefail
 cd "$(dirname "$0")/.."
 mkdir -p target
-(cd review/rig && go build -o ../../target/reviewrig .)
+(cd review/_rig && go build -o ../../target/reviewrig .)
