--- a/review/_rig/backend.go
+++ b/review/_rig/backend.go
@@ -77,6 +77,19 @@
 	_ = b.server.Close()
 }
 
+// restart starts the backend again at its address, under the same ID, as a new lifetime.
+func (b *backend) restart() {
+	ln, err := net.Listen("tcp", b.listener.Addr().String())
+	if err != nil {
+		b.rig.logf("%s does not come back: %v", b.id, err)
+		return
+	}
+	b.listener, b.born = ln, time.Now().UnixMilli()
+	b.server = &http.Server{Handler: b, IdleTimeout: 10 * time.Second, ConnState: b.trackConn}
+	go func() { _ = b.server.Serve(ln) }()
+	b.register("ready")
+}
+
 func (b *backend) load() string {
 	n := b.running.Load()
 	return fmt.Sprintf("%d,%d,%d,100", min(n, int64(b.slots)), max(0, n-int64(b.slots)), b.slots)
--- a/review/_rig/orphans.go
+++ b/review/_rig/orphans.go
@@ -9,7 +9,7 @@
 
 func init() { cases["orphans"] = orphans }
 
-// orphans moves the route of a service whose backends have all crashed to another service, by a configuration that no longer
+// orphans moves the route of a service whose backends have all crashed for 4.5 s to another service, by a configuration that no longer
 // lists the first one. Each request must have its final answer half a second after the timeout of its route at the latest.
 func orphans(r *rig) int {
 	const (
@@ -17,6 +17,7 @@
 		perSecond      = 60
 		length         = 14 * time.Second
 		crashAt        = 5 * time.Second
+		crashFor       = 4500 * time.Millisecond
 		moveAt         = 6500 * time.Millisecond
 		timeout        = 1000
 		late           = 500 * time.Millisecond
@@ -44,6 +45,14 @@
 		time.Sleep(moveAt - crashAt)
 		r.configure(route{name: service, kind: "unsafe", timeout: timeout, service: spare})
 		r.say("%5.1f s: a configuration moves the route to %s and no longer lists %s", time.Since(begin).Seconds(), spare, service)
+		if !r.trouble {
+			return
+		}
+		time.Sleep(time.Until(begin.Add(crashAt + crashFor)))
+		for _, b := range backends {
+			b.restart()
+		}
+		r.say("%5.1f s: the backends of %s are back", time.Since(begin).Seconds(), service)
 	}()
 	var mu sync.Mutex
 	statuses := map[int]int{}
