stop: log the calls that a stop cuts, and count those that come after SIGTERM

Each cut call now gets a line (cut: when it arrived and when its connection was accepted, relative to SIGTERM, and whether an upstream has got it), at most 100; stopped has the numbers of connections and calls that came after SIGTERM; metrics have the calls in flight and the calls since the stop by the age of their connection. explain prints cut lines. No decision changes.

Test: daemon 'logs each call that it cuts, and whether it came before the stop'.

--- a/internal/cmds/explain.go
+++ b/internal/cmds/explain.go
@@ -144,6 +144,9 @@
 			l.field("attempt"), l.field("cause"), l.field("status"), l.field("took"), l.field("busy"), l.field("pace"))
 	case "early":
 		return fmt.Sprintf("answered %s for %s%s: %s", l.field("status"), l.field("host"), l.field("path"), l.field("reason"))
+	case "cut":
+		return fmt.Sprintf("cut by a planned stop; the call came %s and its connection %s after SIGTERM; sent to an upstream: %s",
+			l.field("arrived"), l.field("opened"), l.field("sent"))
 	case "place":
 		return fmt.Sprintf("%s %s: %s", l.field("what"), l.field("subject"), l.field("reason"))
 	}
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -18,6 +18,7 @@
 	"github.com/balsamvale/balsamvale/internal/claims"
 	"github.com/balsamvale/balsamvale/internal/core"
 	"github.com/balsamvale/balsamvale/internal/demux"
+	"github.com/balsamvale/balsamvale/internal/flight"
 	pb "github.com/balsamvale/balsamvale/internal/gen/balsamvale/v1"
 	"github.com/balsamvale/balsamvale/internal/logs"
 	"github.com/balsamvale/balsamvale/internal/option"
@@ -26,6 +27,7 @@
 	"github.com/balsamvale/balsamvale/internal/redial"
 	"github.com/balsamvale/balsamvale/internal/seams"
 	"github.com/balsamvale/balsamvale/internal/sender"
+	"github.com/balsamvale/balsamvale/pkg/calls/call"
 	"github.com/balsamvale/balsamvale/pkg/shared/clock"
 	"github.com/balsamvale/balsamvale/pkg/shared/tune"
 	"github.com/balsamvale/balsamvale/pkg/stored/member"
@@ -43,6 +45,7 @@
 	peers          *peers.Service
 	metrics        *metrics.Set
 	seams          *seams.Seams
+	inFlight       *flight.Table
 	callerServer   *http.Server
 	callerListener *demux.Listener
 	peerServer     *http.Server
@@ -57,7 +60,7 @@
 //
 // It opens no listener and starts no goroutine; Run does.
 func New(o *option.Options, c clock.Clock, log *logs.Log, incarnation uint64, s *seams.Seams) *Daemon {
-	d := &Daemon{options: o, clock: c, log: log, seams: s, metrics: metrics.NewSet(), stopping: make(chan struct{}), errs: make(chan error, serverCount)}
+	d := &Daemon{options: o, clock: c, log: log, seams: s, metrics: metrics.NewSet(), inFlight: flight.New(), stopping: make(chan struct{}), errs: make(chan error, serverCount)}
 	self := member.Member{Name: o.Name, Domain: o.Domain, Peer: o.Peer, Incarnation: incarnation}
 	d.core = core.New(c, log, self, o.Seeds, incarnation, s.Decode)
 	d.peers = peers.New(c, &http.Client{Transport: redial.New(tune.PeerConnIdle)})
@@ -85,7 +88,7 @@
 	handler := &proxy.Handler{
 		Rule: d.core.Rule, Bounds: d.core.Bounds, Configured: d.core.Configured, Headers: d.seams.Headers,
 		Service: d.core.Service, Send: upstreams.Send, Probe: upstreams.Probe, Claim: claimClient.Claim, CompleteClaim: claimClient.Complete,
-		Clock: d.clock, Log: d.log, Poison: d.core.Poison(), Name: o.Name, Incarnation: incarnation, MaxBodyBytes: o.MaxBodyBytes, Stopping: d.stopping,
+		Clock: d.clock, Log: d.log, Poison: d.core.Poison(), InFlight: d.inFlight, Name: o.Name, Incarnation: incarnation, MaxBodyBytes: o.MaxBodyBytes, Stopping: d.stopping,
 	}
 	handler.SetMetrics(d.metrics)
 	d.metrics.NewGauge("balsamvale_store_reads_total", func() float64 { return float64(d.seams.StoreReads()) })
@@ -98,6 +101,9 @@
 		return age.Seconds()
 	})
 	d.metrics.NewGauge("balsamvale_configuration_revision", func() float64 { return float64(d.core.Revision()) })
+	d.metrics.NewGauge("balsamvale_calls_in_flight", func() float64 { return float64(d.inFlight.Len()) })
+	d.metrics.NewGauge(`balsamvale_calls_since_stop{opened="before"}`, func() float64 { onOld, _ := d.inFlight.SinceStop(); return float64(onOld) })
+	d.metrics.NewGauge(`balsamvale_calls_since_stop{opened="after"}`, func() float64 { _, onNew := d.inFlight.SinceStop(); return float64(onNew) })
 	d.metrics.NewGauge("balsamvale_log_lines_dropped_total", func() float64 { return float64(d.log.Dropped()) })
 	d.metrics.NewGauge("balsamvale_news_dropped_total", func() float64 { return float64(d.core.DroppedEvents.Load()) })
 	d.callerServer = &http.Server{Handler: handler, ReadHeaderTimeout: o.ReadHeaderTimeout, IdleTimeout: tune.CallerIdleTimeout, MaxHeaderBytes: o.MaxHeaderBytes, Protocols: protocols()}
@@ -255,22 +261,27 @@
 // front of the entry has noticed. Then the entry closes the listener and waits for the calls in flight. When the drain timeout
 // passes, it refuses the calls that have not been sent to an upstream. After that it waits for the end of the handover.
 func (d *Daemon) shutdown() error {
-	d.log.Info("stopping")
+	d.log.Info("stopping", zap.Int("calls", d.inFlight.Len()))
+	begin, connsBefore := d.clock.Now(), d.callerListener.Accepted()
+	d.inFlight.BeginStop(begin)
 	d.core.Drain()
 	d.callerListener.Drain()
 	delay, stopTimer := d.clock.Timer(d.options.ShutdownDelay)
 	defer stopTimer()
 	<-delay
-	d.awaitCalls()
+	d.awaitCalls(begin)
 	d.awaitHandover()
 	_ = d.peerServer.Close()
 	_ = d.adminServer.Close()
-	d.log.Info("stopped")
+	onOld, onNew := d.inFlight.SinceStop()
+	d.log.Info("stopped", zap.Duration("took", d.clock.Now().Sub(begin)), zap.Uint64("conns", d.callerListener.Accepted()-connsBefore),
+		zap.Int("before", onOld), zap.Int("after", onNew))
 	return nil
 }
 
 // awaitCalls closes the listener for callers and waits for the calls in flight, for at most the drain timeout if one is set.
-func (d *Daemon) awaitCalls() {
+// The stop has begun at the given time.
+func (d *Daemon) awaitCalls(begin time.Time) {
 	ctx, cancel := context.Background(), context.CancelFunc(func() {})
 	if d.options.DrainTimeout > 0 {
 		ctx, cancel = context.WithTimeout(ctx, max(0, d.options.DrainTimeout-refusalTime))
@@ -284,10 +295,24 @@
 	ctx, cancel = context.WithTimeout(context.Background(), refusalTime)
 	defer cancel()
 	if err := d.callerListener.Shutdown(ctx); err != nil {
-		d.log.Warn("calls were still in flight when the drain timeout (stop.wait) passed", zap.Error(err))
+		d.logCutCalls(begin, err)
 	}
 }
 
+// maxCutLines bounds the number of log lines for the calls that a stop cuts.
+const maxCutLines = 100
+
+// logCutCalls logs the calls that are in flight at the end of a stop that has begun at the given time.
+func (d *Daemon) logCutCalls(begin time.Time, err error) {
+	d.log.Warn("calls were still in flight when the drain timeout (stop.wait) passed", zap.Error(err), zap.Int("calls", d.inFlight.Len()))
+	lines := 0
+	d.inFlight.Visit(func(c *call.Call, opened time.Time, sent bool) {
+		if lines++; lines <= maxCutLines {
+			d.log.CutCall(c, c.Arrived.Sub(begin), opened.Sub(begin), sent)
+		}
+	})
+}
+
 // refusalTime is the end of the drain timeout in which calls that still wait are refused.
 const refusalTime = 200 * time.Millisecond
 
--- a/internal/daemon/daemon_test.go
+++ b/internal/daemon/daemon_test.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"net/http/httptest"
 	"net/netip"
+	"regexp"
 	"strconv"
 	"strings"
 	"sync/atomic"
@@ -14,6 +15,7 @@
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
+	"github.com/onsi/gomega/gbytes"
 	"go.uber.org/zap/zapcore"
 	"google.golang.org/protobuf/proto"
 
@@ -75,6 +77,11 @@
 // startDaemon starts a daemon whose service "s" has the one given upstream, and waits until it is ready. The first call of the
 // result begins the planned stop.
 func startDaemon(up *httptest.Server, o *option.Options) (stop func(), done <-chan error) {
+	return startLoggingDaemon(up, o, io.Discard)
+}
+
+// startLoggingDaemon is startDaemon with a log that is written to w.
+func startLoggingDaemon(up *httptest.Server, o *option.Options, w io.Writer) (stop func(), done <-chan error) {
 	kv := kvsim.New(clock.Wall(), 1)
 	mux := http.NewServeMux()
 	mux.Handle(rpc.NewStoreHandler(kv))
@@ -85,7 +92,9 @@
 	putRecords(o.Store, "[[domain]]\nschema = 1\nname = \"zone-1\"\n[[service]]\nschema = 2\nname = \"s\"\nslots = 4\nconns = 10\nwarm = \"0s\"\n[[service.route]]\npath = \"/up\"\nclass = \"bulk\"\n[[upstream]]\nschema = 1\nname = \"u\"\nservice = \"s\"\ndomain = \"zone-1\"\nversion = \"v1\"\naddr = \""+address(up).String()+"\"\n")
 	ctx, cancel := context.WithCancel(context.Background())
 	DeferCleanup(cancel)
-	r := &daemonRunner{daemon.New(o, clock.Wall(), logs.New(io.Discard, clock.Wall(), zapcore.ErrorLevel, 1), 1, store.New(&http.Client{}, o.Store).Seams()), ctx, make(chan error, 1)}
+	log := logs.New(w, clock.Wall(), zapcore.InfoLevel, 1)
+	DeferCleanup(log.Close)
+	r := &daemonRunner{daemon.New(o, clock.Wall(), log, 1, store.New(&http.Client{}, o.Store).Seams()), ctx, make(chan error, 1)}
 	go r.run()
 	ready := func() int {
 		res, err := http.Get("http://" + o.Admin.String() + "/ready")
@@ -150,6 +159,32 @@
 		}
 		Consistently(outcomes, "50ms").ShouldNot(Receive(Equal("503 notrun")))
 	})
+
+	It("logs each call that it cuts, and whether it came before the stop", func() {
+		arrived := make(chan struct{}, 2)
+		release := make(chan struct{})
+		up := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) {
+			arrived <- struct{}{}
+			<-release
+		}))
+		DeferCleanup(up.Close)
+		DeferCleanup(func() { close(release) })
+		o := &option.Options{ShutdownDelay: 300 * time.Millisecond, DrainTimeout: 600 * time.Millisecond, HandoverTimeout: 100 * time.Millisecond}
+		log := gbytes.NewBuffer()
+		stop, done := startLoggingDaemon(up, o, log)
+		outcomes := make(chan string, 2)
+		go (&heldCall{url: "http://" + o.Front.String() + "/s/a", outcomes: outcomes}).run()
+		Eventually(arrived, "2s").Should(Receive())
+		stop()
+		Eventually(log, "2s").Should(gbytes.Say(`"msg":"stopping","calls":1`))
+		go (&heldCall{url: "http://" + o.Front.String() + "/s/a", outcomes: outcomes}).run()
+		Eventually(done, "5s").Should(Receive(BeNil()))
+		Eventually(log, "2s").Should(gbytes.Say(`"msg":"stopped","took":"[^"]*","conns":1,"before":0,"after":1`))
+		lines := regexp.MustCompile(`"msg":"cut",.*"service":"s".*"arrived":"(-?)[^"]*","opened":"(-?)[^"]*","sent":true,"safe":false`).FindAllSubmatch(log.Contents(), -1)
+		Expect(lines).To(HaveLen(2))
+		signs := []string{string(lines[0][1]) + string(lines[0][2]), string(lines[1][1]) + string(lines[1][2])}
+		Expect(signs).To(ConsistOf("--", ""))
+	})
 })
 
 // heldCall sends a call that may run once, and its outcome to outcomes; its run method is a goroutine.
--- a/internal/demux/conn.go
+++ b/internal/demux/conn.go
@@ -18,6 +18,8 @@
 	listener *Listener
 	raw      net.Conn
 	reader   *bufio.Reader
+	// opened is when the connection was accepted.
+	opened time.Time
 
 	// mu guards the fields below, and busy and changes of seq of the virtual connections.
 	mu sync.Mutex
@@ -47,7 +49,7 @@
 const readBufferSize = 8 << 10
 
 func newConn(l *Listener, raw net.Conn) *conn {
-	c := &conn{listener: l, raw: raw, reader: bufio.NewReaderSize(raw, readBufferSize)}
+	c := &conn{listener: l, raw: raw, opened: l.clock.Now(), reader: bufio.NewReaderSize(raw, readBufferSize)}
 	c.changed = sync.NewCond(&c.mu)
 	return c
 }
--- a/internal/demux/listener.go
+++ b/internal/demux/listener.go
@@ -47,6 +47,8 @@
 	closing bool
 	// accepting is set while loop runs.
 	accepting atomic.Bool
+	// acceptCount counts the connections that were accepted.
+	acceptCount atomic.Uint64
 	// server serves the virtual connections.
 	server *http.Server
 }
@@ -84,6 +86,18 @@
 // virtualConnKey is the context key of the virtualConn that a request arrived on.
 type virtualConnKey struct{}
 
+// OpenedAt returns when the connection was accepted that a request with the given context came on. It returns the zero time
+// if the request did not come through a Listener.
+func OpenedAt(ctx context.Context) time.Time {
+	if vc, ok := ctx.Value(virtualConnKey{}).(*virtualConn); ok {
+		return vc.conn.opened
+	}
+	return time.Time{}
+}
+
+// Accepted returns the number of connections that were accepted.
+func (l *Listener) Accepted() uint64 { return l.acceptCount.Load() }
+
 // Drain makes each connection close after the response to the last request that was accepted from it.
 func (l *Listener) Drain() { l.draining.Store(true) }
 
@@ -182,6 +196,7 @@
 			return
 		}
 		empty = 0
+		l.acceptCount.Add(1)
 		c := newConn(l, raw)
 		l.add(c)
 		if !l.offer(c.newVirtualConn()) {
--- a/internal/logs/log.go
+++ b/internal/logs/log.go
@@ -113,6 +113,15 @@
 		zap.Duration("since", sinceArrival), zap.Int("busy", inFlight), zap.Float64("pace", slowdown))
 }
 
+// CutCall logs a call that a planned stop ends without an answer. The times say how long after the start of the stop the call
+// arrived and its connection was accepted; they are negative for what came before. Sent means that an upstream has got the call.
+func (l *Log) CutCall(c *call.Call, arrived, opened time.Duration, sent bool) {
+	if ce := l.check("cut", false); ce != nil {
+		ce.Write(zap.Uint64("call", c.ID), zap.String("mark", c.RequestID), zap.String("service", c.Service), zap.String("route", c.Route),
+			zap.Duration("arrived", arrived), zap.Duration("opened", opened), zap.Bool("sent", sent), zap.Bool("safe", c.Idempotent))
+	}
+}
+
 // EarlyRefusal logs a call that is refused before any routing decision; status is the HTTP status of the answer.
 func (l *Log) EarlyRefusal(requestID, host, path string, status int, reason string) {
 	if ce := l.check("early", false); ce != nil {
--- a/internal/proxy/driver.go
+++ b/internal/proxy/driver.go
@@ -223,6 +223,7 @@
 		}
 	}
 	d.attempts = append(d.attempts, a)
+	d.handler.InFlight.MarkSent(d.call)
 	go a.run()
 }
 
--- a/internal/proxy/handler.go
+++ b/internal/proxy/handler.go
@@ -13,6 +13,8 @@
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/cespare/xxhash/v2"
 
+	"github.com/balsamvale/balsamvale/internal/demux"
+	"github.com/balsamvale/balsamvale/internal/flight"
 	"github.com/balsamvale/balsamvale/internal/header"
 	"github.com/balsamvale/balsamvale/internal/logs"
 	"github.com/balsamvale/balsamvale/internal/outreq"
@@ -63,6 +65,8 @@
 	Clock  clock.Clock
 	Log    *logs.Log
 	Poison *poison.Table
+	// InFlight holds the calls that are being served.
+	InFlight *flight.Table
 	// Name and Incarnation make the IDs of attempts unique.
 	Name        string
 	Incarnation uint64
@@ -141,6 +145,8 @@
 	d.call = h.newCall(r, m, d.body, d.buffered, arrived)
 	d.call.Deadline = limit
 	d.flow = flow.New(d.call, m.pool, h.Poison)
+	h.InFlight.Add(d.call, demux.OpenedAt(r.Context()))
+	defer h.InFlight.Remove(d.call)
 	d.serve()
 }
 
