--- a/internal/demux/shutdown_test.go
+++ b/internal/demux/shutdown_test.go
@@ -23,16 +23,16 @@
 func startSlow() (l *demux.Listener, addr string, begun *atomic.Int64) {
 	on, err := net.Listen("tcp", "127.0.0.1:0")
 	Expect(err).NotTo(HaveOccurred())
-	return startSlowOn(on)
+	return startSlowOn(on, 5*time.Millisecond)
 }
 
-// startSlowOn is startSlow with a listener.
-func startSlowOn(on net.Listener) (l *demux.Listener, addr string, begun *atomic.Int64) {
+// startSlowOn is startSlow with a listener and the time that the handler takes.
+func startSlowOn(on net.Listener, work time.Duration) (l *demux.Listener, addr string, begun *atomic.Int64) {
 	begun = &atomic.Int64{}
 	s := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		begun.Add(1)
 		_, _ = io.Copy(io.Discard, r.Body)
-		time.Sleep(5 * time.Millisecond)
+		time.Sleep(work)
 		_, _ = io.WriteString(w, "ok")
 	})}
 	l = demux.New(on, clock.Wall())
@@ -76,9 +76,11 @@
 	Expect(err).NotTo(HaveOccurred())
 	DeferCleanup(func() { _ = c.Close() })
 	Expect(c.SetDeadline(time.Now().Add(5 * time.Second))).To(Succeed())
-	return &dialed{c, bufio.NewReader(c)}
+	return newDialed(c)
 }
 
+func newDialed(c net.Conn) *dialed { return &dialed{c, bufio.NewReader(c)} }
+
 // exchange sends a request and returns the status of its response; 0 if the connection ended without one.
 func (d *dialed) exchange(raw string) int {
 	_, _ = io.WriteString(d, raw)
@@ -162,7 +164,7 @@
 		Expect(err).NotTo(HaveOccurred())
 		starved := &starvedListener{TCPListener: on.(*net.TCPListener), deadlineSet: make(chan struct{})}
 		starved.late.Store(2)
-		l, addr, _ := startSlowOn(starved)
+		l, addr, _ := startSlowOn(starved, 5*time.Millisecond)
 		c := dial(addr)
 		_, err = io.WriteString(c, get("/a"))
 		Expect(err).NotTo(HaveOccurred())
