--- a/internal/demux/conn.go
+++ b/internal/demux/conn.go
@@ -79,11 +79,11 @@
 		if err != nil {
 			break
 		}
-		vc := c.acquire(h)
+		vc, last := c.acquire(h)
 		if vc != nil && c.forward(vc, h) != nil {
 			break
 		}
-		if vc == nil || h.last {
+		if last {
 			// Reading on detects that the caller has closed the connection, and keeps unread data from turning the close into
 			// a reset.
 			_, _ = io.Copy(io.Discard, c.reader)
@@ -200,14 +200,15 @@
 }
 
 // acquire assigns a virtual connection to a request, once the request may run. It returns nil if the connection accepts no
-// further requests.
-func (c *conn) acquire(h *head) *virtualConn {
+// further requests. With last, no request is accepted after this one.
+func (c *conn) acquire(h *head) (vc *virtualConn, last bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for !c.ended() {
 		if h.concurrent || c.responseSeq == c.nextSeq {
 			if vc := c.idleVirtualConn(); vc != nil {
-				return c.assign(vc, h)
+				c.assign(vc, h)
+				return vc, c.stopped
 			}
 			if len(c.virtualConns) < tune.MaxPipelined && !c.listenerClosed {
 				c.openVirtualConn()
@@ -216,7 +217,7 @@
 		}
 		c.changed.Wait()
 	}
-	return nil
+	return nil, true
 }
 
 // openVirtualConn adds a virtual connection and passes it to the server. It releases mu while it waits for the server.
@@ -245,7 +246,10 @@
 }
 
 // assign gives a request its sequence number and its virtual connection.
-func (c *conn) assign(vc *virtualConn, h *head) *virtualConn {
+//
+// During a drain, the request is the last one of the connection. A caller that pipelines may always have another request on the way
+// when a response is due, so the connection would otherwise stay open until the process exits.
+func (c *conn) assign(vc *virtualConn, h *head) {
 	vc.busy, vc.seq, vc.due = true, c.nextSeq, 0
 	vc.consumed.Store(0)
 	if !h.passthrough {
@@ -253,7 +257,7 @@
 	}
 	c.nextSeq++
 	c.passthrough = h.passthrough
-	return vc
+	c.stopped = h.last || c.listener.draining.Load()
 }
 
 // forward writes the head and the body of a request to its virtual connection; with passthrough, all bytes until the
--- a/internal/demux/listener.go
+++ b/internal/demux/listener.go
@@ -98,7 +98,7 @@
 // Accepted returns the number of connections that were accepted.
 func (l *Listener) Accepted() uint64 { return l.acceptCount.Load() }
 
-// Drain makes each connection close after the response to the last request that was accepted from it.
+// Drain makes each connection close after one more request at most.
 func (l *Listener) Drain() { l.draining.Store(true) }
 
 // Shutdown accepts the connections that callers have opened already, closes the listener, and waits until each request that
