--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -286,7 +286,8 @@
 	if d.options.DrainTimeout > 0 {
 		ctx, cancel = context.WithTimeout(ctx, max(0, d.options.DrainTimeout-refusalTime))
 	}
-	err := d.callerListener.Shutdown(ctx)
+	admitUntil := d.clock.Now().Add(admissionTime)
+	err := d.callerListener.Shutdown(ctx, admitUntil)
 	cancel()
 	if err == nil {
 		return
@@ -294,7 +295,7 @@
 	close(d.stopping)
 	ctx, cancel = context.WithTimeout(context.Background(), refusalTime)
 	defer cancel()
-	if err := d.callerListener.Shutdown(ctx); err != nil {
+	if err := d.callerListener.Shutdown(ctx, admitUntil); err != nil {
 		d.logCutCalls(begin, err)
 	}
 }
@@ -313,6 +314,9 @@
 	})
 }
 
+// admissionTime is how long after the shutdown delay new connections are still accepted while callers go on opening them.
+const admissionTime = 250 * time.Millisecond
+
 // refusalTime is the end of the drain timeout in which calls that still wait are refused.
 const refusalTime = 200 * time.Millisecond
 
--- a/internal/demux/listener.go
+++ b/internal/demux/listener.go
@@ -45,6 +45,8 @@
 	conns map[*conn]struct{}
 	// closing is set once connections close as soon as no request is pending on them.
 	closing bool
+	// admitUntil is when a shutdown stops waiting for further connections; set before closing.
+	admitUntil atomic.Pointer[time.Time]
 	// accepting is set while loop runs.
 	accepting atomic.Bool
 	// acceptCount counts the connections that were accepted.
@@ -104,8 +106,10 @@
 // Shutdown accepts the connections that callers have opened already, closes the listener, and waits until each request that
 // has begun to arrive is answered. It closes the other connections. Drain must have been called before.
 //
-// The error is that of ctx if it is done first; Shutdown may then be called again.
-func (l *Listener) Shutdown(ctx context.Context) error {
+// While callers go on opening connections, it accepts them until admitUntil and then closes the listener as soon as no
+// connection waits. The error is that of ctx if it is done first; Shutdown may then be called again.
+func (l *Listener) Shutdown(ctx context.Context, admitUntil time.Time) error {
+	l.admitUntil.Store(&admitUntil)
 	if d, ok := l.inner.(interface{ SetDeadline(time.Time) error }); ok {
 		// Accepting ends at the deadline. Closing the listener instead would reset the connections in its queue.
 		if err := d.SetDeadline(l.clock.Now().Add(acceptGrace)); err != nil && !errors.Is(err, net.ErrClosed) {
@@ -126,8 +130,10 @@
 }
 
 const (
-	// acceptGrace is how long a shutdown accepts connections from the queue of the listener.
+	// acceptGrace is how long a shutdown waits for another connection in the queue of the listener.
 	acceptGrace = 50 * time.Millisecond
+	// lateAcceptGrace replaces acceptGrace once the time for new connections is over.
+	lateAcceptGrace = time.Millisecond
 	// shutdownPoll is the interval at which a shutdown checks for open connections.
 	shutdownPoll = 5 * time.Millisecond
 )
@@ -212,10 +218,14 @@
 // before a shutdown takes it as empty. On a busy host the deadline of one may pass before it begins.
 const emptyAttempts = 4
 
-// extendAccept gives the listener another acceptGrace if err says that its deadline has passed, and reports whether it did.
+// extendAccept gives the listener some more time if err says that its deadline has passed, and reports whether it did.
 func (l *Listener) extendAccept(err error) bool {
+	now, grace := l.clock.Now(), acceptGrace
+	if !now.Before(*l.admitUntil.Load()) {
+		grace = lateAcceptGrace
+	}
 	d, ok := l.inner.(interface{ SetDeadline(time.Time) error })
-	return ok && errors.Is(err, os.ErrDeadlineExceeded) && d.SetDeadline(l.clock.Now().Add(acceptGrace)) == nil
+	return ok && errors.Is(err, os.ErrDeadlineExceeded) && d.SetDeadline(now.Add(grace)) == nil
 }
 
 // offer passes a virtual connection to Accept. It returns false if the listener is closed.
--- a/internal/demux/shutdown_test.go
+++ b/internal/demux/shutdown_test.go
@@ -105,7 +105,7 @@
 	go func() {
 		ctx, cancel := context.WithTimeout(context.Background(), limit)
 		defer cancel()
-		done <- l.Shutdown(ctx)
+		done <- l.Shutdown(ctx, time.Now().Add(250*time.Millisecond))
 	}()
 	return done
 }
