--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -8,6 +8,7 @@
 	"net/http/pprof"
 	"net/netip"
 	"os"
+	"sync/atomic"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -52,6 +53,8 @@
 	adminServer    *http.Server
 	// stopping is closed when calls that still wait are to be refused.
 	stopping chan struct{}
+	// admitUntil is when a stop ends the admission of calls; nil before the stop.
+	admitUntil atomic.Pointer[time.Time]
 	// errs receives the error of each server that fails; its buffer has room for one error of each server.
 	errs chan error
 }
@@ -88,7 +91,7 @@
 	handler := &proxy.Handler{
 		Rule: d.core.Rule, Bounds: d.core.Bounds, Configured: d.core.Configured, Headers: d.seams.Headers,
 		Service: d.core.Service, Send: upstreams.Send, Probe: upstreams.Probe, Claim: claimClient.Claim, CompleteClaim: claimClient.Complete,
-		Clock: d.clock, Log: d.log, Poison: d.core.Poison(), InFlight: d.inFlight, Name: o.Name, Incarnation: incarnation, MaxBodyBytes: o.MaxBodyBytes, Stopping: d.stopping,
+		Clock: d.clock, Log: d.log, Poison: d.core.Poison(), InFlight: d.inFlight, Admits: d.admits, Name: o.Name, Incarnation: incarnation, MaxBodyBytes: o.MaxBodyBytes, Stopping: d.stopping,
 	}
 	handler.SetMetrics(d.metrics)
 	d.metrics.NewGauge("balsamvale_store_reads_total", func() float64 { return float64(d.seams.StoreReads()) })
@@ -258,18 +261,21 @@
 //
 // The entry first reports that it is not ready, starts to hand over its shards, and closes each connection of a caller
 // after the last response due on it. New connections are still accepted during the shutdown delay, until the balancer in
-// front of the entry has noticed. Then the entry closes the listener and waits for the calls in flight. When the drain timeout
-// passes, it refuses the calls that have not been sent to an upstream. After that it waits for the end of the handover.
+// front of the entry has noticed. Then the entry closes the listener, refuses further calls on open connections, and waits for
+// the calls in flight. When the drain timeout passes, it refuses the calls that have not been sent to an upstream. After that
+// it waits for the end of the handover.
 func (d *Daemon) shutdown() error {
 	d.log.Info("stopping", zap.Int("calls", d.inFlight.Len()))
 	begin, connsBefore := d.clock.Now(), d.callerListener.Accepted()
 	d.inFlight.BeginStop(begin)
+	admitUntil := begin.Add(d.options.ShutdownDelay + admissionTime)
+	d.admitUntil.Store(&admitUntil)
 	d.core.Drain()
 	d.callerListener.Drain()
 	delay, stopTimer := d.clock.Timer(d.options.ShutdownDelay)
 	defer stopTimer()
 	<-delay
-	d.awaitCalls(begin)
+	d.awaitCalls(begin, admitUntil)
 	d.awaitHandover()
 	_ = d.peerServer.Close()
 	_ = d.adminServer.Close()
@@ -280,13 +286,12 @@
 }
 
 // awaitCalls closes the listener for callers and waits for the calls in flight, for at most the drain timeout if one is set.
-// The stop has begun at the given time.
-func (d *Daemon) awaitCalls(begin time.Time) {
+// The stop has begun at the given time, and takes no calls after admitUntil.
+func (d *Daemon) awaitCalls(begin, admitUntil time.Time) {
 	ctx, cancel := context.Background(), context.CancelFunc(func() {})
 	if d.options.DrainTimeout > 0 {
 		ctx, cancel = context.WithTimeout(ctx, max(0, d.options.DrainTimeout-refusalTime))
 	}
-	admitUntil := d.clock.Now().Add(admissionTime)
 	err := d.callerListener.Shutdown(ctx, admitUntil)
 	cancel()
 	if err == nil {
@@ -314,9 +319,16 @@
 	})
 }
 
-// admissionTime is how long after the shutdown delay new connections are still accepted while callers go on opening them.
+// admissionTime is how long after the shutdown delay calls are still served, on connections that callers have opened by then.
+// Later calls are refused as not run: the time left until the drain timeout may be too short for them.
 const admissionTime = 250 * time.Millisecond
 
+// admits reports whether calls that arrive now are served.
+func (d *Daemon) admits() bool {
+	until := d.admitUntil.Load()
+	return until == nil || d.clock.Now().Before(*until)
+}
+
 // refusalTime is the end of the drain timeout in which calls that still wait are refused.
 const refusalTime = 200 * time.Millisecond
 
--- a/internal/proxy/handler.go
+++ b/internal/proxy/handler.go
@@ -72,6 +72,8 @@
 	Incarnation uint64
 	// Stopping is closed when the entry stops and calls that still wait are to be refused; it may be nil.
 	Stopping <-chan struct{}
+	// Admits reports whether calls that arrive now are served; the others are refused, since the entry stops.
+	Admits func() bool
 	// MaxBodyBytes is the maximum size of a request body in bytes; Bounds may lower it.
 	MaxBodyBytes int64
 
@@ -114,6 +116,10 @@
 		h.refuseEarly(w, r, http.StatusNotImplemented, "upgrades and tunnels are not served")
 		return
 	}
+	if !h.Admits() {
+		h.refuseUnserved(w, r, reason.Stopping, "the entry stops")
+		return
+	}
 	if !h.Configured() {
 		h.refuseUnconfigured(w, r)
 		return
@@ -172,8 +178,13 @@
 
 // refuseUnconfigured refuses a call with status 503 because no configuration is in force for it yet.
 func (h *Handler) refuseUnconfigured(w http.ResponseWriter, r *http.Request) {
-	h.Headers.PrepareRefusal(w.Header(), &step.Step{Outcome: outcom.NotRun, Reason: reason.UnknownService}, tune.MinRetryAfter)
-	h.refuseEarly(w, r, http.StatusServiceUnavailable, "no configuration is in force yet")
+	h.refuseUnserved(w, r, reason.UnknownService, "no configuration is in force yet")
+}
+
+// refuseUnserved refuses a call with status 503 before it is looked at; another entry may serve it at once.
+func (h *Handler) refuseUnserved(w http.ResponseWriter, r *http.Request, why reason.Reason, text string) {
+	h.Headers.PrepareRefusal(w.Header(), &step.Step{Outcome: outcom.NotRun, Reason: why}, tune.MinRetryAfter)
+	h.refuseEarly(w, r, http.StatusServiceUnavailable, text)
 }
 
 // refuseEarly logs and refuses a request before a flow is started for it; text is the body of the response.
