--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -293,8 +293,8 @@
 	}
 }
 
-// publish puts a snapshot in force: it keeps the pools of known services, creates those of new ones, and installs the
-// configuration of the services that changed.
+// publish puts a snapshot in force: it keeps the pools of known services, creates those of new ones, closes those of services
+// that are gone, and installs the configuration of the services that changed.
 func (co *Core) publish(e effect.Effect) {
 	now := co.clock.Now()
 	old := co.view.Load()
@@ -311,6 +311,11 @@
 		}
 	}
 	co.view.Store(next)
+	for name, p := range old.pools {
+		if next.pools[name] == nil {
+			p.Close(now)
+		}
+	}
 	co.ready.Store(co.control.Ready())
 }
 
--- a/pkg/traffic/admit/limiter.go
+++ b/pkg/traffic/admit/limiter.go
@@ -129,6 +129,15 @@
 	return true
 }
 
+// Clear removes all waiting calls and returns their values.
+func (l *Limiter[T]) Clear() (values []T) {
+	for _, w := range l.queue {
+		values = append(values, w.value)
+	}
+	l.queue = nil
+	return values
+}
+
 // compare orders waiting calls: first those that can still meet their soft deadline, then by priority, then the newest, which
 // has the most time left.
 func compare(now time.Time, runTime time.Duration, a, b *call.Call) int {
--- a/pkg/traffic/flow/flow.go
+++ b/pkg/traffic/flow/flow.go
@@ -209,6 +209,7 @@
 // It refuses a call past its deadline, probes again after a backoff, or sends a hedge if the call allows one.
 func (f *Flow) TimerFired(now time.Time) step.Step {
 	if f.pastDeadline(now) {
+		f.leaveQueue()
 		return f.refuse(reason.Deadline)
 	}
 	if f.backingOff {
@@ -235,9 +236,7 @@
 // Cancel ends the call because its caller disconnected, and closes all open attempts.
 func (f *Flow) Cancel(now time.Time) step.Step {
 	f.mayHaveRun = f.mayHaveRun || f.inFlight > 0
-	if f.waiting {
-		f.waiting = !f.pool.CancelWait(f.call)
-	}
+	f.leaveQueue()
 	f.CloseOthers(now, -1)
 	return f.refuse(reason.CallerGone)
 }
@@ -247,11 +246,16 @@
 	if f.inFlight > 0 {
 		return step.Step{Stage: stage.Wait, TimerAt: f.timerAt}
 	}
+	f.leaveQueue()
+	f.CloseOthers(now, -1)
+	return f.refuse(reason.Stopping)
+}
+
+// leaveQueue ends the wait of the call in the pool; it still waits afterwards if a call of Wake is under way.
+func (f *Flow) leaveQueue() {
 	if f.waiting {
 		f.waiting = !f.pool.CancelWait(f.call)
 	}
-	f.CloseOthers(now, -1)
-	return f.refuse(reason.Stopping)
 }
 
 // Waiting reports whether the call is still queued in the pool or a call of Wake is still to come.
@@ -341,7 +345,7 @@
 		return f.probe(now)
 	case stage.Wait:
 		f.waiting = true
-		return step.Step{Stage: stage.Wait, Choice: ch, Reason: ch.Reason}
+		return step.Step{Stage: stage.Wait, TimerAt: f.call.Deadline, Choice: ch, Reason: ch.Reason}
 	default:
 		s := f.refuse(ch.Reason)
 		s.Choice = ch
--- a/pkg/traffic/pool/admission.go
+++ b/pkg/traffic/pool/admission.go
@@ -22,8 +22,8 @@
 	p.mu.Lock()
 	defer p.unlock()
 	now = p.advanceTime(now)
-	if p.config == nil {
-		return refusal(now, reason.UnknownService)
+	if r, refused := p.refuseAll(now); refused {
+		return r
 	}
 	if !p.usesAdmission() {
 		return choice.Choice{Stage: stage.Probe, At: now}
--- a/pkg/traffic/pool/pool.go
+++ b/pkg/traffic/pool/pool.go
@@ -44,8 +44,10 @@
 	// now is the latest time that a caller passed.
 	now time.Time
 	// resumedAt is the end of the last pause of this process; the latency of calls sent before it may include the pause.
-	resumedAt   time.Time
-	config      *svcfg.Config
+	resumedAt time.Time
+	config    *svcfg.Config
+	// closed is set once the service has left the configuration.
+	closed      bool
 	upstreams   []*upstreamState
 	byName      map[string]*upstreamState
 	groups      []group
@@ -184,8 +186,8 @@
 	p.mu.Lock()
 	defer p.unlock()
 	now = p.advanceTime(now)
-	if p.config == nil {
-		return refusal(now, reason.UnknownService)
+	if r, refused := p.refuseAll(now); refused {
+		return r
 	}
 	if len(tried) == 0 {
 		p.retryBudget.Deposit(p.config.Service.RetryPercent)
--- a/pkg/traffic/pool/pool_test.go
+++ b/pkg/traffic/pool/pool_test.go
@@ -234,3 +234,36 @@
 		})
 	}
 }
+
+// Nothing dispatches the pool of a service that has left the configuration.
+var _ = Describe("A closed pool", func() {
+	for _, tc := range []struct {
+		name   string
+		probes int
+	}{{"for an upstream", 0}, {"for admission", 1}} {
+		It("refuses the calls that wait "+tc.name+", and all that come later", func() {
+			cfg := newConfig(1)
+			cfg.Service.ProbesPerCall = tc.probes
+			p := newPool(cfg)
+			woken := make(chan choice.Choice, 1)
+			waiting := false
+			enter := func() choice.Choice {
+				if ch := p.Admit(start, newCall(), func(ch choice.Choice) { woken <- ch }); ch.Stage != stage.Probe {
+					return ch
+				}
+				return p.Pick(start, newCall(), nil, func(ch choice.Choice) { woken <- ch })
+			}
+			for range 1000 {
+				if waiting = enter().Stage == stage.Wait; waiting {
+					break
+				}
+			}
+			Expect(waiting).To(BeTrue())
+			p.Close(start)
+			Expect(woken).To(Receive(HaveField("Reason", reason.NoUpstream)))
+			ch := enter()
+			Expect(ch.Stage).To(Equal(stage.Refuse))
+			Expect(ch.Reason).To(Equal(reason.NoUpstream))
+		})
+	}
+})
--- a/pkg/traffic/pool/wait.go
+++ b/pkg/traffic/pool/wait.go
@@ -75,6 +75,32 @@
 	return p.limiter.Remove(c) || len(removed) > 0
 }
 
+// Close refuses the calls that wait, and all that come later, since the service has left the configuration.
+//
+// Nothing dispatches the calls of a pool that no configuration has.
+func (p *Pool) Close(now time.Time) {
+	p.mu.Lock()
+	defer p.unlock()
+	now = p.advanceTime(now)
+	p.closed = true
+	waiters := append(p.queue.Remove(func(time.Time, *waiter) bool { return true }), p.limiter.Clear()...)
+	for _, w := range waiters {
+		w.decision = refusal(now, reason.NoUpstream)
+	}
+	p.toWake = append(p.toWake, waiters...)
+}
+
+// refuseAll returns the refusal of each call before the first configuration of the service and after the last.
+func (p *Pool) refuseAll(now time.Time) (ch choice.Choice, refused bool) {
+	switch {
+	case p.config == nil:
+		return refusal(now, reason.UnknownService), true
+	case p.closed:
+		return refusal(now, reason.NoUpstream), true
+	}
+	return choice.Choice{}, false
+}
+
 // DispatchWaiting dispatches and admits the waiting calls for which there is room by now, and returns how many still wait.
 func (p *Pool) DispatchWaiting(now time.Time) int {
 	if !p.hasWaiting.Load() {
