--- a/internal/proxy/driver.go
+++ b/internal/proxy/driver.go
@@ -185,14 +185,18 @@
 	return s
 }
 
-// claimKey claims the idempotency key. A claim that took longer than half of tune.ClaimTTL counts as failed.
+// claimKey claims the idempotency key by the deadline of the call. A claim that took longer than half of tune.ClaimTTL counts
+// as failed.
 func (d *callDriver) claimKey() step.Step {
-	until := d.now().Add(unboundedClaimTTL)
+	ctx, until := d.r.Context(), d.now().Add(unboundedClaimTTL)
 	if !d.call.Deadline.IsZero() {
 		until = d.call.Deadline.Add(tune.ClaimTTL)
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithDeadline(ctx, d.call.Deadline)
+		defer cancel()
 	}
 	start := d.now()
-	claimed, a := d.handler.Claim(d.r.Context(), d.call.Service, d.call.Key, d.callID(), until)
+	claimed, a := d.handler.Claim(ctx, d.call.Service, d.call.Key, d.callID(), until)
 	d.savedResponse = a
 	d.claimed = claimed == dedup.Acquired
 	if claimed == dedup.Acquired && d.now().Sub(start) > tune.ClaimTTL/2 {
--- a/internal/proxy/holder_test.go
+++ b/internal/proxy/holder_test.go
@@ -54,6 +54,7 @@
 		{"for admission, in a pool that nobody dispatches", 1, "", func(*pool.Pool) {}, http.StatusServiceUnavailable, 2 * timeLeft},
 		{"for an upstream of a service that leaves the configuration", 0, "", func(p *pool.Pool) { p.Close(time.Now()) }, http.StatusServiceUnavailable, timeLeft},
 		{"for admission to a service that leaves the configuration", 1, "", func(p *pool.Pool) { p.Close(time.Now()) }, http.StatusServiceUnavailable, timeLeft},
+		{"for its claim, which is never decided", 0, "key-1", func(*pool.Pool) {}, http.StatusServiceUnavailable, 2 * timeLeft},
 	} {
 		It("is refused in time: "+tc.name, func() {
 			h, url := newHandler()
