--- a/pkg/control/config/config.go
+++ b/pkg/control/config/config.go
@@ -74,7 +74,13 @@
 	// lease expired during an outage of the store.
 	deferUntil time.Time
 	// deferred holds the deferred removals of upstreams, by store key.
-	deferred map[string]item.Item
+	deferred map[string]deferredRemoval
+}
+
+// deferredRemoval is a tombstone that is applied at a later time.
+type deferredRemoval struct {
+	tombstone item.Item
+	due       time.Time
 }
 
 // New returns an empty configuration for the entry named self in the failure domain homeDomain.
@@ -96,7 +102,7 @@
 		homeDomain:  homeDomain,
 		self:        self,
 		rulesByName: map[string]*rulrec.Rule{},
-		deferred:    map[string]item.Item{},
+		deferred:    map[string]deferredRemoval{},
 	}
 }
 
@@ -107,11 +113,20 @@
 // warmup is set, an upstream that operators list starts cold when it is new, has a new address, was draining, or is
 // part of a batch.
 func (c *Config) Apply(now time.Time, it item.Item, warmup bool) {
-	delete(c.deferred, it.Key)
-	if it.Tombstone && now.Before(c.deferUntil) && selfAnnounced(c.values[it.Key]) {
-		c.deferred[it.Key] = it
-		return
+	if it.Tombstone && selfAnnounced(c.values[it.Key]) {
+		if _, ok := c.deferred[it.Key]; !ok && now.Before(c.deferUntil) {
+			c.deferred[it.Key] = deferredRemoval{tombstone: it, due: c.deferUntil}
+		}
+		if _, ok := c.deferred[it.Key]; ok {
+			return
+		}
 	}
+	c.apply(now, it, warmup)
+}
+
+// apply is Apply for an item that is not deferred.
+func (c *Config) apply(now time.Time, it item.Item, warmup bool) {
+	delete(c.deferred, it.Key)
 	var v value.Value
 	if !it.Tombstone {
 		var err error
@@ -146,19 +161,20 @@
 	return v.Record != nil && v.Record.Upstream != nil && v.Record.Upstream.Incarnation != 0 && !v.Record.Upstream.Drain
 }
 
-// DeferRemovals defers the removal of upstreams that announce themselves and are not draining until a time.
+// DeferRemovals defers the removal of upstreams that announce themselves and are not draining until a time. Removals that are
+// deferred already stay due when they were.
 //
 // It is meant for the end of an outage of the store: the leases of running upstreams may have expired during the outage.
 func (c *Config) DeferRemovals(until time.Time) { c.deferUntil = until }
 
 // ApplyDeferred applies the deferred removals once their time has come, and returns the sorted store keys.
 func (c *Config) ApplyDeferred(now time.Time) []string {
-	if len(c.deferred) == 0 || now.Before(c.deferUntil) {
-		return nil
-	}
 	var removed []string
-	for key, it := range c.deferred {
-		c.Apply(now, it, true)
+	for key, d := range c.deferred {
+		if now.Before(d.due) {
+			continue
+		}
+		c.apply(now, d.tombstone, true)
 		removed = append(removed, key)
 	}
 	slices.Sort(removed)
--- a/pkg/control/config/config_test.go
+++ b/pkg/control/config/config_test.go
@@ -144,6 +144,14 @@
 			f.put(start.Add(1500*time.Millisecond), "u", upstream(0))
 			f.config.ApplyDeferred(start.Add(3 * time.Second))
 		}, true, false},
+		{"are removed when they were first due, although another outage defers removals", func(f *fixture) {
+			f.put(start, "u", upstream(0))
+			f.config.DeferRemovals(start.Add(2 * time.Second))
+			f.remove(start.Add(time.Second), "u")
+			f.config.DeferRemovals(start.Add(4 * time.Second))
+			f.remove(start.Add(1500*time.Millisecond), "u")
+			f.config.ApplyDeferred(start.Add(2 * time.Second))
+		}, false, false},
 		{"are cold when their failure domain is restored", func(f *fixture) {
 			f.put(start, "u", upstream(0))
 			f.put(start, "d", value.Value{Record: &record.Record{Domain: &domrec.Domain{Name: "zb", Drained: true}}})
--- a/pkg/control/contrl/control.go
+++ b/pkg/control/contrl/control.go
@@ -175,8 +175,10 @@
 	switch {
 	case c.watcher.Awaits(resp.ID):
 		if d, ok := c.watcher.HandleResponse(c.now, resp); ok {
-			if c.watcher.OutageEnded() {
-				c.config.DeferRemovals(c.now.Add(tune.ReannounceGrace))
+			if length, ended := c.watcher.OutageEnded(); ended {
+				if length >= tune.MinLapseOutage {
+					c.config.DeferRemovals(c.now.Add(tune.ReannounceGrace))
+				}
 				c.log(logmsg.Message{Type: msgtyp.DependencyRestored, Subject: "store", Reason: "a list or watch request succeeded again"})
 			}
 			c.applyDelta(d)
--- a/pkg/control/contrl/restart_test.go
+++ b/pkg/control/contrl/restart_test.go
@@ -33,6 +33,8 @@
 	now     time.Time
 	// listID is the ID of the pending list request; 0 without one.
 	listID uint64
+	// watchID is the ID of the pending watch request; 0 without one.
+	watchID uint64
 	// targets are the upstreams in force, in order; nil before any configuration is.
 	targets []string
 }
@@ -60,6 +62,8 @@
 		switch {
 		case e.Action == action.CallStore && e.Request.Op == kvop.List:
 			f.listID = e.Request.ID
+		case e.Action == action.CallStore && e.Request.Op == kvop.Watch:
+			f.watchID = e.Request.ID
 		case e.Action == action.PublishSnapshot && e.Snapshot.Services["s"] != nil:
 			f.targets = []string{}
 			for _, t := range e.Snapshot.Services["s"].Targets {
--- a/pkg/control/watch/outage_test.go
+++ b/pkg/control/watch/outage_test.go
@@ -40,7 +40,8 @@
 				}
 				r.ID = id
 				_, ok = w.HandleResponse(now, r)
-				return w.OutageEnded(), ok
+				_, ended = w.OutageEnded()
+				return ended, ok
 			}
 			ended, ok := respond(page)
 			Expect(ok).To(BeTrue())
--- a/pkg/control/watch/watcher.go
+++ b/pkg/control/watch/watcher.go
@@ -47,9 +47,10 @@
 	// failures counts the requests in a row whose outcome is unknown or whose response was out of date.
 	failures int
 	// interrupted is set from a failure until changes are returned again, and recovered if the last response returned the
-	// first changes after a failure.
+	// first changes after a failure. outage is then how long before it the replica was last known to match the store.
 	interrupted bool
 	recovered   bool
+	outage      time.Duration
 }
 
 // New returns a watcher whose first request is a list.
@@ -79,8 +80,10 @@
 // to apply: a watch without changes yields an empty delta; an incomplete list, a failed request and a compacted history
 // yield none.
 func (w *Watcher) HandleResponse(now time.Time, resp kvresp.Response) (delta.Delta, bool) {
+	lastFresh := w.freshAt
 	d, ok := w.handle(now, resp)
 	w.recovered = ok && w.interrupted
+	w.outage = now.Sub(lastFresh)
 	w.interrupted = w.interrupted && !ok
 	return d, ok
 }
@@ -153,8 +156,9 @@
 // Failing reports whether the last request has failed.
 func (w *Watcher) Failing() bool { return w.failures > 0 }
 
-// OutageEnded reports whether the last response returned the first changes after one or more failed requests.
-func (w *Watcher) OutageEnded() bool { return w.recovered }
+// OutageEnded reports whether the last response returned the first changes after one or more failed requests, and how long
+// the store had been out of touch.
+func (w *Watcher) OutageEnded() (length time.Duration, ended bool) { return w.outage, w.recovered }
 
 // FreshAt returns the latest time at which the replica is known to have matched the store: that of the last response.
 //
--- a/pkg/shared/tune/constants.go
+++ b/pkg/shared/tune/constants.go
@@ -215,6 +215,9 @@
 	// ReannounceGrace is the time after a store outage in which upstreams whose leases expired can announce themselves
 	// again.
 	ReannounceGrace = 2 * time.Second
+	// MinLapseOutage is the shortest outage of the store in which the lease of a running upstream may expire. Upstreams renew
+	// three times within the lifetime of a lease, which is 4.5 s on the platform, so two thirds are left at the least.
+	MinLapseOutage = 2500 * time.Millisecond
 	// MinProcessPause is the shortest gap in an entry's own activity that counts as a pause of the process.
 	MinProcessPause = 250 * time.Millisecond
 	// MaxMessageBytes is the largest message in bytes that is read from a peer or the store; a full list at the design size
