--- /dev/null
+++ b/internal/daemon/conns.go
@@ -0,0 +1,49 @@
+package daemon
+
+import (
+	"syscall"
+	"time"
+
+	"go.uber.org/zap"
+)
+
+const (
+	// connFilesShare is the part of the descriptors that callers' connections may take. The rest is for upstreams, the store,
+	// peers, admin requests and files.
+	connFilesShare = 0.75
+	// connMemory is what an open connection of a caller takes, in bytes: its buffers and goroutines.
+	connMemory = 40 << 10
+	// connMemoryShare is the part of the memory that callers' connections may take.
+	connMemoryShare = 0.75
+	// pressureLogInterval bounds how often a lack of room for connections is logged.
+	pressureLogInterval = time.Second
+)
+
+// maxCallerConns returns the number of callers' connections that fit the descriptors of the process (0 if only the system's
+// limit is known) and its memory limit in bytes (0 for none). It returns 0, which means no limit, if nothing is known.
+func maxCallerConns(files int, memory int64) int {
+	var r syscall.Rlimit
+	if err := syscall.Getrlimit(syscall.RLIMIT_NOFILE, &r); err == nil && (files == 0 || r.Cur < uint64(files)) {
+		files = int(min(r.Cur, maxFiles))
+	}
+	conns := int(connFilesShare * float64(files))
+	if memory > 0 {
+		if fit := int(connMemoryShare * float64(memory) / connMemory); conns == 0 || fit < conns {
+			conns = max(1, fit)
+		}
+	}
+	return conns
+}
+
+// maxFiles is the highest number of descriptors that is taken as a limit; above it, the system sets none.
+const maxFiles = 1 << 30
+
+// logPressure logs that there is no room for further connections: MaxConns are open, or Accept has failed.
+func (d *Daemon) logPressure(conns int, err error) {
+	now := d.clock.Now()
+	if now.Sub(d.pressureLogged) < pressureLogInterval {
+		return
+	}
+	d.pressureLogged = now
+	d.log.Warn("closing idle connections of callers to make room", zap.Int("conns", conns), zap.Int("limit", d.maxConns), zap.Error(err))
+}
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -53,6 +53,10 @@
 	adminServer    *http.Server
 	// stopping is closed when calls that still wait are to be refused.
 	stopping chan struct{}
+	// maxConns is the number of callers' connections from which on idle ones are closed to make room.
+	maxConns int
+	// pressureLogged is when a lack of room for connections was last logged; only the goroutine that accepts them uses it.
+	pressureLogged time.Time
 	// admitUntil is when a stop ends the admission of calls; nil before the stop.
 	admitUntil atomic.Pointer[time.Time]
 	// errs receives the error of each server that fails; its buffer has room for one error of each server.
@@ -84,6 +88,7 @@
 // initCallerServer builds the server for callers' requests and registers the metrics of the entry.
 func (d *Daemon) initCallerServer(incarnation uint64) {
 	o := d.options
+	d.maxConns = maxCallerConns(o.MaxFiles, o.MemoryLimitBytes)
 	claimClient := claims.New(d.clock, fmt.Sprintf("%s.%d", o.Name, incarnation))
 	claimClient.Get, claimClient.CompareAndSwap, claimClient.Entries = d.seams.Get, d.seams.CompareAndSwap, d.core.Entries
 	upstreams := sender.New(d.clock, d.seams.Headers)
@@ -104,6 +109,7 @@
 		return age.Seconds()
 	})
 	d.metrics.NewGauge("balsamvale_configuration_revision", func() float64 { return float64(d.core.Revision()) })
+	d.metrics.NewGauge("balsamvale_caller_connections_limit", func() float64 { return float64(d.maxConns) })
 	d.metrics.NewGauge("balsamvale_calls_in_flight", func() float64 { return float64(d.inFlight.Len()) })
 	d.metrics.NewGauge(`balsamvale_calls_since_stop{opened="before"}`, func() float64 { onOld, _ := d.inFlight.SinceStop(); return float64(onOld) })
 	d.metrics.NewGauge(`balsamvale_calls_since_stop{opened="after"}`, func() float64 { _, onNew := d.inFlight.SinceStop(); return float64(onNew) })
@@ -192,6 +198,10 @@
 	}
 	d.callerListener = demux.New(ln, d.clock)
 	d.callerListener.Bounds = d.core.Bounds
+	d.callerListener.MaxConns = d.maxConns
+	d.callerListener.OnPressure = d.logPressure
+	conns := d.callerListener.Conns
+	d.metrics.NewGauge("balsamvale_caller_connections", func() float64 { return float64(conns()) })
 	go (&serverRunner{func() error { return d.callerListener.Serve(d.callerServer) }, d.errs}).run()
 	return nil
 }
--- a/internal/demux/conn.go
+++ b/internal/demux/conn.go
@@ -32,6 +32,8 @@
 	responseSeq uint64
 	// waiting is set while loop waits for the first byte of a request.
 	waiting bool
+	// idleFrom is when the last response was complete, or the connection was accepted.
+	idleFrom time.Time
 	// listenerClosed is set once the listener accepts no further virtual connections.
 	listenerClosed bool
 	// passthrough is set once the virtual connection of the latest request gets all bytes that are still to come.
@@ -50,6 +52,7 @@
 
 func newConn(l *Listener, raw net.Conn) *conn {
 	c := &conn{listener: l, raw: raw, opened: l.clock.Now(), reader: bufio.NewReaderSize(raw, readBufferSize)}
+	c.idleFrom = c.opened
 	c.changed = sync.NewCond(&c.mu)
 	return c
 }
@@ -152,8 +155,8 @@
 	return c.raw.SetReadDeadline(c.deadlineAfter(read))
 }
 
-// beginClosing interrupts the wait for a request if none is pending. The listener must be closing.
-func (c *conn) beginClosing() {
+// closeIfIdle closes the connection if no request is pending and none has arrived.
+func (c *conn) closeIfIdle() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.interruptIdle()
@@ -166,6 +169,13 @@
 	return c.passthrough
 }
 
+// idleSince returns since when the connection has been idle, and whether it is.
+func (c *conn) idleSince() (since time.Time, idle bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.idleFrom, c.waiting && c.responseSeq == c.nextSeq
+}
+
 // interruptIdle interrupts the wait for a request if none is pending. The caller of the method must hold mu.
 func (c *conn) interruptIdle() {
 	if c.waiting && c.responseSeq == c.nextSeq {
@@ -300,7 +310,7 @@
 //
 // If the server has not read the whole request, it would read the rest as another request, so the connection closes.
 func (c *conn) responseDone(vc *virtualConn) {
-	closing := c.listener.isClosing()
+	closing, now := c.listener.isClosing(), c.listener.clock.Now()
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if !vc.busy || c.passthrough && vc.seq+1 == c.nextSeq {
@@ -312,6 +322,7 @@
 	}
 	vc.busy = false
 	c.responseSeq++
+	c.idleFrom = now
 	if closing {
 		c.interruptIdle()
 	}
--- a/internal/demux/listener.go
+++ b/internal/demux/listener.go
@@ -30,6 +30,11 @@
 type Listener struct {
 	// Bounds returns the time limits for reading requests, or nil if only the server's own limits apply.
 	Bounds func() *bounds.Bounds
+	// MaxConns is the number of connections from which on the longest idle ones close to make room for others; 0 for no limit.
+	// Without an idle one, further connections wait in the queue of the listener.
+	MaxConns int
+	// OnPressure is called before room is made, with the number of open connections and the error of Accept, if it was one.
+	OnPressure func(conns int, err error)
 
 	inner net.Listener
 	clock clock.Clock
@@ -58,8 +63,9 @@
 // New returns a Listener that splits the connections accepted by inner. Read deadlines are computed from the time of c.
 func New(inner net.Listener, c clock.Clock) *Listener {
 	return &Listener{
-		Bounds: func() *bounds.Bounds { return nil },
-		inner:  inner, clock: c, accepted: make(chan *virtualConn), done: make(chan struct{}),
+		Bounds:     func() *bounds.Bounds { return nil },
+		OnPressure: func(int, error) {},
+		inner:      inner, clock: c, accepted: make(chan *virtualConn), done: make(chan struct{}),
 		conns: map[*conn]struct{}{},
 	}
 }
@@ -144,7 +150,7 @@
 	l.closing = true
 	l.mu.Unlock()
 	for _, c := range l.open() {
-		c.beginClosing()
+		c.closeIfIdle()
 	}
 }
 
@@ -188,7 +194,13 @@
 	defer l.accepting.Store(false)
 	empty := 0
 	for {
+		l.awaitRoom()
 		raw, err := l.inner.Accept()
+		if isTemporary(err) {
+			l.makeRoom(err)
+			l.wait(roomPoll)
+			continue
+		}
 		if err != nil && l.isClosing() {
 			// A call that begins after its deadline fails without a look at the queue.
 			if empty++; empty < emptyAttempts && l.extendAccept(err) {
--- a/internal/option/options.go
+++ b/internal/option/options.go
@@ -50,6 +50,8 @@
 	HandoverTimeout time.Duration
 	// MemoryLimitBytes is the soft memory limit of the Go runtime in bytes; 0 for none.
 	MemoryLimitBytes int64
+	// MaxFiles is the number of descriptors that the process may have; 0 if only the system's limit is known.
+	MaxFiles int
 }
 
 // Load reads and checks a settings file; errors match ErrFile or tomlpb.ErrInvalid.
