--- /dev/null
+++ b/internal/demux/linger_test.go
@@ -0,0 +1,119 @@
+package demux_test
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/balsamvale/balsamvale/internal/demux"
+	"github.com/balsamvale/balsamvale/pkg/records/bounds"
+	"github.com/balsamvale/balsamvale/pkg/shared/clock"
+)
+
+// sizedServer serves responses with a body of size bytes; begun counts the requests that it has begun.
+type sizedServer struct {
+	listener *demux.Listener
+	addr     string
+	size     int
+	begun    atomic.Int64
+}
+
+func startSized(size int) *sizedServer {
+	on, err := net.Listen("tcp", "127.0.0.1:0")
+	Expect(err).NotTo(HaveOccurred())
+	s := &sizedServer{listener: demux.New(on, clock.Wall()), addr: on.Addr().String(), size: size}
+	s.listener.Bounds = func() *bounds.Bounds { return &bounds.Bounds{ReadHeaderTimeout: time.Second, IdleTimeout: time.Minute} }
+	server := &http.Server{Handler: s}
+	go func() { _ = s.listener.Serve(server) }()
+	DeferCleanup(server.Close)
+	return s
+}
+
+func (s *sizedServer) ServeHTTP(w http.ResponseWriter, _ *http.Request) {
+	s.begun.Add(1)
+	_, _ = io.WriteString(w, strings.Repeat("x", s.size))
+}
+
+// A connection that closes while requests of its caller arrive is reset. The reset discards what the caller has not received of
+// the last response.
+var _ = Describe("A planned stop closes a connection on which further requests arrive", func() {
+	for _, tc := range []struct {
+		name string
+		// size is the length of the response in bytes.
+		size int
+		// behind is the number of requests that are sent behind the last one while its response is on the way.
+		behind int
+	}{
+		{"none behind a response of 1 MB", 1 << 20, 0},
+		{"some behind a response of 1 kB", 1 << 10, 10},
+		{"some behind a response of 1 MB", 1 << 20, 10},
+	} {
+		It("after the caller has received the last response in full: "+tc.name, func() {
+			s := startSized(tc.size)
+			c := dial(s.addr)
+			Expect(c.exchange(get("/a"))).To(Equal(http.StatusOK))
+			s.listener.Drain()
+			_, err := io.WriteString(c, get("/a"))
+			Expect(err).NotTo(HaveOccurred())
+			for range tc.behind {
+				time.Sleep(requestGap)
+				if _, err := io.WriteString(c, get("/a")); err != nil {
+					break
+				}
+			}
+			Expect(c.receive()).To(Equal(http.StatusOK))
+			Expect(s.begun.Load()).To(Equal(int64(2)))
+		})
+	}
+})
+
+// A request that has begun to run must not be cut because the one behind it does not arrive in full.
+var _ = Describe("A request whose successor on the connection is incomplete", func() {
+	for _, tc := range []struct {
+		name string
+		// stops is set if a planned stop begins while the request runs.
+		stops bool
+		// behind is what follows the request.
+		behind string
+	}{
+		{"without one", false, ""},
+		{"half a head", false, "GET /a HT"},
+		{"half a head, during a planned stop", true, "GET /a HT"},
+	} {
+		It("is answered: "+tc.name, func() {
+			const work, readTimeout = 400 * time.Millisecond, 100 * time.Millisecond
+			on, err := net.Listen("tcp", "127.0.0.1:0")
+			Expect(err).NotTo(HaveOccurred())
+			canceled := make(chan error, 1)
+			server := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+				select {
+				case <-time.After(work):
+				case <-r.Context().Done():
+					canceled <- context.Cause(r.Context())
+					panic(http.ErrAbortHandler)
+				}
+				_, _ = io.WriteString(w, "ok")
+			})}
+			l := demux.New(on, clock.Wall())
+			l.Bounds = func() *bounds.Bounds { return &bounds.Bounds{ReadHeaderTimeout: readTimeout, IdleTimeout: time.Minute} }
+			go func() { _ = l.Serve(server) }()
+			DeferCleanup(server.Close)
+			c := dial(on.Addr().String())
+			_, err = io.WriteString(c, get("/a")+tc.behind)
+			Expect(err).NotTo(HaveOccurred())
+			time.Sleep(50 * time.Millisecond)
+			if tc.stops {
+				shutdown(l, 3*time.Second)
+			}
+			Expect(c.receive()).To(Equal(http.StatusOK))
+			Expect(canceled).NotTo(Receive())
+		})
+	}
+})
