--- a/internal/demux/linger_test.go
+++ b/internal/demux/linger_test.go
@@ -41,6 +41,9 @@
 	_, _ = io.WriteString(w, strings.Repeat("x", s.size))
 }
 
+// smallReadBuffer is the size of the read buffer of a caller in bytes.
+const smallReadBuffer = 16 << 10
+
 // A connection that closes while requests of its caller arrive is reset. The reset discards what the caller has not received of
 // the last response.
 var _ = Describe("A planned stop closes a connection on which further requests arrive", func() {
@@ -58,6 +61,8 @@
 		It("after the caller has received the last response in full: "+tc.name, func() {
 			s := startSized(tc.size)
 			c := dial(s.addr)
+			// Most of a long response is still in the buffer of the sender when the connection closes.
+			Expect(c.Conn.(*net.TCPConn).SetReadBuffer(smallReadBuffer)).To(Succeed())
 			Expect(c.exchange(get("/a"))).To(Equal(http.StatusOK))
 			s.listener.Drain()
 			_, err := io.WriteString(c, get("/a"))
