--- a/internal/demux/conn.go
+++ b/internal/demux/conn.go
@@ -44,7 +44,10 @@
 	// closes as soon as the turn of that request, abortedSeq, comes.
 	aborted    bool
 	abortedSeq uint64
-	closed     bool
+	// closed is set once nothing more is written to the caller. loopEnded is set once nothing more is read from it. When both are
+	// set, the connection is closed.
+	closed    bool
+	loopEnded bool
 }
 
 // readBufferSize is the size of the read buffer of a connection in bytes.
@@ -77,23 +80,50 @@
 
 // loop passes the requests to the server, one by one as they are read, until the caller closes the connection or it ends.
 func (c *conn) loop() {
+	if c.passRequests() {
+		// Reading on detects that the caller has closed the connection, and keeps unread data from turning the close into a reset.
+		_, _ = io.Copy(io.Discard, c.reader)
+	}
+	c.closeInputs()
+	c.endLoop()
+}
+
+// passRequests passes the requests to the server until no further one is accepted. It returns false if the connection has ended
+// or been idle for too long.
+func (c *conn) passRequests() (readOn bool) {
 	for {
 		h, err := c.nextHead()
 		if err != nil {
-			break
+			return c.isClosed()
 		}
 		vc, last := c.acquire(h)
-		if vc != nil && c.forward(vc, h) != nil {
-			break
-		}
-		if last {
-			// Reading on detects that the caller has closed the connection, and keeps unread data from turning the close into
-			// a reset.
-			_, _ = io.Copy(io.Discard, c.reader)
-			break
+		if vc != nil && c.forward(vc, h) != nil || last {
+			return true
 		}
 	}
-	c.closeInputs()
+}
+
+// isClosed reports whether nothing more is written to the caller.
+func (c *conn) isClosed() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.closed
+}
+
+// endLoop closes the connection if nothing more is written to it.
+func (c *conn) endLoop() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.loopEnded = true
+	if c.closed {
+		c.release()
+	}
+}
+
+// release closes the connection. The caller of the method must hold mu.
+func (c *conn) release() {
+	_ = c.raw.Close()
+	c.listener.remove(c)
 }
 
 // nextHead reads the head of the next request. Before the first byte, the idle timeout applies while no request is
@@ -129,7 +159,17 @@
 	if err != nil {
 		return nil, err
 	}
-	return h, c.raw.SetReadDeadline(time.Time{})
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return h, c.setReadDeadline(time.Time{})
+}
+
+// setReadDeadline sets the deadline for reads, unless that of a close is set already. The caller of the method must hold mu.
+func (c *conn) setReadDeadline(t time.Time) error {
+	if c.closed {
+		return nil
+	}
+	return c.raw.SetReadDeadline(t)
 }
 
 // lastReadTime is how long an idle connection is read during a shutdown, for a request that has arrived already.
@@ -140,11 +180,14 @@
 	closing := c.listener.isClosing()
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if c.closed {
+		return false, net.ErrClosed
+	}
 	c.waiting = true
 	if final = closing && c.responseSeq == c.nextSeq; final {
 		idle = lastReadTime
 	}
-	return final, c.raw.SetReadDeadline(c.deadlineAfter(idle))
+	return final, c.setReadDeadline(c.deadlineAfter(idle))
 }
 
 // endWait sets the deadline for the rest of a head, which no shutdown interrupts.
@@ -152,7 +195,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.waiting = false
-	return c.raw.SetReadDeadline(c.deadlineAfter(read))
+	return c.setReadDeadline(c.deadlineAfter(read))
 }
 
 // closeIfIdle closes the connection if no request is pending and none has arrived.
@@ -180,7 +223,7 @@
 func (c *conn) interruptIdle() {
 	if c.waiting && c.responseSeq == c.nextSeq {
 		// If this fails, the connection is closed, which ends the wait too.
-		_ = c.raw.SetReadDeadline(c.listener.clock.Now())
+		_ = c.setReadDeadline(c.listener.clock.Now())
 	}
 }
 
@@ -373,18 +416,27 @@
 	}
 }
 
-// closeCaller closes the connection of the caller and the inputs of all virtual connections.
+// lingerTime is how long a connection that has ended is read on, until the caller closes it.
+const lingerTime = 500 * time.Millisecond
+
+// closeCaller ends the connection of the caller and closes the inputs of all virtual connections. The caller of the method must
+// hold mu.
+//
+// Data that arrives after a close makes the kernel reset the connection, and the reset discards what the caller has not yet
+// received of the last response. So only the sending side is shut down as long as loop reads.
 func (c *conn) closeCaller() {
 	if c.closed {
 		return
 	}
 	c.closed = true
-	_ = c.raw.Close()
-	c.listener.remove(c)
 	for _, vc := range c.virtualConns {
 		_ = vc.input.Close()
 	}
 	c.changed.Broadcast()
+	closer, ok := c.raw.(interface{ CloseWrite() error })
+	if c.loopEnded || !ok || closer.CloseWrite() != nil || c.raw.SetReadDeadline(c.deadlineAfter(lingerTime)) != nil {
+		c.release()
+	}
 }
 
 // closeInputs signals to the server that the caller sends nothing more. The server then closes the virtual connections, and
