--- a/internal/demux/conn.go
+++ b/internal/demux/conn.go
@@ -93,6 +93,9 @@
 func (c *conn) passRequests() (readOn bool) {
 	for {
 		h, err := c.nextHead()
+		if errors.Is(err, os.ErrDeadlineExceeded) {
+			return c.stop()
+		}
 		if err != nil {
 			return c.isClosed()
 		}
@@ -103,6 +106,19 @@
 	}
 }
 
+// stop accepts no further requests, and reports whether any are pending. The connection then ends after the last of them.
+func (c *conn) stop() (pending bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.stopped = true
+	if c.responseSeq == c.nextSeq {
+		return c.closed
+	}
+	// If this fails, the connection has ended.
+	_ = c.setReadDeadline(time.Time{})
+	return true
+}
+
 // isClosed reports whether nothing more is written to the caller.
 func (c *conn) isClosed() bool {
 	c.mu.Lock()
@@ -369,22 +385,25 @@
 	if closing {
 		c.interruptIdle()
 	}
+	if c.stopped && c.responseSeq == c.nextSeq {
+		c.closeCaller()
+	}
 	if c.aborted && c.responseSeq == c.abortedSeq {
 		c.closeCaller()
 	}
 	c.changed.Broadcast()
 }
 
-// stopIfLast reports whether request seq is the latest that was accepted; if so, no further request is, and one that waits
-// in acquire is dropped.
-func (c *conn) stopIfLast(seq uint64) bool {
+// isLast reports whether no request is accepted after request seq. During a drain, the latest that was accepted is the last, and
+// one that waits in acquire is dropped.
+func (c *conn) isLast(seq uint64) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if seq+1 != c.nextSeq {
 		return false
 	}
-	c.stopped = true
-	return true
+	c.stopped = c.stopped || c.listener.draining.Load()
+	return c.stopped
 }
 
 // virtualClosed removes a virtual connection that the server has closed. If that one held a request, the connection of the
--- a/internal/demux/listener.go
+++ b/internal/demux/listener.go
@@ -84,7 +84,7 @@
 	l.server = s
 	next := s.Handler
 	s.Handler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		next.ServeHTTP(&writer{ResponseWriter: w, listener: l, ctx: r.Context()}, r)
+		next.ServeHTTP(&writer{ResponseWriter: w, ctx: r.Context()}, r)
 	})
 	l.accepting.Store(true)
 	go l.loop()
--- a/internal/demux/virtual.go
+++ b/internal/demux/virtual.go
@@ -47,8 +47,8 @@
 // release lets the next response be written and makes vc available for another request.
 func (vc *virtualConn) release() { vc.conn.responseDone(vc) }
 
-// stopIfLast reports whether no request was accepted after the one that vc holds; if so, none will be.
-func (vc *virtualConn) stopIfLast() bool { return vc.conn.stopIfLast(vc.seq) }
+// isLast reports whether no request is accepted after the one that vc holds.
+func (vc *virtualConn) isLast() bool { return vc.conn.isLast(vc.seq) }
 
 // Close closes the virtual connection. It also ends the connection of the caller if vc holds a request or no other virtual
 // connection is left.
--- a/internal/demux/writer.go
+++ b/internal/demux/writer.go
@@ -5,20 +5,19 @@
 	"net/http"
 )
 
-// writer adds "Connection: close" to the last response on a draining connection. Which response is the last is known only
-// when its header is written.
+// writer adds "Connection: close" to the last response on a connection. Which response is the last is known only when its header
+// is written.
 type writer struct {
 	http.ResponseWriter
-	listener    *Listener
 	ctx         context.Context
 	wroteHeader bool
 }
 
-// WriteHeader writes the header; during a drain it adds "Connection: close" if this is the last response.
+// WriteHeader writes the header; it adds "Connection: close" if this is the last response.
 func (w *writer) WriteHeader(status int) {
 	if status >= http.StatusOK && !w.wroteHeader {
 		w.wroteHeader = true
-		if vc, ok := w.ctx.Value(virtualConnKey{}).(*virtualConn); ok && w.listener.draining.Load() && vc.stopIfLast() {
+		if vc, ok := w.ctx.Value(virtualConnKey{}).(*virtualConn); ok && vc.isLast() {
 			w.Header().Set("Connection", "close")
 		}
 	}
