--- a/internal/demux/conn.go
+++ b/internal/demux/conn.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"cmp"
 	"errors"
 	"io"
 	"net"
@@ -119,6 +120,13 @@
 	return true
 }
 
+// hasNoRequest reports whether a virtual connection is idle and gets its next request from loop.
+func (c *conn) hasNoRequest(vc *virtualConn) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return !vc.busy && !c.passthrough
+}
+
 // isClosed reports whether nothing more is written to the caller.
 func (c *conn) isClosed() bool {
 	c.mu.Lock()
@@ -243,14 +251,14 @@
 	}
 }
 
-// timeouts returns how long the head of a request may take and how long the connection may be idle; 0 means that this
-// package sets no limit.
+// timeouts returns how long the head of a request may take and how long the connection may be idle: those of Bounds, or else of
+// the server. 0 means no limit.
 func (c *conn) timeouts() (read, idle time.Duration) {
-	b := c.listener.Bounds()
-	if b == nil {
-		return 0, 0
+	s := c.listener.server
+	if b := c.listener.Bounds(); b != nil {
+		read, idle = b.ReadHeaderTimeout, b.IdleTimeout
 	}
-	return b.ReadHeaderTimeout, b.IdleTimeout
+	return cmp.Or(read, s.ReadHeaderTimeout), cmp.Or(idle, s.IdleTimeout)
 }
 
 // deadlineAfter returns the time d from now, or the zero time, which means no deadline, if d is 0.
--- a/internal/demux/virtual.go
+++ b/internal/demux/virtual.go
@@ -68,6 +68,16 @@
 	return closer.CloseWrite()
 }
 
+// SetReadDeadline sets the deadline for reads of the request. Without a request there is none: the server would close a virtual
+// connection that is idle in the moment in which it gets a request, and cut those on the others. The listener itself ends
+// connections that are idle.
+func (vc *virtualConn) SetReadDeadline(t time.Time) error {
+	if vc.conn.hasNoRequest(vc) {
+		t = time.Time{}
+	}
+	return vc.Conn.SetReadDeadline(t)
+}
+
 // LocalAddr returns the local address of the connection of the caller.
 func (vc *virtualConn) LocalAddr() net.Addr { return vc.conn.raw.LocalAddr() }
 
