--- a/internal/demux/listener.go
+++ b/internal/demux/listener.go
@@ -113,7 +113,7 @@
 // has begun to arrive is answered. It closes the other connections. Drain must have been called before.
 //
 // While callers go on opening connections, it accepts them until admitUntil and then closes the listener as soon as no
-// connection waits. The error is that of ctx if it is done first; Shutdown may then be called again.
+// connection waits, or after maxLateAccepts more. The error is that of ctx if it is done first; Shutdown may then be called again.
 func (l *Listener) Shutdown(ctx context.Context, admitUntil time.Time) error {
 	l.admitUntil.Store(&admitUntil)
 	if d, ok := l.inner.(interface{ SetDeadline(time.Time) error }); ok {
@@ -192,7 +192,7 @@
 // open for the server, which otherwise would end.
 func (l *Listener) loop() {
 	defer l.accepting.Store(false)
-	empty := 0
+	empty, late := 0, 0
 	for {
 		l.awaitRoom()
 		raw, err := l.inner.Accept()
@@ -209,6 +209,9 @@
 			_ = l.inner.Close()
 			return
 		}
+		if err == nil && l.isLate() {
+			late++
+		}
 		if err != nil {
 			_ = l.Close()
 			return
@@ -223,21 +226,35 @@
 			return
 		}
 		go c.loop()
+		if late >= maxLateAccepts {
+			_ = l.inner.Close()
+			return
+		}
 	}
 }
 
+// maxLateAccepts is how many connections a shutdown accepts after the time for new ones is over, while callers connect again as
+// soon as they are refused. It is a usual length of the queue of a listener, which is thereby looked through.
+const maxLateAccepts = 1024
+
+// isLate reports whether a shutdown has begun and the time for new connections is over.
+func (l *Listener) isLate() bool {
+	until := l.admitUntil.Load()
+	return until != nil && !l.clock.Now().Before(*until)
+}
+
 // emptyAttempts is the number of attempts in a row that must find no connection in the queue, or no data on a connection,
 // before a shutdown takes it as empty. On a busy host the deadline of one may pass before it begins.
 const emptyAttempts = 4
 
 // extendAccept gives the listener some more time if err says that its deadline has passed, and reports whether it did.
 func (l *Listener) extendAccept(err error) bool {
-	now, grace := l.clock.Now(), acceptGrace
-	if !now.Before(*l.admitUntil.Load()) {
+	grace := acceptGrace
+	if l.isLate() {
 		grace = lateAcceptGrace
 	}
 	d, ok := l.inner.(interface{ SetDeadline(time.Time) error })
-	return ok && errors.Is(err, os.ErrDeadlineExceeded) && d.SetDeadline(now.Add(grace)) == nil
+	return ok && errors.Is(err, os.ErrDeadlineExceeded) && d.SetDeadline(l.clock.Now().Add(grace)) == nil
 }
 
 // offer passes a virtual connection to Accept. It returns false if the listener is closed.
