--- a/internal/daemon/daemon_test.go
+++ b/internal/daemon/daemon_test.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"io"
-	"net"
 	"net/http"
 	"net/http/httptest"
 	"net/netip"
@@ -25,6 +24,7 @@
 	"github.com/balsamvale/balsamvale/internal/kvsim"
 	"github.com/balsamvale/balsamvale/internal/logs"
 	"github.com/balsamvale/balsamvale/internal/option"
+	"github.com/balsamvale/balsamvale/internal/ports"
 	"github.com/balsamvale/balsamvale/internal/store"
 	"github.com/balsamvale/balsamvale/internal/wire"
 	"github.com/balsamvale/balsamvale/pkg/control/keys"
@@ -39,10 +39,9 @@
 
 // freeAddr returns a local address with a port that was free a moment ago.
 func freeAddr() netip.AddrPort {
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	addr, err := ports.Free()
 	Expect(err).NotTo(HaveOccurred())
-	defer func() { _ = ln.Close() }()
-	return netip.MustParseAddrPort(ln.Addr().String())
+	return addr
 }
 
 // daemonRunner runs a daemon and sends its result to done; its run method is a goroutine.
@@ -97,6 +96,8 @@
 	r := &daemonRunner{daemon.New(o, clock.Wall(), log, 1, store.New(&http.Client{}, o.Store).Seams()), ctx, make(chan error, 1)}
 	go r.run()
 	ready := func() int {
+		// An entry that has ended, for example since another program has taken a port, will never be ready.
+		Expect(r.done).NotTo(Receive(), "the result of the entry before it was ready")
 		res, err := http.Get("http://" + o.Admin.String() + "/ready")
 		if err != nil {
 			return 0
--- /dev/null
+++ b/internal/ports/doc.go
@@ -0,0 +1,2 @@
+// Package ports finds free ports on loopback for tests that bind an address later.
+package ports
