--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -272,7 +272,7 @@
 // The entry first reports that it is not ready, starts to hand over its shards, and closes each connection of a caller
 // after the last response due on it. New connections are still accepted during the shutdown delay, until the balancer in
 // front of the entry has noticed. Then the entry closes the listener, refuses further calls on open connections, and waits for
-// the calls in flight. When the drain timeout passes, it refuses the calls that have not been sent to an upstream. After that
+// the calls in flight. Late in the drain timeout, it refuses the calls that have not been sent to an upstream. After that
 // it waits for the end of the handover.
 func (d *Daemon) shutdown() error {
 	d.log.Info("stopping", zap.Int("calls", d.inFlight.Len()))
@@ -299,8 +299,9 @@
 // The stop has begun at the given time, and takes no calls after admitUntil.
 func (d *Daemon) awaitCalls(begin, admitUntil time.Time) {
 	ctx, cancel := context.Background(), context.CancelFunc(func() {})
+	refusalTime := d.options.DrainTimeout / refusalPart
 	if d.options.DrainTimeout > 0 {
-		ctx, cancel = context.WithTimeout(ctx, max(0, d.options.DrainTimeout-refusalTime))
+		ctx, cancel = context.WithTimeout(ctx, d.options.DrainTimeout-refusalTime)
 	}
 	err := d.callerListener.Shutdown(ctx, admitUntil)
 	cancel()
@@ -339,8 +340,9 @@
 	return until == nil || d.clock.Now().Before(*until)
 }
 
-// refusalTime is the end of the drain timeout in which calls that still wait are refused.
-const refusalTime = 200 * time.Millisecond
+// refusalPart is the part of the drain timeout, at its end, in which no attempt begins: calls that still wait are refused. The
+// attempts that have begun by then need the time.
+const refusalPart = 3
 
 // awaitHandover waits until this entry has released its shards to other entries, for at most the handover timeout.
 //
--- a/internal/proxy/handler.go
+++ b/internal/proxy/handler.go
@@ -148,6 +148,11 @@
 		d.refuseBadBody(err)
 		return
 	}
+	if h.isStopping() {
+		d.closeUnlessBodyRead()
+		h.refuseUnserved(w, r, reason.Stopping, "the entry stops")
+		return
+	}
 	d.call = h.newCall(r, m, d.body, d.buffered, arrived)
 	d.call.Deadline = limit
 	d.flow = flow.New(d.call, m.pool, h.Poison)
@@ -156,6 +161,16 @@
 	d.serve()
 }
 
+// isStopping reports whether calls that have not been sent to an upstream are to be refused.
+func (h *Handler) isStopping() bool {
+	select {
+	case <-h.Stopping:
+		return true
+	default:
+		return false
+	}
+}
+
 // headerSize returns the size of the head of a request in bytes, as written without optional white space.
 func headerSize(r *http.Request) int {
 	const fieldOverhead, lineOverhead = len(": \r\n"), len("  HTTP/1.1\r\n")
--- a/pkg/traffic/flow/flow.go
+++ b/pkg/traffic/flow/flow.go
@@ -47,6 +47,8 @@
 	probed []string
 	// probeRounds counts the rounds of probes that have ended.
 	probeRounds int
+	// stopping is set once the entry stops and no attempt may begin.
+	stopping bool
 	// backingOff is set while the call waits, outside the queue, before it probes again.
 	backingOff bool
 	// possibleRuns counts the attempts that an upstream may have run.
@@ -216,7 +218,7 @@
 		f.backingOff = false
 		return f.probe(now)
 	}
-	if f.inFlight == 0 || f.hedged || !f.call.Idempotent || !f.call.Buffered || len(f.attempts) >= tune.MaxAttempts {
+	if f.stopping || f.inFlight == 0 || f.hedged || !f.call.Idempotent || !f.call.Buffered || len(f.attempts) >= tune.MaxAttempts {
 		return f.wait()
 	}
 	f.hedged = true
@@ -241,8 +243,9 @@
 	return f.refuse(reason.CallerGone)
 }
 
-// Stop refuses the call, because the entry stops, if no attempt is in flight; otherwise the call goes on.
+// Stop refuses the call, because the entry stops, if no attempt is in flight. Otherwise the call goes on with that attempt alone.
 func (f *Flow) Stop(now time.Time) step.Step {
+	f.stopping = true
 	if f.inFlight > 0 {
 		return step.Step{Stage: stage.Wait, TimerAt: f.timerAt}
 	}
@@ -301,6 +304,9 @@
 	if r.MayHaveRun() && !f.call.Idempotent {
 		return f.refuse(reason.NotIdempotent)
 	}
+	if f.stopping {
+		return f.refuse(reason.Stopping)
+	}
 	if f.poison.Blocked(now, f.call.Fingerprint) {
 		return f.refuse(reason.Poisoned)
 	}
@@ -315,7 +321,7 @@
 
 // mayRetry reports whether another attempt is allowed, apart from the retry budget.
 func (f *Flow) mayRetry(now time.Time, r *result.Result) bool {
-	if f.pastDeadline(now) || len(f.attempts) >= tune.MaxAttempts || f.call.Depth >= tune.MaxDepth {
+	if f.stopping || f.pastDeadline(now) || len(f.attempts) >= tune.MaxAttempts || f.call.Depth >= tune.MaxDepth {
 		return false
 	}
 	if f.call.MaxRuns > 0 && f.possibleRuns+f.inFlight >= f.call.MaxRuns {
