--- a/internal/daemon/admission_test.go
+++ b/internal/daemon/admission_test.go
@@ -17,7 +17,7 @@
 	"github.com/balsamvale/balsamvale/internal/wire"
 )
 
-// pathLog is an upstream that records the paths of the calls it gets; it takes a second for those to /long.
+// pathLog is an upstream that records the paths of the calls it gets; it takes three seconds for those to /long.
 type pathLog struct {
 	mu    sync.Mutex
 	paths []string
@@ -28,7 +28,7 @@
 	p.paths = append(p.paths, r.URL.Path)
 	p.mu.Unlock()
 	if r.URL.Path == "/long" {
-		time.Sleep(time.Second)
+		time.Sleep(3 * time.Second)
 	}
 	_, _ = io.WriteString(w, "x")
 }
@@ -100,7 +100,7 @@
 			paths := &pathLog{}
 			up := httptest.NewServer(paths)
 			DeferCleanup(up.Close)
-			o := &option.Options{ShutdownDelay: 100 * time.Millisecond, DrainTimeout: 3 * time.Second, HandoverTimeout: 100 * time.Millisecond}
+			o := &option.Options{ShutdownDelay: 100 * time.Millisecond, DrainTimeout: 9 * time.Second, HandoverTimeout: 100 * time.Millisecond, ReadHeaderTimeout: 10 * time.Second}
 			stop, done := startDaemon(up, o)
 			outcomes := make(chan string, 1)
 			go (&heldCall{url: "http://" + o.Front.String() + "/s/long", outcomes: outcomes}).run()
@@ -110,7 +110,7 @@
 			stop()
 			time.Sleep(700 * time.Millisecond)
 			Expect(tc.send(late)).To(Equal("503 notrun"))
-			Eventually(outcomes, "2s").Should(Receive(HavePrefix("200")))
+			Eventually(outcomes, "5s").Should(Receive(HavePrefix("200")))
 			Eventually(done, "5s").Should(Receive(BeNil()))
 			Expect(paths.seen()).NotTo(ContainElement("/late"))
 		})
--- a/internal/daemon/daemon_test.go
+++ b/internal/daemon/daemon_test.go
@@ -1,6 +1,7 @@
 package daemon_test
 
 import (
+	"cmp"
 	"context"
 	"io"
 	"net/http"
@@ -87,7 +88,8 @@
 	kvServer := httptest.NewServer(mux)
 	DeferCleanup(kvServer.Close)
 	o.Name, o.Domain, o.Front, o.Peer, o.Admin = "e", "zone-1", freeAddr(), freeAddr(), freeAddr()
-	o.Store, o.MaxHeaderBytes, o.MaxBodyBytes, o.ReadHeaderTimeout = []netip.AddrPort{address(kvServer)}, 1<<16, 1<<30, time.Second
+	o.Store, o.MaxHeaderBytes, o.MaxBodyBytes = []netip.AddrPort{address(kvServer)}, 1<<16, 1<<30
+	o.ReadHeaderTimeout = cmp.Or(o.ReadHeaderTimeout, time.Second)
 	putRecords(o.Store, "[[domain]]\nschema = 1\nname = \"zone-1\"\n[[service]]\nschema = 2\nname = \"s\"\nslots = 4\nconns = 10\nwarm = \"0s\"\n[[service.route]]\npath = \"/up\"\nclass = \"bulk\"\n[[upstream]]\nschema = 1\nname = \"u\"\nservice = \"s\"\ndomain = \"zone-1\"\nversion = \"v1\"\naddr = \""+address(up).String()+"\"\n")
 	ctx, cancel := context.WithCancel(context.Background())
 	DeferCleanup(cancel)
--- a/internal/demux/conn.go
+++ b/internal/demux/conn.go
@@ -201,14 +201,14 @@
 
 // beginWait sets the deadline for the first byte of a request. With final, the connection closes unless one comes by then.
 func (c *conn) beginWait(idle time.Duration) (final bool, err error) {
-	closing := c.listener.isClosing()
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.closed {
 		return false, net.ErrClosed
 	}
 	c.waiting = true
-	if final = closing && c.responseSeq == c.nextSeq; final {
+	// A shutdown that begins after this check finds waiting set, and interrupts the wait.
+	if final = c.listener.isClosing() && c.responseSeq == c.nextSeq; final {
 		idle = lastReadTime
 	}
 	return final, c.setReadDeadline(c.deadlineAfter(idle))
@@ -377,7 +377,7 @@
 //
 // If the server has not read the whole request, it would read the rest as another request, so the connection closes.
 func (c *conn) responseDone(vc *virtualConn) {
-	closing, now := c.listener.isClosing(), c.listener.clock.Now()
+	now := c.listener.clock.Now()
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if !vc.busy || c.passthrough && vc.seq+1 == c.nextSeq {
@@ -390,7 +390,7 @@
 	vc.busy = false
 	c.responseSeq++
 	c.idleFrom = now
-	if closing {
+	if c.listener.isClosing() {
 		c.interruptIdle()
 	}
 	if c.stopped && c.responseSeq == c.nextSeq {
--- a/internal/flight/table.go
+++ b/internal/flight/table.go
@@ -22,7 +22,7 @@
 type progress struct {
 	// opened is when the connection that the call came on was accepted.
 	opened time.Time
-	// sent is set once the call was sent to an upstream.
+	// sent is set once an attempt has begun.
 	sent bool
 }
 
@@ -43,7 +43,7 @@
 	}
 }
 
-// MarkSent records that a call was sent to an upstream.
+// MarkSent records that an attempt of a call has begun.
 func (t *Table) MarkSent(c *call.Call) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -81,7 +81,7 @@
 	return len(t.calls)
 }
 
-// Visit calls f for each call in flight, with the time when its connection was accepted and whether an upstream has got it.
+// Visit calls f for each call in flight, with the time when its connection was accepted and whether an attempt has begun.
 // It holds the lock meanwhile.
 func (t *Table) Visit(f func(c *call.Call, opened time.Time, sent bool)) {
 	t.mu.Lock()
--- a/internal/logs/log.go
+++ b/internal/logs/log.go
@@ -114,7 +114,7 @@
 }
 
 // CutCall logs a call that a planned stop ends without an answer. The times say how long after the start of the stop the call
-// arrived and its connection was accepted; they are negative for what came before. Sent means that an upstream has got the call.
+// arrived and its connection was accepted; they are negative for what came before. Sent means that an attempt has begun.
 func (l *Log) CutCall(c *call.Call, arrived, opened time.Duration, sent bool) {
 	if ce := l.check("cut", false); ce != nil {
 		ce.Write(zap.Uint64("call", c.ID), zap.String("mark", c.RequestID), zap.String("service", c.Service), zap.String("route", c.Route),
