soak: run entries as processes under drawn faults and check what callers and upstreams saw

The verb soak starts a store, upstreams and entries on loopback, calls them with callers of several habits, injects faults drawn from a seed, and checks ten promises on the record of callers, upstreams and processes. The start of processes, ports and records move out of the demo, which uses the same code.

--- a/gen.sh
+++ b/gen.sh
@@ -6,5 +6,5 @@
 rm -rf internal/gen platform/gen
 tool buf generate --template schema/buf.gen.yaml
 tool buf generate --template platform/schema/buf.gen.yaml
-go generate ./pkg/...
+go generate ./pkg/... ./internal/...
 gofmt -w internal/gen platform/gen
--- /dev/null
+++ b/internal/apply/doc.go
@@ -0,0 +1,2 @@
+// Package apply writes operators' records to the store.
+package apply
--- /dev/null
+++ b/internal/child/doc.go
@@ -0,0 +1,2 @@
+// Package child runs an entry as a child process and observes it from outside.
+package child
--- a/internal/cmds/app.go
+++ b/internal/cmds/app.go
@@ -60,7 +60,7 @@
 			&cli.BoolFlag{Name: "trace", Usage: "print the stack trace of an error"},
 		},
 		Commands: []*cli.Command{
-			a.serve(), a.check(), a.apply(), a.get(), a.status(), a.wait(), a.explain(), a.demo(), a.replay(), a.version(),
+			a.serve(), a.check(), a.apply(), a.get(), a.status(), a.wait(), a.explain(), a.demo(), a.soak(), a.replay(), a.version(),
 		},
 		// Run returns the exit code itself; the default handler may exit the process.
 		ExitErrHandler: func(context.Context, *cli.Command, error) {},
--- a/internal/demo/demo.go
+++ b/internal/demo/demo.go
@@ -13,17 +13,16 @@
 	"time"
 
 	"github.com/rotisserie/eris"
-	"google.golang.org/protobuf/proto"
 
-	"github.com/balsamvale/balsamvale/internal/codec"
+	"github.com/balsamvale/balsamvale/internal/apply"
+	"github.com/balsamvale/balsamvale/internal/child"
 	rpc "github.com/balsamvale/balsamvale/internal/gen/balsamvale/v1/balsamvalev1connect"
 	"github.com/balsamvale/balsamvale/internal/kvsim"
+	"github.com/balsamvale/balsamvale/internal/ports"
 	"github.com/balsamvale/balsamvale/internal/stats"
 	"github.com/balsamvale/balsamvale/internal/store"
 	"github.com/balsamvale/balsamvale/internal/upsim"
-	"github.com/balsamvale/balsamvale/pkg/control/keys"
 	"github.com/balsamvale/balsamvale/pkg/shared/clock"
-	"github.com/balsamvale/balsamvale/pkg/stored/item"
 )
 
 // ErrDemo is matched by the errors of a demo that could not run.
@@ -50,13 +49,12 @@
 	kvAddr    netip.AddrPort
 	client    *store.Client
 	upstreams []*upstream
-	entries   []*process
+	entries   []*child.Process
 	loadGen   *loadGen
 	servers   []*http.Server
 	// startTime is when the callers started.
 	startTime time.Time
-	// port is the last port that freePort tried.
-	port uint16
+	ports     ports.Finder
 }
 
 // upstream is a simulated upstream with its address, failure domain, service and listener.
@@ -111,8 +109,8 @@
 func (d *Demo) addUsage(r *stats.Summary) {
 	var cpuTime time.Duration
 	for _, p := range d.entries {
-		p.kill()
-		if s := p.cmd.ProcessState; s != nil {
+		p.Kill()
+		if s := p.State(); s != nil {
 			cpuTime += s.UserTime() + s.SystemTime()
 			if u, ok := s.SysUsage().(*syscall.Rusage); ok {
 				r.MaxMemoryBytes = max(r.MaxMemoryBytes, u.Maxrss<<10)
@@ -221,29 +219,11 @@
 	return s
 }
 
-// ApplyRecords writes the records of a TOML text to the store under compare-and-swap, as the apply command does.
-//
-// Errors match ErrDemo.
+// ApplyRecords writes the records of a TOML text to the store; errors match ErrDemo.
 func (d *Demo) ApplyRecords(ctx context.Context, text string) error {
-	recs, err := codec.ReadRecords("demo", []byte(text))
-	if err != nil {
+	if _, err := apply.Text(ctx, d.client, text); err != nil {
 		return eris.Wrap(ErrDemo, err.Error())
 	}
-	for _, r := range recs {
-		data, err := proto.Marshal(r)
-		if err != nil {
-			return eris.Wrapf(ErrDemo, "encode record %s %s: %v", r.GetKind(), r.GetName(), err)
-		}
-		key := keys.Record(r.GetKind(), r.GetName())
-		old, err := d.client.Get(ctx, key)
-		if err != nil {
-			return eris.Wrapf(ErrDemo, "read record %s: %v", key, err)
-		}
-		done, _, err := d.client.CompareAndSwap(ctx, item.Item{Key: key, Value: data}, old.Revision, 0)
-		if err != nil || !done {
-			return eris.Wrapf(ErrDemo, "record %s was not written", key)
-		}
-	}
 	return nil
 }
 
@@ -251,9 +231,9 @@
 func (d *Demo) startEntry(i int) error {
 	var addrs [3]netip.AddrPort
 	for j := range addrs {
-		addr, err := d.freePort()
+		addr, err := d.ports.Next()
 		if err != nil {
-			return err
+			return eris.Wrap(ErrDemo, err.Error())
 		}
 		addrs[j] = addr
 	}
@@ -263,36 +243,21 @@
 	if err := os.WriteFile(file, []byte(settings), 0o600); err != nil {
 		return eris.Wrap(ErrDemo, err.Error())
 	}
-	p := &process{name: fmt.Sprintf("entry-%d", i+1), front: addrs[0], admin: addrs[2], done: make(chan struct{})}
+	p := &child.Process{Name: fmt.Sprintf("entry-%d", i+1), Front: addrs[0], Admin: addrs[2], Stderr: d.Logs}
 	d.entries = append(d.entries, p)
-	return p.start(d.Binary, file, d.Logs)
-}
-
-// freePort finds a free loopback port below the range that the system uses for outgoing connections.
-func (d *Demo) freePort() (netip.AddrPort, error) {
-	for d.port = max(d.port+1, firstPort); d.port < lastPort; d.port++ {
-		ap := netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 0, 0, 1}), d.port)
-		if ln, err := net.Listen("tcp", ap.String()); err == nil {
-			_ = ln.Close()
-			return ap, nil
-		}
+	if err := p.Start(d.Binary, file); err != nil {
+		return eris.Wrap(ErrDemo, err.Error())
 	}
-	return netip.AddrPort{}, eris.Wrapf(ErrDemo, "no free port from %d to %d", firstPort, lastPort-1)
+	return nil
 }
 
-// Range of ports for entries; lastPort is excluded.
-const (
-	firstPort = 20000
-	lastPort  = 30000
-)
-
 // waitReady waits until all entries are ready and the warm-up time of the upstreams has passed.
 func (d *Demo) waitReady(ctx context.Context) error {
 	deadline := d.clock.Now().Add(readyTimeout)
 	for _, p := range d.entries {
-		for !p.checkReady() {
+		for !p.CheckReady() {
 			if d.clock.Now().After(deadline) || ctx.Err() != nil {
-				return eris.Wrapf(ErrDemo, "%s did not become ready", p.name)
+				return eris.Wrapf(ErrDemo, "%s did not become ready", p.Name)
 			}
 			sleep(d.clock, readyPollInterval)
 		}
@@ -311,7 +276,7 @@
 // close kills the entries and closes the servers.
 func (d *Demo) close() {
 	for _, p := range d.entries {
-		p.kill()
+		p.Kill()
 	}
 	for _, s := range d.servers {
 		_ = s.Close()
--- a/internal/demo/fault.go
+++ b/internal/demo/fault.go
@@ -100,7 +100,7 @@
 }
 
 func injectEntryKill(_ context.Context, d *Demo) error {
-	d.entries[0].signal(syscall.SIGKILL)
+	d.entries[0].Signal(syscall.SIGKILL)
 	return nil
 }
 
@@ -112,14 +112,14 @@
 }
 
 func injectPlannedStop(_ context.Context, d *Demo) error {
-	d.entries[0].signal(syscall.SIGTERM)
+	d.entries[0].Signal(syscall.SIGTERM)
 	return nil
 }
 
 // verifyPlannedStop checks that the stopped entry exited with 0 and that no call failed or was truncated.
 func verifyPlannedStop(d *Demo, r *stats.Summary) {
-	<-d.entries[0].done
-	r.Check(d.entries[0].exitCode.Load() == 0, "the stopped entry did not exit with 0")
+	<-d.entries[0].Done()
+	r.Check(d.entries[0].ExitCode() == 0, "the stopped entry did not exit with 0")
 	r.Check(r.Failed == 0 && r.Truncated == 0, "a call failed or was truncated during a planned stop")
 }
 
--- a/internal/demo/load.go
+++ b/internal/demo/load.go
@@ -89,7 +89,7 @@
 func (h *healthChecker) loop() {
 	for h.ctx.Err() == nil {
 		for _, p := range h.demo.entries {
-			p.checkReady()
+			p.CheckReady()
 		}
 		sleep(h.demo.clock, healthCheckInterval)
 	}
@@ -136,12 +136,12 @@
 func (l *loadGen) pickReadyEntry() netip.AddrPort {
 	var ready []netip.AddrPort
 	for _, p := range l.demo.entries {
-		if p.ready.Load() {
-			ready = append(ready, p.front)
+		if p.Ready() {
+			ready = append(ready, p.Front)
 		}
 	}
 	if len(ready) == 0 {
-		return l.demo.entries[0].front
+		return l.demo.entries[0].Front
 	}
 	return ready[l.randIntN(len(ready))]
 }
--- a/internal/kvsim/server.go
+++ b/internal/kvsim/server.go
@@ -102,6 +102,15 @@
 	})
 }
 
+// ForgetHistory drops the changes kept for watches, so that those that are behind have to list again.
+func (s *Server) ForgetHistory() {
+	s.withLock(func() {
+		// The last change stays, because the revision before it tells which watches are behind.
+		s.history = s.history[max(0, len(s.history)-1):]
+		s.notifyWatchers()
+	})
+}
+
 // Calls returns the number of reads and writes so far, failed ones included.
 func (s *Server) Calls() (reads, writes int) {
 	s.withLock(func() { reads, writes = s.reads.total, s.writes.total })
--- /dev/null
+++ b/internal/ports/doc.go
@@ -0,0 +1,2 @@
+// Package ports finds free loopback ports for processes that listen.
+package ports
--- /dev/null
+++ b/internal/relay/relay.go
@@ -0,0 +1,211 @@
+package relay
+
+import (
+	"net"
+	"net/netip"
+	"sync"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/balsamvale/balsamvale/pkg/shared/clock"
+)
+
+// ErrListen is matched by the error of a relay that cannot listen.
+var ErrListen = eris.New("cannot listen")
+
+// Relay forwards the connections to its address to a target.
+type Relay struct {
+	clock    clock.Clock
+	listener net.Listener
+	target   netip.AddrPort
+
+	// mu guards the fields below.
+	mu    sync.Mutex
+	links map[*link]struct{}
+	// delay is added to each part of the data; dropReplies drops what the target sends.
+	delay       time.Duration
+	dropReplies bool
+}
+
+// link is one connection from a client to the target.
+type link struct {
+	relay  *Relay
+	client net.Conn
+	server net.Conn
+	// silent drops the data of both directions for good; closing ends the link.
+	silent bool
+	closed chan struct{}
+	once   sync.Once
+}
+
+// dialTimeout bounds the opening of a connection to the target.
+const dialTimeout = 5 * time.Second
+
+// partBytes is the size in bytes of the parts in which data is forwarded.
+const partBytes = 32 << 10
+
+// New returns a relay to a target that listens on a loopback port; the error matches ErrListen.
+func New(c clock.Clock, target netip.AddrPort) (*Relay, error) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, eris.Wrap(ErrListen, err.Error())
+	}
+	r := &Relay{clock: c, listener: ln, target: target, links: map[*link]struct{}{}}
+	go r.loop()
+	return r, nil
+}
+
+// Addr returns the address that clients connect to.
+func (r *Relay) Addr() netip.AddrPort { return netip.MustParseAddrPort(r.listener.Addr().String()) }
+
+// Close ends the relay and its connections.
+func (r *Relay) Close() {
+	_ = r.listener.Close()
+	r.Reset(1)
+}
+
+// SetDelay delays all data by d in each direction.
+func (r *Relay) SetDelay(d time.Duration) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.delay = d
+}
+
+// SetDropReplies drops what the target sends, or ends that.
+func (r *Relay) SetDropReplies(drop bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.dropReplies = drop
+}
+
+// Silence makes a share of the open connections carry no data for good, without closing them.
+func (r *Relay) Silence(share float64) {
+	for _, l := range r.pick(share) {
+		r.mu.Lock()
+		l.silent = true
+		r.mu.Unlock()
+	}
+}
+
+// Reset resets a share of the open connections.
+func (r *Relay) Reset(share float64) {
+	for _, l := range r.pick(share) {
+		for _, c := range []net.Conn{l.client, l.server} {
+			if t, ok := c.(*net.TCPConn); ok {
+				// Without lingering, Close sends a reset.
+				_ = t.SetLinger(0)
+			}
+		}
+		l.close()
+	}
+}
+
+// pick returns a share of the open connections.
+func (r *Relay) pick(share float64) []*link {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	n := int(share*float64(len(r.links)) + 0.5)
+	var out []*link
+	for l := range r.links {
+		if len(out) < n {
+			out = append(out, l)
+		}
+	}
+	return out
+}
+
+// loop accepts connections until the listener is closed; it is a goroutine.
+func (r *Relay) loop() {
+	for {
+		client, err := r.listener.Accept()
+		if err != nil {
+			return
+		}
+		go (&link{relay: r, client: client, closed: make(chan struct{})}).run()
+	}
+}
+
+// run connects to the target and forwards in both directions.
+func (l *link) run() {
+	server, err := net.DialTimeout("tcp", l.relay.target.String(), dialTimeout)
+	if err != nil {
+		if t, ok := l.client.(*net.TCPConn); ok {
+			_ = t.SetLinger(0)
+		}
+		_ = l.client.Close()
+		return
+	}
+	l.server = server
+	l.relay.mu.Lock()
+	l.relay.links[l] = struct{}{}
+	l.relay.mu.Unlock()
+	go (&pump{l, l.client, l.server, false}).run()
+	(&pump{l, l.server, l.client, true}).run()
+}
+
+func (l *link) close() {
+	l.once.Do(func() {
+		close(l.closed)
+		_ = l.client.Close()
+		_ = l.server.Close()
+		l.relay.mu.Lock()
+		delete(l.relay.links, l)
+		l.relay.mu.Unlock()
+	})
+}
+
+// pump forwards one direction of a link; its run method is a goroutine.
+type pump struct {
+	link    *link
+	from    net.Conn
+	to      net.Conn
+	replies bool
+}
+
+func (p *pump) run() {
+	part := make([]byte, partBytes)
+	for {
+		n, err := p.from.Read(part)
+		drop, delay := p.state()
+		if drop {
+			// A silent link shows neither data nor an end.
+			if err != nil {
+				<-p.link.closed
+				return
+			}
+			continue
+		}
+		if delay > 0 {
+			p.wait(delay)
+		}
+		if n > 0 {
+			if _, werr := p.to.Write(part[:n]); werr != nil {
+				p.link.close()
+				return
+			}
+		}
+		if err != nil {
+			// HTTP does not use connections that are half closed.
+			p.link.close()
+			return
+		}
+	}
+}
+
+// state returns the faults in effect for the direction.
+func (p *pump) state() (drop bool, delay time.Duration) {
+	r := p.link.relay
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return p.link.silent || p.replies && r.dropReplies, r.delay
+}
+
+func (p *pump) wait(d time.Duration) {
+	t, stop := p.link.relay.clock.Timer(d)
+	defer stop()
+	select {
+	case <-t:
+	case <-p.link.closed:
+	}
+}
--- /dev/null
+++ b/internal/soak/caller/pipeline.go
@@ -0,0 +1,125 @@
+package caller
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"sync/atomic"
+	"time"
+)
+
+// maxPipelined bounds the requests of one connection that wait for a response.
+const maxPipelined = 64
+
+// pipeline reads the responses of one connection; its loop method is a goroutine.
+type pipeline struct {
+	conn   *connection
+	calls  chan *call
+	broken atomic.Bool
+	done   chan struct{}
+}
+
+// loop reads the responses in order. Once one is missing, the requests behind it have none either.
+func (p *pipeline) loop() {
+	defer close(p.done)
+	for k := range p.calls {
+		if p.broken.Load() {
+			p.conn.caller.crowd.finish(k.request, nil, nil, time.Time{}, io.ErrUnexpectedEOF)
+			continue
+		}
+		p.conn.receive(k, nil)
+		if !k.request.Complete {
+			p.broken.Store(true)
+			p.conn.close()
+		}
+	}
+}
+
+// loopPipelined sends a request every gap, whether responses come or not, on one connection until that ends.
+func (c *caller) loopPipelined() {
+	for c.ctx.Err() == nil {
+		conn := c.open()
+		if conn == nil {
+			c.pause()
+			continue
+		}
+		p := &pipeline{conn: conn, calls: make(chan *call, maxPipelined), done: make(chan struct{})}
+		go p.loop()
+		for c.ctx.Err() == nil && !p.broken.Load() {
+			k := c.newCall()
+			conn.begin(k)
+			err := conn.send(k)
+			p.calls <- k
+			if err != nil {
+				break
+			}
+			c.pause()
+		}
+		close(p.calls)
+		<-p.done
+		conn.close()
+	}
+}
+
+// loopMultiplexed sends requests on an HTTP/2 connection, several at a time.
+func (c *caller) loopMultiplexed() {
+	protocols := &http.Protocols{}
+	protocols.SetUnencryptedHTTP2(true)
+	transport := &http.Transport{Protocols: protocols}
+	defer transport.CloseIdleConnections()
+	s := &streams{caller: c, client: &http.Client{Transport: transport}}
+	for c.ctx.Err() == nil {
+		if s.lost.Swap(false) || s.target.Entry == "" {
+			transport.CloseIdleConnections()
+			if t, ok := c.crowd.Pick(); ok {
+				s.target, s.opened = t, c.crowd.Clock.Now()
+			}
+		}
+		if s.target.Entry != "" {
+			c.crowd.wg.Add(1)
+			go (&stream{streams: s, call: c.newCall(), target: s.target}).run()
+		}
+		c.pause()
+	}
+}
+
+// streams are the requests of one caller over HTTP/2.
+type streams struct {
+	caller *caller
+	client *http.Client
+	target Target
+	opened time.Time
+	// lost is set when a request failed, so that the next one goes to a new target.
+	lost atomic.Bool
+}
+
+// stream is one request over HTTP/2; its run method is a goroutine.
+type stream struct {
+	streams *streams
+	call    *call
+	target  Target
+}
+
+func (s *stream) run() {
+	crowd, r := s.streams.caller.crowd, s.call.request
+	defer crowd.wg.Done()
+	req, err := s.call.http(s.target)
+	if err != nil {
+		return
+	}
+	req.Header.Del("Connection")
+	ctx, cancel := context.WithTimeout(context.Background(), r.Deadline+patience)
+	defer cancel()
+	crowd.record(r, s.target, s.streams.opened, 0)
+	res, err := s.streams.client.Do(req.WithContext(ctx))
+	if err != nil {
+		s.streams.lost.Store(true)
+		crowd.Trail.Update(func() { r.GaveUp = ctx.Err() != nil })
+		crowd.finish(r, nil, nil, time.Time{}, err)
+		return
+	}
+	head := crowd.Clock.Now()
+	body, err := io.ReadAll(res.Body)
+	_ = res.Body.Close()
+	crowd.finish(r, res, body, head, err)
+}
--- /dev/null
+++ b/internal/soak/check/doc.go
@@ -0,0 +1,2 @@
+// Package check finds the broken promises in the record of a soak.
+package check
--- /dev/null
+++ b/internal/soak/fleet/fleet.go
@@ -0,0 +1,232 @@
+package fleet
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"net/netip"
+	"os"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/balsamvale/balsamvale/internal/apply"
+	rpc "github.com/balsamvale/balsamvale/internal/gen/balsamvale/v1/balsamvalev1connect"
+	"github.com/balsamvale/balsamvale/internal/kvsim"
+	"github.com/balsamvale/balsamvale/internal/ports"
+	"github.com/balsamvale/balsamvale/internal/soak/caller"
+	"github.com/balsamvale/balsamvale/internal/soak/plan"
+	"github.com/balsamvale/balsamvale/internal/soak/trail"
+	"github.com/balsamvale/balsamvale/internal/store"
+	"github.com/balsamvale/balsamvale/pkg/shared/clock"
+)
+
+// ErrFleet is matched by the errors of a fleet that could not be started.
+var ErrFleet = eris.New("the fleet could not be started")
+
+// Sizes and times of a fleet.
+const (
+	domainCount         = 3
+	upstreamsPerService = 4
+	slotsPerUpstream    = 8
+	meanRunTime         = 60 * time.Millisecond
+	warmup              = time.Second
+	readyTimeout        = 20 * time.Second
+	pollInterval        = 50 * time.Millisecond
+	// Timeout is the timeout of the services that have one.
+	Timeout = 2 * time.Second
+)
+
+// Services are the services of a fleet.
+var Services = []caller.Service{
+	{Name: "lookup", Kind: trail.Idempotent}, {Name: "tally", Kind: trail.Idempotent},
+	{Name: "order", Kind: trail.Once}, {Name: "payout", Kind: trail.Once},
+	{Name: "archive", Kind: trail.Upload}, {Name: "capture", Kind: trail.Upload},
+}
+
+// Fleet is a store, upstreams and entries.
+type Fleet struct {
+	Clock  clock.Clock
+	Trail  *trail.Trail
+	Plan   *plan.Plan
+	Crowd  *caller.Crowd
+	Binary string
+	// Dir is the directory of settings and logs.
+	Dir string
+
+	ports    ports.Finder
+	kv       *kvsim.Server
+	kvAddr   netip.AddrPort
+	kvServer *http.Server
+	client   *store.Client
+	entries  []*entry
+	faults   sync.WaitGroup
+
+	// mu guards the fields below.
+	mu        sync.Mutex
+	upstreams []*upstream
+	rand      *rand.Rand
+	// changing holds the names of the records that a fault has changed and will restore.
+	changing map[string]bool
+}
+
+// Start starts everything and waits until all entries are ready; errors match ErrFleet.
+func (f *Fleet) Start(ctx context.Context) error {
+	f.ports.Host = ownHost()
+	f.rand, f.changing = rand.New(rand.NewPCG(f.Plan.Seed, 3)), map[string]bool{}
+	f.kv = kvsim.New(f.Clock, f.Plan.Seed)
+	mux := http.NewServeMux()
+	mux.Handle(rpc.NewStoreHandler(f.kv))
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return eris.Wrap(ErrFleet, err.Error())
+	}
+	f.kvAddr = netip.MustParseAddrPort(ln.Addr().String())
+	f.kvServer = &http.Server{Handler: mux, ReadHeaderTimeout: readyTimeout}
+	go (&server{f.kvServer, ln}).run()
+	f.client = store.New(&http.Client{}, []netip.AddrPort{f.kvAddr})
+	text := f.domainsTOML() + servicesTOML()
+	for _, s := range Services {
+		for i := range upstreamsPerService {
+			u, err := f.startUpstream(s, fmt.Sprintf("%s-%d", s.Name, i+1), "v1", i%domainCount)
+			if err != nil {
+				return err
+			}
+			u.SkipWarmup()
+			text += u.record()
+		}
+	}
+	if _, err := apply.Text(ctx, f.client, text); err != nil {
+		return eris.Wrap(ErrFleet, err.Error())
+	}
+	for i := range f.Plan.Size {
+		if err := f.startEntry(i); err != nil {
+			return err
+		}
+	}
+	return f.awaitReady(ctx)
+}
+
+// ownHost returns a loopback address of this process alone, so that soaks that run at the same time do not take each other's ports.
+func ownHost() netip.Addr {
+	pid := os.Getpid()
+	return netip.AddrFrom4([4]byte{127, byte(64 + pid>>16), byte(pid >> 8), byte(pid)})
+}
+
+// server serves HTTP on one listener; its run method is a goroutine.
+type server struct {
+	http     *http.Server
+	listener net.Listener
+}
+
+func (s *server) run() { _ = s.http.Serve(s.listener) }
+
+func domainName(i int) string { return fmt.Sprintf("zone-%d", i+1) }
+
+func (f *Fleet) domainsTOML() string {
+	s := ""
+	for i := range domainCount {
+		s += domainTOML(i, false)
+	}
+	return s
+}
+
+func domainTOML(i int, drained bool) string {
+	return fmt.Sprintf("[[domain]]\nschema = 1\nname = %q\nregion = \"soak\"\ndelay = \"0s\"\nout = %v\n", domainName(i), drained)
+}
+
+func servicesTOML() string {
+	s := ""
+	for _, v := range Services {
+		s += serviceTOML(v)
+	}
+	return s
+}
+
+func serviceTOML(s caller.Service) string {
+	text := fmt.Sprintf("[[service]]\nschema = 2\nname = %q\nslots = %d\nconns = 260\ntimeout = %q\ncold = 2\nwarm = %q\n", s.Name, slotsPerUpstream, Timeout, warmup)
+	switch s.Kind {
+	case trail.Once:
+		text += "[[service.route]]\npath = \"/\"\nrepeat = \"never\"\n"
+	case trail.Upload:
+		text += "[[service.route]]\npath = \"/\"\nclass = \"bulk\"\n"
+	}
+	return text
+}
+
+// awaitReady waits until all entries are ready.
+func (f *Fleet) awaitReady(ctx context.Context) error {
+	deadline := f.Clock.Now().Add(readyTimeout)
+	for _, e := range f.entries {
+		for !e.checkReady() {
+			if f.Clock.Now().After(deadline) || ctx.Err() != nil {
+				return eris.Wrapf(ErrFleet, "%s did not become ready", e.name)
+			}
+			f.sleep(pollInterval)
+		}
+	}
+	for _, e := range f.entries {
+		go e.loopPolls()
+	}
+	return nil
+}
+
+func (f *Fleet) sleep(d time.Duration) {
+	t, stop := f.Clock.Timer(d)
+	defer stop()
+	<-t
+}
+
+// Pick returns the target of a new connection, as the platform's balancer would: an entry that is in rotation or, if fewer than
+// half are, any.
+func (f *Fleet) Pick() (caller.Target, bool) {
+	var in, all []*entry
+	for _, e := range f.entries {
+		if e.inRotation() {
+			in = append(in, e)
+		}
+		all = append(all, e)
+	}
+	if 2*len(in) < len(all) {
+		in = all
+	}
+	f.mu.Lock()
+	e := in[f.rand.IntN(len(in))]
+	f.mu.Unlock()
+	return e.target()
+}
+
+// Settle waits until the entries that are stopping have exited.
+func (f *Fleet) Settle() {
+	for _, e := range f.entries {
+		e.awaitStop()
+	}
+}
+
+// Close kills the entries, closes the servers, and completes the record of the processes.
+func (f *Fleet) Close() {
+	for _, e := range f.entries {
+		e.close()
+	}
+	for _, u := range f.allUpstreams() {
+		u.close()
+	}
+	if f.kvServer != nil {
+		_ = f.kvServer.Close()
+	}
+}
+
+func (f *Fleet) allUpstreams() []*upstream {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return slices.Clone(f.upstreams)
+}
+
+// uses reports whether the plan has a fault of one of the kinds.
+func (f *Fleet) uses(kinds ...plan.Kind) bool {
+	return slices.ContainsFunc(f.Plan.Fault, func(x plan.Fault) bool { return slices.Contains(kinds, x.Kind) })
+}
--- /dev/null
+++ b/internal/soak/plan/plan.go
@@ -0,0 +1,160 @@
+package plan
+
+import (
+	"cmp"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"github.com/pelletier/go-toml/v2"
+	"github.com/rotisserie/eris"
+)
+
+// ErrPlan is matched by the errors of a plan that is invalid.
+var ErrPlan = eris.New("invalid fault plan")
+
+// Plan is a list of faults with the size and duration of the soak that suffers them.
+type Plan struct {
+	// Seed determines the calls, run times and faults.
+	Seed uint64
+	// Size is the number of entries.
+	Size int
+	// Length is how long callers make calls.
+	Length Duration
+	// Fault lists the faults by their begin.
+	Fault []Fault
+}
+
+// Fault is one fault.
+type Fault struct {
+	Kind Kind
+	// At is the begin, after the start of the callers, and Lasts the duration of faults that end.
+	At    Duration
+	Lasts Duration
+	// Target is the index of an entry or upstream, or of a failure domain if Domain is set.
+	Target int
+	Domain bool
+	// Share is the share of connections, answers or calls that the fault hits, or a count; see the kind.
+	Share float64
+}
+
+// Duration is a time.Duration that is written as text.
+type Duration time.Duration
+
+// MarshalText returns the duration in the format of time.ParseDuration.
+func (d Duration) MarshalText() ([]byte, error) { return []byte(time.Duration(d).String()), nil }
+
+// UnmarshalText parses a duration.
+func (d *Duration) UnmarshalText(text []byte) error {
+	v, err := time.ParseDuration(string(text))
+	*d = Duration(v)
+	return err
+}
+
+// String describes the fault.
+func (f Fault) String() string {
+	s := fmt.Sprintf("%s at %v", f.Kind, time.Duration(f.At))
+	if f.Lasts > 0 {
+		s += fmt.Sprintf(" for %v", time.Duration(f.Lasts))
+	}
+	if f.Domain {
+		s += fmt.Sprintf(" domain %d", f.Target)
+	} else {
+		s += fmt.Sprintf(" target %d", f.Target)
+	}
+	if f.Share > 0 {
+		s += fmt.Sprintf(" share %g", f.Share)
+	}
+	return s
+}
+
+// Parse reads a plan; errors match ErrPlan.
+func Parse(data []byte) (*Plan, error) {
+	p := &Plan{}
+	if err := toml.Unmarshal(data, p); err != nil {
+		return nil, eris.Wrap(ErrPlan, err.Error())
+	}
+	if p.Size < 1 || p.Length <= 0 {
+		return nil, eris.Wrap(ErrPlan, "Size and Length must be above 0")
+	}
+	return p, nil
+}
+
+// Text returns the plan as TOML.
+func (p *Plan) Text() (string, error) {
+	b, err := toml.Marshal(p)
+	return string(b), err
+}
+
+// Without returns the plan without the fault at an index.
+func (p *Plan) Without(i int) *Plan {
+	q := *p
+	q.Fault = slices.Delete(slices.Clone(p.Fault), i, i+1)
+	return &q
+}
+
+// Bounds of a drawn plan.
+const (
+	// calmBegin is the time without faults at the begin.
+	calmBegin = 2 * time.Second
+	// episodeGap is the mean time between two episodes, which may overlap.
+	episodeGap = 5 * time.Second
+	// maxLasts bounds the duration of one fault.
+	maxLasts = 4 * time.Second
+	// kindsPerSeed is the number of kinds of faults that one seed draws from, so that each seed shows a mix of its own.
+	kindsPerSeed = 4
+)
+
+// Draw draws a plan.
+//
+// A plan has episodes: a series of faults of one kind, at one target after the other, at several at once, or at one failure
+// domain.
+func Draw(seed uint64, size int, length time.Duration) *Plan {
+	r := rand.New(rand.NewPCG(seed, 2))
+	p := &Plan{Seed: seed, Size: size, Length: Duration(length)}
+	var kinds []Kind
+	for _, k := range r.Perm(int(kindCount))[:kindsPerSeed] {
+		kinds = append(kinds, Kind(k))
+	}
+	// Planned stops are the most frequent event of all, so each seed has some.
+	kinds = append(kinds, Stop)
+	for at := calmBegin; at < length-calmBegin; at += time.Duration(r.ExpFloat64() * float64(episodeGap)) {
+		p.Fault = append(p.Fault, episode(r, kinds[r.IntN(len(kinds))], at, size)...)
+	}
+	slices.SortStableFunc(p.Fault, func(a, b Fault) int { return cmp.Compare(a.At, b.At) })
+	return p
+}
+
+// episode draws the faults of one episode.
+func episode(r *rand.Rand, k Kind, at time.Duration, size int) []Fault {
+	// Targets beyond the number of upstreams or records wrap around.
+	targets := 1 << 10
+	if k.HitsEntries() {
+		targets = size
+	}
+	f := Fault{Kind: k, At: Duration(at), Target: r.IntN(targets), Share: k.drawShare(r)}
+	if k.lasts() {
+		f.Lasts = Duration(time.Duration(200+r.IntN(int(maxLasts.Milliseconds())-200)) * time.Millisecond)
+	}
+	if k.HitsStore() || k.HitsRecords() {
+		return []Fault{f}
+	}
+	if r.IntN(5) == 0 {
+		f.Domain = true
+		f.Target = r.IntN(domains)
+		return []Fault{f}
+	}
+	out := []Fault{f}
+	gap := time.Duration(r.IntN(1500)) * time.Millisecond * time.Duration(r.IntN(2))
+	for i := range r.IntN(3) {
+		next := f
+		next.At += Duration(time.Duration(i+1) * gap)
+		next.Target = (f.Target + i + 1) % targets
+		out = append(out, next)
+	}
+	return out
+}
+
+// domains is the number of failure domains.
+const domains = 3
--- a/internal/upsim/upstream.go
+++ b/internal/upsim/upstream.go
@@ -1,6 +1,7 @@
 package upsim
 
 import (
+	"encoding/hex"
 	"fmt"
 	"io"
 	"math/rand/v2"
@@ -33,6 +34,12 @@
 
 	Clock clock.Clock
 
+	// Begin, if set, is called when a call whose request is whole begins to run; digest covers the request. The function
+	// that it returns is called with the end of the run. The answers are then signed (see ReadAnswer).
+	Begin func(r *http.Request, digest string) func(End)
+	// Draw, if set, draws how each answer is sent.
+	Draw func() Delivery
+
 	// mu guards the fields below, except slotSem.
 	mu          sync.Mutex
 	rand        *rand.Rand
@@ -87,6 +94,14 @@
 // Drain makes the upstream report that it is draining and shed all further calls.
 func (u *Upstream) Drain() { u.withLock(func() { u.draining = true }) }
 
+// Rejoin ends what Drain began; the upstream has a new incarnation.
+func (u *Upstream) Rejoin() {
+	u.withLock(func() {
+		u.draining = false
+		u.restart()
+	})
+}
+
 // ColdExcess returns the number of calls that arrived above ColdConcurrency while the upstream was cold.
 func (u *Upstream) ColdExcess() (n int) {
 	u.withLock(func() { n = u.coldExcess })
@@ -201,18 +216,29 @@
 
 // runCall reads the body, waits for the call's run time, and sends an answer of the size in the query or a short text.
 func (u *Upstream) runCall(w http.ResponseWriter, r *http.Request) {
-	n, err := io.Copy(io.Discard, r.Body)
+	digest := NewDigest(r.Method, r.RequestURI)
+	n, err := io.Copy(digest, r.Body)
 	if err != nil {
 		return
 	}
+	sum := hex.EncodeToString(digest.Sum(nil))
+	end := func(End) {}
+	if u.Begin != nil {
+		end = u.Begin(r, sum)
+	}
 	t, stop := u.Clock.Timer(u.drawRunTime())
 	defer stop()
 	select {
 	case <-t:
 	case <-r.Context().Done():
+		end(Left)
 		return
 	}
 	u.writeReport(w, 1)
+	if u.Begin != nil {
+		u.deliver(w, r, sum, end)
+		return
+	}
 	if size := r.URL.Query().Get("size"); size != "" {
 		u.sendBody(w, size)
 		return
