--- a/internal/cmds/soak.go
+++ b/internal/cmds/soak.go
@@ -32,6 +32,7 @@
 			&cli.BoolFlag{Name: "print", Usage: "print the drawn plan and exit"},
 			&cli.BoolFlag{Name: "shrink", Usage: "when a promise breaks, drop faults while it breaks again, and print the plan that is left"},
 			&cli.StringFlag{Name: "binary", Usage: "program that runs the entries; this one by default"},
+			&cli.StringFlag{Name: "timeline", Usage: "file for a timeline of processes, faults and broken promises as SVG"},
 			&cli.StringFlag{Name: "logs", Usage: "directory for the settings and logs of the entries"},
 		},
 		Action: a.doSoak,
@@ -68,12 +69,30 @@
 	if err := r.Write(a.Out); err != nil {
 		return err
 	}
+	if file := cmd.String("timeline"); file != "" {
+		if err := writeTimeline(file, r); err != nil {
+			return err
+		}
+	}
 	if len(r.Broken) > 0 {
 		return eris.Wrapf(errCheckFailed, "%d broken promises, the first is %v", len(r.Broken), r.Broken[0].Promise)
 	}
 	return nil
 }
 
+// writeTimeline writes the timeline of a report to a file.
+func writeTimeline(file string, r *soak.Report) error {
+	f, err := os.Create(file)
+	if err != nil {
+		return eris.Wrap(errInvalid, err.Error())
+	}
+	err = r.WriteTimeline(f)
+	if cerr := f.Close(); err == nil {
+		err = cerr
+	}
+	return err
+}
+
 // soakPlan reads or draws the plan of a soak; errors match errInvalid.
 func soakPlan(cmd *cli.Command) (*plan.Plan, error) {
 	if file := cmd.String("plan"); file != "" {
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"io"
 	"net"
 	"net/netip"
 	"sync"
@@ -91,13 +92,7 @@
 // Reset resets a share of the open connections.
 func (r *Relay) Reset(share float64) {
 	for _, l := range r.pick(share) {
-		for _, c := range []net.Conn{l.client, l.server} {
-			if t, ok := c.(*net.TCPConn); ok {
-				// Without lingering, Close sends a reset.
-				_ = t.SetLinger(0)
-			}
-		}
-		l.close()
+		l.reset()
 	}
 }
 
@@ -140,8 +135,22 @@
 	l.relay.mu.Lock()
 	l.relay.links[l] = struct{}{}
 	l.relay.mu.Unlock()
-	go (&pump{l, l.client, l.server, false}).run()
-	(&pump{l, l.server, l.client, true}).run()
+	up := &pump{link: l, from: l.client, to: l.server, done: make(chan struct{})}
+	go up.run()
+	(&pump{link: l, from: l.server, to: l.client, replies: true, done: make(chan struct{})}).run()
+	<-up.done
+	l.close()
+}
+
+// reset closes both connections with a reset.
+func (l *link) reset() {
+	for _, c := range []net.Conn{l.client, l.server} {
+		if t, ok := c.(*net.TCPConn); ok {
+			// Without lingering, Close sends a reset.
+			_ = t.SetLinger(0)
+		}
+	}
+	l.close()
 }
 
 func (l *link) close() {
@@ -161,33 +170,39 @@
 	from    net.Conn
 	to      net.Conn
 	replies bool
+	done    chan struct{}
 }
 
+// run forwards until the end of the stream, which it passes on. When the receiver is gone, it goes on reading: a close with unread
+// data would reset the connection and take from the sender what it has not read yet.
 func (p *pump) run() {
+	defer close(p.done)
 	part := make([]byte, partBytes)
-	for {
+	for gone := false; ; {
 		n, err := p.from.Read(part)
 		drop, delay := p.state()
-		if drop {
+		switch {
+		case drop && err != nil:
 			// A silent link shows neither data nor an end.
-			if err != nil {
-				<-p.link.closed
-				return
-			}
+			<-p.link.closed
+			return
+		case drop:
 			continue
-		}
-		if delay > 0 {
+		case delay > 0:
 			p.wait(delay)
 		}
-		if n > 0 {
-			if _, werr := p.to.Write(part[:n]); werr != nil {
-				p.link.close()
-				return
+		if n > 0 && !gone {
+			_, werr := p.to.Write(part[:n])
+			gone = werr != nil
+		}
+		if err == io.EOF {
+			if t, ok := p.to.(*net.TCPConn); ok {
+				_ = t.CloseWrite()
 			}
+			return
 		}
 		if err != nil {
-			// HTTP does not use connections that are half closed.
-			p.link.close()
+			p.link.reset()
 			return
 		}
 	}
--- a/internal/soak/caller/call.go
+++ b/internal/soak/caller/call.go
@@ -67,7 +67,7 @@
 	switch {
 	case c.habit == Slow:
 		size = slowBody
-	case c.intN(10) == 0:
+	case c.intN(5) == 0:
 		size = largeBody
 	}
 	k.uri = fmt.Sprintf("/p%d?call=%s&size=%d", c.intN(100), r.Call, size)
@@ -102,7 +102,7 @@
 			set(wire.IdempotencyKey, fmt.Sprintf("order-%d", c.crowd.lastCall.Load()/40))
 		case c.habit == Repeating || c.intN(3) == 0:
 			set(wire.IdempotencyKey, "key-"+r.Call)
-		case c.intN(3) == 0:
+		case c.intN(2) == 0:
 			set("X-Idempotency-Key", "key-"+r.Call)
 		}
 	}
--- a/internal/soak/caller/pipeline.go
+++ b/internal/soak/caller/pipeline.go
@@ -61,59 +61,71 @@
 	}
 }
 
-// loopMultiplexed sends requests on an HTTP/2 connection, several at a time.
+// loopMultiplexed sends requests on an HTTP/2 connection, several at a time, until one fails; it then opens a new connection.
 func (c *caller) loopMultiplexed() {
-	protocols := &http.Protocols{}
-	protocols.SetUnencryptedHTTP2(true)
-	transport := &http.Transport{Protocols: protocols}
-	defer transport.CloseIdleConnections()
-	s := &streams{caller: c, client: &http.Client{Transport: transport}}
+	var s *streams
 	for c.ctx.Err() == nil {
-		if s.lost.Swap(false) || s.target.Entry == "" {
-			transport.CloseIdleConnections()
-			if t, ok := c.crowd.Pick(); ok {
-				s.target, s.opened = t, c.crowd.Clock.Now()
-			}
+		if s == nil || s.failed.Load() {
+			s.close()
+			s = c.openStreams()
 		}
-		if s.target.Entry != "" {
+		if s != nil {
 			c.crowd.wg.Add(1)
-			go (&stream{streams: s, call: c.newCall(), target: s.target}).run()
+			go (&stream{streams: s, call: c.newCall()}).run()
 		}
 		c.pause()
 	}
+	s.close()
 }
 
-// streams are the requests of one caller over HTTP/2.
+// streams are the requests of one caller over one HTTP/2 connection.
 type streams struct {
-	caller *caller
-	client *http.Client
-	target Target
-	opened time.Time
-	// lost is set when a request failed, so that the next one goes to a new target.
-	lost atomic.Bool
+	caller    *caller
+	transport *http.Transport
+	target    Target
+	opened    time.Time
+	// failed is set when a request failed.
+	failed atomic.Bool
+}
+
+// openStreams returns streams to the target that the balancer picks; nil if there is none.
+func (c *caller) openStreams() *streams {
+	t, ok := c.crowd.Pick()
+	if !ok {
+		return nil
+	}
+	protocols := &http.Protocols{}
+	protocols.SetUnencryptedHTTP2(true)
+	return &streams{caller: c, transport: &http.Transport{Protocols: protocols}, target: t, opened: c.crowd.Clock.Now()}
+}
+
+// close closes the connection once its requests have ended.
+func (s *streams) close() {
+	if s != nil {
+		s.transport.CloseIdleConnections()
+	}
 }
 
 // stream is one request over HTTP/2; its run method is a goroutine.
 type stream struct {
 	streams *streams
 	call    *call
-	target  Target
 }
 
 func (s *stream) run() {
 	crowd, r := s.streams.caller.crowd, s.call.request
 	defer crowd.wg.Done()
-	req, err := s.call.http(s.target)
+	req, err := s.call.http(s.streams.target)
 	if err != nil {
 		return
 	}
 	req.Header.Del("Connection")
 	ctx, cancel := context.WithTimeout(context.Background(), r.Deadline+patience)
 	defer cancel()
-	crowd.record(r, s.target, s.streams.opened, 0)
-	res, err := s.streams.client.Do(req.WithContext(ctx))
+	crowd.record(r, s.streams.target, s.streams.opened, 0)
+	res, err := (&http.Client{Transport: s.streams.transport}).Do(req.WithContext(ctx))
 	if err != nil {
-		s.streams.lost.Store(true)
+		s.streams.failed.Store(true)
 		crowd.Trail.Update(func() { r.GaveUp = ctx.Err() != nil })
 		crowd.finish(r, nil, nil, time.Time{}, err)
 		return
@@ -122,4 +134,7 @@
 	body, err := io.ReadAll(res.Body)
 	_ = res.Body.Close()
 	crowd.finish(r, res, body, head, err)
+	if s.streams.failed.Load() {
+		s.streams.close()
+	}
 }
--- a/internal/soak/check/check_test.go
+++ b/internal/soak/check/check_test.go
@@ -136,6 +136,17 @@
 	{"a late answer behind another one", lookup(func(r *trail.Request, _ *trail.Run, _ *trail.Life) { r.Behind, r.Head, r.Ended = 1, at(9000), at(9000) }), nil},
 	{"a late answer of a paused entry", with(lookup(func(r *trail.Request, _ *trail.Run, _ *trail.Life) { r.Head, r.Ended = at(9000), at(9000) }), fault("entry-1", 7000, 8000)), nil},
 
+	{"a request on a connection that went silent", with(lookup(func(r *trail.Request, _ *trail.Run, _ *trail.Life) {
+		r.Opened, r.Head, r.Ended = at(1000), at(9000), at(9000)
+	}), func(t *trail.Trail) {
+		t.Faults = append(t.Faults, &trail.Disturbance{Subject: "entry-1", Lasting: true, Begin: at(2000), End: at(2000)})
+	}), nil},
+	{"a late answer on a connection that was opened later", with(lookup(func(r *trail.Request, _ *trail.Run, _ *trail.Life) {
+		r.Opened, r.Head, r.Ended = at(2001), at(9000), at(9000)
+	}), func(t *trail.Trail) {
+		t.Faults = append(t.Faults, &trail.Disturbance{Subject: "entry-1", Lasting: true, Begin: at(2000), End: at(2000)})
+	}), []check.Promise{check.EndsInTime}},
+
 	{"a refusal of a request that has run", lookup(func(r *trail.Request, _ *trail.Run, l *trail.Life) {
 		cut(r)
 		r.Status, r.Outcome, r.Complete = 503, "notrun", true
--- a/internal/soak/fleet/inject.go
+++ b/internal/soak/fleet/inject.go
@@ -72,7 +72,7 @@
 func (h *hit) run() {
 	i, f := h.injection, h.injection.fleet
 	defer f.faults.Done()
-	d := &trail.Disturbance{What: i.fault.String(), Subject: h.subject, Planned: i.fault.Kind.Planned(), Begin: f.Clock.Now()}
+	d := &trail.Disturbance{What: i.fault.String(), Subject: h.subject, Planned: i.fault.Kind.Planned(), Lasting: i.fault.Kind.Lasting(), Begin: f.Clock.Now()}
 	f.Trail.Update(func() { f.Trail.Faults = append(f.Trail.Faults, d) })
 	undo := h.apply()
 	if i.fault.Lasts > 0 {
--- a/internal/soak/plan/kind.go
+++ b/internal/soak/plan/kind.go
@@ -119,7 +119,7 @@
 	case SilentCallers, SilentStore, SilentUpstream, ResetCallers, ResetStore, ResetUpstream:
 		return []float64{0.3, 1}[r.IntN(2)]
 	case StoreLoss, LoseAnswers, CutAnswers, DoubleAnswers, GarbleAnswers, FailAnswers:
-		return []float64{0.02, 0.1, 0.5}[r.IntN(3)]
+		return []float64{0.1, 0.5}[r.IntN(2)]
 	case SlowAnswers:
 		return 2 + 8*r.Float64()
 	case IdleCallers:
@@ -150,3 +150,8 @@
 	}
 	return false
 }
+
+// Lasting reports whether the fault lasts for the connections that are open when it begins.
+func (k Kind) Lasting() bool {
+	return k == SilentCallers || k == SilentStore || k == SilentUpstream
+}
--- a/internal/soak/plan/plan.go
+++ b/internal/soak/plan/plan.go
@@ -99,11 +99,11 @@
 	// calmBegin is the time without faults at the begin.
 	calmBegin = 2 * time.Second
 	// episodeGap is the mean time between two episodes, which may overlap.
-	episodeGap = 5 * time.Second
+	episodeGap = 3 * time.Second
 	// maxLasts bounds the duration of one fault.
 	maxLasts = 4 * time.Second
 	// kindsPerSeed is the number of kinds of faults that one seed draws from, so that each seed shows a mix of its own.
-	kindsPerSeed = 4
+	kindsPerSeed = 6
 )
 
 // Draw draws a plan.
--- a/internal/soak/trail/trail.go
+++ b/internal/soak/trail/trail.go
@@ -113,6 +113,8 @@
 	Subject string
 	// Planned marks what operators and callers do, which excuses nothing.
 	Planned bool
+	// Lasting marks what lasts for the connections that were open, also after End.
+	Lasting bool
 	Begin   time.Time
 	End     time.Time
 }
