--- a/internal/demo/demo.go
+++ b/internal/demo/demo.go
@@ -19,6 +19,7 @@
 	rpc "github.com/balsamvale/balsamvale/internal/gen/balsamvale/v1/balsamvalev1connect"
 	"github.com/balsamvale/balsamvale/internal/kvsim"
 	"github.com/balsamvale/balsamvale/internal/ports"
+	"github.com/balsamvale/balsamvale/internal/relay"
 	"github.com/balsamvale/balsamvale/internal/stats"
 	"github.com/balsamvale/balsamvale/internal/store"
 	"github.com/balsamvale/balsamvale/internal/upsim"
@@ -57,13 +58,14 @@
 	ports     ports.Finder
 }
 
-// upstream is a simulated upstream with its address, failure domain, service and listener.
+// upstream is a simulated upstream with its address, failure domain and service.
 type upstream struct {
 	*upsim.Upstream
-	addr     netip.AddrPort
-	domain   string
-	service  string
-	listener *blackholeListener
+	addr    netip.AddrPort
+	domain  string
+	service string
+	// relay is nil without the fault that silences connections.
+	relay *relay.Relay
 }
 
 // Size and timing of the demo.
@@ -126,7 +128,7 @@
 	mux := http.NewServeMux()
 	mux.Handle(rpc.NewStoreHandler(d.kv))
 	var err error
-	if d.kvAddr, _, err = d.listen(mux); err != nil {
+	if d.kvAddr, err = d.listen(mux); err != nil {
 		return err
 	}
 	d.client = store.New(&http.Client{}, []netip.AddrPort{d.kvAddr})
@@ -146,17 +148,16 @@
 	return d.waitReady(ctx)
 }
 
-// listen serves a handler on a free loopback port and returns its address and listener.
-func (d *Demo) listen(h http.Handler) (netip.AddrPort, *blackholeListener, error) {
+// listen serves a handler on a free loopback port and returns its address.
+func (d *Demo) listen(h http.Handler) (netip.AddrPort, error) {
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
-		return netip.AddrPort{}, nil, eris.Wrap(ErrDemo, err.Error())
+		return netip.AddrPort{}, eris.Wrap(ErrDemo, err.Error())
 	}
-	l := &blackholeListener{Listener: ln}
 	s := &http.Server{Handler: h, ReadHeaderTimeout: readyTimeout}
 	d.servers = append(d.servers, s)
-	go (&server{s, l}).run()
-	return netip.MustParseAddrPort(ln.Addr().String()), l, nil
+	go (&server{s, ln}).run()
+	return netip.MustParseAddrPort(ln.Addr().String()), nil
 }
 
 // server serves HTTP on one listener; its run method is a goroutine.
@@ -189,11 +190,16 @@
 		ColdConcurrency: 1, Warmup: warmup, Clock: d.clock,
 	}
 	u.Start(uint64(len(d.upstreams) + 1))
-	addr, l, err := d.listen(u.Upstream)
-	if err != nil {
+	var err error
+	if u.addr, err = d.listen(u.Upstream); err != nil {
 		return nil, err
 	}
-	u.addr, u.listener = addr, l
+	if d.Fault == silentConnection {
+		if u.relay, err = relay.New(d.clock, u.addr); err != nil {
+			return nil, eris.Wrap(ErrDemo, err.Error())
+		}
+		u.addr = u.relay.Addr()
+	}
 	d.upstreams = append(d.upstreams, u)
 	return u, nil
 }
--- a/internal/demo/fault.go
+++ b/internal/demo/fault.go
@@ -30,17 +30,20 @@
 // drainGrace is the time within which an operator's change must apply to new calls.
 const drainGrace = 3 * time.Second
 
+// silentConnection is the name of the fault that needs relays in front of the upstreams.
+const silentConnection = "silent-connection"
+
 // faults returns all faults by name; the empty name stands for none.
 func faults() map[string]*fault {
 	return map[string]*fault{
-		"":                  {inject: injectNothing, verify: func(*Demo, *stats.Summary) {}},
-		"domain-out":        domainDrainFault(),
-		"store-down":        {help: "the store is down until the end", inject: injectStoreDown, verify: verifyIdempotentAnswered},
-		"entry-killed":      {help: "an entry is killed", inject: injectEntryKill, verify: verifyAnsweredAtLeast(0.95)},
-		"cold-upstream":     coldUpstreamFault(),
-		"bad-version":       {help: "a move to a version that fails; it must be rolled back", inject: injectBadVersion, verify: verifyRolledBack},
-		"silent-connection": {help: "all open connections to the upstreams silently stop carrying data", inject: injectBlackhole, verify: verifyAnsweredAtLeast(0.95)},
-		"planned-stop":      {help: "an entry gets SIGTERM; no call may fail", inject: injectPlannedStop, verify: verifyPlannedStop},
+		"":               {inject: injectNothing, verify: func(*Demo, *stats.Summary) {}},
+		"domain-out":     domainDrainFault(),
+		"store-down":     {help: "the store is down until the end", inject: injectStoreDown, verify: verifyIdempotentAnswered},
+		"entry-killed":   {help: "an entry is killed", inject: injectEntryKill, verify: verifyAnsweredAtLeast(0.95)},
+		"cold-upstream":  coldUpstreamFault(),
+		"bad-version":    {help: "a move to a version that fails; it must be rolled back", inject: injectBadVersion, verify: verifyRolledBack},
+		silentConnection: {help: "all open connections to the upstreams silently stop carrying data", inject: injectSilence, verify: verifyAnsweredAtLeast(0.95)},
+		"planned-stop":   {help: "an entry gets SIGTERM; no call may fail", inject: injectPlannedStop, verify: verifyPlannedStop},
 	}
 }
 
@@ -104,9 +107,9 @@
 	return nil
 }
 
-func injectBlackhole(_ context.Context, d *Demo) error {
+func injectSilence(_ context.Context, d *Demo) error {
 	for _, u := range d.upstreams {
-		u.listener.blackhole()
+		u.relay.Silence(1)
 	}
 	return nil
 }
--- a/internal/soak/caller/call.go
+++ b/internal/soak/caller/call.go
@@ -85,7 +85,7 @@
 		k.chunkGap = time.Duration(c.intN(60)) * time.Millisecond
 	}
 	c.drawHeaders(k)
-	r.Method, r.Digest = k.method, k.digest()
+	r.Method, r.URI, r.Digest = k.method, k.uri, k.digest()
 	return k
 }
 
@@ -130,7 +130,7 @@
 // again returns the same call with a new request.
 func (k *call) again(c *caller) *call {
 	next, r := *k, *k.request
-	next.request = &trail.Request{Call: r.Call, Try: r.Try + 1, Service: r.Service, Kind: r.Kind, Method: r.Method, Habit: r.Habit, Headers: r.Headers, Deadline: r.Deadline, Digest: r.Digest}
+	next.request = &trail.Request{Call: r.Call, Try: r.Try + 1, Service: r.Service, Kind: r.Kind, Method: r.Method, URI: r.URI, Habit: r.Habit, Headers: r.Headers, Deadline: r.Deadline, Digest: r.Digest}
 	if c.service.Kind == trail.Once && k.headers.Get(wire.IdempotencyKey) == "" && r.Outcome != "notrun" {
 		return c.newCall()
 	}
--- a/internal/soak/plan/kind.go
+++ b/internal/soak/plan/kind.go
@@ -1,10 +1,6 @@
 package plan
 
-import (
-	"math/rand/v2"
-
-	"github.com/rotisserie/eris"
-)
+import "github.com/rotisserie/eris"
 
 //go:generate go tool -modfile=../../../tools/go.mod stringer -type Kind -linecomment
 
@@ -84,72 +80,59 @@
 	return eris.Wrapf(ErrPlan, "unknown kind of fault %q", text)
 }
 
-// HitsEntries reports whether the target of the fault is an entry.
-func (k Kind) HitsEntries() bool {
-	switch k {
-	case Stop, Kill, Pause, Reload, SilentCallers, ResetCallers, SlowCallers, SilentStore, ResetStore, SlowStore, OneWayStore, IdleCallers, FewFiles:
-		return true
-	}
-	return false
-}
+// target is what a kind of fault hits.
+type target int
 
-// HitsUpstreams reports whether the target of the fault is an upstream.
-func (k Kind) HitsUpstreams() bool {
-	switch k {
-	case SilentUpstream, ResetUpstream, SlowUpstream, OneWayUpstream, Remove, Leave, Crash, LoseAnswers, CutAnswers, DoubleAnswers, GarbleAnswers, FailAnswers, SlowAnswers:
-		return true
-	}
-	return false
-}
+const (
+	entries target = iota
+	upstreams
+	kvStore
+	records
+)
 
-// lasts reports whether the fault ends after a time.
-func (k Kind) lasts() bool {
-	switch k {
-	case Stop, Kill, Reload, SilentCallers, SilentStore, SilentUpstream, ResetCallers, ResetStore, ResetUpstream, StoreForget, Rollout, FewFiles:
-		return false
-	}
-	return true
+// specs describe the kinds: what they hit, whether they end after a time, whether operators or callers do them, and the shares
+// that are drawn.
+var specs = [kindCount]struct {
+	target  target
+	lasts   bool
+	planned bool
+	shares  []float64
+}{
+	Stop: {entries, false, true, nil}, Kill: {entries, false, false, nil}, Pause: {entries, true, false, nil}, Reload: {entries, false, true, nil},
+	SilentCallers: {entries, false, false, some}, SilentStore: {entries, false, false, some}, SilentUpstream: {upstreams, false, false, some},
+	ResetCallers: {entries, false, false, some}, ResetStore: {entries, false, false, some}, ResetUpstream: {upstreams, false, false, some},
+	SlowCallers: {entries, true, false, delays}, SlowStore: {entries, true, false, delays}, SlowUpstream: {upstreams, true, false, delays},
+	OneWayStore: {entries, true, false, nil}, OneWayUpstream: {upstreams, true, false, nil},
+	StoreDown: {kvStore, true, false, nil}, StoreStall: {kvStore, true, false, delays}, StoreLoss: {kvStore, true, false, spoilt}, StoreForget: {kvStore, false, false, nil},
+	Remove: {upstreams, true, true, nil}, Leave: {upstreams, true, true, nil},
+	DrainDomain: {records, true, true, nil}, DropService: {records, true, true, nil}, Rollout: {records, false, true, nil},
+	Crash: {upstreams, true, false, nil}, LoseAnswers: {upstreams, true, false, spoilt}, CutAnswers: {upstreams, true, false, spoilt},
+	DoubleAnswers: {upstreams, true, false, spoilt}, GarbleAnswers: {upstreams, true, false, spoilt}, FailAnswers: {upstreams, true, false, spoilt},
+	SlowAnswers: {upstreams, true, false, []float64{2, 5, 10}}, IdleCallers: {entries, true, true, []float64{50, 500, 2000}},
+	FewFiles: {entries, false, true, []float64{120, 200, 400}}, SharedKeys: {records, true, true, nil},
 }
 
-// drawShare draws the share of a fault.
-func (k Kind) drawShare(r *rand.Rand) float64 {
-	switch k {
-	case SlowCallers, SlowStore, SlowUpstream, StoreStall:
-		return 0.02 + 0.5*r.Float64()
-	case SilentCallers, SilentStore, SilentUpstream, ResetCallers, ResetStore, ResetUpstream:
-		return []float64{0.3, 1}[r.IntN(2)]
-	case StoreLoss, LoseAnswers, CutAnswers, DoubleAnswers, GarbleAnswers, FailAnswers:
-		return []float64{0.1, 0.5}[r.IntN(2)]
-	case SlowAnswers:
-		return 2 + 8*r.Float64()
-	case IdleCallers:
-		return []float64{50, 500, 2000}[r.IntN(3)]
-	case FewFiles:
-		return []float64{120, 200, 400}[r.IntN(3)]
-	}
-	return 0
-}
+// Shares of connections, delays in seconds, and shares of answers.
+var (
+	some   = []float64{0.3, 1}
+	delays = []float64{0.02, 0.1, 0.5}
+	spoilt = []float64{0.1, 0.5}
+)
+
+// HitsEntries reports whether the target of the fault is an entry.
+func (k Kind) HitsEntries() bool { return specs[k].target == entries }
+
+// HitsUpstreams reports whether the target of the fault is an upstream.
+func (k Kind) HitsUpstreams() bool { return specs[k].target == upstreams }
 
 // HitsStore reports whether the target of the fault is the store.
-func (k Kind) HitsStore() bool {
-	switch k {
-	case StoreDown, StoreStall, StoreLoss, StoreForget:
-		return true
-	}
-	return false
-}
+func (k Kind) HitsStore() bool { return specs[k].target == kvStore }
 
 // HitsRecords reports whether the fault changes records of operators, or the habits of callers.
-func (k Kind) HitsRecords() bool { return !k.HitsEntries() && !k.HitsUpstreams() && !k.HitsStore() }
+func (k Kind) HitsRecords() bool { return specs[k].target == records }
 
 // Planned reports whether the fault is something that operators and callers do, which excuses nothing.
-func (k Kind) Planned() bool {
-	switch k {
-	case Stop, Reload, Remove, Leave, DrainDomain, DropService, Rollout, IdleCallers, FewFiles, SharedKeys:
-		return true
-	}
-	return false
-}
+func (k Kind) Planned() bool { return specs[k].planned }
 
 // Lasting reports whether the fault lasts for the connections that are open when it begins.
 func (k Kind) Lasting() bool {
--- a/internal/soak/plan/plan.go
+++ b/internal/soak/plan/plan.go
@@ -133,8 +133,11 @@
 	if k.HitsEntries() {
 		targets = size
 	}
-	f := Fault{Kind: k, At: Duration(at), Target: r.IntN(targets), Share: k.drawShare(r)}
-	if k.lasts() {
+	f := Fault{Kind: k, At: Duration(at), Target: r.IntN(targets)}
+	if shares := specs[k].shares; len(shares) > 0 {
+		f.Share = shares[r.IntN(len(shares))]
+	}
+	if specs[k].lasts {
 		f.Lasts = Duration(time.Duration(200+r.IntN(int(maxLasts.Milliseconds())-200)) * time.Millisecond)
 	}
 	if k.HitsStore() || k.HitsRecords() {
--- a/internal/soak/report.go
+++ b/internal/soak/report.go
@@ -105,8 +105,8 @@
 func (r *Report) writeBroken(w io.Writer, b check.Broken) {
 	fmt.Fprintf(w, "%s  %s\n", r.at(b.At), b.Text)
 	if q := b.Request; q != nil {
-		fmt.Fprintf(w, "    request %s/%d of a %s caller: %s %s (%s) to %s, connection opened %s, sent %s behind %d, head %s, ended %s, deadline %v, status %d %s %s, gave up %v, %q, answer to %q, headers %q\n",
-			q.Call, q.Try, q.Habit, q.Method, q.Service, q.Kind, q.Entry, r.at(q.Opened), r.at(q.Sent), q.Behind, r.at(q.Head), r.at(q.Ended), q.Deadline, q.Status, q.Outcome, q.Reason, q.GaveUp, q.Error, q.AnswerCall, q.Headers)
+		fmt.Fprintf(w, "    request %s/%d of a %s caller: %s /%s%s (%s) to %s, connection opened %s, sent %s behind %d, head %s, ended %s, deadline %v, status %d %s %s, gave up %v, %q, answer to %q, headers %q\n",
+			q.Call, q.Try, q.Habit, q.Method, q.Service, q.URI, q.Kind, q.Entry, r.at(q.Opened), r.at(q.Sent), q.Behind, r.at(q.Head), r.at(q.Ended), q.Deadline, q.Status, q.Outcome, q.Reason, q.GaveUp, q.Error, q.AnswerCall, q.Headers)
 	}
 	for _, run := range b.Runs {
 		fmt.Fprintf(w, "    run of %s/%d at %s from %s to %s: %v\n", run.Call, run.Try, run.Upstream, r.at(run.Begin), r.at(run.End), run.Ending)
--- a/internal/soak/trail/trail.go
+++ b/internal/soak/trail/trail.go
@@ -44,6 +44,7 @@
 	Service string
 	Kind    Kind
 	Method  string
+	URI     string
 	Habit   string
 	// Headers are the optional headers that the caller sent.
 	Headers []string
