demux: a connection that closes after its last response is read on for a while

Callers that pipeline lost large answers around a planned stop: the connection closed after the last response while requests of the caller were on the way. Data that arrives at a closed socket makes the system reset the connection, and what the caller had not received of the response is lost ("connection reset by peer", or an unexpected EOF).

Now only the writing side closes at once, and the reading side is read for at most 0.5 s, as net/http does after an early response. A shutdown waits for this unless the connection was idle.

--- a/internal/demux/conn.go
+++ b/internal/demux/conn.go
@@ -126,7 +126,22 @@
 	if err != nil {
 		return nil, err
 	}
-	return h, c.raw.SetReadDeadline(time.Time{})
+	return h, c.setReadDeadline(time.Time{})
+}
+
+// setReadDeadline sets the deadline for reads from the caller, unless the connection is closed: lingerer then has set its own.
+func (c *conn) setReadDeadline(t time.Time) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.setReadDeadlineLocked(t)
+}
+
+// setReadDeadlineLocked is setReadDeadline for a caller of the method that holds mu.
+func (c *conn) setReadDeadlineLocked(t time.Time) error {
+	if c.closed {
+		return net.ErrClosed
+	}
+	return c.raw.SetReadDeadline(t)
 }
 
 // lastReadTime is how long an idle connection is read during a shutdown, for a request that has arrived already.
@@ -141,7 +156,7 @@
 	if final = closing && c.responseSeq == c.nextSeq; final {
 		idle = lastReadTime
 	}
-	return final, c.raw.SetReadDeadline(c.deadlineAfter(idle))
+	return final, c.setReadDeadlineLocked(c.deadlineAfter(idle))
 }
 
 // endWait sets the deadline for the rest of a head, which no shutdown interrupts.
@@ -149,7 +164,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.waiting = false
-	return c.raw.SetReadDeadline(c.deadlineAfter(read))
+	return c.setReadDeadlineLocked(c.deadlineAfter(read))
 }
 
 // beginClosing interrupts the wait for a request if none is pending. The listener must be closing.
@@ -170,7 +185,7 @@
 func (c *conn) interruptIdle() {
 	if c.waiting && c.responseSeq == c.nextSeq {
 		// If this fails, the connection is closed, which ends the wait too.
-		_ = c.raw.SetReadDeadline(c.listener.clock.Now())
+		_ = c.setReadDeadlineLocked(c.listener.clock.Now())
 	}
 }
 
@@ -362,20 +377,45 @@
 	}
 }
 
+// lingerTime is how long a closed connection is read for what the caller had sent before it saw the close; net/http waits as long.
+const lingerTime = 500 * time.Millisecond
+
 // closeCaller closes the connection of the caller and the inputs of all virtual connections.
+//
+// The reading side stays open for a while. Requests that arrive at a closed socket would reset the connection, and with a reset
+// the caller loses what it has not received of the last response.
 func (c *conn) closeCaller() {
 	if c.closed {
 		return
 	}
 	c.closed = true
-	_ = c.raw.Close()
-	c.listener.remove(c)
+	half, ok := c.raw.(interface{ CloseWrite() error })
+	lingers := ok && half.CloseWrite() == nil && c.raw.SetReadDeadline(c.listener.clock.Now().Add(lingerTime)) == nil
+	if lingers {
+		go (&lingerer{c}).run()
+	} else {
+		_ = c.raw.Close()
+	}
+	if !lingers || c.responseSeq == c.nextSeq {
+		// A shutdown does not wait for an idle connection, whose last response was complete before.
+		c.listener.remove(c)
+	}
 	for _, vc := range c.virtualConns {
 		_ = vc.input.Close()
 	}
 	c.changed.Broadcast()
 }
 
+// lingerer closes a connection whose writing side is closed; its run method is a goroutine.
+type lingerer struct{ conn *conn }
+
+// run discards what the caller still sends until it closes its side or lingerTime is over.
+func (l *lingerer) run() {
+	_, _ = io.Copy(io.Discard, l.conn.raw)
+	_ = l.conn.raw.Close()
+	l.conn.listener.remove(l.conn)
+}
+
 // closeInputs signals to the server that the caller sends nothing more. The server then closes the virtual connections, and
 // with the last of them the connection of the caller ends.
 func (c *conn) closeInputs() {
