--- /dev/null
+++ b/internal/soak/plan/plan_test.go
@@ -0,0 +1,77 @@
+package plan_test
+
+import (
+	"os"
+	"path/filepath"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/balsamvale/balsamvale/internal/soak/plan"
+)
+
+var _ = Describe("Draw", func() {
+	It("draws the same faults from the same seed, and others from another one", func() {
+		a, b, c := plan.Draw(7, 3, time.Minute), plan.Draw(7, 3, time.Minute), plan.Draw(8, 3, time.Minute)
+		Expect(a).To(Equal(b))
+		Expect(a.Fault).NotTo(Equal(c.Fault))
+	})
+
+	It("stays within the bounds, and draws each kind within 50 seeds", func() {
+		drawn := map[string]bool{}
+		for seed := range uint64(50) {
+			for _, f := range plan.Draw(seed, 3, 20*time.Second).Fault {
+				drawn[f.Kind.String()] = true
+				Expect(time.Duration(f.At)).To(BeNumerically(">=", 2*time.Second))
+				Expect(time.Duration(f.Lasts)).To(BeNumerically("<", 4*time.Second))
+				Expect(f.Target).To(BeNumerically(">=", 0))
+				if f.Kind.HitsEntries() {
+					Expect(f.Target).To(BeNumerically("<", 3))
+				}
+			}
+		}
+		Expect(drawn).To(HaveLen(34))
+	})
+})
+
+var _ = Describe("a plan as text", func() {
+	It("is read as it was written", func() {
+		p := plan.Draw(7, 3, 30*time.Second)
+		text, err := p.Text()
+		Expect(err).NotTo(HaveOccurred())
+		read, err := plan.Parse([]byte(text))
+		Expect(err).NotTo(HaveOccurred())
+		Expect(read).To(Equal(p))
+	})
+
+	for _, tc := range []struct{ name, text string }{
+		{"no size", "Length = '3s'"}, {"no length", "Size = 3"}, {"an unknown kind", "Size = 3\nLength = '3s'\n[[Fault]]\nKind = 'rain'"},
+		{"an invalid duration", "Size = 3\nLength = 'long'"},
+	} {
+		It("is refused with "+tc.name, func() {
+			_, err := plan.Parse([]byte(tc.text))
+			Expect(err).To(MatchError(plan.ErrPlan))
+		})
+	}
+
+	It("loses one fault without changing the original", func() {
+		p := plan.Draw(7, 3, 30*time.Second)
+		before, second := len(p.Fault), p.Fault[1]
+		Expect(p.Without(0).Fault).To(HaveLen(before - 1))
+		Expect(p.Without(0).Fault[0]).To(Equal(second))
+		Expect(p.Fault).To(HaveLen(before))
+	})
+
+	It("is valid in each regression case", func() {
+		files, err := filepath.Glob("../../../testdata/soak/*.toml")
+		Expect(err).NotTo(HaveOccurred())
+		Expect(files).NotTo(BeEmpty())
+		for _, f := range files {
+			data, err := os.ReadFile(f)
+			Expect(err).NotTo(HaveOccurred())
+			_, err = plan.Parse(data)
+			Expect(err).NotTo(HaveOccurred(), f)
+		}
+	})
+})
