soak: record how long processes wait for the CPU, which excuses late answers on a busy machine

Beside a load of 70 on 8 cores, requests ended late on all entries at once: entries and the process of the callers waited up to 1.2 s for the CPU (gaps in their logs; CPU pressure 84 of 100). The waits of each thread now stand in the record.

--- a/internal/soak/check/check.go
+++ b/internal/soak/check/check.go
@@ -55,6 +55,10 @@
 	contactTime = 3 * time.Second
 	// deadlineMargin is how long after its deadline a request may end.
 	deadlineMargin = 500 * time.Millisecond
+	// heldBound is the time, and heldShare the share of the time, for which processes may be held from the CPU during what a bound
+	// limits.
+	heldBound = deadlineMargin / 2
+	heldShare = 8
 	// readyBound is the time from the start of a process until it is ready.
 	readyBound = 15 * time.Second
 	// Growth of goroutines, descriptors and memory that an idle process may show over the most that it used under load.
@@ -116,9 +120,12 @@
 
 func (x *index) runsOf(r *trail.Request) []*trail.Run { return x.runs[key{r.Call, r.Try}] }
 
-// disturbed reports whether a fault that is not planned hit a subject between two times, or so shortly before that its effects
-// may last.
+// disturbed reports whether a subject was held from the CPU between two times, or a fault that is not planned hit it then, or so
+// shortly before that its effects may last.
 func (x *index) disturbed(subject string, from, to time.Time) bool {
+	if x.held(subject, from, to) {
+		return true
+	}
 	return slices.ContainsFunc(x.Faults, func(d *trail.Disturbance) bool {
 		end := d.End
 		if end.IsZero() {
@@ -128,6 +135,25 @@
 	})
 }
 
+// held reports whether an entry, or the process of the callers and upstreams, was held from the CPU between two times for longer
+// than heldBound and one part in heldShare of the time. On a busy machine this shows which delays are not the entry's own.
+func (x *index) held(entry string, from, to time.Time) bool {
+	var entryHeld, machineHeld time.Duration
+	for _, s := range x.Stalls {
+		begin := s.End.Add(-s.Took)
+		if !begin.Before(to) || !s.End.After(from) {
+			continue
+		}
+		switch s.Subject {
+		case entry:
+			entryHeld += s.Took
+		case trail.Machine:
+			machineHeld += s.Took
+		}
+	}
+	return max(entryHeld, machineHeld) > max(heldBound, to.Sub(from)/heldShare)
+}
+
 // silenced reports whether the connection of a request was open when a fault that lasts for its connections hit its entry.
 func (x *index) silenced(r *trail.Request) bool {
 	return slices.ContainsFunc(x.Faults, func(d *trail.Disturbance) bool {
--- a/internal/soak/check/check_test.go
+++ b/internal/soak/check/check_test.go
@@ -46,6 +46,13 @@
 	}
 }
 
+// stall returns a wait for the CPU that took and ended at some milliseconds.
+func stall(subject string, took, end int) func(t *trail.Trail) {
+	return func(t *trail.Trail) {
+		t.Stalls = append(t.Stalls, trail.Stall{Subject: subject, End: at(end), Took: time.Duration(took) * time.Millisecond})
+	}
+}
+
 // samples are what a process used at its polls, and at last when idle.
 func samples(last trail.Sample, idle bool) *trail.Trail {
 	t := &trail.Trail{Begin: begin}
@@ -147,6 +154,12 @@
 		t.Faults = append(t.Faults, &trail.Disturbance{Subject: "entry-1", Lasting: true, Begin: at(2000), End: at(2000)})
 	}), []check.Promise{check.EndsInTime}},
 
+	{"a late answer of an entry that got no CPU", with(lookup(func(r *trail.Request, _ *trail.Run, _ *trail.Life) { r.Head, r.Ended = at(9000), at(9000) }), stall("entry-1", 376, 7000)), nil},
+	{"a late answer to callers that got no CPU", with(lookup(func(r *trail.Request, _ *trail.Run, _ *trail.Life) { r.Head, r.Ended = at(9000), at(9000) }), stall(trail.Machine, 376, 7000)), nil},
+	{"a late answer, with a short wait for the CPU", with(lookup(func(r *trail.Request, _ *trail.Run, _ *trail.Life) { r.Head, r.Ended = at(9000), at(9000) }), stall("entry-1", 375, 7000)), []check.Promise{check.EndsInTime}},
+	{"a late answer, with a wait for the CPU before it", with(lookup(func(r *trail.Request, _ *trail.Run, _ *trail.Life) { r.Head, r.Ended = at(9000), at(9000) }), stall("entry-1", 900, 5999)), []check.Promise{check.EndsInTime}},
+	{"a late answer, with a wait of another entry for the CPU", with(lookup(func(r *trail.Request, _ *trail.Run, _ *trail.Life) { r.Head, r.Ended = at(9000), at(9000) }), stall("entry-2", 900, 7000)), []check.Promise{check.EndsInTime}},
+
 	{"a refusal of a request that has run", lookup(func(r *trail.Request, _ *trail.Run, l *trail.Life) {
 		cut(r)
 		r.Status, r.Outcome, r.Complete = 503, "notrun", true
--- a/internal/soak/fleet/fleet.go
+++ b/internal/soak/fleet/fleet.go
@@ -65,6 +65,8 @@
 	client   *store.Client
 	entries  []*entry
 	faults   sync.WaitGroup
+	// done is closed when the fleet closes.
+	done chan struct{}
 
 	// mu guards the fields below.
 	mu        sync.Mutex
@@ -169,6 +171,8 @@
 			f.sleep(pollInterval)
 		}
 	}
+	f.done = make(chan struct{})
+	go (&stallWatch{fleet: f, done: f.done, waited: map[string]time.Duration{}}).loop()
 	for _, e := range f.entries {
 		go e.loopPolls()
 	}
@@ -209,6 +213,9 @@
 
 // Close kills the entries, closes the servers, and completes the record of the processes.
 func (f *Fleet) Close() {
+	if f.done != nil {
+		close(f.done)
+	}
 	for _, e := range f.entries {
 		e.close()
 	}
--- a/internal/soak/report.go
+++ b/internal/soak/report.go
@@ -29,6 +29,7 @@
 	if err := r.writeCounts(w); err != nil {
 		return err
 	}
+	r.writeStalls(w)
 	byPromise := map[check.Promise][]check.Broken{}
 	for _, b := range r.Broken {
 		byPromise[b.Promise] = append(byPromise[b.Promise], b)
@@ -101,6 +102,17 @@
 	return tw.Flush()
 }
 
+// writeStalls writes how long the processes were held from the CPU, which excuses late answers.
+func (r *Report) writeStalls(w io.Writer) {
+	held := map[string]time.Duration{}
+	for _, s := range r.Trail.Stalls {
+		held[s.Subject] += s.Took
+	}
+	for _, subject := range slices.Sorted(maps.Keys(held)) {
+		fmt.Fprintf(w, "threads of %s waited for the CPU for %v, in waits of 0.1 s or more\n", subject, held[subject].Round(time.Millisecond))
+	}
+}
+
 // writeBroken writes one broken promise with the record of its request.
 func (r *Report) writeBroken(w io.Writer, b check.Broken) {
 	fmt.Fprintf(w, "%s  %s\n", r.at(b.At), b.Text)
--- a/internal/soak/trail/trail.go
+++ b/internal/soak/trail/trail.go
@@ -141,6 +141,17 @@
 	Idle bool
 }
 
+// Machine is the subject of the stalls of the process that runs the callers and upstreams.
+const Machine = "machine"
+
+// Stall is a time for which a thread of a process was ready to run and got no CPU.
+type Stall struct {
+	// Subject is the entry, or Machine.
+	Subject string
+	End     time.Time
+	Took    time.Duration
+}
+
 // Trail is the record of a soak; it is safe for concurrent use until its fields are read after the soak.
 type Trail struct {
 	Begin    time.Time
@@ -150,6 +161,7 @@
 	Faults   []*Disturbance
 	Removals []*Removal
 	Samples  []Sample
+	Stalls   []Stall
 
 	mu sync.Mutex
 }
