--- a/internal/soak/fleet/inject.go
+++ b/internal/soak/fleet/inject.go
@@ -171,7 +171,7 @@
 	var conns []net.Conn
 	for range int(i.fault.Share) {
 		t, _ := e.target()
-		c, err := net.DialTimeout("tcp", t.Addr.String(), pollInterval)
+		c, err := net.DialTimeout("tcp", t.Addr.String(), time.Second)
 		if err != nil {
 			break
 		}
