--- a/internal/soak/report.go
+++ b/internal/soak/report.go
@@ -36,7 +36,7 @@
 	}
 	for _, p := range slices.Sorted(maps.Keys(byPromise)) {
 		list := byPromise[p]
-		fmt.Fprintf(w, "\nbroken promise: %v, %d times\n", p, len(list))
+		fmt.Fprintf(w, "\nbroken promise: %v, %d times%s\n", p, len(list), habits(list))
 		for _, b := range list[:min(len(list), maxRecords)] {
 			r.writeBroken(w, b)
 		}
@@ -47,6 +47,21 @@
 	return nil
 }
 
+// habits returns how many of the requests came from callers of each habit.
+func habits(list []check.Broken) string {
+	counts := map[string]int{}
+	for _, b := range list {
+		if b.Request != nil {
+			counts[b.Request.Habit]++
+		}
+	}
+	s := ""
+	for _, h := range slices.Sorted(maps.Keys(counts)) {
+		s += fmt.Sprintf(", %s %d", h, counts[h])
+	}
+	return s
+}
+
 // at returns a time relative to the begin of the soak.
 func (r *Report) at(t time.Time) string {
 	if t.IsZero() {
