--- a/internal/daemon/daemon_test.go
+++ b/internal/daemon/daemon_test.go
@@ -38,9 +38,12 @@
 	return netip.MustParseAddrPort(strings.TrimPrefix(s.URL, "http://"))
 }
 
+// finder finds the ports of the entries.
+var finder ports.Finder
+
 // freeAddr returns a local address with a port that was free a moment ago.
 func freeAddr() netip.AddrPort {
-	addr, err := ports.Free()
+	addr, err := finder.Next()
 	Expect(err).NotTo(HaveOccurred())
 	return addr
 }
--- a/internal/demo/fault.go
+++ b/internal/demo/fault.go
@@ -30,17 +30,20 @@
 // drainGrace is the time within which an operator's change must apply to new calls.
 const drainGrace = 3 * time.Second
 
+// silentConnection is the name of the fault that needs relays in front of the upstreams.
+const silentConnection = "silent-connection"
+
 // faults returns all faults by name; the empty name stands for none.
 func faults() map[string]*fault {
 	return map[string]*fault{
-		"":                  {inject: injectNothing, verify: func(*Demo, *stats.Summary) {}},
-		"domain-out":        domainDrainFault(),
-		"store-down":        {help: "the store is down until the end", inject: injectStoreDown, verify: verifyIdempotentAnswered},
-		"entry-killed":      {help: "an entry is killed", inject: injectEntryKill, verify: verifyAnsweredAtLeast(0.95)},
-		"cold-upstream":     coldUpstreamFault(),
-		"bad-version":       {help: "a move to a version that fails; it must be rolled back", inject: injectBadVersion, verify: verifyRolledBack},
-		"silent-connection": {help: "all open connections to the upstreams silently stop carrying data", inject: injectBlackhole, verify: verifyAnsweredAtLeast(0.95)},
-		"planned-stop":      {help: "an entry gets SIGTERM; no call may fail", inject: injectPlannedStop, verify: verifyPlannedStop},
+		"":               {inject: injectNothing, verify: func(*Demo, *stats.Summary) {}},
+		"domain-out":     domainDrainFault(),
+		"store-down":     {help: "the store is down until the end", inject: injectStoreDown, verify: verifyIdempotentAnswered},
+		"entry-killed":   {help: "an entry is killed", inject: injectEntryKill, verify: verifyAnsweredAtLeast(0.95)},
+		"cold-upstream":  coldUpstreamFault(),
+		"bad-version":    {help: "a move to a version that fails; it must be rolled back", inject: injectBadVersion, verify: verifyRolledBack},
+		silentConnection: {help: "all open connections to the upstreams silently stop carrying data", inject: injectSilence, verify: verifyAnsweredAtLeast(0.95)},
+		"planned-stop":   {help: "an entry gets SIGTERM; no call may fail", inject: injectPlannedStop, verify: verifyPlannedStop},
 	}
 }
 
@@ -100,26 +103,26 @@
 }
 
 func injectEntryKill(_ context.Context, d *Demo) error {
-	d.entries[0].signal(syscall.SIGKILL)
+	d.entries[0].Signal(syscall.SIGKILL)
 	return nil
 }
 
-func injectBlackhole(_ context.Context, d *Demo) error {
+func injectSilence(_ context.Context, d *Demo) error {
 	for _, u := range d.upstreams {
-		u.listener.blackhole()
+		u.relay.Silence(1)
 	}
 	return nil
 }
 
 func injectPlannedStop(_ context.Context, d *Demo) error {
-	d.entries[0].signal(syscall.SIGTERM)
+	d.entries[0].Signal(syscall.SIGTERM)
 	return nil
 }
 
 // verifyPlannedStop checks that the stopped entry exited with 0 and that no call failed or was truncated.
 func verifyPlannedStop(d *Demo, r *stats.Summary) {
-	<-d.entries[0].done
-	r.Check(d.entries[0].exitCode.Load() == 0, "the stopped entry did not exit with 0")
+	<-d.entries[0].Done()
+	r.Check(d.entries[0].ExitCode() == 0, "the stopped entry did not exit with 0")
 	r.Check(r.Failed == 0 && r.Truncated == 0, "a call failed or was truncated during a planned stop")
 }
 
--- a/internal/ports/doc.go
+++ b/internal/ports/doc.go
@@ -1,2 +1,2 @@
-// Package ports finds free ports on loopback for tests that bind an address later.
+// Package ports finds free loopback ports for programs and tests that bind an address later.
 package ports
