--- a/internal/proxy/driver.go
+++ b/internal/proxy/driver.go
@@ -245,10 +245,6 @@
 		timeLeft = limit.Sub(now)
 	}
 	id := d.handler.Headers.PrepareAttempt(h, d.call, &s, d.handler.Name+"."+strconv.FormatUint(d.handler.Incarnation, 10), timeLeft)
-	if _, ok := h["User-Agent"]; !ok {
-		// An empty value keeps net/http from adding its own.
-		h.Set("User-Agent", "")
-	}
 	req := &outreq.Request{
 		Method: d.r.Method, RequestURI: d.match.requestURI, Host: d.r.Host, Header: h,
 		ID:         id,
