--- a/internal/sender/decision_test.go
+++ b/internal/sender/decision_test.go
@@ -318,6 +318,7 @@
 	location := "Location: /elsewhere\r\nContent-Length: 0\r\n\r\n"
 	// A SETTINGS and a GOAWAY frame of HTTP/2.
 	const goAway = "\x00\x00\x00\x04\x00\x00\x00\x00\x00" + "\x00\x00\x08\x07\x00\x00\x00\x00\x00\x00\x00\x00\x00\x00\x00\x00\x00"
+	switching := "HTTP/1.1 101 Switching Protocols\r\nConnection: Upgrade\r\nUpgrade: websocket\r\n\r\n"
 	for _, tc := range []struct {
 		name    string
 		method  string
@@ -342,6 +343,8 @@
 		{"decodes no body", http.MethodGet, nil, "", write(gzipped), cause.None, 200, "Content-Encoding: gzip", zipped.String()},
 		{"decodes no body that the caller asked for", http.MethodGet, http.Header{"Accept-Encoding": {"gzip"}}, "", write(gzipped), cause.None, 200, "Content-Encoding: gzip", zipped.String()},
 		{"takes HTTP/2 frames for no answer", http.MethodGet, nil, "", func(c net.Conn) bool { return write(goAway)(c) && false }, cause.ConnBroken, 0, "", ""},
+		{"switches to no other protocol", http.MethodGet, nil, "", write(switching), cause.ConnBroken, 0, "", ""},
+		{"switches to no other protocol that the caller asked for", http.MethodGet, http.Header{"Connection": {"Upgrade"}, "Upgrade": {"websocket"}}, "", write(switching), cause.ConnBroken, 0, "", ""},
 		{"passes trailers on", http.MethodGet, nil, "", write("HTTP/1.1 200 OK\r\nTrailer: X-Sum\r\nTransfer-Encoding: chunked\r\n\r\n1\r\nx\r\n0\r\nX-Sum: 1\r\n\r\n"), cause.None, 200, "X-Sum: 1", "x"},
 		{"keeps no cookie", http.MethodGet, nil, "", write("HTTP/1.1 200 OK\r\nSet-Cookie: a=b\r\nContent-Length: 0\r\n\r\n"), cause.None, 200, "Set-Cookie: a=b", ""},
 	} {
@@ -418,6 +421,14 @@
 		conns, runs := u.counts()
 		Expect([]int{conns, runs}).To(Equal([]int{1, 1}))
 	})
+
+	It("does not hold a probe whose answer is a switch of protocols", func() {
+		u := startScripted(write(switching))
+		start := time.Now()
+		out := sender.New(clock.Wall(), header.Default()).Probe(context.Background(), "u", u.addr(), "/load")
+		Expect(out.Cause).To(Equal(cause.ConnBroken))
+		Expect(time.Since(start)).To(BeNumerically("<", tune.ProbeTimeout+time.Second))
+	})
 })
 
 // What an upstream gets of a call follows from the call alone; net/http adds only the framing of the body.
--- a/internal/sender/exchange.go
+++ b/internal/sender/exchange.go
@@ -25,7 +25,7 @@
 // again, that one is closed before anything is written to it, whatever the method, body and headers of the request are;
 // and as the context of the request ends with the connection, net/http normally does not get so far. What remains is shut
 // off in the same way for all requests: RoundTrip follows no redirect and keeps no cookie, the transports have no proxy, no
-// compression and no HTTP/2, and no header is added.
+// compression and no HTTP/2, a switch of protocols is a failure, and no header is added.
 type exchange struct {
 	// ctx is the context of the attempt; its end is not the end of the connection.
 	ctx context.Context
@@ -49,6 +49,8 @@
 	errConnLost = eris.New("connection lost before a response")
 	// errOutOfStep is the error of an exchange on a connection that has carried a response to another one.
 	errOutOfStep = eris.New("connection out of step")
+	// errProtocolSwitch is the error of a 101 response: no upgrade is ever asked for.
+	errProtocolSwitch = eris.New("unexpected switch of protocols")
 	// errTooManyInformational is the error of an exchange with more than maxInformational 1xx responses.
 	errTooManyInformational = eris.New("too many informational responses")
 )
@@ -66,6 +68,9 @@
 	if err == nil && e.outOfStep {
 		err = errOutOfStep
 	}
+	if err == nil && res.StatusCode == http.StatusSwitchingProtocols {
+		err = errProtocolSwitch
+	}
 	if err == nil {
 		return res, nil
 	}
