--- a/internal/sender/decision_test.go
+++ b/internal/sender/decision_test.go
@@ -240,6 +240,7 @@
 	{"Accept-Encoding": {""}},
 	{"Range": {"bytes=0-1"}},
 	{"Content-Length": {"7"}},
+	{"Expect": {"100-continue"}},
 	{"Cookie": {"a=b"}},
 	{"Referer": {"http://r/"}},
 	{"User-Agent": {"u"}},
@@ -345,6 +346,9 @@
 		{"takes HTTP/2 frames for no answer", http.MethodGet, nil, "", func(c net.Conn) bool { return write(goAway)(c) && false }, cause.ConnBroken, 0, "", ""},
 		{"switches to no other protocol", http.MethodGet, nil, "", write(switching), cause.ConnBroken, 0, "", ""},
 		{"switches to no other protocol that the caller asked for", http.MethodGet, http.Header{"Connection": {"Upgrade"}, "Upgrade": {"websocket"}}, "", write(switching), cause.ConnBroken, 0, "", ""},
+		{"sends the body without a wait for 100 Continue", http.MethodPost, http.Header{"Expect": {"100-continue"}}, "x", answerEmpty, cause.None, 200, "", ""},
+		{"sends no body twice after 100 Continue", http.MethodPost, http.Header{"Expect": {"100-continue"}}, "x", write("HTTP/1.1 100 Continue\r\n\r\n" + emptyOK), cause.None, 200, "", ""},
+		{"sends nothing again after 417", http.MethodPost, http.Header{"Expect": {"100-continue"}}, "x", write("HTTP/1.1 417 No\r\nContent-Length: 0\r\n\r\n"), cause.None, 417, "", ""},
 		{"passes trailers on", http.MethodGet, nil, "", write("HTTP/1.1 200 OK\r\nTrailer: X-Sum\r\nTransfer-Encoding: chunked\r\n\r\n1\r\nx\r\n0\r\nX-Sum: 1\r\n\r\n"), cause.None, 200, "X-Sum: 1", "x"},
 		{"keeps no cookie", http.MethodGet, nil, "", write("HTTP/1.1 200 OK\r\nSet-Cookie: a=b\r\nContent-Length: 0\r\n\r\n"), cause.None, 200, "Set-Cookie: a=b", ""},
 	} {
--- a/internal/sender/sender.go
+++ b/internal/sender/sender.go
@@ -26,6 +26,8 @@
 	pooled *http.Transport
 	// unpooled opens a new connection for each attempt.
 	unpooled *http.Transport
+	// streamed is unpooled for attempts whose body still comes from the caller: a body with an expectation waits for the upstream.
+	streamed *http.Transport
 }
 
 const (
@@ -43,6 +45,9 @@
 	s.pooled = s.newTransport()
 	s.unpooled = s.newTransport()
 	s.unpooled.DisableKeepAlives = true
+	s.streamed = s.newTransport()
+	s.streamed.DisableKeepAlives = true
+	s.streamed.ExpectContinueTimeout = time.Second
 	return s
 }
 
@@ -57,7 +62,6 @@
 		Protocols:           http1,
 		// Without this, net/http reads 10 MiB of a head that does not end.
 		MaxResponseHeaderBytes: maxHeadBytes,
-		ExpectContinueTimeout:  time.Second,
 	}
 }
 
@@ -82,7 +86,7 @@
 func (s *Sender) Send(ctx context.Context, r *outreq.Request) (*http.Response, result.Result) {
 	tr := s.pooled
 	if !r.Idempotent && !r.Buffered {
-		tr = s.unpooled
+		tr = s.streamed
 	}
 	for range maxIdlePerHost {
 		res, out, reused := s.roundTrip(ctx, tr, r)
