--- a/internal/header/codec.go
+++ b/internal/header/codec.go
@@ -3,14 +3,17 @@
 import (
 	"fmt"
 	"math"
+	"net"
 	"net/http"
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/balsamvale/balsamvale/internal/wire"
 	"github.com/balsamvale/balsamvale/pkg/calls/call"
 	"github.com/balsamvale/balsamvale/pkg/calls/cause"
 	"github.com/balsamvale/balsamvale/pkg/calls/outcom"
+	"github.com/balsamvale/balsamvale/pkg/calls/reason"
 	"github.com/balsamvale/balsamvale/pkg/calls/result"
 	"github.com/balsamvale/balsamvale/pkg/calls/step"
 )
@@ -22,6 +25,14 @@
 	RemainingTime func(h http.Header) time.Duration
 	// RequestID returns the ID that the caller gave the call, or "" if there is none.
 	RequestID func(h http.Header) string
+	// IdempotencyKey returns the key under which the call runs at most once, or "" if there is none.
+	IdempotencyKey func(h http.Header) string
+	// Caller returns the address of the caller.
+	Caller func(r *http.Request) string
+	// Depth returns the number of services above the call in its chain of calls.
+	Depth func(h http.Header) int
+	// AttemptNumber returns the attempt number that the calling service gave the call; 0 for a first attempt.
+	AttemptNumber func(h http.Header) int
 	// StripRequest removes hop-by-hop headers and headers that callers may not set.
 	StripRequest func(h http.Header)
 	// PrepareAttempt sets the headers of an attempt and returns the ID that the upstream may echo. The entryID is
@@ -35,11 +46,17 @@
 	PrepareResponse func(h http.Header)
 	// PrepareRefusal sets the headers of a refusal; retryAfter is the time after which the caller may retry, or 0.
 	PrepareRefusal func(h http.Header, s *step.Step, retryAfter time.Duration)
+	// SetOutcome sets the outcome of a call, and the reason for it unless it is reason.None.
+	SetOutcome func(h http.Header, o outcom.Outcome, why reason.Reason)
 }
 
 // Default returns the Codec for the Balsamvale headers of package wire.
 func Default() *Codec {
-	return &Codec{RemainingTime: remainingTime, RequestID: requestID, StripRequest: wire.Strip, PrepareAttempt: prepareAttempt, ClassifyResponse: classifyResponse, ClassifyProbe: classifyProbe, PrepareResponse: prepareResponse, PrepareRefusal: prepareRefusal}
+	return &Codec{
+		RemainingTime: remainingTime, RequestID: idempotencyKey, IdempotencyKey: idempotencyKey, Caller: caller, Depth: depth, AttemptNumber: attemptNumber,
+		StripRequest: wire.Strip, PrepareAttempt: prepareAttempt, ClassifyResponse: classifyResponse, ClassifyProbe: classifyProbe,
+		PrepareResponse: prepareResponse, PrepareRefusal: prepareRefusal, SetOutcome: setOutcome,
+	}
 }
 
 func remainingTime(h http.Header) time.Duration {
@@ -50,7 +67,29 @@
 	return max(0, d)
 }
 
-func requestID(h http.Header) string { return h.Get(wire.IdempotencyKey) }
+func idempotencyKey(h http.Header) string { return h.Get(wire.IdempotencyKey) }
+
+func depth(h http.Header) int { return wire.ParseCount(h.Get(wire.Depth)) }
+
+func attemptNumber(h http.Header) int { return wire.ParseCount(h.Get(wire.AttemptNumber)) }
+
+// caller returns the first address in X-Forwarded-For, which is the client that a balancer in front of the entry saw, or else
+// the remote address of the connection.
+func caller(r *http.Request) string {
+	if first, _, _ := strings.Cut(r.Header.Get("X-Forwarded-For"), ","); first != "" {
+		return strings.TrimSpace(first)
+	}
+	return RemoteAddr(r)
+}
+
+// RemoteAddr returns the remote address of the connection of a request, without its port.
+func RemoteAddr(r *http.Request) string {
+	host, _, err := net.SplitHostPort(r.RemoteAddr)
+	if err != nil {
+		return r.RemoteAddr
+	}
+	return host
+}
 
 func prepareAttempt(h http.Header, c *call.Call, s *step.Step, entryID string, timeLeft time.Duration) string {
 	if timeLeft > 0 {
@@ -84,7 +123,14 @@
 
 func prepareResponse(h http.Header) {
 	wire.Strip(h)
-	h.Set(wire.Outcome, outcom.Answered.String())
+	setOutcome(h, outcom.Answered, reason.None)
+}
+
+func setOutcome(h http.Header, o outcom.Outcome, why reason.Reason) {
+	h.Set(wire.Outcome, o.String())
+	if why != reason.None {
+		h.Set(wire.Reason, why.String())
+	}
 }
 
 func prepareRefusal(h http.Header, s *step.Step, retryAfter time.Duration) {
--- a/internal/proxy/body.go
+++ b/internal/proxy/body.go
@@ -8,9 +8,9 @@
 	"os"
 	"time"
 
-	"github.com/balsamvale/balsamvale/internal/wire"
 	"github.com/balsamvale/balsamvale/pkg/calls/cause"
 	"github.com/balsamvale/balsamvale/pkg/calls/outcom"
+	"github.com/balsamvale/balsamvale/pkg/calls/reason"
 	"github.com/balsamvale/balsamvale/pkg/shared/tune"
 	"github.com/balsamvale/balsamvale/pkg/traffic/flow"
 )
@@ -102,11 +102,11 @@
 	if errors.Is(err, os.ErrDeadlineExceeded) && len(d.attempts) == 0 {
 		status = http.StatusRequestTimeout
 	}
-	outcome := flow.OutcomeBeforeClaim(d.r.Header.Get(wire.IdempotencyKey) != "")
+	outcome := flow.OutcomeBeforeClaim(d.handler.Headers.IdempotencyKey(d.r.Header) != "")
 	if len(d.attempts) > 0 {
 		outcome = outcom.Unknown
 	}
-	d.w.Header().Set(wire.Outcome, outcome.String())
+	d.handler.Headers.SetOutcome(d.w.Header(), outcome, reason.None)
 	d.w.Header().Set("Connection", "close")
 	http.Error(d.w, "the request body cannot be read", status)
 }
--- a/internal/proxy/driver.go
+++ b/internal/proxy/driver.go
@@ -9,7 +9,6 @@
 	"time"
 
 	"github.com/balsamvale/balsamvale/internal/outreq"
-	"github.com/balsamvale/balsamvale/internal/wire"
 	"github.com/balsamvale/balsamvale/pkg/calls/answer"
 	"github.com/balsamvale/balsamvale/pkg/calls/call"
 	"github.com/balsamvale/balsamvale/pkg/calls/cause"
@@ -386,8 +385,7 @@
 	if d.savedResponse.Type != "" {
 		h.Set("Content-Type", d.savedResponse.Type)
 	}
-	h.Set(wire.Outcome, outcom.Answered.String())
-	h.Set(wire.Reason, s.Reason.String())
+	d.handler.Headers.SetOutcome(h, outcom.Answered, s.Reason)
 	d.closeUnlessBodyRead()
 	d.w.WriteHeader(d.savedResponse.Status)
 	_, _ = d.w.Write(d.savedResponse.Body)
--- a/internal/proxy/handler.go
+++ b/internal/proxy/handler.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"net"
 	"net/http"
 	"net/netip"
 	"strings"
@@ -18,7 +17,6 @@
 	"github.com/balsamvale/balsamvale/internal/header"
 	"github.com/balsamvale/balsamvale/internal/logs"
 	"github.com/balsamvale/balsamvale/internal/outreq"
-	"github.com/balsamvale/balsamvale/internal/wire"
 	"github.com/balsamvale/balsamvale/pkg/calls/answer"
 	"github.com/balsamvale/balsamvale/pkg/calls/call"
 	"github.com/balsamvale/balsamvale/pkg/calls/class"
@@ -190,7 +188,7 @@
 // refuseEarly logs and refuses a request before a flow is started for it; text is the body of the response.
 func (h *Handler) refuseEarly(w http.ResponseWriter, r *http.Request, status int, text string) {
 	h.Log.EarlyRefusal(h.Headers.RequestID(r.Header), r.Host, r.URL.Path, status, text)
-	w.Header().Set(wire.Outcome, flow.OutcomeBeforeClaim(r.Header.Get(wire.IdempotencyKey) != "").String())
+	h.Headers.SetOutcome(w.Header(), flow.OutcomeBeforeClaim(h.Headers.IdempotencyKey(r.Header) != ""), reason.None)
 	http.Error(w, text, status)
 }
 
@@ -199,9 +197,9 @@
 func (h *Handler) newCall(r *http.Request, m routeMatch, body []byte, buffered bool, arrived time.Time) *call.Call {
 	svc, rt := m.service, m.route
 	c := &call.Call{
-		ID: h.lastCallID.Add(1), RequestID: h.Headers.RequestID(r.Header), Service: svc.Name, Route: rt.Path, Caller: callerAddr(r), Class: rt.Class,
+		ID: h.lastCallID.Add(1), RequestID: h.Headers.RequestID(r.Header), Service: svc.Name, Route: rt.Path, Caller: h.Headers.Caller(r), Class: rt.Class,
 		Idempotent: isIdempotent(rt.Retry, r.Method), Buffered: buffered, BodyBytes: int64(len(body)), Arrived: arrived,
-		Depth: wire.ParseCount(r.Header.Get(wire.Depth)), Attempt: wire.ParseCount(r.Header.Get(wire.AttemptNumber)),
+		Depth: h.Headers.Depth(r.Header), Attempt: h.Headers.AttemptNumber(r.Header),
 	}
 	if m.rule != nil {
 		c.Priority, c.MaxRuns = m.rule.Priority, m.rule.MaxAttempts
@@ -209,7 +207,7 @@
 			c.SoftDeadline = arrived.Add(m.rule.TargetLatency)
 		}
 	}
-	key := r.Header.Get(wire.IdempotencyKey)
+	key := h.Headers.IdempotencyKey(r.Header)
 	c.Fingerprint = fingerprint(svc.Name, r, key, body)
 	if key != "" && !c.Idempotent {
 		c.Key = max(1, xxhash.Sum64String(svc.Name+"\x00"+key))
@@ -244,19 +242,6 @@
 	return false
 }
 
-// callerAddr returns the address of the caller: the first one in X-Forwarded-For, which is the client that the platform's
-// balancer saw, or else the remote address of the connection.
-func callerAddr(r *http.Request) string {
-	if first, _, _ := strings.Cut(r.Header.Get("X-Forwarded-For"), ","); first != "" {
-		return strings.TrimSpace(first)
-	}
-	host, _, err := net.SplitHostPort(r.RemoteAddr)
-	if err != nil {
-		return r.RemoteAddr
-	}
-	return host
-}
-
 // fingerprint returns a hash of the service, method, URI, idempotency key and body of a request. The body is nil if it is
 // streamed.
 func fingerprint(service string, r *http.Request, key string, body []byte) uint64 {
