--- a/internal/claims/client.go
+++ b/internal/claims/client.go
@@ -7,10 +7,8 @@
 	"time"
 
 	"github.com/balsamvale/balsamvale/internal/codec"
-	"github.com/balsamvale/balsamvale/pkg/calls/answer"
 	"github.com/balsamvale/balsamvale/pkg/calls/claim"
 	"github.com/balsamvale/balsamvale/pkg/calls/dedup"
-	"github.com/balsamvale/balsamvale/pkg/calls/state"
 	"github.com/balsamvale/balsamvale/pkg/control/keys"
 	"github.com/balsamvale/balsamvale/pkg/shared/clock"
 	"github.com/balsamvale/balsamvale/pkg/shared/tune"
@@ -62,49 +60,49 @@
 	wakeCh chan struct{}
 }
 
-// claimResult is the result of one claim, with the remembered answer if there is one.
+// claimResult is the result of one claim, with the claim in the store that led to it.
 type claimResult struct {
 	result dedup.Result
-	answer answer.Answer
+	held   claim.Claim
 }
 
-// Claim claims a key for a call, with a claim that expires at until. It returns the remembered answer if there is one.
+// Claim makes a claim, of which the key, binding, attempt and expiry are given. It returns the claim in the store that led to the
+// result, with the remembered answer if there is one.
 //
-// The owner and callID together identify the call.
+// The owner and the attempt together identify the call.
 //
 // It waits for the result until ctx is done, for at most tune.ClaimTimeout. After that, it returns Unknown if the key
 // was seen to be held by another call, and Unavailable otherwise.
-func (c *Client) Claim(ctx context.Context, service string, key, callID uint64, until time.Time) (dedup.Result, answer.Answer) {
-	w := c.worker(service, key)
+func (c *Client) Claim(ctx context.Context, service string, cl claim.Claim) (dedup.Result, claim.Claim) {
+	w := c.worker(service, cl.Key)
 	results := make(chan claimResult, 1)
 	w.mu.Lock()
-	w.bucket.Claim(key, callID, until, func(r dedup.Result, a answer.Answer) { results <- claimResult{r, a} })
+	w.bucket.Claim(cl, func(r dedup.Result, held claim.Claim) { results <- claimResult{r, held} })
 	w.mu.Unlock()
 	w.wake()
 	timeout, stop := c.clock.Timer(tune.ClaimTimeout)
 	defer stop()
 	select {
 	case r := <-results:
-		return r.result, r.answer
+		return r.result, r.held
 	case <-timeout:
 	case <-ctx.Done():
 	}
 	w.mu.Lock()
-	held := w.bucket.Abandon(c.clock.Now(), key, callID)
+	held := w.bucket.Abandon(c.clock.Now(), cl)
 	w.mu.Unlock()
 	w.wake()
 	if held {
-		return dedup.Unknown, answer.Answer{}
+		return dedup.Unknown, claim.Claim{}
 	}
-	return dedup.Unavailable, answer.Answer{}
+	return dedup.Unavailable, claim.Claim{}
 }
 
-// Complete records how the call that holds a key ended, and the answer to remember; a worker later writes both to the
-// store.
-func (c *Client) Complete(service string, key, callID uint64, st state.State, a answer.Answer) {
-	w := c.worker(service, key)
+// Complete records the state and the answer with which the call of a claim ended; a worker later writes both to the store.
+func (c *Client) Complete(service string, cl claim.Claim) {
+	w := c.worker(service, cl.Key)
 	w.mu.Lock()
-	w.bucket.Complete(c.clock.Now(), key, callID, st, a)
+	w.bucket.Complete(c.clock.Now(), cl)
 	w.mu.Unlock()
 	w.wake()
 }
--- a/internal/claims/client_test.go
+++ b/internal/claims/client_test.go
@@ -19,6 +19,8 @@
 	"github.com/balsamvale/balsamvale/internal/kvsim"
 	"github.com/balsamvale/balsamvale/internal/store"
 	"github.com/balsamvale/balsamvale/pkg/calls/answer"
+	"github.com/balsamvale/balsamvale/pkg/calls/bind"
+	"github.com/balsamvale/balsamvale/pkg/calls/claim"
 	"github.com/balsamvale/balsamvale/pkg/calls/dedup"
 	"github.com/balsamvale/balsamvale/pkg/calls/state"
 	"github.com/balsamvale/balsamvale/pkg/shared/clock"
@@ -46,7 +48,9 @@
 
 var _ = Describe("Client", func() {
 	ctx := context.Background()
-	until := time.Now().Add(time.Hour)
+	claimOf := func(key, attempt uint64) claim.Claim {
+		return claim.Claim{Key: key, Binding: bind.Binding{Account: 1, Method: 1, URI: 1, Body: 1}, Attempt: attempt, Until: time.Now().Add(time.Hour)}
+	}
 
 	for _, tc := range []struct {
 		name   string
@@ -60,12 +64,14 @@
 	} {
 		It(tc.name+" through another entry", func() {
 			_, clients := newClients(2)
-			result, _ := clients[0].Claim(ctx, "s", 5, 1, until)
+			c := claimOf(5, 1)
+			result, _ := clients[0].Claim(ctx, "s", c)
 			Expect(result).To(Equal(dedup.Acquired))
-			clients[0].Complete("s", 5, 1, tc.state, tc.answer)
-			result, remembered := clients[1].Claim(ctx, "s", 5, 1, until)
+			c.State, c.Answer = tc.state, tc.answer
+			clients[0].Complete("s", c)
+			result, held := clients[1].Claim(ctx, "s", claimOf(5, 1))
 			Expect(result).To(Equal(tc.want))
-			Expect(remembered).To(Equal(tc.answer))
+			Expect(held.Answer).To(Equal(tc.answer))
 		})
 	}
 
@@ -83,7 +89,7 @@
 					wg.Add(1)
 					go func() {
 						defer wg.Done()
-						if result, _ := c.Claim(ctx, "s", uint64(key)+1, uint64(i*100+key), until); result == dedup.Acquired {
+						if result, _ := c.Claim(ctx, "s", claimOf(uint64(key)+1, uint64(i*100+key))); result == dedup.Acquired {
 							granted[key].Add(1)
 						}
 					}()
@@ -104,7 +110,7 @@
 			_, _, err := swap(ctx, item.Item{Key: it.Key}, expect, lease)
 			return false, item.Item{}, err
 		}
-		result, _ := clients[0].Claim(ctx, "s", 5, 1, until)
+		result, _ := clients[0].Claim(ctx, "s", claimOf(5, 1))
 		Expect(result).To(Equal(dedup.Unavailable))
 		Expect(swaps.Load()).To(BeNumerically("<=", tune.MaxClaimAttempts))
 	})
@@ -112,7 +118,7 @@
 	It("returns unavailable while the store is down", func() {
 		kv, clients := newClients(1)
 		kv.SetDown(true)
-		result, _ := clients[0].Claim(ctx, "s", 5, 1, until)
+		result, _ := clients[0].Claim(ctx, "s", claimOf(5, 1))
 		Expect(result).To(Equal(dedup.Unavailable))
 	})
 })
--- /dev/null
+++ b/internal/codec/claims_test.go
@@ -0,0 +1,71 @@
+package codec_test
+
+import (
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"google.golang.org/protobuf/encoding/protowire"
+	"google.golang.org/protobuf/proto"
+	"google.golang.org/protobuf/types/known/timestamppb"
+
+	"github.com/balsamvale/balsamvale/internal/codec"
+	pb "github.com/balsamvale/balsamvale/internal/gen/balsamvale/v1"
+	"github.com/balsamvale/balsamvale/pkg/calls/answer"
+	"github.com/balsamvale/balsamvale/pkg/calls/bind"
+	"github.com/balsamvale/balsamvale/pkg/calls/claim"
+	"github.com/balsamvale/balsamvale/pkg/calls/state"
+)
+
+// firstFields returns the fields of the only claim in a bucket that the version before bindings knows, by number.
+func firstFields(bucket []byte) map[protowire.Number][]byte {
+	_, _, n := protowire.ConsumeTag(bucket)
+	rest, _ := protowire.ConsumeBytes(bucket[n:])
+	fields := map[protowire.Number][]byte{}
+	for len(rest) > 0 {
+		number, kind, n := protowire.ConsumeTag(rest)
+		size := protowire.ConsumeFieldValue(number, kind, rest[n:])
+		if number <= 8 {
+			fields[number] = rest[n : n+size]
+		}
+		rest = rest[n+size:]
+	}
+	return fields
+}
+
+var _ = Describe("A bucket of claims", func() {
+	until := time.Unix(2000, 0).UTC()
+	current := claim.Claim{
+		Key: 5, Owner: "e", Attempt: 6, State: state.Answered, Until: until,
+		Binding: bind.Binding{Account: 1, Method: 2, URI: 3, Body: 4},
+		Answer:  answer.Answer{Status: 201, Type: "text/plain", Body: []byte("x")},
+	}
+	older := &pb.Claim{Key: 5, Owner: "e", Attempt: 6, State: pb.Claim_ANSWERED, Until: timestamppb.New(until), Status: 201, Type: "text/plain", Body: []byte("x")}
+
+	It("of the version before bindings is read as bound to nothing", func() {
+		data, err := proto.Marshal(&pb.Claims{Claim: []*pb.Claim{older}})
+		Expect(err).NotTo(HaveOccurred())
+		got, err := codec.DecodeClaims(data)
+		Expect(err).NotTo(HaveOccurred())
+		want := current
+		want.Binding = bind.Binding{}
+		Expect(got).To(Equal([]claim.Claim{want}))
+		Expect(got[0].Binding.Bound()).To(BeFalse())
+	})
+
+	It("is the same for the version before bindings, apart from what it does not know", func() {
+		data, err := codec.EncodeClaims([]claim.Claim{current})
+		Expect(err).NotTo(HaveOccurred())
+		before, err := proto.Marshal(&pb.Claims{Claim: []*pb.Claim{older}})
+		Expect(err).NotTo(HaveOccurred())
+		Expect(firstFields(data)).To(Equal(firstFields(before)))
+	})
+
+	It("is read as it was written", func() {
+		data, err := codec.EncodeClaims([]claim.Claim{current})
+		Expect(err).NotTo(HaveOccurred())
+		got, err := codec.DecodeClaims(data)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(got).To(Equal([]claim.Claim{current}))
+	})
+})
--- a/internal/codec/value.go
+++ b/internal/codec/value.go
@@ -11,6 +11,7 @@
 
 	pb "github.com/balsamvale/balsamvale/internal/gen/balsamvale/v1"
 	"github.com/balsamvale/balsamvale/pkg/calls/answer"
+	"github.com/balsamvale/balsamvale/pkg/calls/bind"
 	"github.com/balsamvale/balsamvale/pkg/calls/claim"
 	"github.com/balsamvale/balsamvale/pkg/calls/state"
 	"github.com/balsamvale/balsamvale/pkg/control/keys"
@@ -132,7 +133,8 @@
 	for _, c := range cs.GetClaim() {
 		out = append(out, claim.Claim{
 			Key: c.GetKey(), Owner: c.GetOwner(), Attempt: c.GetAttempt(),
-			State: state.State(c.GetState()), Until: c.GetUntil().AsTime(),
+			Binding: bind.Binding{Account: c.GetAccount(), Method: c.GetMethod(), URI: c.GetUri(), Body: c.GetHash()},
+			State:   state.State(c.GetState()), Until: c.GetUntil().AsTime(),
 			Answer: answer.Answer{Status: int(c.GetStatus()), Type: c.GetType(), Body: c.GetBody()},
 		})
 	}
@@ -146,6 +148,7 @@
 		m.Claim = append(m.Claim, &pb.Claim{
 			Key: c.Key, Owner: c.Owner, Attempt: c.Attempt, State: pb.Claim_State(c.State),
 			Until: timestampProto(c.Until), Status: uint32(c.Answer.Status), Type: c.Answer.Type, Body: c.Answer.Body,
+			Account: c.Binding.Account, Method: c.Binding.Method, Uri: c.Binding.URI, Hash: c.Binding.Body,
 		})
 	}
 	b, err := proto.Marshal(m)
--- a/internal/header/codec.go
+++ b/internal/header/codec.go
@@ -29,6 +29,9 @@
 	IdempotencyKey func(h http.Header) string
 	// Caller returns the address of the caller.
 	Caller func(r *http.Request) string
+	// Account returns what identifies the client account of the caller. Calls of different accounts with the same idempotency key
+	// have nothing to do with each other.
+	Account func(r *http.Request) string
 	// Depth returns the number of services above the call in its chain of calls.
 	Depth func(h http.Header) int
 	// AttemptNumber returns the attempt number that the calling service gave the call; 0 for a first attempt.
@@ -53,7 +56,7 @@
 // Default returns the Codec for the Balsamvale headers of package wire.
 func Default() *Codec {
 	return &Codec{
-		RemainingTime: remainingTime, RequestID: idempotencyKey, IdempotencyKey: idempotencyKey, Caller: caller, Depth: depth, AttemptNumber: attemptNumber,
+		RemainingTime: remainingTime, RequestID: idempotencyKey, IdempotencyKey: idempotencyKey, Caller: caller, Account: account, Depth: depth, AttemptNumber: attemptNumber,
 		StripRequest: wire.Strip, PrepareAttempt: prepareAttempt, ClassifyResponse: classifyResponse, ClassifyProbe: classifyProbe,
 		PrepareResponse: prepareResponse, PrepareRefusal: prepareRefusal, SetOutcome: setOutcome,
 	}
@@ -82,6 +85,14 @@
 	return RemoteAddr(r)
 }
 
+// account returns the credentials of the request, or the address of the caller if it has none.
+func account(r *http.Request) string {
+	if credentials := r.Header.Get("Authorization"); credentials != "" {
+		return "credentials " + credentials
+	}
+	return "address " + caller(r)
+}
+
 // RemoteAddr returns the remote address of the connection of a request, without its port.
 func RemoteAddr(r *http.Request) string {
 	host, _, err := net.SplitHostPort(r.RemoteAddr)
--- a/internal/proxy/driver.go
+++ b/internal/proxy/driver.go
@@ -10,9 +10,11 @@
 
 	"github.com/balsamvale/balsamvale/internal/outreq"
 	"github.com/balsamvale/balsamvale/pkg/calls/answer"
+	"github.com/balsamvale/balsamvale/pkg/calls/bind"
 	"github.com/balsamvale/balsamvale/pkg/calls/call"
 	"github.com/balsamvale/balsamvale/pkg/calls/cause"
 	"github.com/balsamvale/balsamvale/pkg/calls/choice"
+	"github.com/balsamvale/balsamvale/pkg/calls/claim"
 	"github.com/balsamvale/balsamvale/pkg/calls/dedup"
 	"github.com/balsamvale/balsamvale/pkg/calls/outcom"
 	"github.com/balsamvale/balsamvale/pkg/calls/reason"
@@ -50,10 +52,11 @@
 	dequeued chan choice.Choice
 	// stopping is closed when the entry stops; nil after the call has been told.
 	stopping <-chan struct{}
-	// claimed is set once the call holds a claim of its idempotency key.
+	// claimed is set once the call holds claim, which is that of its idempotency key.
 	claimed bool
-	// savedResponse is the answer of an earlier call with the same idempotency key.
-	savedResponse answer.Answer
+	claim   claim.Claim
+	// held is the claim of an earlier call with the same idempotency key.
+	held claim.Claim
 }
 
 // informational is a 1xx response to an attempt.
@@ -191,8 +194,9 @@
 		until = d.call.Deadline.Add(tune.ClaimTTL)
 	}
 	start := d.now()
-	claimed, a := d.handler.Claim(d.r.Context(), d.call.Service, d.call.Key, d.callID(), until)
-	d.savedResponse = a
+	d.claim = claim.Claim{Key: d.call.Key, Binding: d.binding(), Attempt: d.callID(), Until: until}
+	var claimed dedup.Result
+	claimed, d.held = d.handler.Claim(d.r.Context(), d.call.Service, d.claim)
 	d.claimed = claimed == dedup.Acquired
 	if claimed == dedup.Acquired && d.now().Sub(start) > tune.ClaimTTL/2 {
 		claimed = dedup.Unavailable
@@ -200,6 +204,18 @@
 	return d.flow.Claimed(d.now(), claimed)
 }
 
+// binding returns what the claim of the idempotency key is bound to.
+func (d *callDriver) binding() bind.Binding {
+	headers := d.handler.Headers
+	return bind.New(headers.Account(d.r), headers.IdempotencyKey(d.r.Header), d.r.Method, d.r.URL.RequestURI(), d.body, d.buffered)
+}
+
+// endClaim records the state and the answer with which a call that holds a claim ended.
+func (d *callDriver) endClaim(st state.State, a answer.Answer) {
+	d.claim.State, d.claim.Answer = st, a
+	d.handler.CompleteClaim(d.call.Service, d.claim)
+}
+
 // unboundedClaimTTL is the lifetime of the claim of a call without a deadline.
 const unboundedClaimTTL = 24 * time.Hour
 
@@ -366,29 +382,30 @@
 }
 
 // completeClaim records the outcome of a delivered call under its idempotency key, if it has claimed one. The outcome is
-// unknown if the response was not delivered in full (err is set) or its body was not saved.
+// unknown if the response was not delivered in full (err is set), its body was not saved, or the request was streamed, so that a
+// repeat cannot be told from another request.
 func (d *callDriver) completeClaim(a *attempt, saved []byte, err error) {
 	if d.call.Key == 0 {
 		return
 	}
-	if err != nil || (saved == nil && a.res.ContentLength != 0) {
-		d.handler.CompleteClaim(d.call.Service, d.call.Key, d.callID(), state.Unknown, answer.Answer{})
+	if err != nil || !d.buffered || (saved == nil && a.res.ContentLength != 0) {
+		d.endClaim(state.Unknown, answer.Answer{})
 		return
 	}
 	ans := answer.Answer{Status: a.res.StatusCode, Type: a.res.Header.Get("Content-Type"), Body: saved}
-	d.handler.CompleteClaim(d.call.Service, d.call.Key, d.callID(), state.Answered, ans)
+	d.endClaim(state.Answered, ans)
 }
 
 // replay answers the call with the saved response of an earlier call with the same idempotency key.
 func (d *callDriver) replay(s step.Step) {
 	h := d.w.Header()
-	if d.savedResponse.Type != "" {
-		h.Set("Content-Type", d.savedResponse.Type)
+	if d.held.Answer.Type != "" {
+		h.Set("Content-Type", d.held.Answer.Type)
 	}
 	d.handler.Headers.SetOutcome(h, outcom.Answered, s.Reason)
 	d.closeUnlessBodyRead()
-	d.w.WriteHeader(d.savedResponse.Status)
-	_, _ = d.w.Write(d.savedResponse.Body)
+	d.w.WriteHeader(d.held.Answer.Status)
+	_, _ = d.w.Write(d.held.Answer.Body)
 	d.handler.countCall(d.call, outcom.Answered, s.Reason)
 }
 
@@ -401,7 +418,7 @@
 		if s.Outcome == outcom.NotRun {
 			st = state.NotRun
 		}
-		d.handler.CompleteClaim(d.call.Service, d.call.Key, d.callID(), st, answer.Answer{})
+		d.endClaim(st, answer.Answer{})
 	}
 	d.handler.countCall(d.call, s.Outcome, s.Reason)
 	if d.stream != nil && d.stream.readErr() != nil {
@@ -410,12 +427,16 @@
 	}
 	h := d.w.Header()
 	retryAfter := time.Duration(0)
-	if s.Outcome == outcom.NotRun {
+	text := "refused: " + s.Reason.String() + "; fate: " + s.Outcome.String()
+	switch {
+	case s.Reason == reason.KeyReused:
+		text += "; the idempotency key was used for a request with " + d.held.Binding.Differences(d.claim.Binding) + "; choose another key"
+	case s.Outcome == outcom.NotRun:
 		retryAfter = d.retryAfter(s.Choice.PredictedWait)
 	}
 	d.handler.Headers.PrepareRefusal(h, &s, retryAfter)
 	d.closeUnlessBodyRead()
-	http.Error(d.w, "refused: "+s.Reason.String()+"; fate: "+s.Outcome.String(), refusalStatus(s))
+	http.Error(d.w, text, refusalStatus(s))
 }
 
 // retryAfter returns the time after which a refused caller may find capacity: the predicted wait, but at least
@@ -429,6 +450,8 @@
 	switch {
 	case s.Reason == reason.Duplicate:
 		return http.StatusConflict
+	case s.Reason == reason.KeyReused:
+		return http.StatusUnprocessableEntity
 	case s.Reason == reason.UnknownService:
 		return http.StatusNotFound
 	case s.Outcome == outcom.NotRun || s.Reason == reason.ClaimFailed:
--- a/internal/proxy/handler.go
+++ b/internal/proxy/handler.go
@@ -17,14 +17,13 @@
 	"github.com/balsamvale/balsamvale/internal/header"
 	"github.com/balsamvale/balsamvale/internal/logs"
 	"github.com/balsamvale/balsamvale/internal/outreq"
-	"github.com/balsamvale/balsamvale/pkg/calls/answer"
 	"github.com/balsamvale/balsamvale/pkg/calls/call"
+	"github.com/balsamvale/balsamvale/pkg/calls/claim"
 	"github.com/balsamvale/balsamvale/pkg/calls/class"
 	"github.com/balsamvale/balsamvale/pkg/calls/dedup"
 	"github.com/balsamvale/balsamvale/pkg/calls/outcom"
 	"github.com/balsamvale/balsamvale/pkg/calls/reason"
 	"github.com/balsamvale/balsamvale/pkg/calls/result"
-	"github.com/balsamvale/balsamvale/pkg/calls/state"
 	"github.com/balsamvale/balsamvale/pkg/calls/step"
 	"github.com/balsamvale/balsamvale/pkg/records/bounds"
 	"github.com/balsamvale/balsamvale/pkg/records/retry"
@@ -54,11 +53,11 @@
 	Send func(ctx context.Context, r *outreq.Request) (*http.Response, result.Result)
 	// Probe requests the load report of the named upstream from addr; path is the URL path of the report.
 	Probe func(ctx context.Context, name string, addr netip.AddrPort, path string) result.Result
-	// Claim claims an idempotency key for a call until the given time. The answer is set if the result is
-	// dedup.Answered.
-	Claim func(ctx context.Context, service string, key, callID uint64, until time.Time) (dedup.Result, answer.Answer)
+	// Claim claims an idempotency key for a call. The claim that it returns is the one in the store that led to the result, with
+	// the answer if the result is dedup.Answered.
+	Claim func(ctx context.Context, service string, c claim.Claim) (dedup.Result, claim.Claim)
 	// CompleteClaim records the final state and, if it is to be replayed, the answer of a call that holds a claim.
-	CompleteClaim func(service string, key, callID uint64, st state.State, a answer.Answer)
+	CompleteClaim func(service string, c claim.Claim)
 
 	Clock  clock.Clock
 	Log    *logs.Log
--- a/internal/proxy/handler_test.go
+++ b/internal/proxy/handler_test.go
@@ -30,10 +30,9 @@
 	"github.com/balsamvale/balsamvale/internal/proxy"
 	"github.com/balsamvale/balsamvale/internal/sender"
 	"github.com/balsamvale/balsamvale/internal/wire"
-	"github.com/balsamvale/balsamvale/pkg/calls/answer"
+	"github.com/balsamvale/balsamvale/pkg/calls/claim"
 	"github.com/balsamvale/balsamvale/pkg/calls/dedup"
 	"github.com/balsamvale/balsamvale/pkg/calls/policy"
-	"github.com/balsamvale/balsamvale/pkg/calls/state"
 	"github.com/balsamvale/balsamvale/pkg/records/bounds"
 	"github.com/balsamvale/balsamvale/pkg/records/rulrec"
 	"github.com/balsamvale/balsamvale/pkg/records/svcrec"
@@ -80,10 +79,10 @@
 		},
 		Send: sender.New(clock.Wall(), header.Default()).Send, Clock: clock.Wall(), Poison: poison.New(), Name: "e", Incarnation: 1, MaxBodyBytes: limit,
 		Log: logs.New(io.Discard, clock.Wall(), zapcore.InfoLevel, 1),
-		Claim: func(context.Context, string, uint64, uint64, time.Time) (dedup.Result, answer.Answer) {
-			return dedup.Acquired, answer.Answer{}
+		Claim: func(_ context.Context, _ string, c claim.Claim) (dedup.Result, claim.Claim) {
+			return dedup.Acquired, c
 		},
-		CompleteClaim: func(string, uint64, uint64, state.State, answer.Answer) {},
+		CompleteClaim: func(string, claim.Claim) {},
 	}
 	h.SetMetrics(metrics.NewSet())
 	srv := httptest.NewUnstartedServer(h)
--- a/internal/proxy/panic_test.go
+++ b/internal/proxy/panic_test.go
@@ -7,7 +7,6 @@
 	"net/http/httptest"
 	"strings"
 	"sync"
-	"time"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
@@ -17,7 +16,7 @@
 	"github.com/balsamvale/balsamvale/internal/outreq"
 	"github.com/balsamvale/balsamvale/internal/proxy"
 	"github.com/balsamvale/balsamvale/internal/wire"
-	"github.com/balsamvale/balsamvale/pkg/calls/answer"
+	"github.com/balsamvale/balsamvale/pkg/calls/claim"
 	"github.com/balsamvale/balsamvale/pkg/calls/dedup"
 	"github.com/balsamvale/balsamvale/pkg/calls/result"
 	"github.com/balsamvale/balsamvale/pkg/records/rulrec"
@@ -59,7 +58,7 @@
 			h.Rule = func(string, string) (*rulrec.Rule, bool) { panic("unexpected") }
 		}, 0, ""},
 		{"in a claim", func(h *proxy.Handler) {
-			h.Claim = func(context.Context, string, uint64, uint64, time.Time) (dedup.Result, answer.Answer) {
+			h.Claim = func(context.Context, string, claim.Claim) (dedup.Result, claim.Claim) {
 				panic("unexpected")
 			}
 		}, 0, ""},
@@ -72,7 +71,7 @@
 			out := &logBuffer{}
 			h.Log = logs.New(out, clock.Wall(), zapcore.InfoLevel, 1)
 			DeferCleanup(h.Log.Close)
-			send, rule, claim := h.Send, h.Rule, h.Claim
+			send, rule, claimKey := h.Send, h.Rule, h.Claim
 			tc.broken(h)
 			post := func(key string) (*http.Response, error) {
 				req, _ := http.NewRequest(http.MethodPost, srv.URL+"/s/a", strings.NewReader("x"))
@@ -90,7 +89,7 @@
 				Expect(res.Header.Get(wire.Outcome)).To(Equal(tc.outcome))
 			}
 			Eventually(out.String).Should(And(ContainSubstring("unexpected"), ContainSubstring(`"msg":"panic"`), ContainSubstring("key-1")))
-			h.Send, h.Rule, h.Claim = send, rule, claim
+			h.Send, h.Rule, h.Claim = send, rule, claimKey
 			res, err = post("key-2")
 			Expect(err).NotTo(HaveOccurred())
 			_ = res.Body.Close()
--- a/internal/proxy/refusal_test.go
+++ b/internal/proxy/refusal_test.go
@@ -14,8 +14,8 @@
 	"github.com/balsamvale/balsamvale/internal/outreq"
 	"github.com/balsamvale/balsamvale/internal/proxy"
 	"github.com/balsamvale/balsamvale/internal/wire"
-	"github.com/balsamvale/balsamvale/pkg/calls/answer"
 	"github.com/balsamvale/balsamvale/pkg/calls/cause"
+	"github.com/balsamvale/balsamvale/pkg/calls/claim"
 	"github.com/balsamvale/balsamvale/pkg/calls/result"
 	"github.com/balsamvale/balsamvale/pkg/calls/state"
 )
@@ -53,7 +53,7 @@
 			return nil, result.Result{Cause: cause.ConnBroken}
 		}
 		states := make(chan state.State, 2)
-		h.CompleteClaim = func(_ string, _, _ uint64, st state.State, _ answer.Answer) { states <- st }
+		h.CompleteClaim = func(_ string, c claim.Claim) { states <- c.State }
 		for _, want := range []struct {
 			outcome string
 			state   state.State
--- a/internal/replay/call.go
+++ b/internal/replay/call.go
@@ -6,9 +6,11 @@
 	"time"
 
 	"github.com/balsamvale/balsamvale/pkg/calls/answer"
+	"github.com/balsamvale/balsamvale/pkg/calls/bind"
 	"github.com/balsamvale/balsamvale/pkg/calls/call"
 	"github.com/balsamvale/balsamvale/pkg/calls/cause"
 	"github.com/balsamvale/balsamvale/pkg/calls/choice"
+	"github.com/balsamvale/balsamvale/pkg/calls/claim"
 	"github.com/balsamvale/balsamvale/pkg/calls/class"
 	"github.com/balsamvale/balsamvale/pkg/calls/dedup"
 	"github.com/balsamvale/balsamvale/pkg/calls/outcom"
@@ -282,7 +284,8 @@
 			req.handleStep(req.flow.Claimed(e.now(), res))
 		}
 	}
-	w.bucket.Claim(req.spec.Key, req.spec.ID, req.spec.Deadline.Add(tune.ClaimTTL), func(res dedup.Result, _ answer.Answer) {
+	c := req.claim()
+	w.bucket.Claim(c, func(res dedup.Result, _ claim.Claim) {
 		e.schedule(0, func() { report(res) })
 	})
 	w.runPlan()
@@ -291,7 +294,7 @@
 			return
 		}
 		res := dedup.Unavailable
-		if w.bucket.Abandon(e.now(), req.spec.Key, req.spec.ID) {
+		if w.bucket.Abandon(e.now(), c) {
 			res = dedup.Unknown
 		}
 		report(res)
@@ -413,10 +416,20 @@
 	s.events.after(delay, func() { s.send(req.call, s.pickLiveEntry()) })
 }
 
+// claim returns the claim of the request's idempotency key. A simulated caller uses a key for one call only.
+func (req *simRequest) claim() claim.Claim {
+	return claim.Claim{
+		Key: req.spec.Key, Binding: bind.Binding{Account: 1, Method: 1, URI: 1, Body: 1},
+		Attempt: req.spec.ID, Until: req.spec.Deadline.Add(tune.ClaimTTL),
+	}
+}
+
 // completeClaim records the end of the call under its idempotency key.
 func (req *simRequest) completeClaim(st state.State, ans answer.Answer) {
 	w := req.entry.claimWorker(req.spec.Key)
-	w.bucket.Complete(req.entry.now(), req.spec.Key, req.spec.ID, st, ans)
+	c := req.claim()
+	c.State, c.Answer = st, ans
+	w.bucket.Complete(req.entry.now(), c)
 	w.runPlan()
 }
 
--- a/pkg/calls/claim/claim.go
+++ b/pkg/calls/claim/claim.go
@@ -4,13 +4,16 @@
 	"time"
 
 	"github.com/balsamvale/balsamvale/pkg/calls/answer"
+	"github.com/balsamvale/balsamvale/pkg/calls/bind"
 	"github.com/balsamvale/balsamvale/pkg/calls/state"
 )
 
 // Claim is an idempotency key and the call that holds it.
 type Claim struct {
-	// Key is a hash of the idempotency key.
+	// Key is a hash of the service and the idempotency key; callers that chose the same key share it.
 	Key uint64
+	// Binding identifies the client account and the request that the key was used for.
+	Binding bind.Binding
 	// Owner and Attempt identify the call that holds the key.
 	Owner   string
 	Attempt uint64
--- a/pkg/calls/dedup/result.go
+++ b/pkg/calls/dedup/result.go
@@ -15,4 +15,6 @@
 	Unknown // unknown
 	// Unavailable means that the claim failed, for example because the store is unreachable.
 	Unavailable // unavailable
+	// Mismatch means that the same client account used the key for another request.
+	Mismatch // mismatch
 )
--- a/pkg/calls/dedup/result_string.go
+++ b/pkg/calls/dedup/result_string.go
@@ -12,11 +12,12 @@
 	_ = x[Answered-1]
 	_ = x[Unknown-2]
 	_ = x[Unavailable-3]
+	_ = x[Mismatch-4]
 }
 
-const _Result_name = "mineansweredunknownunavailable"
+const _Result_name = "mineansweredunknownunavailablemismatch"
 
-var _Result_index = [...]uint8{0, 4, 12, 19, 30}
+var _Result_index = [...]uint8{0, 4, 12, 19, 30, 38}
 
 func (i Result) String() string {
 	idx := int(i) - 0
--- a/pkg/calls/reason/reason.go
+++ b/pkg/calls/reason/reason.go
@@ -43,4 +43,6 @@
 	CallerGone // gone
 	// Stopping means that the entry is shutting down.
 	Stopping // stopping
+	// KeyReused means that the idempotency key was used for another request.
+	KeyReused // reused
 )
--- a/pkg/calls/reason/reason_string.go
+++ b/pkg/calls/reason/reason_string.go
@@ -26,11 +26,12 @@
 	_ = x[Duplicate-15]
 	_ = x[CallerGone-16]
 	_ = x[Stopping-17]
+	_ = x[KeyReused-18]
 }
 
-const _Reason_name = "nonelowestonlycredittrialabsentemptyfullcrowdedlateretriesspentpoisonedonceclaimduplicategonestopping"
+const _Reason_name = "nonelowestonlycredittrialabsentemptyfullcrowdedlateretriesspentpoisonedonceclaimduplicategonestoppingreused"
 
-var _Reason_index = [...]uint8{0, 4, 10, 14, 20, 25, 31, 36, 40, 47, 51, 58, 63, 71, 75, 80, 89, 93, 101}
+var _Reason_index = [...]uint8{0, 4, 10, 14, 20, 25, 31, 36, 40, 47, 51, 58, 63, 71, 75, 80, 89, 93, 101, 107}
 
 func (i Reason) String() string {
 	idx := int(i) - 0
--- a/pkg/traffic/flow/flow.go
+++ b/pkg/traffic/flow/flow.go
@@ -147,6 +147,8 @@
 	case dedup.Unknown:
 		f.mayHaveRun = true
 		return f.refuse(reason.Duplicate)
+	case dedup.Mismatch:
+		return f.refuse(reason.KeyReused)
 	default:
 		// An earlier call with this key may have run, and only the store knows.
 		f.mayHaveRun = true
--- a/pkg/traffic/flow/flow_test.go
+++ b/pkg/traffic/flow/flow_test.go
@@ -67,6 +67,7 @@
 		{"runs a call that acquired its key", false, 7, dedup.Acquired, []cause.Cause{cause.None}, stage.Deliver, outcom.Answered, 0},
 		{"replays the saved response", false, 7, dedup.Answered, nil, stage.Replay, outcom.Answered, reason.Duplicate},
 		{"reports unknown for a duplicate of a running call", false, 7, dedup.Unknown, nil, stage.Refuse, outcom.Unknown, reason.Duplicate},
+		{"refuses another request with the key", false, 7, dedup.Mismatch, nil, stage.Refuse, outcom.NotRun, reason.KeyReused},
 		{"reports unknown when the key cannot be claimed", false, 7, dedup.Unavailable, nil, stage.Refuse, outcom.Unknown, reason.ClaimFailed},
 	} {
 		It(tc.name, func() {
--- a/pkg/traffic/idkey/bucket.go
+++ b/pkg/traffic/idkey/bucket.go
@@ -5,7 +5,6 @@
 	"slices"
 	"time"
 
-	"github.com/balsamvale/balsamvale/pkg/calls/answer"
 	"github.com/balsamvale/balsamvale/pkg/calls/claim"
 	"github.com/balsamvale/balsamvale/pkg/calls/dedup"
 	"github.com/balsamvale/balsamvale/pkg/calls/state"
@@ -23,8 +22,8 @@
 	// loaded is cleared when the store has to be read before the next write.
 	loaded   bool
 	revision int64
-	// claims holds the claims in the last value seen, by key.
-	claims  map[uint64]claim.Claim
+	// claims holds the claims in the last value seen.
+	claims  map[slot]claim.Claim
 	pending []*pendingClaim
 	// completions are the ended calls that the store does not know of yet.
 	completions []claim.Claim
@@ -35,6 +34,12 @@
 	swapCompletions int
 }
 
+// slot is what a bucket holds one claim for: a key as used by one client account. The account is 0 in claims of versions that did not
+// bind them to one.
+type slot struct{ key, account uint64 }
+
+func slotOf(c claim.Claim) slot { return slot{c.Key, c.Binding.Account} }
+
 // pendingClaim is a claim that has no result yet.
 type pendingClaim struct {
 	claim claim.Claim
@@ -42,24 +47,25 @@
 	readSince bool
 	// pollAt is when a duplicate of a running call reads the store again; zero before the first poll is scheduled.
 	pollAt time.Time
-	done   func(dedup.Result, answer.Answer)
+	done   func(dedup.Result, claim.Claim)
 }
 
 // New returns the bucket of an entry; owner identifies one start of the entry.
 func New(owner string) *Bucket {
-	return &Bucket{owner: owner, claims: map[uint64]claim.Claim{}}
+	return &Bucket{owner: owner, claims: map[slot]claim.Claim{}}
 }
 
-// Claim requests a claim of key until a time; done is called once, from a later method call, unless Abandon comes first.
-func (b *Bucket) Claim(key, attempt uint64, until time.Time, done func(dedup.Result, answer.Answer)) {
-	c := claim.Claim{Key: key, Owner: b.owner, Attempt: attempt, State: state.Running, Until: until}
+// Claim requests a claim, of which the key, binding, attempt and expiry are given. done is called once, from a later method call, with
+// the result and the claim in the store that led to it, unless Abandon comes first.
+func (b *Bucket) Claim(c claim.Claim, done func(dedup.Result, claim.Claim)) {
+	c.Owner, c.State = b.owner, state.Running
 	b.pending = append(b.pending, &pendingClaim{claim: c, done: done})
 }
 
-// Complete records the end of the call that held key; it is written with later claims, or alone after
+// Complete records the state and the answer with which the call of a claim ended; it is written with later claims, or alone after
 // tune.ClaimFlushDelay.
-func (b *Bucket) Complete(now time.Time, key, attempt uint64, st state.State, a answer.Answer) {
-	c := claim.Claim{Key: key, Owner: b.owner, Attempt: attempt, State: st, Until: now.Add(tune.ClaimTTL), Answer: a}
+func (b *Bucket) Complete(now time.Time, c claim.Claim) {
+	c.Owner, c.Until = b.owner, now.Add(tune.ClaimTTL)
 	if len(b.completions) == 0 {
 		b.completeBy = now.Add(tune.ClaimFlushDelay)
 	}
@@ -69,9 +75,9 @@
 // Abandon gives up a claim whose caller no longer waits, and frees the key if the claim was written.
 //
 // It reports whether the key was seen to be held by another call.
-func (b *Bucket) Abandon(now time.Time, key, attempt uint64) (held bool) {
+func (b *Bucket) Abandon(now time.Time, c claim.Claim) (held bool) {
 	for i, p := range b.pending {
-		if p.claim.Key == key && p.claim.Attempt == attempt {
+		if p.claim.Key == c.Key && p.claim.Attempt == c.Attempt {
 			b.pending = append(b.pending[:i:i], b.pending[i+1:]...)
 			if !p.pollAt.IsZero() {
 				return true
@@ -79,7 +85,8 @@
 			break
 		}
 	}
-	b.Complete(now, key, attempt, state.NotRun, answer.Answer{})
+	c.State = state.NotRun
+	b.Complete(now, c)
 	return false
 }
 
@@ -144,7 +151,7 @@
 	var rest []*pendingClaim
 	for _, p := range b.pending {
 		if b.holds(p.claim) {
-			p.done(dedup.Acquired, answer.Answer{})
+			p.done(dedup.Acquired, p.claim)
 			continue
 		}
 		rest = append(rest, p)
@@ -160,7 +167,7 @@
 	failed := b.pending
 	b.pending = nil
 	for _, p := range failed {
-		p.done(dedup.Unavailable, answer.Answer{})
+		p.done(dedup.Unavailable, claim.Claim{})
 	}
 }
 
@@ -171,31 +178,46 @@
 	changed = len(b.completions) > 0 && !now.Before(b.completeBy)
 	var rest []*pendingClaim
 	for _, p := range b.pending {
-		held, ok := b.claims[p.claim.Key]
+		held, ok := find(b.claims, p.claim, now)
+		_, known := b.claims[slotOf(p.claim)]
 		switch {
-		case !ok && len(b.claims) >= tune.MaxBucketClaims && b.full(now):
-			p.done(dedup.Unavailable, answer.Answer{})
-		case !ok || held.State == state.NotRun || !now.Before(held.Until):
+		case !ok && !known && len(b.claims) >= tune.MaxBucketClaims && b.full(now):
+			p.done(dedup.Unavailable, claim.Claim{})
+		case !ok:
 			rest = append(rest, p)
 			changed = true
 		case b.holds(p.claim):
-			p.done(dedup.Acquired, answer.Answer{})
-		case held.State == state.Answered && held.Answer.Status != 0:
-			p.done(dedup.Answered, held.Answer)
-		case held.State == state.Running && p.readSince:
-			p.readSince, p.pollAt = false, now.Add(tune.DuplicatePollInterval)
-			rest = append(rest, p)
+			p.done(dedup.Acquired, p.claim)
+		case held.State == state.Answered && held.Answer.Status != 0 && held.Binding.SameRequest(p.claim.Binding):
+			p.done(dedup.Answered, held)
 		case !p.readSince:
 			rest = append(rest, p)
 			stale = stale || !now.Before(p.pollAt)
+		case p.claim.Binding.Differences(held.Binding) != "":
+			p.done(dedup.Mismatch, held)
+		case held.State == state.Running:
+			p.readSince, p.pollAt = false, now.Add(tune.DuplicatePollInterval)
+			rest = append(rest, p)
 		default:
-			p.done(dedup.Unknown, answer.Answer{})
+			p.done(dedup.Unknown, held)
 		}
 	}
 	b.pending = rest
 	return changed, stale
 }
 
+// find returns the claim that keeps c from being made. A claim that is not bound to an account may be of the same call, or of
+// another account's; it keeps all claims of its key from being made.
+func find(claims map[slot]claim.Claim, c claim.Claim, now time.Time) (held claim.Claim, ok bool) {
+	for _, s := range []slot{slotOf(c), {key: c.Key}} {
+		held, ok := claims[s]
+		if ok && held.State != state.NotRun && now.Before(held.Until) {
+			return held, true
+		}
+	}
+	return claim.Claim{}, false
+}
+
 // full reports whether the unexpired claims fill the bucket.
 func (b *Bucket) full(now time.Time) bool {
 	n := 0
@@ -209,42 +231,56 @@
 
 // merged returns the known claims with the completions and pending claims applied, without expired ones, sorted by key.
 func (b *Bucket) merged(now time.Time) []claim.Claim {
-	next := make(map[uint64]claim.Claim, len(b.claims)+len(b.pending))
+	next := make(map[slot]claim.Claim, len(b.claims)+len(b.pending))
 	for k, c := range b.claims {
 		if now.Before(c.Until) {
 			next[k] = c
 		}
 	}
 	for _, c := range b.completions {
-		if held, ok := next[c.Key]; ok && held.Owner == c.Owner && held.Attempt == c.Attempt {
-			next[c.Key] = c
+		// An entry of a version that does not know bindings removes them from the claims that it writes back.
+		for _, s := range []slot{slotOf(c), {key: c.Key}} {
+			if held, ok := next[s]; ok && sameCall(held, c) {
+				delete(next, s)
+				next[slotOf(c)] = c
+				break
+			}
 		}
 	}
 	for _, p := range b.pending {
-		held, ok := next[p.claim.Key]
-		if !ok || held.State == state.NotRun {
-			next[p.claim.Key] = p.claim
+		if _, ok := find(next, p.claim, now); !ok {
+			delete(next, slot{key: p.claim.Key})
+			next[slotOf(p.claim)] = p.claim
 		}
 	}
 	value := make([]claim.Claim, 0, len(next))
 	for _, c := range next {
 		value = append(value, c)
 	}
-	slices.SortFunc(value, func(x, y claim.Claim) int { return cmp.Compare(x.Key, y.Key) })
+	slices.SortFunc(value, func(x, y claim.Claim) int {
+		return cmp.Or(cmp.Compare(x.Key, y.Key), cmp.Compare(x.Binding.Account, y.Binding.Account))
+	})
 	return value
 }
 
 // holds reports whether the last value contains exactly this claim, still running.
 func (b *Bucket) holds(c claim.Claim) bool {
-	held, ok := b.claims[c.Key]
-	return ok && held.Owner == c.Owner && held.Attempt == c.Attempt && held.State == state.Running
+	for _, s := range []slot{slotOf(c), {key: c.Key}} {
+		if held, ok := b.claims[s]; ok && sameCall(held, c) && held.State == state.Running {
+			return true
+		}
+	}
+	return false
 }
 
+// sameCall reports whether two claims are of the same call.
+func sameCall(x, y claim.Claim) bool { return x.Owner == y.Owner && x.Attempt == y.Attempt }
+
 // set replaces the last value seen.
 func (b *Bucket) set(revision int64, value []claim.Claim) {
 	b.loaded, b.revision = true, revision
-	b.claims = make(map[uint64]claim.Claim, len(value))
+	b.claims = make(map[slot]claim.Claim, len(value))
 	for _, c := range value {
-		b.claims[c.Key] = c
+		b.claims[slotOf(c)] = c
 	}
 }
--- a/pkg/traffic/idkey/bucket_test.go
+++ b/pkg/traffic/idkey/bucket_test.go
@@ -9,6 +9,7 @@
 	. "github.com/onsi/gomega"
 
 	"github.com/balsamvale/balsamvale/pkg/calls/answer"
+	"github.com/balsamvale/balsamvale/pkg/calls/bind"
 	"github.com/balsamvale/balsamvale/pkg/calls/claim"
 	"github.com/balsamvale/balsamvale/pkg/calls/dedup"
 	"github.com/balsamvale/balsamvale/pkg/calls/state"
@@ -31,6 +32,23 @@
 	return true
 }
 
+// settle carries out what a bucket plans until nothing is left to do at the given time.
+func (s *fakeStore) settle(b *idkey.Bucket, now time.Time) {
+	for range 10 {
+		op, value, expect, ok := b.Plan(now)
+		switch {
+		case !ok:
+			return
+		case op == kvop.Get:
+			b.GetDone(s.revision, s.value)
+		case s.swap(expect, value):
+			b.SwapDone(s.revision)
+		default:
+			b.Invalidate()
+		}
+	}
+}
+
 var _ = Describe("Bucket", func() {
 	for _, tc := range []struct {
 		name string
@@ -63,13 +81,15 @@
 				if rnd.IntN(10) == 0 {
 					attempt++
 					a, key := attempt, uint64(rnd.IntN(400))+1
-					b.Claim(key, a, now.Add(time.Hour), func(r dedup.Result, _ answer.Answer) {
+					c := claim.Claim{Key: key, Binding: bind.Binding{Account: 1}, Attempt: a, Until: now.Add(time.Hour)}
+					b.Claim(c, func(r dedup.Result, _ claim.Claim) {
 						if r != dedup.Acquired {
 							return
 						}
 						Expect(ran[key]).To(BeZero(), "key %d", key)
 						if rnd.IntN(100) < tc.notRunPercent {
-							b.Complete(now, key, a, state.NotRun, answer.Answer{})
+							c.State = state.NotRun
+							b.Complete(now, c)
 							return
 						}
 						ran[key]++
@@ -98,4 +118,62 @@
 			Expect(len(ran)).To(BeNumerically(">", 200))
 		})
 	}
+
+	// A version that does not know bindings drops them from each claim of a bucket that it writes, also from those of others.
+	for _, tc := range []struct {
+		name  string
+		state state.State
+		want  dedup.Result
+	}{
+		{"the key of a call that did not run is free", state.NotRun, dedup.Acquired},
+		{"a saved answer is given to nobody, and nothing runs", state.Answered, dedup.Unknown},
+		{"a call that may have run keeps its key", state.Unknown, dedup.Unknown},
+	} {
+		It("reads a claim without a binding: "+tc.name, func() {
+			now := time.Unix(1000, 0)
+			held := claim.Claim{Key: 7, Owner: "older", Attempt: 1, State: tc.state, Until: now.Add(time.Hour), Answer: answer.Answer{Status: 200, Body: []byte("x")}}
+			store := &fakeStore{revision: 1, value: []claim.Claim{held}}
+			b := idkey.New("entry")
+			for _, bound := range []bind.Binding{{Account: 1, Method: 1, URI: 1, Body: 1}, {Account: 2, Method: 1, URI: 1, Body: 1}} {
+				var got []dedup.Result
+				b.Claim(claim.Claim{Key: 7, Binding: bound, Attempt: 2, Until: now.Add(time.Hour)}, func(r dedup.Result, _ claim.Claim) { got = append(got, r) })
+				store.settle(b, now)
+				Expect(got).To(Equal([]dedup.Result{tc.want}))
+			}
+		})
+	}
+
+	It("completes its own claim after another version dropped the binding", func() {
+		now := time.Unix(1000, 0)
+		store := &fakeStore{}
+		b := idkey.New("entry")
+		bound := bind.Binding{Account: 1, Method: 1, URI: 1, Body: 1}
+		c := claim.Claim{Key: 7, Binding: bound, Attempt: 1, Until: now.Add(time.Hour)}
+		b.Claim(c, func(r dedup.Result, _ claim.Claim) { Expect(r).To(Equal(dedup.Acquired)) })
+		store.settle(b, now)
+		Expect(store.value).To(HaveLen(1))
+		store.revision++
+		store.value[0].Binding = bind.Binding{}
+		b.Invalidate()
+		c.State, c.Answer = state.Answered, answer.Answer{Status: 200}
+		b.Complete(now, c)
+		store.settle(b, now.Add(time.Second))
+		Expect(store.value).To(HaveLen(1))
+		Expect(store.value[0].Binding).To(Equal(bound))
+		Expect(store.value[0].State).To(Equal(state.Answered))
+	})
+
+	It("keeps the claims of two accounts with one key apart", func() {
+		now := time.Unix(1000, 0)
+		store := &fakeStore{}
+		b := idkey.New("entry")
+		for account := uint64(1); account <= 2; account++ {
+			c := claim.Claim{Key: 7, Binding: bind.Binding{Account: account, Method: 1, URI: 1, Body: 1}, Attempt: account, Until: now.Add(time.Hour)}
+			var got []dedup.Result
+			b.Claim(c, func(r dedup.Result, _ claim.Claim) { got = append(got, r) })
+			store.settle(b, now)
+			Expect(got).To(Equal([]dedup.Result{dedup.Acquired}))
+		}
+		Expect(store.value).To(HaveLen(2))
+	})
 })
