--- a/internal/codec/claims_test.go
+++ b/internal/codec/claims_test.go
@@ -1,6 +1,7 @@
 package codec_test
 
 import (
+	"net/http"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -38,7 +39,7 @@
 	current := claim.Claim{
 		Key: 5, Owner: "e", Attempt: 6, State: state.Answered, Until: until,
 		Binding: bind.Binding{Account: 1, Method: 2, URI: 3, Body: 4},
-		Answer:  answer.Answer{Status: 201, Type: "text/plain", Body: []byte("x")},
+		Answer:  answer.Answer{Status: 201, Header: http.Header{"Content-Type": {"text/plain"}}, Body: []byte("x")},
 	}
 	older := &pb.Claim{Key: 5, Owner: "e", Attempt: 6, State: pb.Claim_ANSWERED, Until: timestamppb.New(until), Status: 201, Type: "text/plain", Body: []byte("x")}
 
@@ -61,11 +62,14 @@
 		Expect(firstFields(data)).To(Equal(firstFields(before)))
 	})
 
-	It("is read as it was written", func() {
-		data, err := codec.EncodeClaims([]claim.Claim{current})
+	It("is read as it was written, also with values that are not valid UTF-8", func() {
+		c := current
+		c.Answer.Header = http.Header{"Content-Type": {"text/plain; name=caf\xe9"}, "Set-Cookie": {"a=1", "b=2"}, "X-Empty": {""}}
+		c.Answer.Trailer = http.Header{"X-Sum": {"\xff"}}
+		data, err := codec.EncodeClaims([]claim.Claim{c})
 		Expect(err).NotTo(HaveOccurred())
 		got, err := codec.DecodeClaims(data)
 		Expect(err).NotTo(HaveOccurred())
-		Expect(got).To(Equal([]claim.Claim{current}))
+		Expect(got).To(Equal([]claim.Claim{c}))
 	})
 })
--- a/internal/codec/value.go
+++ b/internal/codec/value.go
@@ -1,7 +1,10 @@
 package codec
 
 import (
+	"maps"
+	"net/http"
 	"net/netip"
+	"slices"
 	"strings"
 	"time"
 
@@ -135,19 +138,51 @@
 			Key: c.GetKey(), Owner: c.GetOwner(), Attempt: c.GetAttempt(),
 			Binding: bind.Binding{Account: c.GetAccount(), Method: c.GetMethod(), URI: c.GetUri(), Body: c.GetHash()},
 			State:   state.State(c.GetState()), Until: c.GetUntil().AsTime(),
-			Answer: answer.Answer{Status: int(c.GetStatus()), Type: c.GetType(), Body: c.GetBody()},
+			Answer: decodeAnswer(c),
 		})
 	}
 	return out, nil
 }
 
+// decodeAnswer returns the saved response of a claim. Versions that do not write headers write the media type alone.
+func decodeAnswer(c *pb.Claim) answer.Answer {
+	a := answer.Answer{Status: int(c.GetStatus()), Header: decodeFields(c.GetHeader()), Body: c.GetBody(), Trailer: decodeFields(c.GetTrailer())}
+	if a.Header == nil && c.GetType() != "" {
+		a.Header = http.Header{"Content-Type": {c.GetType()}}
+	}
+	return a
+}
+
+func decodeFields(fields []*pb.Claim_Field) http.Header {
+	if len(fields) == 0 {
+		return nil
+	}
+	h := http.Header{}
+	for _, f := range fields {
+		h[f.GetName()] = append(h[f.GetName()], string(f.GetValue()))
+	}
+	return h
+}
+
+// encodeFields encodes headers, sorted by name, so that equal headers have equal encodings.
+func encodeFields(h http.Header) []*pb.Claim_Field {
+	var fields []*pb.Claim_Field
+	for _, name := range slices.Sorted(maps.Keys(h)) {
+		for _, value := range h[name] {
+			fields = append(fields, &pb.Claim_Field{Name: name, Value: []byte(value)})
+		}
+	}
+	return fields
+}
+
 // EncodeClaims encodes a bucket of claims; errors match ErrInvalidValue.
 func EncodeClaims(cs []claim.Claim) ([]byte, error) {
 	m := &pb.Claims{Claim: make([]*pb.Claim, 0, len(cs))}
 	for _, c := range cs {
 		m.Claim = append(m.Claim, &pb.Claim{
 			Key: c.Key, Owner: c.Owner, Attempt: c.Attempt, State: pb.Claim_State(c.State),
-			Until: timestampProto(c.Until), Status: uint32(c.Answer.Status), Type: c.Answer.Type, Body: c.Answer.Body,
+			Until: timestampProto(c.Until), Status: uint32(c.Answer.Status), Body: c.Answer.Body,
+			Type: strings.ToValidUTF8(c.Answer.Header.Get("Content-Type"), ""), Header: encodeFields(c.Answer.Header), Trailer: encodeFields(c.Answer.Trailer),
 			Account: c.Binding.Account, Method: c.Binding.Method, Uri: c.Binding.URI, Hash: c.Binding.Body,
 		})
 	}
--- a/internal/proxy/claims_test.go
+++ b/internal/proxy/claims_test.go
@@ -113,6 +113,8 @@
 	req, err := http.NewRequest(or(k.method, http.MethodPost), entry+or(k.uri, "/s/pay?to=a"), strings.NewReader(body))
 	Expect(err).NotTo(HaveOccurred())
 	req.Header.Set(wire.IdempotencyKey, "key-1")
+	// The client would decode what it gets without this.
+	req.Header.Set("Accept-Encoding", "identity")
 	req.Header.Set("X-Forwarded-For", or(k.forwarded, "192.0.2.1"))
 	if k.credentials != "" {
 		req.Header.Set("Authorization", k.credentials)
@@ -240,6 +242,76 @@
 	})
 })
 
+// A repeat must not be told from the first request by what is missing in its answer.
+var _ = Describe("A stored answer", func() {
+	set := func(status int, body string, headers ...string) http.HandlerFunc {
+		return func(w http.ResponseWriter, _ *http.Request) {
+			for i := 0; i < len(headers); i += 2 {
+				w.Header().Add(headers[i], headers[i+1])
+			}
+			w.WriteHeader(status)
+			_, _ = io.WriteString(w, body)
+		}
+	}
+	for _, tc := range []struct {
+		name   string
+		answer http.HandlerFunc
+		// stored is false if the answer is too large to be stored.
+		stored bool
+	}{
+		{"with a status and headers", set(201, "made", "Location", "/s/pay/1", "Content-Type", "text/x-own", "Etag", `"1"`, "Cache-Control", "no-store", "X-Request-Cost", "3"), true},
+		{"with a header of several values", set(200, "x", "Set-Cookie", "a=1", "Set-Cookie", "b=2"), true},
+		{"with an encoded body", set(200, "\x1f\x8b", "Content-Encoding", "gzip"), true},
+		{"with values that are not valid UTF-8", set(200, "x", "X-Name", "caf\xe9", "Content-Type", "text/plain; name=caf\xe9"), true},
+		{"with a date of its own", set(200, "x", "Date", "Mon, 02 Jan 2006 15:04:05 GMT"), true},
+		{"that is a failure", set(404, "no account", "X-Error", "none"), true},
+		{"without a body", set(204, "", "X-Done", "1"), true},
+		{"with an empty body", set(200, "", "X-Done", "1"), true},
+		{"with an empty body of unknown length", func(w http.ResponseWriter, _ *http.Request) {
+			w.Header().Set("X-Done", "1")
+			w.(http.Flusher).Flush()
+		}, true},
+		{"with a body of unknown length", func(w http.ResponseWriter, _ *http.Request) {
+			_, _ = io.WriteString(w, "a")
+			w.(http.Flusher).Flush()
+			_, _ = io.WriteString(w, "b")
+		}, true},
+		{"with trailers", func(w http.ResponseWriter, _ *http.Request) {
+			w.Header().Set("Trailer", "X-Sum")
+			_, _ = io.WriteString(w, "x")
+			w.Header().Set("X-Sum", "7")
+		}, true},
+		{"with the longest body that is stored", set(200, strings.Repeat("x", tune.MaxClaimResponse)), true},
+		{"with a body that is too long", set(200, strings.Repeat("x", tune.MaxClaimResponse+1)), false},
+		{"with headers that are too long", set(200, "x", "X-Long", strings.Repeat("x", 2*tune.MaxClaimResponse)), false},
+	} {
+		It("has all that the first had: "+tc.name, func() {
+			u := &keyedUpstream{answer: tc.answer}
+			urls := startKeyed(u)
+			first := keyedRequest{}.send(urls[0])
+			for _, url := range urls {
+				repeat := keyedRequest{}.send(url)
+				Expect(u.count()).To(Equal(1))
+				if !tc.stored {
+					Expect(repeat.StatusCode).To(Equal(http.StatusConflict))
+					Expect(repeat.Header.Get(wire.Outcome)).To(Equal("unknown"))
+					continue
+				}
+				Expect(repeat.Header.Get(wire.Reason)).To(Equal("duplicate"))
+				repeat.Header.Del(wire.Reason)
+				if first.ContentLength < 0 {
+					// The length of a stored body is known.
+					repeat.Header.Del("Content-Length")
+				}
+				Expect(repeat.StatusCode).To(Equal(first.StatusCode))
+				Expect(repeat.Header).To(Equal(first.Header))
+				Expect(repeat.body).To(Equal(first.body))
+				Expect(repeat.Trailer).To(Equal(first.Trailer))
+			}
+		})
+	}
+})
+
 // keyedSender sends one request; its run method is a goroutine.
 type keyedSender struct {
 	request keyedRequest
--- a/internal/proxy/driver.go
+++ b/internal/proxy/driver.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"io"
+	"maps"
 	"net/http"
 	"strconv"
 	"time"
@@ -326,6 +327,10 @@
 		h[k] = v
 	}
 	d.handler.Headers.PrepareResponse(h)
+	var passedOn http.Header
+	if d.claimed {
+		passedOn = h.Clone()
+	}
 	for k := range a.res.Trailer {
 		h.Add("Trailer", k)
 	}
@@ -333,7 +338,7 @@
 	d.w.WriteHeader(a.res.StatusCode)
 	saved, err := d.copyBody(a)
 	d.flow.Close(d.now(), a.id)
-	d.completeClaim(a, saved, err)
+	d.completeClaim(answer.Answer{Status: a.res.StatusCode, Header: passedOn, Body: saved, Trailer: a.res.Trailer}, err == nil && saved != nil)
 	if err != nil {
 		// Aborting the connection keeps the caller from taking a partial response for a complete one.
 		panic(http.ErrAbortHandler)
@@ -348,17 +353,18 @@
 const copyBufferSize = 32 << 10
 
 // copyBody copies the body of a response to the caller. If the call has claimed an idempotency key and the body has at most
-// tune.MaxClaimResponse bytes, it returns the body, to be replayed if the caller sends the call again. With an error, what it
-// returns may be incomplete.
+// tune.MaxClaimResponse bytes, it returns the body, to be replayed if the caller sends the call again, and nil otherwise. With an
+// error, what it returns may be incomplete.
 func (d *callDriver) copyBody(a *attempt) (saved []byte, err error) {
 	rc := http.NewResponseController(d.w)
 	buf := make([]byte, copyBufferSize)
 	total := 0
+	saved = []byte{}
 	for {
 		n, rerr := a.res.Body.Read(buf)
 		if n > 0 {
 			total += n
-			if d.call.Key != 0 && total <= tune.MaxClaimResponse {
+			if d.claimed && total <= tune.MaxClaimResponse {
 				saved = append(saved, buf[:n]...)
 			}
 			if _, err := d.w.Write(buf[:n]); err != nil {
@@ -382,30 +388,30 @@
 }
 
 // completeClaim records the outcome of a delivered call under its idempotency key, if it has claimed one. The outcome is
-// unknown if the response was not delivered in full (err is set), its body was not saved, or the request was streamed, so that a
-// repeat cannot be told from another request.
-func (d *callDriver) completeClaim(a *attempt, saved []byte, err error) {
-	if d.call.Key == 0 {
-		return
-	}
-	if err != nil || !d.buffered || (saved == nil && a.res.ContentLength != 0) {
+// unknown if the answer was not delivered and saved in full (whole is false), is too large, or belongs to a streamed request, since a
+// repeat of that cannot be told from another request.
+func (d *callDriver) completeClaim(ans answer.Answer, whole bool) {
+	switch {
+	case !d.claimed:
+	case !whole || !d.buffered || ans.Size() > tune.MaxClaimAnswer:
 		d.endClaim(state.Unknown, answer.Answer{})
-		return
+	default:
+		d.endClaim(state.Answered, ans)
 	}
-	ans := answer.Answer{Status: a.res.StatusCode, Type: a.res.Header.Get("Content-Type"), Body: saved}
-	d.endClaim(state.Answered, ans)
 }
 
 // replay answers the call with the saved response of an earlier call with the same idempotency key.
 func (d *callDriver) replay(s step.Step) {
-	h := d.w.Header()
-	if d.held.Answer.Type != "" {
-		h.Set("Content-Type", d.held.Answer.Type)
+	h, saved := d.w.Header(), &d.held.Answer
+	maps.Copy(h, saved.Header.Clone())
+	for k := range saved.Trailer {
+		h.Add("Trailer", k)
 	}
 	d.handler.Headers.SetOutcome(h, outcom.Answered, s.Reason)
 	d.closeUnlessBodyRead()
-	d.w.WriteHeader(d.held.Answer.Status)
-	_, _ = d.w.Write(d.held.Answer.Body)
+	d.w.WriteHeader(saved.Status)
+	_, _ = d.w.Write(saved.Body)
+	maps.Copy(h, saved.Trailer)
 	d.handler.countCall(d.call, outcom.Answered, s.Reason)
 }
 
--- a/pkg/shared/tune/constants.go
+++ b/pkg/shared/tune/constants.go
@@ -252,6 +252,8 @@
 	MaxBucketClaims = 5000
 	// MaxClaimResponse is the largest response body in bytes that is saved with a claim.
 	MaxClaimResponse = 1 << 10
+	// MaxClaimAnswer is the largest response in bytes, with headers and trailers, that is saved with a claim.
+	MaxClaimAnswer = 2 << 10
 )
 
 // Canary analysis and rollouts.
