--- a/internal/proxy/claims_test.go
+++ b/internal/proxy/claims_test.go
@@ -14,9 +14,13 @@
 	"github.com/balsamvale/balsamvale/internal/claims"
 	"github.com/balsamvale/balsamvale/internal/proxy"
 	"github.com/balsamvale/balsamvale/internal/wire"
+	"github.com/balsamvale/balsamvale/pkg/records/rulrec"
+	"github.com/balsamvale/balsamvale/pkg/records/split"
+	"github.com/balsamvale/balsamvale/pkg/records/svcrec"
 	"github.com/balsamvale/balsamvale/pkg/shared/clock"
 	"github.com/balsamvale/balsamvale/pkg/shared/tune"
 	"github.com/balsamvale/balsamvale/pkg/stored/item"
+	"github.com/balsamvale/balsamvale/pkg/traffic/pool"
 )
 
 // keyedUpstream counts its runs, each of which is answered with its number.
@@ -225,6 +229,27 @@
 		Expect(u.count()).To(Equal(1))
 	})
 
+	It("runs once on a rule with several services", func() {
+		u := &keyedUpstream{}
+		s := &memoryStore{items: map[string]item.Item{}}
+		c := claims.New(clock.Wall(), "entry")
+		c.Get, c.CompareAndSwap = s.get, s.compareAndSwap
+		srv := startEntry(u.ServeHTTP)
+		h := srv.Config.Handler.(*proxy.Handler)
+		h.Claim, h.CompleteClaim = c.Claim, c.Complete
+		rule := &rulrec.Rule{Name: "r", Splits: []split.Split{{Service: "a", Weight: 1}, {Service: "b", Weight: 1}}}
+		h.Rule = func(string, string) (*rulrec.Rule, bool) { return rule, true }
+		svc, p := h.Service("s")
+		h.Service = func(name string) (*svcrec.Service, *pool.Pool) {
+			named := *svc
+			named.Name = name
+			return &named, p
+		}
+		for range 10 {
+			Expect(keyedRequest{}.send(srv.URL).body).To(Equal("run 1"))
+		}
+	})
+
 	It("may be sent with another body once the first is known not to have run", func() {
 		shed := true
 		u := &keyedUpstream{answer: func(w http.ResponseWriter, _ *http.Request) {
--- a/internal/proxy/match.go
+++ b/internal/proxy/match.go
@@ -7,6 +7,8 @@
 	"strings"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/balsamvale/balsamvale/pkg/calls/class"
 	"github.com/balsamvale/balsamvale/pkg/records/route"
 	"github.com/balsamvale/balsamvale/pkg/records/rulrec"
@@ -39,7 +41,12 @@
 		return routeMatch{}, "no rule matches the host and path"
 	}
 	m := routeMatch{rule: rule, requestURI: r.URL.RequestURI(), timeout: rule.Timeout}
-	m.service, m.pool = h.Service(pickWeighted(rule, rand.IntN))
+	random := rand.IntN
+	if key := h.Headers.IdempotencyKey(r.Header); key != "" {
+		// A repeat must get to the service of the first request, as claims are kept for each service.
+		random = func(n int) int { return int(xxhash.Sum64String(key) % uint64(n)) }
+	}
+	m.service, m.pool = h.Service(pickWeighted(rule, random))
 	if m.pool == nil {
 		return routeMatch{}, ""
 	}
@@ -65,7 +72,7 @@
 	return m, ""
 }
 
-// pickWeighted picks a service of a rule at random by weight; a single one is picked whatever its weight. It returns "" if
+// pickWeighted picks a service of a rule by weight with the number from 0 to n-1 that random returns; a single one is picked whatever its weight. It returns "" if
 // all weights are 0.
 func pickWeighted(rule *rulrec.Rule, random func(n int) int) string {
 	if len(rule.Splits) == 1 {
