--- a/internal/proxy/claims_test.go
+++ b/internal/proxy/claims_test.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"strings"
 	"sync"
+	"sync/atomic"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
@@ -251,9 +252,9 @@
 	})
 
 	It("may be sent with another body once the first is known not to have run", func() {
-		shed := true
+		var accepts atomic.Bool
 		u := &keyedUpstream{answer: func(w http.ResponseWriter, _ *http.Request) {
-			if shed {
+			if !accepts.Load() {
 				w.Header().Set(wire.Executed, wire.ExecutedNone)
 				w.WriteHeader(http.StatusServiceUnavailable)
 				return
@@ -262,7 +263,7 @@
 		}}
 		urls := startKeyed(u)
 		Expect(keyedRequest{}.send(urls[0]).Header.Get(wire.Outcome)).To(Equal("notrun"))
-		shed = false
+		accepts.Store(true)
 		Eventually(func() string { return keyedRequest{body: "amount=2"}.send(urls[1]).body }, "2s").Should(Equal("done"))
 	})
 })
