--- a/internal/codec/claims_test.go
+++ b/internal/codec/claims_test.go
@@ -39,7 +39,7 @@
 	current := claim.Claim{
 		Key: 5, Owner: "e", Attempt: 6, State: state.Answered, Until: until,
 		Binding: bind.Binding{Account: 1, Method: 2, URI: 3, Body: 4},
-		Answer:  answer.Answer{Status: 201, Header: http.Header{"Content-Type": {"text/plain"}}, Body: []byte("x")},
+		Answer:  answer.Answer{Status: 201, Type: "text/plain", Body: []byte("x")},
 	}
 	older := &pb.Claim{Key: 5, Owner: "e", Attempt: 6, State: pb.Claim_ANSWERED, Until: timestamppb.New(until), Status: 201, Type: "text/plain", Body: []byte("x")}
 
@@ -52,6 +52,10 @@
 		want.Binding = bind.Binding{}
 		Expect(got).To(Equal([]claim.Claim{want}))
 		Expect(got[0].Binding.Bound()).To(BeFalse())
+		header, trailer, err := codec.DecodeHead(&got[0].Answer)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(header).To(Equal(http.Header{"Content-Type": {"text/plain"}}))
+		Expect(trailer).To(BeEmpty())
 	})
 
 	It("is the same for the version before bindings, apart from what it does not know", func() {
@@ -64,12 +68,20 @@
 
 	It("is read as it was written, also with values that are not valid UTF-8", func() {
 		c := current
-		c.Answer.Header = http.Header{"Content-Type": {"text/plain; name=caf\xe9"}, "Set-Cookie": {"a=1", "b=2"}, "X-Empty": {""}}
-		c.Answer.Trailer = http.Header{"X-Sum": {"\xff"}}
+		header := http.Header{"Content-Type": {"text/plain; name=caf\xe9"}, "Set-Cookie": {"a=1", "b=2"}, "X-Empty": {""}}
+		trailer := http.Header{"X-Sum": {"\xff"}}
+		head, err := codec.EncodeHead(header, trailer)
+		Expect(err).NotTo(HaveOccurred())
+		c.Answer.Head, c.Answer.Type = head, "text/plain; name=caf\xe9"
 		data, err := codec.EncodeClaims([]claim.Claim{c})
 		Expect(err).NotTo(HaveOccurred())
 		got, err := codec.DecodeClaims(data)
 		Expect(err).NotTo(HaveOccurred())
+		c.Answer.Type = "text/plain; name=caf"
 		Expect(got).To(Equal([]claim.Claim{c}))
+		gotHeader, gotTrailer, err := codec.DecodeHead(&got[0].Answer)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(gotHeader).To(Equal(header))
+		Expect(gotTrailer).To(Equal(trailer))
 	})
 })
--- a/internal/codec/value.go
+++ b/internal/codec/value.go
@@ -138,19 +138,33 @@
 			Key: c.GetKey(), Owner: c.GetOwner(), Attempt: c.GetAttempt(),
 			Binding: bind.Binding{Account: c.GetAccount(), Method: c.GetMethod(), URI: c.GetUri(), Body: c.GetHash()},
 			State:   state.State(c.GetState()), Until: c.GetUntil().AsTime(),
-			Answer: decodeAnswer(c),
+			Answer: answer.Answer{Status: int(c.GetStatus()), Type: c.GetType(), Head: c.GetHead(), Body: c.GetBody()},
 		})
 	}
 	return out, nil
 }
 
-// decodeAnswer returns the saved response of a claim. Versions that do not write headers write the media type alone.
-func decodeAnswer(c *pb.Claim) answer.Answer {
-	a := answer.Answer{Status: int(c.GetStatus()), Header: decodeFields(c.GetHeader()), Body: c.GetBody(), Trailer: decodeFields(c.GetTrailer())}
-	if a.Header == nil && c.GetType() != "" {
-		a.Header = http.Header{"Content-Type": {c.GetType()}}
+// EncodeHead encodes the headers and trailers of a saved response; errors match ErrInvalidValue.
+func EncodeHead(header, trailer http.Header) ([]byte, error) {
+	b, err := proto.Marshal(&pb.Claim_Head{Header: encodeFields(header), Trailer: encodeFields(trailer)})
+	if err != nil {
+		return nil, eris.Wrap(ErrInvalidValue, err.Error())
+	}
+	return b, nil
+}
+
+// DecodeHead returns the headers and trailers of a saved response; errors match ErrInvalidValue. Versions that do not save headers
+// save the media type alone.
+func DecodeHead(a *answer.Answer) (header, trailer http.Header, err error) {
+	var m pb.Claim_Head
+	if err := proto.Unmarshal(a.Head, &m); err != nil {
+		return nil, nil, eris.Wrap(ErrInvalidValue, err.Error())
+	}
+	header = decodeFields(m.GetHeader())
+	if len(a.Head) == 0 && a.Type != "" {
+		header = http.Header{"Content-Type": {a.Type}}
 	}
-	return a
+	return header, decodeFields(m.GetTrailer()), nil
 }
 
 func decodeFields(fields []*pb.Claim_Field) http.Header {
@@ -182,7 +196,7 @@
 		m.Claim = append(m.Claim, &pb.Claim{
 			Key: c.Key, Owner: c.Owner, Attempt: c.Attempt, State: pb.Claim_State(c.State),
 			Until: timestampProto(c.Until), Status: uint32(c.Answer.Status), Body: c.Answer.Body,
-			Type: strings.ToValidUTF8(c.Answer.Header.Get("Content-Type"), ""), Header: encodeFields(c.Answer.Header), Trailer: encodeFields(c.Answer.Trailer),
+			Type: strings.ToValidUTF8(c.Answer.Type, ""), Head: c.Answer.Head,
 			Account: c.Binding.Account, Method: c.Binding.Method, Uri: c.Binding.URI, Hash: c.Binding.Body,
 		})
 	}
--- a/internal/proxy/driver.go
+++ b/internal/proxy/driver.go
@@ -9,6 +9,7 @@
 	"strconv"
 	"time"
 
+	"github.com/balsamvale/balsamvale/internal/codec"
 	"github.com/balsamvale/balsamvale/internal/outreq"
 	"github.com/balsamvale/balsamvale/pkg/calls/answer"
 	"github.com/balsamvale/balsamvale/pkg/calls/bind"
@@ -338,7 +339,11 @@
 	d.w.WriteHeader(a.res.StatusCode)
 	saved, err := d.copyBody(a)
 	d.flow.Close(d.now(), a.id)
-	d.completeClaim(answer.Answer{Status: a.res.StatusCode, Header: passedOn, Body: saved, Trailer: a.res.Trailer}, err == nil && saved != nil)
+	if d.claimed {
+		head, headErr := codec.EncodeHead(passedOn, a.res.Trailer)
+		ans := answer.Answer{Status: a.res.StatusCode, Type: passedOn.Get("Content-Type"), Head: head, Body: saved}
+		d.completeClaim(ans, err == nil && headErr == nil && saved != nil)
+	}
 	if err != nil {
 		// Aborting the connection keeps the caller from taking a partial response for a complete one.
 		panic(http.ErrAbortHandler)
@@ -387,31 +392,35 @@
 	return saved, nil
 }
 
-// completeClaim records the outcome of a delivered call under its idempotency key, if it has claimed one. The outcome is
+// completeClaim records the outcome of a delivered call under the idempotency key that it has claimed. The outcome is
 // unknown if the answer was not delivered and saved in full (whole is false), is too large, or belongs to a streamed request, since a
 // repeat of that cannot be told from another request.
 func (d *callDriver) completeClaim(ans answer.Answer, whole bool) {
-	switch {
-	case !d.claimed:
-	case !whole || !d.buffered || ans.Size() > tune.MaxClaimAnswer:
+	if !whole || !d.buffered || len(ans.Head)+len(ans.Body) > tune.MaxClaimAnswer {
 		d.endClaim(state.Unknown, answer.Answer{})
-	default:
-		d.endClaim(state.Answered, ans)
+		return
 	}
+	d.endClaim(state.Answered, ans)
 }
 
 // replay answers the call with the saved response of an earlier call with the same idempotency key.
 func (d *callDriver) replay(s step.Step) {
 	h, saved := d.w.Header(), &d.held.Answer
-	maps.Copy(h, saved.Header.Clone())
-	for k := range saved.Trailer {
+	header, trailer, err := codec.DecodeHead(saved)
+	if err != nil {
+		s.Outcome, s.Reason = outcom.Unknown, reason.Duplicate
+		d.refuse(s)
+		return
+	}
+	maps.Copy(h, header)
+	for k := range trailer {
 		h.Add("Trailer", k)
 	}
 	d.handler.Headers.SetOutcome(h, outcom.Answered, s.Reason)
 	d.closeUnlessBodyRead()
 	d.w.WriteHeader(saved.Status)
 	_, _ = d.w.Write(saved.Body)
-	maps.Copy(h, saved.Trailer)
+	maps.Copy(h, trailer)
 	d.handler.countCall(d.call, outcom.Answered, s.Reason)
 }
 
