--- a/internal/codec/value.go
+++ b/internal/codec/value.go
@@ -1,7 +1,10 @@
 package codec
 
 import (
+	"maps"
+	"net/http"
 	"net/netip"
+	"slices"
 	"strings"
 	"time"
 
@@ -11,6 +14,7 @@
 
 	pb "github.com/balsamvale/balsamvale/internal/gen/balsamvale/v1"
 	"github.com/balsamvale/balsamvale/pkg/calls/answer"
+	"github.com/balsamvale/balsamvale/pkg/calls/bind"
 	"github.com/balsamvale/balsamvale/pkg/calls/claim"
 	"github.com/balsamvale/balsamvale/pkg/calls/state"
 	"github.com/balsamvale/balsamvale/pkg/control/keys"
@@ -132,20 +136,68 @@
 	for _, c := range cs.GetClaim() {
 		out = append(out, claim.Claim{
 			Key: c.GetKey(), Owner: c.GetOwner(), Attempt: c.GetAttempt(),
-			State: state.State(c.GetState()), Until: c.GetUntil().AsTime(),
-			Answer: answer.Answer{Status: int(c.GetStatus()), Type: c.GetType(), Body: c.GetBody()},
+			Binding: bind.Binding{Account: c.GetAccount(), Method: c.GetMethod(), URI: c.GetUri(), Body: c.GetHash()},
+			State:   state.State(c.GetState()), Until: c.GetUntil().AsTime(),
+			Answer: answer.Answer{Status: int(c.GetStatus()), Type: c.GetType(), Head: c.GetHead(), Body: c.GetBody()},
 		})
 	}
 	return out, nil
 }
 
+// EncodeHead encodes the headers and trailers of a saved response; errors match ErrInvalidValue.
+func EncodeHead(header, trailer http.Header) ([]byte, error) {
+	b, err := proto.Marshal(&pb.Claim_Head{Header: encodeFields(header), Trailer: encodeFields(trailer)})
+	if err != nil {
+		return nil, eris.Wrap(ErrInvalidValue, err.Error())
+	}
+	return b, nil
+}
+
+// DecodeHead returns the headers and trailers of a saved response; errors match ErrInvalidValue. Versions that do not save headers
+// save the media type alone.
+func DecodeHead(a *answer.Answer) (header, trailer http.Header, err error) {
+	var m pb.Claim_Head
+	if err := proto.Unmarshal(a.Head, &m); err != nil {
+		return nil, nil, eris.Wrap(ErrInvalidValue, err.Error())
+	}
+	header = decodeFields(m.GetHeader())
+	if len(a.Head) == 0 && a.Type != "" {
+		header = http.Header{"Content-Type": {a.Type}}
+	}
+	return header, decodeFields(m.GetTrailer()), nil
+}
+
+func decodeFields(fields []*pb.Claim_Field) http.Header {
+	if len(fields) == 0 {
+		return nil
+	}
+	h := http.Header{}
+	for _, f := range fields {
+		h[f.GetName()] = append(h[f.GetName()], string(f.GetValue()))
+	}
+	return h
+}
+
+// encodeFields encodes headers, sorted by name, so that equal headers have equal encodings.
+func encodeFields(h http.Header) []*pb.Claim_Field {
+	var fields []*pb.Claim_Field
+	for _, name := range slices.Sorted(maps.Keys(h)) {
+		for _, value := range h[name] {
+			fields = append(fields, &pb.Claim_Field{Name: name, Value: []byte(value)})
+		}
+	}
+	return fields
+}
+
 // EncodeClaims encodes a bucket of claims; errors match ErrInvalidValue.
 func EncodeClaims(cs []claim.Claim) ([]byte, error) {
 	m := &pb.Claims{Claim: make([]*pb.Claim, 0, len(cs))}
 	for _, c := range cs {
 		m.Claim = append(m.Claim, &pb.Claim{
 			Key: c.Key, Owner: c.Owner, Attempt: c.Attempt, State: pb.Claim_State(c.State),
-			Until: timestampProto(c.Until), Status: uint32(c.Answer.Status), Type: c.Answer.Type, Body: c.Answer.Body,
+			Until: timestampProto(c.Until), Status: uint32(c.Answer.Status), Body: c.Answer.Body,
+			Type: strings.ToValidUTF8(c.Answer.Type, ""), Head: c.Answer.Head,
+			Account: c.Binding.Account, Method: c.Binding.Method, Uri: c.Binding.URI, Hash: c.Binding.Body,
 		})
 	}
 	b, err := proto.Marshal(m)
--- a/internal/proxy/driver.go
+++ b/internal/proxy/driver.go
@@ -4,16 +4,19 @@
 	"context"
 	"errors"
 	"io"
+	"maps"
 	"net/http"
 	"strconv"
 	"time"
 
+	"github.com/balsamvale/balsamvale/internal/codec"
 	"github.com/balsamvale/balsamvale/internal/outreq"
-	"github.com/balsamvale/balsamvale/internal/wire"
 	"github.com/balsamvale/balsamvale/pkg/calls/answer"
+	"github.com/balsamvale/balsamvale/pkg/calls/bind"
 	"github.com/balsamvale/balsamvale/pkg/calls/call"
 	"github.com/balsamvale/balsamvale/pkg/calls/cause"
 	"github.com/balsamvale/balsamvale/pkg/calls/choice"
+	"github.com/balsamvale/balsamvale/pkg/calls/claim"
 	"github.com/balsamvale/balsamvale/pkg/calls/dedup"
 	"github.com/balsamvale/balsamvale/pkg/calls/outcom"
 	"github.com/balsamvale/balsamvale/pkg/calls/reason"
@@ -51,10 +54,11 @@
 	dequeued chan choice.Choice
 	// stopping is closed when the entry stops; nil after the call has been told.
 	stopping <-chan struct{}
-	// claimed is set once the call holds a claim of its idempotency key.
+	// claimed is set once the call holds claim, which is that of its idempotency key.
 	claimed bool
-	// savedResponse is the answer of an earlier call with the same idempotency key.
-	savedResponse answer.Answer
+	claim   claim.Claim
+	// held is the claim of an earlier call with the same idempotency key.
+	held claim.Claim
 }
 
 // informational is a 1xx response to an attempt.
@@ -196,8 +200,9 @@
 		defer cancel()
 	}
 	start := d.now()
-	claimed, a := d.handler.Claim(ctx, d.call.Service, d.call.Key, d.callID(), until)
-	d.savedResponse = a
+	d.claim = claim.Claim{Key: d.call.Key, Binding: d.binding(), Attempt: d.callID(), Until: until}
+	var claimed dedup.Result
+	claimed, d.held = d.handler.Claim(ctx, d.call.Service, d.claim)
 	d.claimed = claimed == dedup.Acquired
 	if claimed == dedup.Acquired && d.now().Sub(start) > tune.ClaimTTL/2 {
 		claimed = dedup.Unavailable
@@ -205,6 +210,18 @@
 	return d.flow.Claimed(d.now(), claimed)
 }
 
+// binding returns what the claim of the idempotency key is bound to.
+func (d *callDriver) binding() bind.Binding {
+	headers := d.handler.Headers
+	return bind.New(headers.Account(d.r), headers.IdempotencyKey(d.r.Header), d.r.Method, d.r.URL.RequestURI(), d.body, d.buffered)
+}
+
+// endClaim records the state and the answer with which a call that holds a claim ended.
+func (d *callDriver) endClaim(st state.State, a answer.Answer) {
+	d.claim.State, d.claim.Answer = st, a
+	d.handler.CompleteClaim(d.call.Service, d.claim)
+}
+
 // unboundedClaimTTL is the lifetime of the claim of a call without a deadline.
 const unboundedClaimTTL = 24 * time.Hour
 
@@ -311,6 +328,10 @@
 		h[k] = v
 	}
 	d.handler.Headers.PrepareResponse(h)
+	var passedOn http.Header
+	if d.claimed {
+		passedOn = h.Clone()
+	}
 	for k := range a.res.Trailer {
 		h.Add("Trailer", k)
 	}
@@ -318,7 +339,11 @@
 	d.w.WriteHeader(a.res.StatusCode)
 	saved, err := d.copyBody(a)
 	d.flow.Close(d.now(), a.id)
-	d.completeClaim(a, saved, err)
+	if d.claimed {
+		head, headErr := codec.EncodeHead(passedOn, a.res.Trailer)
+		ans := answer.Answer{Status: a.res.StatusCode, Type: passedOn.Get("Content-Type"), Head: head, Body: saved}
+		d.completeClaim(ans, err == nil && headErr == nil && saved != nil)
+	}
 	if err != nil {
 		// Aborting the connection keeps the caller from taking a partial response for a complete one.
 		panic(http.ErrAbortHandler)
@@ -333,17 +358,18 @@
 const copyBufferSize = 32 << 10
 
 // copyBody copies the body of a response to the caller. If the call has claimed an idempotency key and the body has at most
-// tune.MaxClaimResponse bytes, it returns the body, to be replayed if the caller sends the call again. With an error, what it
-// returns may be incomplete.
+// tune.MaxClaimResponse bytes, it returns the body, to be replayed if the caller sends the call again, and nil otherwise. With an
+// error, what it returns may be incomplete.
 func (d *callDriver) copyBody(a *attempt) (saved []byte, err error) {
 	rc := http.NewResponseController(d.w)
 	buf := make([]byte, copyBufferSize)
 	total := 0
+	saved = []byte{}
 	for {
 		n, rerr := a.res.Body.Read(buf)
 		if n > 0 {
 			total += n
-			if d.call.Key != 0 && total <= tune.MaxClaimResponse {
+			if d.claimed && total <= tune.MaxClaimResponse {
 				saved = append(saved, buf[:n]...)
 			}
 			if _, err := d.w.Write(buf[:n]); err != nil {
@@ -366,31 +392,35 @@
 	return saved, nil
 }
 
-// completeClaim records the outcome of a delivered call under its idempotency key, if it has claimed one. The outcome is
-// unknown if the response was not delivered in full (err is set) or its body was not saved.
-func (d *callDriver) completeClaim(a *attempt, saved []byte, err error) {
-	if d.call.Key == 0 {
+// completeClaim records the outcome of a delivered call under the idempotency key that it has claimed. The outcome is
+// unknown if the answer was not delivered and saved in full (whole is false), is too large, or belongs to a streamed request, since a
+// repeat of that cannot be told from another request.
+func (d *callDriver) completeClaim(ans answer.Answer, whole bool) {
+	if !whole || !d.buffered || len(ans.Head)+len(ans.Body) > tune.MaxClaimAnswer {
+		d.endClaim(state.Unknown, answer.Answer{})
 		return
 	}
-	if err != nil || (saved == nil && a.res.ContentLength != 0) {
-		d.handler.CompleteClaim(d.call.Service, d.call.Key, d.callID(), state.Unknown, answer.Answer{})
-		return
-	}
-	ans := answer.Answer{Status: a.res.StatusCode, Type: a.res.Header.Get("Content-Type"), Body: saved}
-	d.handler.CompleteClaim(d.call.Service, d.call.Key, d.callID(), state.Answered, ans)
+	d.endClaim(state.Answered, ans)
 }
 
 // replay answers the call with the saved response of an earlier call with the same idempotency key.
 func (d *callDriver) replay(s step.Step) {
-	h := d.w.Header()
-	if d.savedResponse.Type != "" {
-		h.Set("Content-Type", d.savedResponse.Type)
+	h, saved := d.w.Header(), &d.held.Answer
+	header, trailer, err := codec.DecodeHead(saved)
+	if err != nil {
+		s.Outcome, s.Reason = outcom.Unknown, reason.Duplicate
+		d.refuse(s)
+		return
+	}
+	maps.Copy(h, header)
+	for k := range trailer {
+		h.Add("Trailer", k)
 	}
-	h.Set(wire.Outcome, outcom.Answered.String())
-	h.Set(wire.Reason, s.Reason.String())
+	d.handler.Headers.SetOutcome(h, outcom.Answered, s.Reason)
 	d.closeUnlessBodyRead()
-	d.w.WriteHeader(d.savedResponse.Status)
-	_, _ = d.w.Write(d.savedResponse.Body)
+	d.w.WriteHeader(saved.Status)
+	_, _ = d.w.Write(saved.Body)
+	maps.Copy(h, trailer)
 	d.handler.countCall(d.call, outcom.Answered, s.Reason)
 }
 
@@ -403,7 +433,7 @@
 		if s.Outcome == outcom.NotRun {
 			st = state.NotRun
 		}
-		d.handler.CompleteClaim(d.call.Service, d.call.Key, d.callID(), st, answer.Answer{})
+		d.endClaim(st, answer.Answer{})
 	}
 	d.handler.countCall(d.call, s.Outcome, s.Reason)
 	if d.stream != nil && d.stream.readErr() != nil {
@@ -412,12 +442,16 @@
 	}
 	h := d.w.Header()
 	retryAfter := time.Duration(0)
-	if s.Outcome == outcom.NotRun {
+	text := "refused: " + s.Reason.String() + "; fate: " + s.Outcome.String()
+	switch {
+	case s.Reason == reason.KeyReused:
+		text += "; the idempotency key was used for a request with " + d.held.Binding.Differences(d.claim.Binding) + "; choose another key"
+	case s.Outcome == outcom.NotRun:
 		retryAfter = d.retryAfter(s.Choice.PredictedWait)
 	}
 	d.handler.Headers.PrepareRefusal(h, &s, retryAfter)
 	d.closeUnlessBodyRead()
-	http.Error(d.w, "refused: "+s.Reason.String()+"; fate: "+s.Outcome.String(), refusalStatus(s))
+	http.Error(d.w, text, refusalStatus(s))
 }
 
 // retryAfter returns the time after which a refused caller may find capacity: the predicted wait, but at least
@@ -431,6 +465,8 @@
 	switch {
 	case s.Reason == reason.Duplicate:
 		return http.StatusConflict
+	case s.Reason == reason.KeyReused:
+		return http.StatusUnprocessableEntity
 	case s.Reason == reason.UnknownService:
 		return http.StatusNotFound
 	case s.Outcome == outcom.NotRun || s.Reason == reason.ClaimFailed:
--- a/internal/proxy/holder_test.go
+++ b/internal/proxy/holder_test.go
@@ -11,9 +11,9 @@
 	. "github.com/onsi/gomega"
 
 	"github.com/balsamvale/balsamvale/internal/wire"
-	"github.com/balsamvale/balsamvale/pkg/calls/answer"
 	"github.com/balsamvale/balsamvale/pkg/calls/call"
 	"github.com/balsamvale/balsamvale/pkg/calls/choice"
+	"github.com/balsamvale/balsamvale/pkg/calls/claim"
 	"github.com/balsamvale/balsamvale/pkg/calls/dedup"
 	"github.com/balsamvale/balsamvale/pkg/calls/stage"
 	"github.com/balsamvale/balsamvale/pkg/records/upsrec"
@@ -64,9 +64,9 @@
 			if tc.key == "" {
 				fill(p)
 			}
-			h.Claim = func(ctx context.Context, _ string, _, _ uint64, _ time.Time) (dedup.Result, answer.Answer) {
+			h.Claim = func(ctx context.Context, _ string, _ claim.Claim) (dedup.Result, claim.Claim) {
 				<-ctx.Done()
-				return dedup.Unavailable, answer.Answer{}
+				return dedup.Unavailable, claim.Claim{}
 			}
 			req, _ := http.NewRequest(http.MethodPost, url+"/s/a", strings.NewReader("x"))
 			req.Header.Set(wire.Deadline, timeLeft.String())
--- a/pkg/calls/answer/answer.go
+++ b/pkg/calls/answer/answer.go
@@ -6,5 +6,7 @@
 	Status int
 	// Type is the media type of Body.
 	Type string
+	// Head holds all end-to-end headers and the trailers, encoded; empty in answers that a version without it saved.
+	Head []byte
 	Body []byte
 }
