--- a/internal/demux/conn.go
+++ b/internal/demux/conn.go
@@ -324,8 +324,8 @@
 
 // assign gives a request its sequence number and its virtual connection.
 //
-// During a drain, the request is the last one of the connection. A caller that pipelines may always have another request on the way
-// when a response is due, so the connection would otherwise stay open until the process exits.
+// During a shutdown, the request is the last one of the connection. A caller that pipelines may always have another request on the
+// way when a response is due, so the connection would otherwise stay open until the process exits.
 func (c *conn) assign(vc *virtualConn, h *head) {
 	vc.busy, vc.seq, vc.due = true, c.nextSeq, 0
 	vc.consumed.Store(0)
@@ -334,7 +334,7 @@
 	}
 	c.nextSeq++
 	c.passthrough = h.passthrough
-	c.stopped = h.last || c.listener.draining.Load()
+	c.stopped = h.last || c.listener.isClosing()
 }
 
 // forward writes the head and the body of a request to its virtual connection; with passthrough, all bytes until the
--- a/internal/demux/listener.go
+++ b/internal/demux/listener.go
@@ -106,11 +106,13 @@
 // Accepted returns the number of connections that were accepted.
 func (l *Listener) Accepted() uint64 { return l.acceptCount.Load() }
 
-// Drain makes each connection close after one more request at most.
+// Drain makes each connection close after the response to the last request that was accepted from it, as soon as no other request
+// has been accepted by then.
 func (l *Listener) Drain() { l.draining.Store(true) }
 
 // Shutdown accepts the connections that callers have opened already, closes the listener, and waits until each request that
-// has begun to arrive is answered. It closes the other connections. Drain must have been called before.
+// has begun to arrive is answered. It closes the other connections, and takes one more request at most from those that callers
+// keep busy. Drain must have been called before.
 //
 // While callers go on opening connections, it accepts them until admitUntil and then closes the listener as soon as no
 // connection waits, or after maxLateAccepts more. The error is that of ctx if it is done first; Shutdown may then be called again.
