--- a/internal/redial/transport_test.go
+++ b/internal/redial/transport_test.go
@@ -78,17 +78,20 @@
 // idle connection that was silent too.
 var _ = Describe("Transport", func() {
 	const (
-		idle    = 200 * time.Millisecond
-		timeout = 500 * time.Millisecond
+		shortIdle = 200 * time.Millisecond
+		longIdle  = time.Minute
+		timeout   = 500 * time.Millisecond
 	)
 	for _, tc := range []struct {
 		name string
-		// wait is the time between the silence and the first request; failures is how many requests may end without a response.
-		wait     time.Duration
-		failures int
+		// idle is how long unused connections are kept, wait the time between the silence and the first request, and failures how
+		// many requests may end without a response.
+		idle, wait time.Duration
+		failures   int
 	}{
-		{"loses one request when idle connections went silent", 0, 1},
-		{"loses none when the connections have been idle for longer than they are kept", 3 * idle, 0},
+		{"loses one request when idle connections went silent", shortIdle, 0, 1},
+		{"loses one request when idle connections that are kept for long, as those to peers, went silent", longIdle, 0, 1},
+		{"loses none when the connections have been idle for longer than they are kept", shortIdle, 3 * shortIdle, 0},
 	} {
 		It(tc.name, func() {
 			held := make(chan struct{})
@@ -101,7 +104,7 @@
 			srv.Listener = l
 			srv.Start()
 			DeferCleanup(srv.Close)
-			t := redial.New(idle)
+			t := redial.New(tc.idle)
 			DeferCleanup(t.CloseIdleConnections)
 			get := func(path string) error {
 				ctx, cancel := context.WithTimeout(context.Background(), timeout)
