--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -57,8 +57,8 @@
 	maxConns int
 	// pressureLogged is when a lack of room for connections was last logged; only the goroutine that accepts them uses it.
 	pressureLogged time.Time
-	// admitUntil is when a stop ends the admission of calls; nil before the stop.
-	admitUntil atomic.Pointer[time.Time]
+	// stopBegin is when the stop has begun; nil before.
+	stopBegin atomic.Pointer[time.Time]
 	// errs receives the error of each server that fails; its buffer has room for one error of each server.
 	errs chan error
 }
@@ -278,14 +278,13 @@
 	d.log.Info("stopping", zap.Int("calls", d.inFlight.Len()))
 	begin, connsBefore := d.clock.Now(), d.callerListener.Accepted()
 	d.inFlight.BeginStop(begin)
-	admitUntil := begin.Add(d.options.ShutdownDelay + admissionTime)
-	d.admitUntil.Store(&admitUntil)
+	d.stopBegin.Store(&begin)
 	d.core.Drain()
 	d.callerListener.Drain()
 	delay, stopTimer := d.clock.Timer(d.options.ShutdownDelay)
 	defer stopTimer()
 	<-delay
-	d.awaitCalls(begin, admitUntil)
+	d.awaitCalls(begin)
 	d.awaitHandover()
 	_ = d.peerServer.Close()
 	_ = d.adminServer.Close()
@@ -296,13 +295,15 @@
 }
 
 // awaitCalls closes the listener for callers and waits for the calls in flight, for at most the drain timeout if one is set.
-// The stop has begun at the given time, and takes no calls after admitUntil.
-func (d *Daemon) awaitCalls(begin, admitUntil time.Time) {
+// The stop has begun at the given time.
+func (d *Daemon) awaitCalls(begin time.Time) {
 	ctx, cancel := context.Background(), context.CancelFunc(func() {})
 	refusalTime := d.options.DrainTimeout / refusalPart
 	if d.options.DrainTimeout > 0 {
 		ctx, cancel = context.WithTimeout(ctx, d.options.DrainTimeout-refusalTime)
 	}
+	// While callers go on connecting, the balancer may have no other entry for them.
+	admitUntil := begin.Add(d.options.ShutdownDelay + max(admissionTime, d.options.DrainTimeout/2))
 	err := d.callerListener.Shutdown(ctx, admitUntil)
 	cancel()
 	if err == nil {
@@ -330,14 +331,23 @@
 	})
 }
 
-// admissionTime is how long after the shutdown delay calls are still served, on connections that callers have opened by then.
-// Later calls are refused as not run: the time left until the drain timeout may be too short for them.
-const admissionTime = 250 * time.Millisecond
+const (
+	// admissionTime is how long after the shutdown delay all calls are still served.
+	admissionTime = 250 * time.Millisecond
+	// deliveryTime is left between the deadline of a call that is served late in a stop and the drain timeout.
+	deliveryTime = 200 * time.Millisecond
+)
 
-// admits reports whether calls that arrive now are served.
-func (d *Daemon) admits() bool {
-	until := d.admitUntil.Load()
-	return until == nil || d.clock.Now().Before(*until)
+// admits reports whether a call with the given deadline that arrives now is served. In a stop, calls that come after
+// admissionTime are refused, unless their deadline is before the end of the drain timeout, so that they end in time.
+func (d *Daemon) admits(deadline time.Time) bool {
+	begin := d.stopBegin.Load()
+	if begin == nil {
+		return true
+	}
+	listening := begin.Add(d.options.ShutdownDelay)
+	return d.clock.Now().Before(listening.Add(admissionTime)) ||
+		!deadline.IsZero() && deadline.Before(listening.Add(d.options.DrainTimeout-deliveryTime))
 }
 
 // refusalPart is the part of the drain timeout, at its end, in which no attempt begins: calls that still wait are refused. The
--- a/internal/proxy/handler.go
+++ b/internal/proxy/handler.go
@@ -69,8 +69,9 @@
 	Incarnation uint64
 	// Stopping is closed when the entry stops and calls that still wait are to be refused; it may be nil.
 	Stopping <-chan struct{}
-	// Admits reports whether calls that arrive now are served; the others are refused, since the entry stops.
-	Admits func() bool
+	// Admits reports whether a call that arrives now is served; otherwise it is refused, since the entry stops. The deadline of the
+	// call is the zero time if it has none.
+	Admits func(deadline time.Time) bool
 	// MaxBodyBytes is the maximum size of a request body in bytes; Bounds may lower it.
 	MaxBodyBytes int64
 
@@ -113,10 +114,6 @@
 		h.refuseEarly(w, r, http.StatusNotImplemented, "upgrades and tunnels are not served")
 		return
 	}
-	if !h.Admits() {
-		h.refuseUnserved(w, r, reason.Stopping, "the entry stops")
-		return
-	}
 	if !h.Configured() {
 		h.refuseUnconfigured(w, r)
 		return
@@ -141,6 +138,10 @@
 	d := &callDriver{handler: h, w: w, r: r, match: m}
 	arrived := h.Clock.Now()
 	limit := deadline(arrived, h.Headers.RemainingTime(r.Header), m.timeout, m.route.Class)
+	if !h.Admits(limit) {
+		h.refuseUnserved(w, r, reason.Stopping, "the entry stops")
+		return
+	}
 	if err := d.readBodyUntil(limit); err != nil {
 		d.refuseBadBody(err)
 		return
