soak: every second seed loses contact with the store before a removal

The drawn plans hit single entries, and no removal lasted long enough for the bound of a drained domain (5 s) to be checked: faults end after 4 s. The faults of the even seeds stay as they were.

--- a/internal/soak/plan/plan.go
+++ b/internal/soak/plan/plan.go
@@ -109,7 +109,7 @@
 // Draw draws a plan.
 //
 // A plan has episodes: a series of faults of one kind, at one target after the other, at several at once, or at one failure
-// domain.
+// domain. Every second seed has a loss of contact with the store besides.
 func Draw(seed uint64, size int, length time.Duration) *Plan {
 	r := rand.New(rand.NewPCG(seed, 2))
 	p := &Plan{Seed: seed, Size: size, Length: Duration(length)}
@@ -122,6 +122,9 @@
 	for at := calmBegin; at < length-calmBegin; at += time.Duration(r.ExpFloat64() * float64(episodeGap)) {
 		p.Fault = append(p.Fault, episode(r, kinds[r.IntN(len(kinds))], at, size)...)
 	}
+	if seed%2 == 1 {
+		p.Fault = append(p.Fault, lossOfContact(rand.New(rand.NewPCG(seed, 4)), size, length)...)
+	}
 	slices.SortStableFunc(p.Fault, func(a, b Fault) int { return cmp.Compare(a.At, b.At) })
 	return p
 }
@@ -161,3 +164,40 @@
 
 // domains is the number of failure domains.
 const domains = 3
+
+// Times of a loss of contact.
+const (
+	contactLost = 3500 * time.Millisecond
+	// earlyChange is the least time from the loss until the configuration changes while the entries are cut off; lateChange is that
+	// for a change after a disturbance of the entries no longer excuses what they do.
+	earlyChange = 500 * time.Millisecond
+	lateChange  = 3200 * time.Millisecond
+	// changeLasts leaves time to watch an upstream after the bound for its removal, and after that for a drained domain.
+	changeLasts = 6500 * time.Millisecond
+)
+
+// lossOfContact draws a fault of the links to the store that hits all entries at once, or all but one, and a removal that operators
+// make while it lasts or soon after. Entries that watch the store and those that hear from them must not take silence for a sign
+// that nothing has changed.
+func lossOfContact(r *rand.Rand, size int, length time.Duration) []Fault {
+	second := func() time.Duration { return time.Duration(r.IntN(1000)) * time.Millisecond }
+	begin := calmBegin + time.Duration(r.Int64N(int64(max(time.Second, length-10*time.Second))))
+	f := Fault{Kind: []Kind{SilentStore, OneWayStore, ResetStore, SlowStore}[r.IntN(4)], At: Duration(begin), Share: 1}
+	if specs[f.Kind].lasts {
+		f.Lasts = Duration(contactLost)
+	}
+	spared := -1
+	if size > 1 && r.IntN(2) == 0 {
+		spared = r.IntN(size)
+	}
+	var out []Fault
+	for i := range size {
+		if i != spared {
+			f.Target = i
+			out = append(out, f)
+		}
+	}
+	delay := []time.Duration{earlyChange, lateChange}[r.IntN(2)] + second()
+	change := Fault{Kind: []Kind{Remove, DrainDomain}[r.IntN(2)], At: Duration(begin + delay), Lasts: Duration(changeLasts), Target: r.IntN(1 << 10)}
+	return append(out, change)
+}
--- a/internal/soak/plan/plan_test.go
+++ b/internal/soak/plan/plan_test.go
@@ -11,6 +11,9 @@
 	"github.com/balsamvale/balsamvale/internal/soak/plan"
 )
 
+// changeLasts is how long the removal after a loss of contact lasts.
+const changeLasts = 6500 * time.Millisecond
+
 var _ = Describe("Draw", func() {
 	It("draws the same faults from the same seed, and others from another one", func() {
 		a, b, c := plan.Draw(7, 3, time.Minute), plan.Draw(7, 3, time.Minute), plan.Draw(8, 3, time.Minute)
@@ -24,7 +27,9 @@
 			for _, f := range plan.Draw(seed, 3, 20*time.Second).Fault {
 				drawn[f.Kind.String()] = true
 				Expect(time.Duration(f.At)).To(BeNumerically(">=", 2*time.Second))
-				Expect(time.Duration(f.Lasts)).To(BeNumerically("<", 4*time.Second))
+				if time.Duration(f.Lasts) != changeLasts {
+					Expect(time.Duration(f.Lasts)).To(BeNumerically("<", 4*time.Second))
+				}
 				Expect(f.Target).To(BeNumerically(">=", 0))
 				if f.Kind.HitsEntries() {
 					Expect(f.Target).To(BeNumerically("<", 3))
@@ -35,6 +40,28 @@
 	})
 })
 
+var _ = Describe("a loss of contact", func() {
+	It("is in every second seed, hits all entries or all but one, and a removal follows that outlasts its bound", func() {
+		for seed := range uint64(50) {
+			var lost []int
+			var changes int
+			for _, f := range plan.Draw(seed, 3, 12*time.Second).Fault {
+				if f.Share == 1 && f.Kind >= plan.SilentStore && f.Kind <= plan.OneWayStore && f.Kind.HitsEntries() {
+					lost = append(lost, f.Target)
+				}
+				if time.Duration(f.Lasts) == changeLasts {
+					changes++
+					Expect(f.Kind).To(Or(Equal(plan.Remove), Equal(plan.DrainDomain)))
+				}
+			}
+			Expect(changes).To(Equal(int(seed % 2)))
+			if seed%2 == 1 {
+				Expect(len(lost)).To(BeNumerically(">=", 2))
+			}
+		}
+	})
+})
+
 var _ = Describe("a plan as text", func() {
 	It("is read as it was written", func() {
 		p := plan.Draw(7, 3, 30*time.Second)
