soak: limits of descriptors come with idle callers, and all upstreams fail at once in every second seed

A limit of 120 descriptors or more was rarely reached by the callers alone. Faults of single upstreams seldom hit a request that net/http repeats.

--- a/internal/soak/plan/plan.go
+++ b/internal/soak/plan/plan.go
@@ -109,7 +109,7 @@
 // Draw draws a plan.
 //
 // A plan has episodes: a series of faults of one kind, at one target after the other, at several at once, or at one failure
-// domain. Every second seed has a loss of contact with the store besides.
+// domain. Every second seed has a loss of contact with the store and a failure of all upstreams besides.
 func Draw(seed uint64, size int, length time.Duration) *Plan {
 	r := rand.New(rand.NewPCG(seed, 2))
 	p := &Plan{Seed: seed, Size: size, Length: Duration(length)}
@@ -120,10 +120,11 @@
 	// Planned stops are the most frequent event of all, so each seed has some.
 	kinds = append(kinds, Stop)
 	for at := calmBegin; at < length-calmBegin; at += time.Duration(r.ExpFloat64() * float64(episodeGap)) {
-		p.Fault = append(p.Fault, episode(r, kinds[r.IntN(len(kinds))], at, size)...)
+		p.Fault = append(p.Fault, withIdleCallers(episode(r, kinds[r.IntN(len(kinds))], at, size))...)
 	}
 	if seed%2 == 1 {
 		p.Fault = append(p.Fault, lossOfContact(rand.New(rand.NewPCG(seed, 4)), size, length)...)
+		p.Fault = append(p.Fault, upstreamsFail(rand.New(rand.NewPCG(seed, 5)), length)...)
 	}
 	slices.SortStableFunc(p.Fault, func(a, b Fault) int { return cmp.Compare(a.At, b.At) })
 	return p
@@ -162,6 +163,47 @@
 	return out
 }
 
+// withIdleCallers adds idle callers to each limit of descriptors, since a limit alone is rarely reached.
+func withIdleCallers(faults []Fault) []Fault {
+	out := faults
+	for _, f := range faults {
+		if f.Kind == FewFiles {
+			f.Kind, f.Share, f.Lasts = IdleCallers, idleCallers, Duration(idleLasts)
+			f.At += Duration(idleDelay)
+			out = append(out, f)
+		}
+	}
+	return out
+}
+
+// Idle callers of an entry with few descriptors, more than any drawn limit.
+const (
+	idleCallers = 500
+	idleDelay   = 500 * time.Millisecond
+	idleLasts   = 3 * time.Second
+)
+
+// upstreamsFail draws a failure of the upstreams of all domains at once: their answers are lost or cut, or their connections end.
+func upstreamsFail(r *rand.Rand, length time.Duration) []Fault {
+	begin := calmBegin + time.Duration(r.Int64N(int64(max(time.Second, length-6*time.Second))))
+	f := Fault{Kind: []Kind{LoseAnswers, CutAnswers, Crash, ResetUpstream}[r.IntN(4)], At: Duration(begin), Domain: true}
+	if len(specs[f.Kind].shares) > 0 {
+		f.Share = 0.5
+	}
+	if specs[f.Kind].lasts {
+		f.Lasts = Duration(upstreamsFailTime)
+	}
+	var out []Fault
+	for i := range domains {
+		f.Target = i
+		out = append(out, f)
+	}
+	return out
+}
+
+// upstreamsFailTime is how long all upstreams fail at once.
+const upstreamsFailTime = 2 * time.Second
+
 // domains is the number of failure domains.
 const domains = 3
 
