soak: a panic that net/http recovers breaks a promise as well

net/http logs it as "http: panic serving", which the check did not look for. Seen in 2 of about 12 runs of demux/room_test (invalid concurrent Body.Read call); in none of the logs of the runs that broke a promise, the only ones that were kept.

--- a/internal/soak/fleet/entry.go
+++ b/internal/soak/fleet/entry.go
@@ -187,7 +187,7 @@
 	lines := bufio.NewReader(f)
 	for {
 		line, err := lines.ReadString('\n')
-		for _, mark := range []string{`"msg":"panic"`, "panic: ", "fatal error: ", "DATA RACE"} {
+		for _, mark := range []string{`"msg":"panic"`, "panic: ", "panic serving", "fatal error: ", "DATA RACE"} {
 			if strings.Contains(line, mark) && len(out) < maxPanicLines {
 				out = append(out, strings.TrimSpace(line))
 				break
