--- a/internal/soak/plan/plan.go
+++ b/internal/soak/plan/plan.go
@@ -224,7 +224,7 @@
 func lossOfContact(r *rand.Rand, size int, length time.Duration) []Fault {
 	second := func() time.Duration { return time.Duration(r.IntN(1000)) * time.Millisecond }
 	begin := calmBegin + time.Duration(r.Int64N(int64(max(time.Second, length-10*time.Second))))
-	f := Fault{Kind: []Kind{SilentStore, OneWayStore, ResetStore, SlowStore}[r.IntN(4)], At: Duration(begin), Share: 1}
+	f := Fault{Kind: []Kind{SilentStore, OneWayStore}[r.IntN(2)], At: Duration(begin), Share: 1}
 	if specs[f.Kind].lasts {
 		f.Lasts = Duration(contactLost)
 	}
