--- a/internal/soak/plan/plan.go
+++ b/internal/soak/plan/plan.go
@@ -210,11 +210,11 @@
 // Times of a loss of contact.
 const (
 	contactLost = 3500 * time.Millisecond
-	// earlyChange is the least time from the loss until the configuration changes while the entries are cut off; lateChange is that
-	// for a change after a disturbance of the entries no longer excuses what they do.
-	earlyChange = 500 * time.Millisecond
+	// earlyChange is the least time from the loss to the removal if an entry is spared, which must learn of it in time, and lateChange
+	// that if none is: the loss then no longer excuses what the entries do.
+	earlyChange = 200 * time.Millisecond
 	lateChange  = 3200 * time.Millisecond
-	// changeLasts leaves time to watch an upstream after the bound for its removal, and after that for a drained domain.
+	// changeLasts leaves time to watch an upstream after the bound for its removal.
 	changeLasts = 6500 * time.Millisecond
 )
 
@@ -222,15 +222,14 @@
 // make while it lasts or soon after. Entries that watch the store and those that hear from them must not take silence for a sign
 // that nothing has changed.
 func lossOfContact(r *rand.Rand, size int, length time.Duration) []Fault {
-	second := func() time.Duration { return time.Duration(r.IntN(1000)) * time.Millisecond }
 	begin := calmBegin + time.Duration(r.Int64N(int64(max(time.Second, length-10*time.Second))))
 	f := Fault{Kind: []Kind{SilentStore, OneWayStore}[r.IntN(2)], At: Duration(begin), Share: 1}
 	if specs[f.Kind].lasts {
 		f.Lasts = Duration(contactLost)
 	}
-	spared := -1
+	spared, delay := -1, lateChange
 	if size > 1 && r.IntN(2) == 0 {
-		spared = r.IntN(size)
+		spared, delay = r.IntN(size), earlyChange
 	}
 	var out []Fault
 	for i := range size {
@@ -239,7 +238,7 @@
 			out = append(out, f)
 		}
 	}
-	delay := []time.Duration{earlyChange, lateChange}[r.IntN(2)] + second()
-	change := Fault{Kind: []Kind{Remove, DrainDomain}[r.IntN(2)], At: Duration(begin + delay), Lasts: Duration(changeLasts), Target: r.IntN(1 << 10)}
+	delay += time.Duration(r.IntN(1000)) * time.Millisecond
+	change := Fault{Kind: Remove, At: Duration(begin + delay), Lasts: Duration(changeLasts), Target: r.IntN(1 << 10)}
 	return append(out, change)
 }
