--- a/internal/soak/plan/plan.go
+++ b/internal/soak/plan/plan.go
@@ -109,7 +109,7 @@
 // Draw draws a plan.
 //
 // A plan has episodes: a series of faults of one kind, at one target after the other, at several at once, or at one failure
-// domain.
+// domain. Every second seed has a loss of contact with the store and a failure of all upstreams besides.
 func Draw(seed uint64, size int, length time.Duration) *Plan {
 	r := rand.New(rand.NewPCG(seed, 2))
 	p := &Plan{Seed: seed, Size: size, Length: Duration(length)}
@@ -120,7 +120,11 @@
 	// Planned stops are the most frequent event of all, so each seed has some.
 	kinds = append(kinds, Stop)
 	for at := calmBegin; at < length-calmBegin; at += time.Duration(r.ExpFloat64() * float64(episodeGap)) {
-		p.Fault = append(p.Fault, episode(r, kinds[r.IntN(len(kinds))], at, size)...)
+		p.Fault = append(p.Fault, withIdleCallers(episode(r, kinds[r.IntN(len(kinds))], at, size))...)
+	}
+	if seed%2 == 1 {
+		p.Fault = append(p.Fault, lossOfContact(rand.New(rand.NewPCG(seed, 4)), size, length)...)
+		p.Fault = append(p.Fault, upstreamsFail(rand.New(rand.NewPCG(seed, 5)), length)...)
 	}
 	slices.SortStableFunc(p.Fault, func(a, b Fault) int { return cmp.Compare(a.At, b.At) })
 	return p
@@ -159,5 +163,89 @@
 	return out
 }
 
+// withIdleCallers adds idle callers to each limit of descriptors, since a limit alone is rarely reached.
+func withIdleCallers(faults []Fault) []Fault {
+	out := faults
+	for _, f := range faults {
+		if f.Kind == FewFiles {
+			f.Kind, f.Share, f.Lasts = IdleCallers, idleCallers, Duration(idleLasts)
+			f.At += Duration(idleDelay)
+			out = append(out, f)
+		}
+	}
+	return out
+}
+
+// Idle callers of an entry with few descriptors, more than any drawn limit.
+const (
+	idleCallers = 500
+	idleDelay   = 500 * time.Millisecond
+	idleLasts   = 3 * time.Second
+)
+
+// upstreamsFail draws a failure of the upstreams of all domains at once: their answers are lost or cut, or their connections end.
+func upstreamsFail(r *rand.Rand, length time.Duration) []Fault {
+	begin := calmBegin + time.Duration(r.Int64N(int64(max(time.Second, length-6*time.Second))))
+	f := Fault{Kind: []Kind{LoseAnswers, CutAnswers, Crash, ResetUpstream}[r.IntN(4)], At: Duration(begin), Domain: true}
+	if len(specs[f.Kind].shares) > 0 {
+		f.Share = 0.5
+	}
+	if specs[f.Kind].lasts {
+		f.Lasts = Duration(upstreamsFailTime)
+	}
+	var out []Fault
+	for i := range domains {
+		f.Target = i
+		out = append(out, f)
+	}
+	return out
+}
+
+// upstreamsFailTime is how long all upstreams fail at once.
+const upstreamsFailTime = 2 * time.Second
+
 // domains is the number of failure domains.
 const domains = 3
+
+// Times of a loss of contact.
+const (
+	contactLost = 3500 * time.Millisecond
+	// earlyChange is the least time from the loss to the removal if an entry is spared, which must learn of it in time, and lateChange
+	// that if none is: the loss then no longer excuses what the entries do.
+	earlyChange = 200 * time.Millisecond
+	lateChange  = 3200 * time.Millisecond
+	// changeLasts leaves time to watch an upstream after the bound for its removal.
+	changeLasts = 6500 * time.Millisecond
+	// removals upstreams are removed, each removalStep after the one before: one of each service, since some services have few calls.
+	removals    = 6
+	removalStep = 4
+)
+
+// lossOfContact draws a fault of the links to the store that hits all entries at once, or all but one, and removals that operators
+// make while it lasts or soon after. Entries that watch the store and those that hear from them must not take silence for a sign
+// that nothing has changed.
+func lossOfContact(r *rand.Rand, size int, length time.Duration) []Fault {
+	begin := calmBegin + time.Duration(r.Int64N(int64(max(time.Second, length-10*time.Second))))
+	f := Fault{Kind: []Kind{SilentStore, OneWayStore}[r.IntN(2)], At: Duration(begin), Share: 1}
+	if specs[f.Kind].lasts {
+		f.Lasts = Duration(contactLost)
+	}
+	spared, delay := -1, lateChange
+	if size > 1 && r.IntN(2) == 0 {
+		spared, delay = r.IntN(size), earlyChange
+	}
+	var out []Fault
+	for i := range size {
+		if i != spared {
+			f.Target = i
+			out = append(out, f)
+		}
+	}
+	delay += time.Duration(r.IntN(1000)) * time.Millisecond
+	change := Fault{Kind: Remove, At: Duration(begin + delay), Lasts: Duration(changeLasts), Target: r.IntN(removalStep)}
+	for range removals {
+		out = append(out, change)
+		change.Target += removalStep
+	}
+	return out
+}
