--- /dev/null
+++ b/internal/demux/closing.go
@@ -0,0 +1,112 @@
+package demux
+
+import (
+	"time"
+)
+
+/*
+ How a connection of a caller ends:
+
+ stopped    no further request is accepted: the last one was, a head did not arrive in time, or a request was cut
+ aborted    a request was cut before its turn; the connection ends when its turn comes
+ closed     nothing more is written to the caller; loop reads on for up to lingerTime, until the caller closes too
+ loopEnded  nothing more is read; once closed is set as well, the connection is closed
+*/
+
+// lingerTime is how long a connection that has ended is read on, until the caller closes it.
+const lingerTime = 500 * time.Millisecond
+
+// endLoop closes the connection if nothing more is written to it.
+func (c *conn) endLoop() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.loopEnded = true
+	if c.closed {
+		c.release()
+	}
+}
+
+// release closes the connection. The caller of the method must hold mu.
+func (c *conn) release() {
+	_ = c.raw.Close()
+	c.listener.remove(c)
+}
+
+// stop accepts no further requests, and reports whether any are pending. The connection then ends after the last of them.
+func (c *conn) stop() (pending bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.stopped = true
+	if c.responseSeq == c.nextSeq {
+		return c.closed
+	}
+	// If this fails, the connection has ended.
+	_ = c.setReadDeadline(time.Time{})
+	return true
+}
+
+// isClosed reports whether nothing more is written to the caller.
+func (c *conn) isClosed() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.closed
+}
+
+// virtualClosed removes a virtual connection that the server has closed. If that one held a request, the connection of the
+// caller ends: at once if it was the turn of the request, otherwise when its turn comes. The connection also ends if no
+// virtual connection is left.
+func (c *conn) virtualClosed(vc *virtualConn) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.removeVirtualConn(vc) {
+		return
+	}
+	c.changed.Broadcast()
+	switch {
+	case vc.busy && vc.seq == c.responseSeq, len(c.virtualConns) == 0:
+		c.closeCaller()
+	case vc.busy && (!c.aborted || vc.seq < c.abortedSeq):
+		c.abandonAfter(vc.seq)
+	}
+}
+
+// abandonAfter ends the connection at the turn of request seq and abandons the requests after it, since their responses can
+// no longer be written in order.
+func (c *conn) abandonAfter(seq uint64) {
+	c.aborted, c.abortedSeq, c.stopped = true, seq, true
+	for _, vc := range c.virtualConns {
+		if vc.busy && vc.seq > seq {
+			_ = vc.input.Close()
+		}
+	}
+}
+
+// closeCaller ends the connection of the caller and closes the inputs of all virtual connections. The caller of the method must
+// hold mu.
+//
+// Data that arrives after a close makes the kernel reset the connection, and the reset discards what the caller has not yet
+// received of the last response. So only the sending side is shut down as long as loop reads.
+func (c *conn) closeCaller() {
+	if c.closed {
+		return
+	}
+	c.closed = true
+	for _, vc := range c.virtualConns {
+		_ = vc.input.Close()
+	}
+	c.changed.Broadcast()
+	closer, ok := c.raw.(interface{ CloseWrite() error })
+	if c.loopEnded || !ok || closer.CloseWrite() != nil || c.raw.SetReadDeadline(c.deadlineAfter(lingerTime)) != nil {
+		c.release()
+	}
+}
+
+// closeInputs signals to the server that the caller sends nothing more. The server then closes the virtual connections, and
+// with the last of them the connection of the caller ends.
+func (c *conn) closeInputs() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, vc := range c.virtualConns {
+		_ = vc.input.Close()
+	}
+}
--- a/internal/demux/conn.go
+++ b/internal/demux/conn.go
@@ -107,19 +107,6 @@
 	}
 }
 
-// stop accepts no further requests, and reports whether any are pending. The connection then ends after the last of them.
-func (c *conn) stop() (pending bool) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.stopped = true
-	if c.responseSeq == c.nextSeq {
-		return c.closed
-	}
-	// If this fails, the connection has ended.
-	_ = c.setReadDeadline(time.Time{})
-	return true
-}
-
 // hasNoRequest reports whether a virtual connection is idle and gets its next request from loop.
 func (c *conn) hasNoRequest(vc *virtualConn) bool {
 	c.mu.Lock()
@@ -127,29 +114,6 @@
 	return !vc.busy && !c.passthrough
 }
 
-// isClosed reports whether nothing more is written to the caller.
-func (c *conn) isClosed() bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return c.closed
-}
-
-// endLoop closes the connection if nothing more is written to it.
-func (c *conn) endLoop() {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.loopEnded = true
-	if c.closed {
-		c.release()
-	}
-}
-
-// release closes the connection. The caller of the method must hold mu.
-func (c *conn) release() {
-	_ = c.raw.Close()
-	c.listener.remove(c)
-}
-
 // nextHead reads the head of the next request. Before the first byte, the idle timeout applies while no request is
 // pending; from the first byte on, the timeout for the head applies.
 //
@@ -413,65 +377,3 @@
 	c.stopped = c.stopped || c.listener.draining.Load()
 	return c.stopped
 }
-
-// virtualClosed removes a virtual connection that the server has closed. If that one held a request, the connection of the
-// caller ends: at once if it was the turn of the request, otherwise when its turn comes. The connection also ends if no
-// virtual connection is left.
-func (c *conn) virtualClosed(vc *virtualConn) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if !c.removeVirtualConn(vc) {
-		return
-	}
-	c.changed.Broadcast()
-	switch {
-	case vc.busy && vc.seq == c.responseSeq, len(c.virtualConns) == 0:
-		c.closeCaller()
-	case vc.busy && (!c.aborted || vc.seq < c.abortedSeq):
-		c.abandonAfter(vc.seq)
-	}
-}
-
-// abandonAfter ends the connection at the turn of request seq and abandons the requests after it, since their responses can
-// no longer be written in order.
-func (c *conn) abandonAfter(seq uint64) {
-	c.aborted, c.abortedSeq, c.stopped = true, seq, true
-	for _, vc := range c.virtualConns {
-		if vc.busy && vc.seq > seq {
-			_ = vc.input.Close()
-		}
-	}
-}
-
-// lingerTime is how long a connection that has ended is read on, until the caller closes it.
-const lingerTime = 500 * time.Millisecond
-
-// closeCaller ends the connection of the caller and closes the inputs of all virtual connections. The caller of the method must
-// hold mu.
-//
-// Data that arrives after a close makes the kernel reset the connection, and the reset discards what the caller has not yet
-// received of the last response. So only the sending side is shut down as long as loop reads.
-func (c *conn) closeCaller() {
-	if c.closed {
-		return
-	}
-	c.closed = true
-	for _, vc := range c.virtualConns {
-		_ = vc.input.Close()
-	}
-	c.changed.Broadcast()
-	closer, ok := c.raw.(interface{ CloseWrite() error })
-	if c.loopEnded || !ok || closer.CloseWrite() != nil || c.raw.SetReadDeadline(c.deadlineAfter(lingerTime)) != nil {
-		c.release()
-	}
-}
-
-// closeInputs signals to the server that the caller sends nothing more. The server then closes the virtual connections, and
-// with the last of them the connection of the caller ends.
-func (c *conn) closeInputs() {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	for _, vc := range c.virtualConns {
-		_ = vc.input.Close()
-	}
-}
--- a/internal/proxy/driver.go
+++ b/internal/proxy/driver.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"io"
-	"maps"
 	"net/http"
 	"strconv"
 	"time"
@@ -12,12 +11,10 @@
 	"github.com/balsamvale/balsamvale/internal/codec"
 	"github.com/balsamvale/balsamvale/internal/outreq"
 	"github.com/balsamvale/balsamvale/pkg/calls/answer"
-	"github.com/balsamvale/balsamvale/pkg/calls/bind"
 	"github.com/balsamvale/balsamvale/pkg/calls/call"
 	"github.com/balsamvale/balsamvale/pkg/calls/cause"
 	"github.com/balsamvale/balsamvale/pkg/calls/choice"
 	"github.com/balsamvale/balsamvale/pkg/calls/claim"
-	"github.com/balsamvale/balsamvale/pkg/calls/dedup"
 	"github.com/balsamvale/balsamvale/pkg/calls/outcom"
 	"github.com/balsamvale/balsamvale/pkg/calls/reason"
 	"github.com/balsamvale/balsamvale/pkg/calls/result"
@@ -189,42 +186,6 @@
 	return s
 }
 
-// claimKey claims the idempotency key by the deadline of the call. A claim that took longer than half of tune.ClaimTTL counts
-// as failed.
-func (d *callDriver) claimKey() step.Step {
-	ctx, until := d.r.Context(), d.now().Add(unboundedClaimTTL)
-	if !d.call.Deadline.IsZero() {
-		until = d.call.Deadline.Add(tune.ClaimTTL)
-		var cancel context.CancelFunc
-		ctx, cancel = context.WithDeadline(ctx, d.call.Deadline)
-		defer cancel()
-	}
-	start := d.now()
-	d.claim = claim.Claim{Key: d.call.Key, Binding: d.binding(), Attempt: d.callID(), Until: until}
-	var claimed dedup.Result
-	claimed, d.held = d.handler.Claim(ctx, d.call.Service, d.claim)
-	d.claimed = claimed == dedup.Acquired
-	if claimed == dedup.Acquired && d.now().Sub(start) > tune.ClaimTTL/2 {
-		claimed = dedup.Unavailable
-	}
-	return d.flow.Claimed(d.now(), claimed)
-}
-
-// binding returns what the claim of the idempotency key is bound to.
-func (d *callDriver) binding() bind.Binding {
-	headers := d.handler.Headers
-	return bind.New(headers.Account(d.r), headers.IdempotencyKey(d.r.Header), d.r.Method, d.r.URL.RequestURI(), d.body, d.buffered)
-}
-
-// endClaim records the state and the answer with which a call that holds a claim ended.
-func (d *callDriver) endClaim(st state.State, a answer.Answer) {
-	d.claim.State, d.claim.Answer = st, a
-	d.handler.CompleteClaim(d.call.Service, d.claim)
-}
-
-// unboundedClaimTTL is the lifetime of the claim of a call without a deadline.
-const unboundedClaimTTL = 24 * time.Hour
-
 // callID returns the ID of the call, which is unique among the calls of this handler.
 func (d *callDriver) callID() uint64 { return d.call.ID }
 
@@ -392,38 +353,6 @@
 	return saved, nil
 }
 
-// completeClaim records the outcome of a delivered call under the idempotency key that it has claimed. The outcome is
-// unknown if the answer was not delivered and saved in full (whole is false), is too large, or belongs to a streamed request, since a
-// repeat of that cannot be told from another request.
-func (d *callDriver) completeClaim(ans answer.Answer, whole bool) {
-	if !whole || !d.buffered || len(ans.Head)+len(ans.Body) > tune.MaxClaimAnswer {
-		d.endClaim(state.Unknown, answer.Answer{})
-		return
-	}
-	d.endClaim(state.Answered, ans)
-}
-
-// replay answers the call with the saved response of an earlier call with the same idempotency key.
-func (d *callDriver) replay(s step.Step) {
-	h, saved := d.w.Header(), &d.held.Answer
-	header, trailer, err := codec.DecodeHead(saved)
-	if err != nil {
-		s.Outcome, s.Reason = outcom.Unknown, reason.Duplicate
-		d.refuse(s)
-		return
-	}
-	maps.Copy(h, header)
-	for k := range trailer {
-		h.Add("Trailer", k)
-	}
-	d.handler.Headers.SetOutcome(h, outcom.Answered, s.Reason)
-	d.closeUnlessBodyRead()
-	d.w.WriteHeader(saved.Status)
-	_, _ = d.w.Write(saved.Body)
-	maps.Copy(h, trailer)
-	d.handler.countCall(d.call, outcom.Answered, s.Reason)
-}
-
 // refuse cancels all attempts and answers the call with a refusal. It completes the claim of the idempotency key, if the call
 // holds one.
 func (d *callDriver) refuse(s step.Step) {
