--- a/internal/demux/listener.go
+++ b/internal/demux/listener.go
@@ -56,8 +56,10 @@
 	accepting atomic.Bool
 	// acceptCount counts the connections that were accepted.
 	acceptCount atomic.Uint64
-	// server serves the virtual connections.
+	// server serves the virtual connections; set before started is closed.
 	server *http.Server
+	// started is closed once Serve accepts connections.
+	started chan struct{}
 }
 
 // New returns a Listener that splits the connections accepted by inner. Read deadlines are computed from the time of c.
@@ -66,11 +68,11 @@
 		Bounds:     func() *bounds.Bounds { return nil },
 		OnPressure: func(int, error) {},
 		inner:      inner, clock: c, accepted: make(chan *virtualConn), done: make(chan struct{}),
-		conns: map[*conn]struct{}{},
+		started: make(chan struct{}), conns: map[*conn]struct{}{},
 	}
 }
 
-// Serve accepts connections and serves them with s until s is shut down or accepting fails. It sets the ConnContext and
+// Serve accepts connections and serves them with s until s is shut down or accepting fails; it is called once. It sets the ConnContext and
 // ConnState hooks of s and wraps its handler. The error is that of s.Serve.
 func (l *Listener) Serve(s *http.Server) error {
 	s.ConnContext = func(ctx context.Context, c net.Conn) context.Context {
@@ -87,6 +89,7 @@
 		next.ServeHTTP(&writer{ResponseWriter: w, ctx: r.Context()}, r)
 	})
 	l.accepting.Store(true)
+	close(l.started)
 	go l.loop()
 	return s.Serve(l)
 }
@@ -117,6 +120,11 @@
 // While callers go on opening connections, it accepts them until admitUntil and then closes the listener as soon as no
 // connection waits, or after maxLateAccepts more. The error is that of ctx if it is done first; Shutdown may then be called again.
 func (l *Listener) Shutdown(ctx context.Context, admitUntil time.Time) error {
+	select {
+	case <-l.started:
+	case <-ctx.Done():
+		return ctx.Err()
+	}
 	l.admitUntil.Store(&admitUntil)
 	if d, ok := l.inner.(interface{ SetDeadline(time.Time) error }); ok {
 		// Accepting ends at the deadline. Closing the listener instead would reset the connections in its queue.
--- a/internal/demux/shutdown_test.go
+++ b/internal/demux/shutdown_test.go
@@ -173,6 +173,23 @@
 		Eventually(done).Should(Receive(BeNil()))
 	})
 
+	// A stop that began before the server did took the queue for empty, or ended in a panic.
+	It("answers the connections in the queue although it begins before the server does", func() {
+		on, err := net.Listen("tcp", "127.0.0.1:0")
+		Expect(err).NotTo(HaveOccurred())
+		l := demux.New(on, clock.Wall())
+		s := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "ok") })}
+		DeferCleanup(s.Close)
+		c := dial(on.Addr().String())
+		_, err = io.WriteString(c, get("/a"))
+		Expect(err).NotTo(HaveOccurred())
+		done := shutdown(l, 3*time.Second)
+		time.Sleep(20 * time.Millisecond)
+		go func() { _ = l.Serve(s) }()
+		Expect(c.receive()).To(Equal(http.StatusOK))
+		Eventually(done).Should(Receive(BeNil()))
+	})
+
 	It("cuts no request that it has begun, under load on kept connections", func() {
 		l, addr, begun := startSlow()
 		var answered atomic.Int64
