tests: a drain may serve requests that come before the header of a response is written

Cause: the test begins a drain only. Since callers that fall silent lose no request to it, a request that arrives before the header of the response is written is served too, which a busy host makes likely. The test now holds that each request that was begun is received in full, the last one with it; it still fails without the reading on.

--- a/internal/demux/linger_test.go
+++ b/internal/demux/linger_test.go
@@ -73,8 +73,13 @@
 					break
 				}
 			}
-			Expect(c.receive()).To(Equal(http.StatusOK))
-			Expect(s.begun.Load()).To(Equal(int64(2)))
+			// Requests that arrive before the header of a response is written are served as well.
+			received := int64(1)
+			for c.receive() == http.StatusOK {
+				received++
+			}
+			Expect(received).To(BeNumerically(">=", 2))
+			Expect(s.begun.Load()).To(Equal(received))
 		})
 	}
 })
