--- a/internal/demux/listener.go
+++ b/internal/demux/listener.go
@@ -126,13 +126,14 @@
 		return ctx.Err()
 	}
 	l.admitUntil.Store(&admitUntil)
+	// loop must know of the shutdown before an Accept can fail at the deadline.
+	l.beginClosing()
 	if d, ok := l.inner.(interface{ SetDeadline(time.Time) error }); ok {
 		// Accepting ends at the deadline. Closing the listener instead would reset the connections in its queue.
 		if err := d.SetDeadline(l.clock.Now().Add(acceptGrace)); err != nil && !errors.Is(err, net.ErrClosed) {
 			return err
 		}
 	}
-	l.beginClosing()
 	for !l.idle() {
 		fired, stop := l.clock.Timer(shutdownPoll)
 		select {
