--- a/internal/peers/service.go
+++ b/internal/peers/service.go
@@ -46,7 +46,8 @@
 
 // Handler returns the URL path of the service and its HTTP handler, which reads at most tune.MaxMessageBytes of a request.
 func (s *Service) Handler() (string, http.Handler) {
-	path, h := rpc.NewPeerHandler(s, connect.WithReadMaxBytes(tune.MaxMessageBytes))
+	path, h := rpc.NewPeerHandler(s, connect.WithReadMaxBytes(tune.MaxMessageBytes),
+		connect.WithCompression("gzip", newGzipReader, newGzipWriter), connect.WithCompressMinBytes(tune.MinCompressedBytes))
 	return path, http.MaxBytesHandler(h, tune.MaxMessageBytes)
 }
 
@@ -88,7 +89,7 @@
 
 // client returns an RPC client for the peer at addr.
 func (s *Service) client(addr netip.AddrPort) rpc.PeerClient {
-	return rpc.NewPeerClient(s.http, "http://"+addr.String(), connect.WithAcceptCompression("gzip", nil, nil), connect.WithReadMaxBytes(tune.MaxMessageBytes))
+	return rpc.NewPeerClient(s.http, "http://"+addr.String(), connect.WithReadMaxBytes(tune.MaxMessageBytes))
 }
 
 // SendDigest sends a digest to a peer and returns its answer; errors match ErrPeer.
--- a/pkg/shared/tune/constants.go
+++ b/pkg/shared/tune/constants.go
@@ -227,6 +227,8 @@
 	// MaxMessageBytes is the largest message in bytes that is read from a peer or the store; a full list at the design size
 	// has about half of that.
 	MaxMessageBytes = 16 << 20
+	// MinCompressedBytes is the size of an answer to a peer in bytes from which it is compressed.
+	MinCompressedBytes = 16 << 10
 	// PeerTimeout bounds an exchange with a peer.
 	PeerTimeout = time.Second
 	// EventQueueSize is the number of events that wait for control before further ones are dropped; store responses and a
