--- a/internal/codec/digest_test.go
+++ b/internal/codec/digest_test.go
@@ -4,11 +4,14 @@
 	"testing"
 	"time"
 
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
 	"google.golang.org/protobuf/proto"
 	"google.golang.org/protobuf/types/known/durationpb"
 
 	"github.com/balsamvale/balsamvale/internal/codec"
 	pb "github.com/balsamvale/balsamvale/internal/gen/balsamvale/v1"
+	"github.com/balsamvale/balsamvale/pkg/events/digest"
 )
 
 // FuzzDigest checks that no message of a peer makes decoding panic or yields counts that are negative.
@@ -43,3 +46,26 @@
 		_ = codec.DigestToProto(time.Unix(1000, 0), d)
 	})
 }
+
+// During an upgrade, entries of an older build do not know all fields: they ignore those that they are sent, and leave them out.
+var _ = Describe("A digest", func() {
+	now := time.Unix(1000, 0)
+	for _, tc := range []struct {
+		name string
+		d    digest.Digest
+	}{
+		{"without large changes", digest.Digest{From: "e", Revision: 3, Brief: true}},
+		{"that offers large changes", digest.Digest{From: "e", Revision: 3, Brief: true, Offer: true}},
+		{"that asks for all changes, as those of older builds do", digest.Digest{From: "e", Revision: 3}},
+	} {
+		It("is the same after decoding: "+tc.name, func() {
+			data, err := proto.Marshal(codec.DigestToProto(now, tc.d))
+			Expect(err).NotTo(HaveOccurred())
+			var m pb.Digest
+			Expect(proto.Unmarshal(data, &m)).To(Succeed())
+			got := codec.DigestFromProto(now, &m)
+			got.Delta.Items = nil
+			Expect(got).To(Equal(tc.d))
+		})
+	}
+})
--- a/internal/core/task.go
+++ b/internal/core/task.go
@@ -46,7 +46,7 @@
 	case action.CallStore:
 		t.postResponse(kvresp.Response{ID: t.effect.Request.ID, OutcomeUnknown: true})
 	case action.SendDigest:
-		t.core.postOrDrop(event.Event{Kind: evkind.PeerUnreachable, Peer: t.effect.Peer})
+		t.core.postOrDrop(event.Event{Kind: evkind.PeerUnreachable, Peer: t.effect.Peer, FetchID: t.effect.FetchID})
 	}
 }
 
@@ -62,10 +62,10 @@
 func (t *effectTask) sendDigest() {
 	d, err := t.core.SendDigest(t.ctx, t.effect.Addr, t.effect.Digest)
 	if err != nil {
-		t.core.postOrDrop(event.Event{Kind: evkind.PeerUnreachable, Peer: t.effect.Peer})
+		t.core.postOrDrop(event.Event{Kind: evkind.PeerUnreachable, Peer: t.effect.Peer, FetchID: t.effect.FetchID})
 		return
 	}
-	t.core.postOrDrop(event.Event{Kind: evkind.DigestAnswered, Digest: d})
+	t.core.postOrDrop(event.Event{Kind: evkind.DigestAnswered, Digest: d, FetchID: t.effect.FetchID})
 }
 
 // probe asks an upstream for its load report and records the result in the pool of its service.
--- a/internal/replay/entry.go
+++ b/internal/replay/entry.go
@@ -213,7 +213,7 @@
 func (e *entry) sendDigest(ef effect.Effect) {
 	p := e.reachablePeer(ef.Peer)
 	if p == nil {
-		e.schedule(tune.PeerTimeout, func() { e.handleEvent(event.Event{Kind: evkind.PeerUnreachable, Peer: ef.Peer}) })
+		e.schedule(tune.PeerTimeout, func() { e.handleEvent(event.Event{Kind: evkind.PeerUnreachable, Peer: ef.Peer, FetchID: ef.FetchID}) })
 		return
 	}
 	p.schedule(crossDomainDelay, func() {
@@ -222,7 +222,9 @@
 				p.perform(out)
 				continue
 			}
-			e.schedule(crossDomainDelay, func() { e.handleEvent(event.Event{Kind: evkind.DigestAnswered, Digest: out.Digest}) })
+			e.schedule(crossDomainDelay, func() {
+				e.handleEvent(event.Event{Kind: evkind.DigestAnswered, Digest: out.Digest, FetchID: ef.FetchID})
+			})
 		}
 	})
 }
--- a/pkg/control/contrl/control.go
+++ b/pkg/control/contrl/control.go
@@ -87,6 +87,7 @@
 	gossipAt time.Time
 	// peerRevisions holds the last known revision of each peer's replica, by entry name.
 	peerRevisions map[string]int64
+	fetches       fetches
 	// pendingFacts are the facts to push at the next tick.
 	pendingFacts []fact.Fact
 	effects      []effect.Effect
@@ -107,6 +108,7 @@
 		scheduler:     probe.New(),
 		snapshot:      &snap.Snapshot{Services: map[string]*svcfg.Config{}},
 		peerRevisions: map[string]int64{},
+		fetches:       fetches{offers: map[string]int64{}},
 		rollouts:      rolloutStates{},
 	}
 }
@@ -130,6 +132,7 @@
 		c.handleDigestAnswer(ev)
 	case evkind.PeerUnreachable:
 		delete(c.peerRevisions, ev.Peer)
+		c.fetchDone(ev)
 	case evkind.FactReported:
 		c.addFact(ev.Fact)
 	case evkind.CreditsRequested:
@@ -154,6 +157,7 @@
 	}
 	c.bootstrap()
 	c.pushPending()
+	c.fetch()
 	if !c.now.Before(c.gossipAt) {
 		c.gossip()
 	}
--- a/pkg/control/contrl/fleet_test.go
+++ b/pkg/control/contrl/fleet_test.go
@@ -2,9 +2,11 @@
 
 import (
 	"cmp"
+	"container/heap"
 	"fmt"
 	"math/rand/v2"
 	"slices"
+	"strconv"
 	"strings"
 	"time"
 
@@ -12,6 +14,7 @@
 	"github.com/balsamvale/balsamvale/pkg/control/keys"
 	"github.com/balsamvale/balsamvale/pkg/control/shard"
 	"github.com/balsamvale/balsamvale/pkg/events/action"
+	"github.com/balsamvale/balsamvale/pkg/events/digest"
 	"github.com/balsamvale/balsamvale/pkg/events/effect"
 	"github.com/balsamvale/balsamvale/pkg/events/event"
 	"github.com/balsamvale/balsamvale/pkg/events/evkind"
@@ -34,7 +37,9 @@
 	now     time.Time
 	rand    *rand.Rand
 	entries []*fleetEntry
-	timers  []fleetTimer
+	timers  fleetTimers
+	// lastTimer is the number of the last timer.
+	lastTimer int
 
 	revision int64
 	items    map[string]item.Item
@@ -42,6 +47,17 @@
 	watches  []*fleetWatch
 	// watchCalls counts the watch requests that have reached the store.
 	watchCalls int
+	// linkRate is what the link of an entry carries in each direction, in bytes of item values a second; 0 for no limit.
+	linkRate float64
+	// transfers are the messages with item values between entries.
+	transfers []fleetTransfer
+}
+
+// fleetTransfer is a message with item values from one entry to another.
+type fleetTransfer struct {
+	at       time.Time
+	from, to *fleetEntry
+	bytes    int
 }
 
 // fleetEntry is one entry of a fleet.
@@ -56,12 +72,34 @@
 	// revision is that of the configuration in force, since inForceAt.
 	revision  int64
 	inForceAt time.Time
+	// sendingUntil and receivingUntil are when the link of the entry has carried what was sent so far.
+	sendingUntil, receivingUntil time.Time
 }
 
-// fleetTimer is an action that is due at a time.
+// fleetTimer is an action that is due at a time. Of those with the same time, the one with the lowest number is first.
 type fleetTimer struct {
-	at time.Time
-	do func()
+	at     time.Time
+	number int
+	do     func()
+}
+
+// fleetTimers is a heap.Interface whose first timer is due next.
+type fleetTimers []fleetTimer
+
+func (t fleetTimers) Len() int { return len(t) }
+
+func (t fleetTimers) Less(i, j int) bool {
+	return t[i].at.Before(t[j].at) || t[i].at.Equal(t[j].at) && t[i].number < t[j].number
+}
+
+func (t fleetTimers) Swap(i, j int) { t[i], t[j] = t[j], t[i] }
+
+func (t *fleetTimers) Push(x any) { *t = append(*t, x.(fleetTimer)) }
+
+func (t *fleetTimers) Pop() any {
+	last := (*t)[len(*t)-1]
+	*t = (*t)[:len(*t)-1]
+	return last
 }
 
 // fleetWatch is a watch that the store has not answered.
@@ -75,7 +113,7 @@
 	f := &fleet{now: time.Unix(1000, 0), rand: rand.New(rand.NewPCG(seed, 0)), revision: 1, items: map[string]item.Item{}}
 	for i := range n {
 		e := &fleetEntry{name: fmt.Sprintf("entry-%02d", i)}
-		self := member.Member{Name: e.name, Domain: fmt.Sprint("zone-", i%4), Incarnation: uint64(i + 1)}
+		self := member.Member{Name: e.name, Domain: fleetDomain(e.name), Incarnation: uint64(i + 1)}
 		e.control = contrl.New(self, rand.New(rand.NewPCG(seed, uint64(i))), decodeFleetItem)
 		f.entries = append(f.entries, e)
 		f.after(time.Duration(f.rand.Int64N(int64(300*time.Millisecond))), func() { f.tick(e) })
@@ -87,32 +125,35 @@
 // decodeFleetItem decodes the members and the records of the simulated store by their keys.
 func decodeFleetItem(it item.Item) (value.Value, error) {
 	if name, ok := strings.CutPrefix(it.Key, keys.MemberPrefix); ok {
-		return value.Value{Member: &member.Member{Name: name, Domain: "zone-0"}}, nil
+		return value.Value{Member: &member.Member{Name: name, Domain: fleetDomain(name)}}, nil
 	}
 	return value.Value{Record: &record.Record{Domain: &domrec.Domain{Name: it.Key}}}, nil
 }
 
+// fleetDomain returns the failure domain of an entry.
+func fleetDomain(name string) string {
+	i, err := strconv.Atoi(strings.TrimPrefix(name, "entry-"))
+	if err != nil {
+		panic(err)
+	}
+	return fmt.Sprint("zone-", i%4)
+}
+
 // after schedules an action.
 func (f *fleet) after(d time.Duration, do func()) {
-	f.timers = append(f.timers, fleetTimer{f.now.Add(d), do})
+	f.lastTimer++
+	heap.Push(&f.timers, fleetTimer{f.now.Add(d), f.lastTimer, do})
 }
 
 // run lets the fleet run for a time.
 func (f *fleet) run(d time.Duration) {
 	end := f.now.Add(d)
 	for {
-		next := 0
-		for i, t := range f.timers {
-			if t.at.Before(f.timers[next].at) {
-				next = i
-			}
-		}
-		t := f.timers[next]
-		if t.at.After(end) {
+		if f.timers[0].at.After(end) {
 			f.now = end
 			return
 		}
-		f.timers = slices.Delete(f.timers, next, next+1)
+		t := heap.Pop(&f.timers).(fleetTimer)
 		f.now = t.at
 		t.do()
 	}
@@ -126,7 +167,7 @@
 	}
 	rank := func(e *fleetEntry) int { return shard.Shard(0).Rank(names, e.name) }
 	sorted := slices.SortedFunc(slices.Values(f.entries), func(a, b *fleetEntry) int { return cmp.Compare(rank(a), rank(b)) })
-	return sorted[:tune.MinWatchers]
+	return sorted[:tune.MinWatchers+len(names)/tune.EntriesPerWatcher]
 }
 
 // tick passes a tick to an entry, and schedules the next one.
@@ -138,14 +179,19 @@
 // step passes an event to an entry and carries out the effects.
 func (f *fleet) step(e *fleetEntry, ev event.Event) {
 	for _, ef := range e.control.Step(f.now, ev) {
-		switch ef.Action {
-		case action.CallStore:
-			f.callStore(e, ef.Request)
-		case action.SendDigest:
-			f.sendDigest(e, ef)
-		case action.PublishSnapshot:
-			e.revision, e.inForceAt = ef.Snapshot.Revision, f.now
-		}
+		f.perform(e, ef)
+	}
+}
+
+// perform carries out an effect of an entry.
+func (f *fleet) perform(e *fleetEntry, ef effect.Effect) {
+	switch ef.Action {
+	case action.CallStore:
+		f.callStore(e, ef.Request)
+	case action.SendDigest:
+		f.sendDigest(e, ef)
+	case action.PublishSnapshot:
+		e.revision, e.inForceAt = ef.Snapshot.Revision, f.now
 	}
 }
 
@@ -153,22 +199,46 @@
 func (f *fleet) sendDigest(from *fleetEntry, ef effect.Effect) {
 	i := slices.IndexFunc(f.entries, func(e *fleetEntry) bool { return e.name == ef.Peer })
 	to := f.entries[i]
-	f.after(oneWay, func() {
+	f.after(f.transfer(from, to, ef.Digest), func() {
 		for _, out := range to.control.Step(f.now, event.Event{Kind: evkind.DigestReceived, Digest: ef.Digest}) {
-			switch out.Action {
-			case action.AnswerDigest:
-				f.after(oneWay, func() { f.step(from, event.Event{Kind: evkind.DigestAnswered, Digest: out.Digest}) })
-			case action.SendDigest:
-				f.sendDigest(to, out)
-			case action.CallStore:
-				f.callStore(to, out.Request)
-			case action.PublishSnapshot:
-				to.revision, to.inForceAt = out.Snapshot.Revision, f.now
+			if out.Action != action.AnswerDigest {
+				f.perform(to, out)
+				continue
 			}
+			f.after(f.transfer(to, from, out.Digest), func() {
+				f.step(from, event.Event{Kind: evkind.DigestAnswered, Digest: out.Digest, FetchID: ef.FetchID})
+			})
 		}
 	})
 }
 
+// transfer returns the time that a digest takes from one entry to another, and records the item values in it.
+func (f *fleet) transfer(from, to *fleetEntry, d digest.Digest) time.Duration {
+	n := 0
+	for _, it := range d.Delta.Items {
+		n += len(it.Value)
+	}
+	if n == 0 {
+		return oneWay
+	}
+	f.transfers = append(f.transfers, fleetTransfer{f.now, from, to, n})
+	if f.linkRate == 0 {
+		return oneWay
+	}
+	took := time.Duration(float64(n) / f.linkRate * float64(time.Second))
+	from.sendingUntil = later(f.now, from.sendingUntil).Add(took)
+	to.receivingUntil = later(from.sendingUntil, to.receivingUntil.Add(took))
+	return to.receivingUntil.Sub(f.now) + oneWay
+}
+
+// later returns the later of two times.
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
 // callStore carries out a store request of an entry; without an answer it fails after tune.StoreTimeout, a watch after its wait
 // besides.
 func (f *fleet) callStore(e *fleetEntry, req kvreq.Request) {
@@ -232,9 +302,12 @@
 }
 
 // write writes a key and answers the watches.
-func (f *fleet) write(key string) {
+func (f *fleet) write(key string) { f.writeValue(key, nil) }
+
+// writeValue writes a key with a value and answers the watches.
+func (f *fleet) writeValue(key string, value []byte) {
 	f.revision++
-	it := item.Item{Key: key, Revision: f.revision}
+	it := item.Item{Key: key, Value: value, Revision: f.revision}
 	f.items[key] = it
 	f.history = append(f.history, it)
 	for _, w := range f.watches {
--- a/pkg/control/contrl/gossip.go
+++ b/pkg/control/contrl/gossip.go
@@ -171,7 +171,7 @@
 	for _, peer := range c.gossipPeers() {
 		d := digest.Digest{Facts: c.facts.Live(c.now, tune.MaxFacts)}
 		if rev, ok := c.peerRevisions[peer]; ok && rev < c.replica.Revision() {
-			d.Delta = c.replica.Since(rev, tune.MaxChanges)
+			c.setDelta(&d, c.replica.Since(rev, tune.MaxChanges), false)
 		}
 		c.send(peer, d)
 	}
@@ -219,10 +219,10 @@
 	}
 }
 
-// pushDelta pushes changes of the store. In a large fleet, all but one of the peers are of this entry's failure domain, since
+// pushDelta pushes changes of the store, or offers them if they are large. In a large fleet, all but one of the peers are of this entry's failure domain, since
 // some entry of each domain learns of the changes from elsewhere soon; if there are too few of one kind, others take their
 // place.
-func (c *Control) pushDelta(d delta.Delta) {
+func (c *Control) pushDelta(changes delta.Delta) {
 	all := c.randomPeers()
 	if c.largeFleet() {
 		local, remote := c.splitByDomain(all)
@@ -231,19 +231,30 @@
 		}
 		all = local
 	}
+	var d digest.Digest
+	c.setDelta(&d, changes, false)
 	for _, peer := range all[:min(tune.Fanout, len(all))] {
-		c.send(peer, digest.Digest{Delta: d})
+		c.send(peer, d)
 	}
 }
 
-// send adds the name, revision and age of this entry to a digest and sends it to a peer, if that is still a member.
+// send sends a digest to a peer, if that is still a member. The peer only offers large changes in its answer.
 func (c *Control) send(peer string, d digest.Digest) {
+	d.Brief = true
+	c.sendDigest(peer, d, 0)
+}
+
+// sendFetch asks a peer for the changes that this entry lacks.
+func (c *Control) sendFetch(peer string, id uint64) { c.sendDigest(peer, digest.Digest{}, id) }
+
+// sendDigest adds the name, revision and age of this entry to a digest and sends it to a peer, if that is still a member.
+func (c *Control) sendDigest(peer string, d digest.Digest, fetchID uint64) {
 	m := c.config.Members[peer]
 	if m == nil {
 		return
 	}
 	d.From, d.Revision, d.Age = c.self.Name, c.replica.Revision(), c.age()
-	c.emit(effect.Effect{Action: action.SendDigest, Peer: peer, Addr: m.Peer, Digest: d})
+	c.emit(effect.Effect{Action: action.SendDigest, Peer: peer, Addr: m.Peer, Digest: d, FetchID: fetchID})
 }
 
 // randomPeers returns the names of the other members in random order.
@@ -276,7 +287,7 @@
 	c.mergeDigest(ev.Digest)
 	d := digest.Digest{From: c.self.Name, Revision: c.replica.Revision(), Age: c.age(), Facts: c.facts.Live(c.now, tune.MaxFacts)}
 	if ev.Digest.Revision < c.replica.Revision() {
-		d.Delta = c.replica.Since(ev.Digest.Revision, tune.MaxChanges)
+		c.setDelta(&d, c.replica.Since(ev.Digest.Revision, tune.MaxChanges), !ev.Digest.Brief)
 	}
 	c.emit(effect.Effect{Action: action.AnswerDigest, CorrelationID: ev.CorrelationID, Digest: d})
 }
@@ -285,6 +296,7 @@
 // bootstrap.
 func (c *Control) handleDigestAnswer(ev event.Event) {
 	c.mergeDigest(ev.Digest)
+	c.fetchDone(ev)
 	if c.synced && !c.bootstrapped {
 		c.finishBootstrap("facts from " + ev.Digest.From)
 	}
@@ -299,7 +311,12 @@
 		c.addFact(f)
 	}
 	switch {
+	case d.Offer:
+		c.noteOffer(d)
 	case d.Delta.Revision <= c.replica.Revision():
+	case c.fetches.id != 0 && !d.Delta.Full && d.Delta.BaseRevision > c.replica.Revision():
+		// The changes follow the ones that are being fetched.
+		c.noteOffer(d)
 	case !c.synced && !d.Delta.Full:
 		// A part of the state, without the operators' configuration for instance, must not come into force.
 	case !c.synced && d.Age > tune.MaxPeerStaleness && !c.watcher.Failing():
--- a/pkg/events/digest/digest.go
+++ b/pkg/events/digest/digest.go
@@ -18,4 +18,8 @@
 	Age   time.Duration
 	Facts []fact.Fact
 	Delta delta.Delta
+	// Brief is set if the sender does not ask for large changes: the receiver only offers them in its answer.
+	Brief bool
+	// Offer is set if the receiver lacks changes that are left out because they are large. It gets them if it asks for them.
+	Offer bool
 }
--- a/pkg/events/effect/effect.go
+++ b/pkg/events/effect/effect.go
@@ -27,6 +27,9 @@
 	Addr netip.AddrPort
 	// CorrelationID is that of the event which AnswerDigest and GrantCredits answer.
 	CorrelationID uint64
+	// FetchID identifies the request of SendDigest for changes that this entry lacks; 0 for other digests. The event with the
+	// answer, or without one, carries it too.
+	FetchID uint64
 	// Snapshot is the configuration that PublishSnapshot puts in force.
 	Snapshot *snap.Snapshot
 	// Changed lists the services that differ from the previous snapshot.
--- a/pkg/events/event/event.go
+++ b/pkg/events/event/event.go
@@ -21,6 +21,8 @@
 	Demand demand.Demand
 	// Peer is the name of the entry that did not answer, for PeerUnreachable.
 	Peer string
+	// FetchID is that of the digest which DigestAnswered or PeerUnreachable is the outcome of.
+	FetchID uint64
 	// CorrelationID identifies a DigestReceived or CreditsRequested; the effect that answers the event carries it too.
 	CorrelationID uint64
 }
--- a/pkg/shared/tune/constants.go
+++ b/pkg/shared/tune/constants.go
@@ -191,6 +191,16 @@
 	RemoteExchanges = 8
 	// Fanout is the number of peers that facts and store changes are pushed to between exchanges.
 	Fanout = 3
+	// MaxPushBytes is the size in bytes of the values in changes up to which peers get them without asking. Larger changes
+	// take a noticeable time on a slow link, so that peers get them once.
+	MaxPushBytes = 16 << 10
+	// MaxTransfers is the number of larger changes that an entry sends within TransferWindow. Others get them from the peers
+	// that have received them.
+	MaxTransfers = 4
+	// TransferWindow is the time that MaxTransfers refers to.
+	TransferWindow = time.Second
+	// FetchTimeout is the time after which an entry that has asked a peer for changes asks another one.
+	FetchTimeout = time.Second
 	// MaxFacts bounds the facts in one digest.
 	MaxFacts = 64
 	// MaxChanges is the number of store changes after which the answer to an older revision ends at the next revision. A
--- a/pkg/stored/delta/delta.go
+++ b/pkg/stored/delta/delta.go
@@ -10,3 +10,12 @@
 	// Full is set when Items holds every key that existed at Revision, rather than changes only.
 	Full bool
 }
+
+// ValueBytes returns the size of all values in bytes.
+func (d Delta) ValueBytes() int {
+	n := 0
+	for _, it := range d.Items {
+		n += len(it.Value)
+	}
+	return n
+}
