--- a/internal/claims/client_test.go
+++ b/internal/claims/client_test.go
@@ -38,7 +38,7 @@
 	addr := netip.MustParseAddrPort(strings.TrimPrefix(server.URL, "http://"))
 	var clients []*claims.Client
 	for i := range n {
-		storeClient := store.New(http.DefaultClient, []netip.AddrPort{addr})
+		storeClient := store.New(clock.Wall(), http.DefaultClient, []netip.AddrPort{addr})
 		c := claims.New(clock.Wall(), fmt.Sprint("entry-", i))
 		c.Get, c.CompareAndSwap = storeClient.Get, storeClient.CompareAndSwap
 		clients = append(clients, c)
--- a/internal/cmds/records.go
+++ b/internal/cmds/records.go
@@ -20,6 +20,7 @@
 	"github.com/balsamvale/balsamvale/internal/store"
 	"github.com/balsamvale/balsamvale/internal/tomlpb"
 	"github.com/balsamvale/balsamvale/pkg/control/keys"
+	"github.com/balsamvale/balsamvale/pkg/shared/clock"
 	"github.com/balsamvale/balsamvale/pkg/stored/item"
 )
 
@@ -38,7 +39,7 @@
 		}
 		addrs = append(addrs, ap)
 	}
-	return store.New(&http.Client{}, addrs), nil
+	return store.New(clock.Wall(), &http.Client{}, addrs), nil
 }
 
 func (a *App) check() *cli.Command {
--- a/internal/cmds/serve.go
+++ b/internal/cmds/serve.go
@@ -77,7 +77,7 @@
 	if err != nil {
 		return nil, nil, err
 	}
-	return o, store.New(&http.Client{Transport: redial.New(tune.StoreConnIdle)}, o.Store).Seams(), nil
+	return o, store.New(clock.Wall(), &http.Client{Transport: redial.New(tune.StoreConnIdle)}, o.Store).Seams(), nil
 }
 
 func (a *App) version() *cli.Command {
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -134,7 +134,7 @@
 
 const (
 	// peerReadTimeout bounds the time in which a peer sends a request.
-	peerReadTimeout = 5 * tune.PeerTimeout
+	peerReadTimeout = tune.TransferTimeout
 	// peerIdleTimeout is longer than net/http keeps an idle connection as a client, so that no request meets a closing one.
 	peerIdleTimeout = 2 * time.Minute
 )
--- a/internal/daemon/daemon_test.go
+++ b/internal/daemon/daemon_test.go
@@ -103,7 +103,7 @@
 	DeferCleanup(cancel)
 	log := logs.New(w, clock.Wall(), zapcore.InfoLevel, 1)
 	DeferCleanup(log.Close)
-	r := &daemonRunner{daemon.New(o, clock.Wall(), log, 1, store.New(&http.Client{}, o.Store).Seams()), ctx, make(chan error, 1)}
+	r := &daemonRunner{daemon.New(o, clock.Wall(), log, 1, store.New(clock.Wall(), &http.Client{}, o.Store).Seams()), ctx, make(chan error, 1)}
 	go r.run()
 	ready := func() int {
 		// An entry that has ended, for example since another program has taken a port, will never be ready.
@@ -220,7 +220,7 @@
 func putRecords(addrs []netip.AddrPort, text string) {
 	records, err := codec.ReadRecords("r", []byte(text))
 	Expect(err).NotTo(HaveOccurred())
-	c := store.New(http.DefaultClient, addrs)
+	c := store.New(clock.Wall(), http.DefaultClient, addrs)
 	for _, r := range records {
 		data, err := proto.Marshal(r)
 		Expect(err).NotTo(HaveOccurred())
--- a/internal/daemon/metrics_test.go
+++ b/internal/daemon/metrics_test.go
@@ -38,7 +38,7 @@
 		}
 		putRecords(o.Store, "[[domain]]\nschema = 1\nname = \"zone-1\"\n[[service]]\nschema = 2\nname = \"s\"\nslots = 4\nconns = 10\nwarm = \"0s\"\n[[upstream]]\nschema = 1\nname = \"u\"\nservice = \"s\"\ndomain = \"zone-1\"\nversion = \"v1\"\naddr = \""+address(up).String()+"\"\n")
 		stop, cancel := context.WithCancel(context.Background())
-		r := &daemonRunner{daemon.New(o, clock.Wall(), logs.New(io.Discard, clock.Wall(), zapcore.ErrorLevel, 1), 1, store.New(&http.Client{}, o.Store).Seams()), stop, make(chan error, 1)}
+		r := &daemonRunner{daemon.New(o, clock.Wall(), logs.New(io.Discard, clock.Wall(), zapcore.ErrorLevel, 1), 1, store.New(clock.Wall(), &http.Client{}, o.Store).Seams()), stop, make(chan error, 1)}
 		go r.run()
 		get := func(addr netip.AddrPort, path string) string {
 			res, err := http.Get("http://" + addr.String() + path)
--- a/internal/daemon/silence_test.go
+++ b/internal/daemon/silence_test.go
@@ -113,7 +113,7 @@
 			p.silent.Store(true)
 		}
 		By("making one of them a member, with which the entry exchanges digests")
-		call := store.New(&http.Client{}, o.Store).Seams().CallStore
+		call := store.New(clock.Wall(), &http.Client{}, o.Store).Seams().CallStore
 		ctx := context.Background()
 		lease := call(ctx, kvreq.Request{Op: kvop.Lease, TTL: time.Minute}).LeaseID
 		m := &member.Member{Name: all[0].name, Domain: "zone-1", Peer: all[0].addr, Incarnation: 1}
--- a/internal/demo/demo.go
+++ b/internal/demo/demo.go
@@ -131,7 +131,7 @@
 	if d.kvAddr, err = d.listen(mux); err != nil {
 		return err
 	}
-	d.client = store.New(&http.Client{}, []netip.AddrPort{d.kvAddr})
+	d.client = store.New(clock.Wall(), &http.Client{}, []netip.AddrPort{d.kvAddr})
 	for i := range lookupUpstreams + payoutUpstreams {
 		if err := d.addInitialUpstream(i); err != nil {
 			return err
--- a/internal/peers/service.go
+++ b/internal/peers/service.go
@@ -13,6 +13,7 @@
 	"github.com/balsamvale/balsamvale/internal/codec"
 	pb "github.com/balsamvale/balsamvale/internal/gen/balsamvale/v1"
 	rpc "github.com/balsamvale/balsamvale/internal/gen/balsamvale/v1/balsamvalev1connect"
+	"github.com/balsamvale/balsamvale/internal/stall"
 	"github.com/balsamvale/balsamvale/pkg/calls/credit"
 	"github.com/balsamvale/balsamvale/pkg/calls/demand"
 	"github.com/balsamvale/balsamvale/pkg/events/digest"
@@ -40,7 +41,7 @@
 // New returns a service that calls peers through client; Submit and LocalStatus have to be set before it serves.
 func New(c clock.Clock, client *http.Client) *Service {
 	bounded := *client
-	bounded.Transport = &capped.Transport{Base: client.Transport}
+	bounded.Transport = stall.Wrap(&capped.Transport{Base: client.Transport})
 	return &Service{clock: c, http: &bounded}
 }
 
@@ -92,9 +93,12 @@
 }
 
 // SendDigest sends a digest to a peer and returns its answer; errors match ErrPeer.
+//
+// Both may hold the whole configuration, so the exchange may take tune.TransferTimeout while it makes progress.
 func (s *Service) SendDigest(ctx context.Context, addr netip.AddrPort, d digest.Digest) (digest.Digest, error) {
-	ctx, cancel := context.WithTimeout(ctx, tune.PeerTimeout)
-	defer cancel()
+	call := &stall.Call{Clock: s.clock, Silence: tune.PeerTimeout, Total: tune.TransferTimeout}
+	ctx = call.Begin(ctx)
+	defer call.End()
 	res, err := s.client(addr).Exchange(ctx, connect.NewRequest(codec.DigestToProto(s.clock.Now(), d)))
 	if err != nil {
 		return digest.Digest{}, eris.Wrapf(ErrPeer, "sending a digest to %s: %v", addr, err)
--- a/internal/soak/fleet/fleet.go
+++ b/internal/soak/fleet/fleet.go
@@ -90,7 +90,7 @@
 	f.kvAddr = netip.MustParseAddrPort(ln.Addr().String())
 	f.kvServer = &http.Server{Handler: mux, ReadHeaderTimeout: readyTimeout}
 	go (&server{f.kvServer, ln}).run()
-	f.client = store.New(&http.Client{}, []netip.AddrPort{f.kvAddr})
+	f.client = store.New(clock.Wall(), &http.Client{}, []netip.AddrPort{f.kvAddr})
 	text := f.domainsTOML() + servicesTOML()
 	for _, s := range Services {
 		for i := range upstreamsPerService {
--- /dev/null
+++ b/internal/stall/doc.go
@@ -0,0 +1,2 @@
+// Package stall ends HTTP calls that no longer make progress.
+package stall
--- a/internal/store/client.go
+++ b/internal/store/client.go
@@ -17,6 +17,8 @@
 	rpc "github.com/balsamvale/balsamvale/internal/gen/balsamvale/v1/balsamvalev1connect"
 	"github.com/balsamvale/balsamvale/internal/header"
 	"github.com/balsamvale/balsamvale/internal/seams"
+	"github.com/balsamvale/balsamvale/internal/stall"
+	"github.com/balsamvale/balsamvale/pkg/shared/clock"
 	"github.com/balsamvale/balsamvale/pkg/shared/tune"
 	"github.com/balsamvale/balsamvale/pkg/stored/item"
 	"github.com/balsamvale/balsamvale/pkg/stored/kvop"
@@ -31,6 +33,7 @@
 //
 // After a failed call, further calls go to the next of its addresses.
 type Client struct {
+	clock clock.Clock
 	// endpoints has a client for each address.
 	endpoints []rpc.StoreClient
 	// current, modulo the number of endpoints, is the index of the endpoint in use.
@@ -42,10 +45,10 @@
 }
 
 // New returns a client that reaches the store through h at the given addresses, of which there must be one at least.
-func New(h *http.Client, addrs []netip.AddrPort) *Client {
+func New(clk clock.Clock, h *http.Client, addrs []netip.AddrPort) *Client {
 	bounded := *h
-	bounded.Transport = &capped.Transport{Base: h.Transport}
-	c := &Client{}
+	bounded.Transport = stall.Wrap(&capped.Transport{Base: h.Transport})
+	c := &Client{clock: clk}
 	for _, a := range addrs {
 		c.endpoints = append(c.endpoints, rpc.NewStoreClient(&bounded, "http://"+a.String(), connect.WithAcceptCompression("gzip", nil, nil), connect.WithReadMaxBytes(tune.MaxMessageBytes)))
 	}
@@ -78,14 +81,22 @@
 
 // Do carries out a request of control; after a failed call, the response has OutcomeUnknown set.
 //
-// A watch may take its own wait in addition to tune.StoreTimeout.
+// It waits at most tune.StoreTimeout for the response; a list or watch may take tune.TransferTimeout while it makes progress,
+// and a watch its own wait in addition.
 func (c *Client) Do(ctx context.Context, req kvreq.Request) kvresp.Response {
-	timeout := tune.StoreTimeout
-	if req.Op == kvop.Watch {
-		timeout += req.Wait
+	switch req.Op {
+	case kvop.List, kvop.Watch:
+		call := &stall.Call{Clock: c.clock, Silence: tune.StoreTimeout, Total: tune.TransferTimeout}
+		if req.Op == kvop.Watch {
+			call.Wait = req.Wait
+		}
+		ctx = call.Begin(ctx)
+		defer call.End()
+	default:
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithTimeout(ctx, tune.StoreTimeout)
+		defer cancel()
 	}
-	ctx, cancel := context.WithTimeout(ctx, timeout)
-	defer cancel()
 	res, err := c.execute(ctx, req)
 	if err != nil {
 		return kvresp.Response{ID: req.ID, OutcomeUnknown: true}
--- a/internal/store/client_test.go
+++ b/internal/store/client_test.go
@@ -33,7 +33,7 @@
 		server := httptest.NewServer(mux)
 		DeferCleanup(server.Close)
 		addr := netip.MustParseAddrPort(strings.TrimPrefix(server.URL, "http://"))
-		c = store.New(http.DefaultClient, []netip.AddrPort{addr})
+		c = store.New(clock.Wall(), http.DefaultClient, []netip.AddrPort{addr})
 	})
 	me := value.Value{Member: &member.Member{Name: "e", Peer: netip.MustParseAddrPort("10.0.0.1:1")}}
 
--- a/pkg/shared/tune/constants.go
+++ b/pkg/shared/tune/constants.go
@@ -210,8 +210,11 @@
 	StoreConnIdle = time.Second
 	// PeerConnIdle is how long an unused connection to a peer is kept.
 	PeerConnIdle = time.Minute
-	// StoreTimeout bounds a store call other than a watch.
+	// StoreTimeout bounds a write to the store, and the time in which a list or, beyond its wait, a watch gets no byte.
 	StoreTimeout = time.Second
+	// TransferTimeout bounds a list, a watch beyond its wait, and an exchange with a peer as a whole. A full list at the design
+	// size takes 7 s on a link of 10 Mbit/s; meanwhile control has no other list or watch.
+	TransferTimeout = 10 * time.Second
 	// MinBackoff and MaxBackoff bound the backoff after a failed store call.
 	MinBackoff = 50 * time.Millisecond
 	// MaxBackoff is the longest backoff after a failed store call.
@@ -227,7 +230,7 @@
 	// MaxMessageBytes is the largest message in bytes that is read from a peer or the store; a full list at the design size
 	// has about half of that.
 	MaxMessageBytes = 16 << 20
-	// PeerTimeout bounds an exchange with a peer.
+	// PeerTimeout bounds a request to a peer for credits or its status, and the time in which an exchange makes no progress.
 	PeerTimeout = time.Second
 	// EventQueueSize is the number of events that wait for control before further ones are dropped; store responses and a
 	// stop wait instead.
