--- a/internal/cmds/app.go
+++ b/internal/cmds/app.go
@@ -9,6 +9,7 @@
 	"github.com/rotisserie/eris"
 	"github.com/urfave/cli/v3"
 
+	"github.com/balsamvale/balsamvale/internal/build"
 	"github.com/balsamvale/balsamvale/internal/option"
 	"github.com/balsamvale/balsamvale/internal/seams"
 	"github.com/balsamvale/balsamvale/internal/tomlpb"
@@ -54,6 +55,7 @@
 		Name:        "balsamvale",
 		Usage:       "a load balancer for servers whose load shifts within milliseconds",
 		Description: description,
+		Version:     fmt.Sprintf("%s; %v", moduleVersion(), build.New()),
 		Writer:      a.Out,
 		ErrWriter:   a.Err,
 		Flags: []cli.Flag{
--- a/internal/cmds/cmds_test.go
+++ b/internal/cmds/cmds_test.go
@@ -93,6 +93,31 @@
 		})
 	}
 
+	// Reports of operators came without a version.
+	for _, tc := range []struct {
+		name string
+		args []string
+		want string
+	}{
+		{"version", []string{"version"}, `^balsamvale \S+\ncommit (\w+), tree (clean|changed|unknown), go\S+ \w+/\w+; processors \d+, memory limit .*, descriptors \d+; settings unknown\n$`},
+		{"--version", []string{"--version"}, `^balsamvale version \S+; commit (\w+), tree (clean|changed|unknown), go\S+ \w+/\w+; processors \d+, memory limit .*, descriptors \d+; settings unknown\n$`},
+		{"check", []string{"check", "../../examples/oyelaran/entry.toml"}, `^../../examples/oyelaran/entry.toml: settings are valid\n../../examples/oyelaran/entry.toml: settings digest [0-9a-f]{12}\n$`},
+	} {
+		It("names the build or the settings in the output of "+tc.name, func() {
+			code, out, errs := run(tc.args...)
+			Expect(code).To(BeZero(), errs)
+			Expect(out).To(MatchRegexp(tc.want))
+		})
+	}
+
+	for _, args := range [][]string{{"demo", "--for", "300ms", "--entries", "1", "--callers", "1"}, {"soak", "--for", "300ms", "--size", "1"}} {
+		It("names the build and the settings of the entries in the report of "+args[0], func() {
+			GinkgoT().Setenv(commandEnv, "1")
+			_, out, errs := run(args...)
+			Expect(out).To(MatchRegexp(`(?m)^entries run commit \w+, tree \w+, go\S+ \w+/\w+; processors \d+, .*, descriptors \d+; settings [0-9a-f]{12}$`), errs)
+		})
+	}
+
 	It("fails a replay of a trace with a bound that cannot hold", func() {
 		data, err := os.ReadFile("../../testdata/traces/silent.toml")
 		Expect(err).NotTo(HaveOccurred())
--- a/internal/cmds/records.go
+++ b/internal/cmds/records.go
@@ -63,6 +63,9 @@
 			return err
 		}
 		fmt.Fprintf(a.Out, "%s: %s are valid\n", file, kind)
+		if o, err := option.Parse(file, data); err == nil {
+			fmt.Fprintf(a.Out, "%s: settings digest %s\n", file, o.Digest())
+		}
 	}
 	return nil
 }
--- a/internal/cmds/serve.go
+++ b/internal/cmds/serve.go
@@ -13,6 +13,7 @@
 	"github.com/rotisserie/eris"
 	"github.com/urfave/cli/v3"
 
+	"github.com/balsamvale/balsamvale/internal/build"
 	"github.com/balsamvale/balsamvale/internal/daemon"
 	"github.com/balsamvale/balsamvale/internal/logs"
 	"github.com/balsamvale/balsamvale/internal/option"
@@ -82,14 +83,18 @@
 
 func (a *App) version() *cli.Command {
 	return &cli.Command{
-		Name: "version", Usage: "print the version", Description: example("version"),
+		Name: "version", Usage: "print the version, the build and the limits of the process", Description: example("version"),
 		Action: func(context.Context, *cli.Command) error {
-			v := "(devel)"
-			if info, ok := debug.ReadBuildInfo(); ok && info.Main.Version != "" {
-				v = info.Main.Version
-			}
-			fmt.Fprintln(a.Out, "balsamvale", v)
+			fmt.Fprintf(a.Out, "balsamvale %s\n%v\n", moduleVersion(), build.New())
 			return nil
 		},
 	}
 }
+
+// moduleVersion returns the version of the main module.
+func moduleVersion() string {
+	if info, ok := debug.ReadBuildInfo(); ok && info.Main.Version != "" {
+		return info.Main.Version
+	}
+	return "(devel)"
+}
--- a/internal/cmds/status.go
+++ b/internal/cmds/status.go
@@ -58,17 +58,19 @@
 	return a.printTable(statuses)
 }
 
-// printTable prints the statuses as a table, followed by the rejected records and the rollouts.
+// printTable prints the statuses as a table, followed by the rejected records, the rollouts, and the builds, settings and revisions
+// of the fleet.
 func (a *App) printTable(statuses []*pb.StatusResponse) error {
 	tw := tabwriter.NewWriter(a.Out, 0, 0, 2, ' ', 0)
-	fmt.Fprintln(tw, "ENTRY\tDOMAIN\tREADY\tREVISION\tSINCE\tSTORE\tMEMBERS\tDUTIES")
+	fmt.Fprintln(tw, "ENTRY\tDOMAIN\tREADY\tREVISION\tSINCE\tSTORE\tMEMBERS\tDUTIES\tBUILD\tTREE\tGO\tARCH\tPROCESSORS\tMEMORY\tFILES\tSETTINGS\tDIFFERS")
+	common := newCommon(statuses)
 	for _, s := range statuses {
 		since := "-"
 		if s.GetSince() != nil {
 			since = s.GetSince().AsTime().Format(time.RFC3339)
 		}
-		fmt.Fprintf(tw, "%s\t%s\t%v\t%d\t%s\t%v\t%d\t%d\n", s.GetName(), s.GetDomain(), s.GetReady(),
-			s.GetRevision(), since, s.GetStore(), s.GetMembers(), len(s.GetDuty()))
+		fmt.Fprintf(tw, "%s\t%s\t%v\t%d\t%s\t%v\t%d\t%d\t%s\t%s\n", s.GetName(), s.GetDomain(), s.GetReady(),
+			s.GetRevision(), since, s.GetStore(), s.GetMembers(), len(s.GetDuty()), buildColumns(s.GetBuild()), common.differs(s))
 	}
 	if err := tw.Flush(); err != nil {
 		return err
@@ -81,6 +83,7 @@
 			fmt.Fprintf(a.Out, "%s: move %s is %s at %.1f%%: %s\n", s.GetName(), m.GetName(), m.GetPhase(), float64(m.GetShare())/10, m.GetReason())
 		}
 	}
+	common.print(a.Out)
 	return nil
 }
 
--- a/internal/daemon/conns.go
+++ b/internal/daemon/conns.go
@@ -1,11 +1,11 @@
 package daemon
 
 import (
-	"syscall"
 	"time"
 
 	"go.uber.org/zap"
 
+	"github.com/balsamvale/balsamvale/internal/build"
 	"github.com/balsamvale/balsamvale/pkg/shared/tune"
 )
 
@@ -25,9 +25,8 @@
 // maxCallerConns returns the number of callers' connections that fit the descriptors of the process (0 if only the system's
 // limit is known) and its memory limit in bytes (0 for none). It returns 0, which means no limit, if nothing is known.
 func maxCallerConns(files int, memory int64) int {
-	var r syscall.Rlimit
-	if err := syscall.Getrlimit(syscall.RLIMIT_NOFILE, &r); err == nil && (files == 0 || r.Cur < uint64(files)) {
-		files = int(min(r.Cur, maxFiles))
+	if n := build.New().Files(); n > 0 && (files == 0 || n < files) {
+		files = n
 	}
 	conns := int(connFilesShare * float64(files))
 	if memory > 0 {
@@ -38,9 +37,6 @@
 	return conns
 }
 
-// maxFiles is the highest number of descriptors that is taken as a limit; above it, the system sets none.
-const maxFiles = 1 << 30
-
 // logPressure logs that there is no room for further connections: MaxConns are open, or Accept has failed.
 func (d *Daemon) logPressure(conns int, err error) {
 	now := d.clock.Now()
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -16,6 +16,7 @@
 	"go.uber.org/zap"
 	"google.golang.org/protobuf/types/known/timestamppb"
 
+	"github.com/balsamvale/balsamvale/internal/build"
 	"github.com/balsamvale/balsamvale/internal/claims"
 	"github.com/balsamvale/balsamvale/internal/core"
 	"github.com/balsamvale/balsamvale/internal/demux"
@@ -40,6 +41,9 @@
 
 // Daemon is one running entry: its control state, its pools and its HTTP servers.
 type Daemon struct {
+	// Build describes the program and its process; New sets it to that of the running process.
+	Build *build.Build
+
 	options        *option.Options
 	clock          clock.Clock
 	log            *logs.Log
@@ -79,6 +83,9 @@
 	d.core.RequestCredits = d.peers.RequestCredits
 	d.peers.Submit = d.core.Submit
 	d.peers.LocalStatus = d.status
+	d.Build = build.New()
+	d.Build.SettingsMemory = func() int64 { return o.MemoryLimitBytes }
+	d.Build.Settings = func() string { return o.Digest(s.Settings()...) }
 	d.initCallerServer(incarnation)
 	d.initPeerServer()
 	d.initAdminServer()
@@ -156,6 +163,7 @@
 			d.metrics.GetOrCreateGauge(fmt.Sprintf("balsamvale_limited_upstreams{service=%q}", service), nil).Set(float64(limited))
 		})
 		d.metrics.WritePrometheus(w)
+		d.writeBuildMetric(w)
 		metrics.WriteProcessMetrics(w)
 	})
 	mux.HandleFunc("GET /live", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusNoContent) })
@@ -220,6 +228,7 @@
 func (d *Daemon) Run(stop context.Context, hup <-chan os.Signal) error {
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
+	d.log.Info("starting", append([]zap.Field{zap.String("name", d.options.Name)}, d.buildFields()...)...)
 	if err := d.listen(d.adminServer, d.options.Admin); err != nil {
 		return err
 	}
@@ -269,7 +278,7 @@
 		case err != nil:
 			r.daemon.log.Warn("cannot reload the settings; the previous ones stay in force", zap.Error(err))
 		case changed || signaled:
-			r.daemon.log.Info("settings reloaded", zap.Bool("changed", changed), zap.Bool("signal", signaled))
+			r.daemon.log.Info("settings reloaded", zap.Bool("changed", changed), zap.Bool("signal", signaled), zap.String("settings", r.daemon.Build.Settings()))
 		}
 	}
 }
@@ -389,7 +398,7 @@
 	}
 	out := &pb.StatusResponse{
 		Name: s.Name, Domain: s.Domain, Revision: s.Revision, Ready: s.Ready,
-		Store: s.StoreReachable, Members: uint32(s.Members), Duty: s.OwnedShards,
+		Store: s.StoreReachable, Members: uint32(s.Members), Duty: s.OwnedShards, Build: d.buildProto(),
 	}
 	if !s.RevisionSince.IsZero() {
 		out.Since = timestamppb.New(s.RevisionSince)
--- a/internal/demo/demo.go
+++ b/internal/demo/demo.go
@@ -15,6 +15,7 @@
 	"github.com/rotisserie/eris"
 
 	"github.com/balsamvale/balsamvale/internal/apply"
+	"github.com/balsamvale/balsamvale/internal/build"
 	"github.com/balsamvale/balsamvale/internal/child"
 	rpc "github.com/balsamvale/balsamvale/internal/gen/balsamvale/v1/balsamvalev1connect"
 	"github.com/balsamvale/balsamvale/internal/kvsim"
@@ -104,6 +105,10 @@
 	res := d.loadGen.result()
 	f.awaitAndVerify(d, res)
 	d.addUsage(res)
+	program := build.New()
+	program.UseFile(d.Binary)
+	program.UseSettings(d.settingsFile(0))
+	res.Program = program.String()
 	return res, nil
 }
 
@@ -233,6 +238,11 @@
 	return nil
 }
 
+// settingsFile returns the name of the settings file of an entry.
+func (d *Demo) settingsFile(i int) string {
+	return filepath.Join(d.dir, fmt.Sprintf("entry-%d.toml", i+1))
+}
+
 // startEntry writes the settings of one entry and starts it as a process of its own.
 func (d *Demo) startEntry(i int) error {
 	var addrs [3]netip.AddrPort
@@ -245,7 +255,7 @@
 	}
 	settings := fmt.Sprintf("schema = 1\nname = \"entry-%d\"\ndomain = \"zone-%d\"\nfront = %q\npeer = %q\nadmin = %q\nstore = [%q]\n[log]\nsample = 1\n[stop]\nlag = \"1s\"\n",
 		i+1, i%domainCount+1, addrs[0], addrs[1], addrs[2], d.kvAddr)
-	file := filepath.Join(d.dir, fmt.Sprintf("entry-%d.toml", i+1))
+	file := d.settingsFile(i)
 	if err := os.WriteFile(file, []byte(settings), 0o600); err != nil {
 		return eris.Wrap(ErrDemo, err.Error())
 	}
--- a/internal/option/options.go
+++ b/internal/option/options.go
@@ -1,6 +1,9 @@
 package option
 
 import (
+	"crypto/sha256"
+	"encoding/hex"
+	"fmt"
 	"net/netip"
 	"os"
 	"time"
@@ -54,6 +57,39 @@
 	MaxFiles int
 }
 
+// digestLength is the length of a digest in hexadecimal digits: enough to tell apart the settings of a fleet, and short enough to
+// read out.
+const digestLength = 12
+
+// Digest returns a short hash of the settings, and of further ones as lines of the form key=value.
+//
+// It is that of all hosts of a fleet with the same settings: the name, the failure domain and the addresses, which differ by host,
+// are left out. Hashes of them would not hide them either, since there are few addresses to try. The settings hold no secrets.
+func (o *Options) Digest(more ...string) string {
+	h := sha256.New()
+	for _, s := range []struct {
+		key   string
+		value any
+	}{
+		{"log.level", o.Level},
+		{"log.sample", o.LogSampleEvery},
+		{"bounds.header", o.MaxHeaderBytes},
+		{"bounds.body", o.MaxBodyBytes},
+		{"bounds.read", o.ReadHeaderTimeout},
+		{"stop.lag", o.ShutdownDelay},
+		{"stop.wait", o.DrainTimeout},
+		{"stop.handover", o.HandoverTimeout},
+		{"limits.memory", o.MemoryLimitBytes},
+		{"limits.files", o.MaxFiles},
+	} {
+		fmt.Fprintf(h, "%s=%v\n", s.key, s.value)
+	}
+	for _, line := range more {
+		fmt.Fprintln(h, line)
+	}
+	return hex.EncodeToString(h.Sum(nil))[:digestLength]
+}
+
 // Load reads and checks a settings file; errors match ErrFile or tomlpb.ErrInvalid.
 func Load(file string) (*Options, error) {
 	data, err := os.ReadFile(file)
--- a/internal/option/options_test.go
+++ b/internal/option/options_test.go
@@ -1,6 +1,8 @@
 package option_test
 
 import (
+	"reflect"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -61,6 +63,55 @@
 	}
 })
 
+// Operators compare the digests of a fleet, whose hosts have names and addresses of their own.
+var _ = Describe("The digest of settings", func() {
+	parse := func(old, replacement string) *option.Options {
+		text := strings.Replace(validSettings, old, replacement, 1)
+		Expect(text).NotTo(Equal(validSettings))
+		o, err := option.Parse("f.toml", []byte(text))
+		Expect(err).NotTo(HaveOccurred())
+		return o
+	}
+	digest := func() string {
+		o, err := option.Parse("f.toml", []byte(validSettings))
+		Expect(err).NotTo(HaveOccurred())
+		return o.Digest()
+	}
+
+	for _, tc := range []struct{ name, old, replacement string }{
+		{"another name", "entry-1", "entry-2"},
+		{"another failure domain", "zone-1", "zone-2"},
+		{"another address for callers", "127.0.0.1:8080", "10.0.0.1:80"},
+		{"other stores", `["127.0.0.1:7000"]`, `["10.0.0.1:7000", "10.0.0.2:7000"]`},
+		{"a default that is written out", "[log]", "[bounds]\nheader = 65536\n[log]"},
+		{"other white space", `lag = "3s"`, `lag   =   "3000ms"  # as the balancer`},
+	} {
+		It("stays with "+tc.name, func() { Expect(parse(tc.old, tc.replacement).Digest()).To(Equal(digest())) })
+	}
+
+	// hostFields are the fields that differ by host.
+	hostFields := []string{"Name", "Domain", "Front", "Peer", "Admin", "Store", "Seeds"}
+	It("changes with each other field, and with further settings", func() {
+		seen := map[string]string{digest(): "no field"}
+		for i := range reflect.TypeFor[option.Options]().NumField() {
+			o, err := option.Parse("f.toml", []byte(validSettings))
+			Expect(err).NotTo(HaveOccurred())
+			name := reflect.TypeFor[option.Options]().Field(i).Name
+			if slices.Contains(hostFields, name) {
+				continue
+			}
+			f := reflect.ValueOf(o).Elem().Field(i)
+			f.SetInt(f.Int() + 1)
+			Expect(seen).NotTo(HaveKey(o.Digest()), name)
+			seen[o.Digest()] = name
+		}
+		o, err := option.Parse("f.toml", []byte(validSettings))
+		Expect(err).NotTo(HaveOccurred())
+		Expect(seen).NotTo(HaveKey(o.Digest("budget.retry=17")))
+		Expect(o.Digest()).To(MatchRegexp("^[0-9a-f]{12}$"))
+	})
+})
+
 func FuzzParse(f *testing.F) {
 	f.Add([]byte(validSettings))
 	f.Fuzz(func(t *testing.T, data []byte) {
--- a/internal/seams/seams.go
+++ b/internal/seams/seams.go
@@ -28,6 +28,8 @@
 	// Reload reads the settings file again, puts in force what can change while the entry runs, and reports whether
 	// the file has changed.
 	Reload func() (changed bool, err error)
+	// Settings returns the settings in force that the options do not hold, as lines of the form key=value.
+	Settings func() []string
 	// StoreReads returns the number of read requests sent to the store.
 	StoreReads func() uint64
 	// StoreWrites returns the number of write requests sent to the store.
--- a/internal/soak/report.go
+++ b/internal/soak/report.go
@@ -18,7 +18,8 @@
 
 // Write writes the report as text.
 func (r *Report) Write(w io.Writer) error {
-	fmt.Fprintf(w, "seed %d, %d entries, %v, %d faults\n\n", r.Plan.Seed, r.Plan.Size, time.Duration(r.Plan.Length), len(r.Plan.Fault))
+	fmt.Fprintf(w, "seed %d, %d entries, %v, %d faults\n", r.Plan.Seed, r.Plan.Size, time.Duration(r.Plan.Length), len(r.Plan.Fault))
+	fmt.Fprintf(w, "entries run %s\n\n", r.Program)
 	for _, d := range sortedFaults(r.Trail) {
 		fmt.Fprintf(w, "%s  %-12s %s\n", r.at(d.Begin), d.Subject, d.What)
 	}
--- a/internal/soak/report_test.go
+++ b/internal/soak/report_test.go
@@ -21,7 +21,8 @@
 	request := &trail.Request{Call: "caller-1.7", Habit: "kept", Method: "PUT", Service: "order", URI: "/p1?call=caller-1.7", Kind: trail.Once, Entry: "entry-1/1", Sent: at(3)}
 	run := &trail.Run{Call: "caller-1.7", Upstream: "order-2", Begin: at(3), End: at(4), Ending: trail.Broken}
 	r := &soak.Report{
-		Plan: &plan.Plan{Seed: 7, Size: 1, Length: plan.Duration(9 * time.Second), Fault: []plan.Fault{{Kind: plan.Pause}}},
+		Program: "commit 0123abc, tree clean",
+		Plan:    &plan.Plan{Seed: 7, Size: 1, Length: plan.Duration(9 * time.Second), Fault: []plan.Fault{{Kind: plan.Pause}}},
 		Trail: &trail.Trail{
 			Begin: begin, Requests: []*trail.Request{request}, Runs: []*trail.Run{run}, Lives: []*trail.Life{{Entry: "entry-1/1", Begin: at(0), Ready: at(1), Stopped: at(5)}},
 			Faults: []*trail.Disturbance{{What: "pause at 2s", Subject: "entry-1", Begin: at(2), End: at(3)}},
@@ -33,7 +34,7 @@
 		var b bytes.Buffer
 		Expect(r.Write(&b)).To(Succeed())
 		for _, part := range []string{
-			"seed 7, 1 entries, 9s, 1 faults", "2.000  entry-1      pause at 2s", "entry-1/1     0.000", "broken promise: runs-once, 1 times, kept 1",
+			"seed 7, 1 entries, 9s, 1 faults\nentries run commit 0123abc, tree clean\n", "2.000  entry-1      pause at 2s", "entry-1/1     0.000", "broken promise: runs-once, 1 times, kept 1",
 			"PUT /order/p1?call=caller-1.7 (once) to entry-1/1", "at order-2 from    3.000 to    4.000: broken",
 		} {
 			Expect(b.String()).To(ContainSubstring(part))
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -3,10 +3,12 @@
 import (
 	"context"
 	"os"
+	"path/filepath"
 	"time"
 
 	"github.com/rotisserie/eris"
 
+	"github.com/balsamvale/balsamvale/internal/build"
 	"github.com/balsamvale/balsamvale/internal/soak/caller"
 	"github.com/balsamvale/balsamvale/internal/soak/check"
 	"github.com/balsamvale/balsamvale/internal/soak/fleet"
@@ -33,6 +35,8 @@
 	Plan   *plan.Plan
 	Trail  *trail.Trail
 	Broken []check.Broken
+	// Program describes the build and the settings of the entries, and the limits of the soak's process.
+	Program string
 }
 
 const (
@@ -65,7 +69,10 @@
 	if err != nil {
 		return nil, eris.Wrap(ErrSoak, err.Error())
 	}
-	return &Report{Plan: s.Plan, Trail: t, Broken: check.All(t)}, nil
+	program := build.New()
+	program.UseFile(s.Binary)
+	program.UseSettings(filepath.Join(dir, "entry-1.toml"))
+	return &Report{Plan: s.Plan, Trail: t, Broken: check.All(t), Program: program.String()}, nil
 }
 
 // play runs the callers and the faults, and waits until all has ended.
--- a/internal/stats/summary.go
+++ b/internal/stats/summary.go
@@ -37,6 +37,8 @@
 	MaxMemoryBytes int64         `json:"memory"`
 	// Fault is the name of the injected fault, empty for none.
 	Fault string `json:"fault,omitempty"`
+	// Program describes the build and the settings of the entries, and the limits of the process.
+	Program string `json:"build"`
 	// Violations describes each guarantee that did not hold.
 	Violations []string `json:"broken"`
 }
@@ -61,6 +63,7 @@
 		return err
 	}
 	fmt.Fprintf(w, "entries: %v of CPU time per call, including control; at most %d MiB of memory in one entry\n", r.CPUPerCall, r.MaxMemoryBytes>>20)
+	fmt.Fprintln(w, "entries run", r.Program)
 	for _, v := range r.Violations {
 		fmt.Fprintln(w, "violated guarantee:", v)
 	}
--- a/internal/store/client.go
+++ b/internal/store/client.go
@@ -59,6 +59,7 @@
 	return &seams.Seams{
 		CallStore: c.Do, Get: c.Get, CompareAndSwap: c.CompareAndSwap, Decode: codec.Decode, Headers: header.Default(),
 		Reload:     func() (bool, error) { return false, nil },
+		Settings:   func() []string { return nil },
 		StoreReads: c.Reads.Load, StoreWrites: c.Writes.Load,
 	}
 }
