--- a/internal/kvsim/server.go
+++ b/internal/kvsim/server.go
@@ -34,6 +34,9 @@
 //
 // It implements the Store service of the schema.
 type Server struct {
+	// Written is called for each change, in their order, before any call returns it; it may be nil.
+	Written func(it *pb.Item)
+
 	clock clock.Clock
 
 	// mu guards all fields below.
@@ -191,6 +194,9 @@
 	if lease != 0 {
 		s.leaseByKey[it.GetKey()] = lease
 	}
+	if s.Written != nil {
+		s.Written(it)
+	}
 	s.history = append(s.history, it)
 	if len(s.history) > maxHistory {
 		s.history = slices.Clone(s.history[maxHistory/2:])
--- a/internal/soak/check/check.go
+++ b/internal/soak/check/check.go
@@ -37,6 +37,10 @@
 	ReadyInTime // ready-in-time
 	// NoGrowth means that a process does not use more and more.
 	NoGrowth // no-growth
+	// NoDenial means that no proper request is refused as wrong.
+	NoDenial // no-denial
+	// InForce means that a change of a record is in force in each process within a time.
+	InForce // in-force
 )
 
 // Bounds of the promises.
@@ -64,6 +68,10 @@
 	// Growth of goroutines, descriptors and memory that an idle process may show over the most that it used under load.
 	growthCount = 50
 	growthBytes = 64 << 20
+	// dropBound is the time after the return of a service that was dropped in which an entry may still refuse its requests as wrong.
+	dropBound = 2 * time.Second
+	// InForceBound is the time from a change of a record, or from the start of a process, until the change is in force in the process.
+	InForceBound = 8 * time.Second
 )
 
 // Broken is a broken promise.
@@ -96,7 +104,7 @@
 func All(t *trail.Trail) []Broken {
 	x := newIndex(t)
 	var out []Broken
-	for _, c := range []func(*index) []Broken{runsOnce, stopKeepsAnswers, ownAnswer, endsInTime, trueRefusal, removedIsLeft, staysAlive, stopsInTime, readyInTime, noGrowth} {
+	for _, c := range []func(*index) []Broken{runsOnce, stopKeepsAnswers, ownAnswer, endsInTime, trueRefusal, removedIsLeft, staysAlive, stopsInTime, readyInTime, noGrowth, noDenial, inForce} {
 		out = append(out, c(x)...)
 	}
 	slices.SortStableFunc(out, func(a, b Broken) int { return a.At.Compare(b.At) })
@@ -123,6 +131,11 @@
 // disturbed reports whether a subject was held from the CPU between two times, or a fault that is not planned hit it then, or so
 // shortly before that its effects may last.
 func (x *index) disturbed(subject string, from, to time.Time) bool {
+	return x.disturbedSince(time.Time{}, subject, from, to)
+}
+
+// disturbedSince is disturbed without the faults that ended before the start of a process.
+func (x *index) disturbedSince(start time.Time, subject string, from, to time.Time) bool {
 	if x.held(subject, from, to) {
 		return true
 	}
@@ -131,7 +144,7 @@
 		if end.IsZero() {
 			end = to
 		}
-		return !d.Planned && d.Subject == subject && !d.Begin.After(to) && !end.Add(contactTime).Before(from)
+		return !d.Planned && d.Subject == subject && end.After(start) && !d.Begin.After(to) && !end.Add(contactTime).Before(from)
 	})
 }
 
@@ -327,10 +340,14 @@
 	return out
 }
 
-// readyInTime checks that a process is ready within the bound after its start, while it and the store are undisturbed.
+// readyInTime checks that a process is ready within the bound after its start, or after the first service if none was there, while
+// it and the store are undisturbed.
 func readyInTime(x *index) (out []Broken) {
 	for _, l := range x.Lives {
 		due := l.Begin.Add(readyBound)
+		if first := x.firstService(); first.After(l.Begin) {
+			due = first.Add(readyBound)
+		}
 		late := !l.Ready.IsZero() && l.Ready.After(due) || l.Ready.IsZero() && x.alive(l, due)
 		if late && !x.disturbed(entryName(l.Entry), l.Begin, due) && !x.disturbed("store", l.Begin, due) {
 			out = append(out, Broken{Promise: ReadyInTime, At: due, Text: fmt.Sprintf("%s is not ready %v after its start", l.Entry, readyBound)})
--- /dev/null
+++ b/internal/soak/check/config.go
@@ -0,0 +1,146 @@
+package check
+
+import (
+	"cmp"
+	"fmt"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/balsamvale/balsamvale/internal/soak/trail"
+	"github.com/balsamvale/balsamvale/internal/wire"
+)
+
+// servicePrefix begins the names of the records of services.
+const servicePrefix = "service/"
+
+// firstService returns when the first record of a service was written, the zero time if there is none.
+func (x *index) firstService() time.Time {
+	for _, c := range x.Changes {
+		if strings.HasPrefix(c.Record, servicePrefix) && !c.Gone {
+			return c.At
+		}
+	}
+	return time.Time{}
+}
+
+// noDenial checks that no request gets a 3xx or 4xx of an entry's own for a service that the configuration has, or while there is no
+// configuration. No disturbance excuses it: an entry that cannot know answers 503. The upstreams of a soak send no such status.
+func noDenial(x *index) (out []Broken) {
+	keys := x.keyUses()
+	for _, r := range x.Requests {
+		switch {
+		case r.Status < http.StatusMultipleChoices || r.Status >= http.StatusInternalServerError || r.AnswerSound:
+			continue
+		case r.Status == http.StatusRequestTimeout || r.Status == http.StatusMisdirectedRequest || r.Status == http.StatusTooManyRequests:
+			continue
+		case r.Status == http.StatusConflict || r.Status == http.StatusUnprocessableEntity:
+			// The second use of an idempotency key is the caller's doing.
+			if first := keys[keyOf(r)]; first != nil && first != r {
+				continue
+			}
+		}
+		since, ok := x.allowed(r)
+		if !ok {
+			continue
+		}
+		text := fmt.Sprintf("refused with %d, and no configuration was there", r.Status)
+		if !since.IsZero() {
+			text = fmt.Sprintf("refused with %d %v after its service was written", r.Status, r.Ended.Sub(since).Round(time.Millisecond))
+		}
+		out = append(out, x.broken(NoDenial, r, r.Ended, "%s", text))
+	}
+	return out
+}
+
+// allowed reports whether the configuration had the service of a request, without a removal whose effects may last, and since
+// when. Before the first service there is no configuration, which allows nothing to be refused as wrong either.
+func (x *index) allowed(r *trail.Request) (since time.Time, ok bool) {
+	first := x.firstService()
+	if first.IsZero() || first.After(r.Ended) {
+		return time.Time{}, true
+	}
+	ok = false
+	for _, c := range x.Changes {
+		if c.Record != servicePrefix+r.Service || c.At.After(r.Ended) {
+			continue
+		}
+		switch {
+		case c.Gone:
+			since, ok = time.Time{}, false
+		case since.IsZero() && x.wasDropped(c):
+			since, ok = c.At, r.Sent.After(c.At.Add(dropBound))
+		case since.IsZero():
+			since, ok = c.At, r.Sent.After(c.At)
+		}
+	}
+	return since, ok
+}
+
+// wasDropped reports whether the record of a change was removed before it.
+func (x *index) wasDropped(c trail.Change) bool {
+	for _, d := range x.Changes {
+		if d.Record == c.Record && d.Gone && d.Revision < c.Revision {
+			return true
+		}
+	}
+	return false
+}
+
+// keyOf returns the idempotency key of a request with its service and account, empty without one.
+func keyOf(r *trail.Request) string {
+	headers := map[string]string{}
+	for _, h := range r.Headers {
+		name, value, _ := strings.Cut(h, ": ")
+		headers[name] = value
+	}
+	if headers[wire.IdempotencyKey] == "" {
+		return ""
+	}
+	return fmt.Sprintf("%s %q %q", r.Service, cmp.Or(headers["Authorization"], headers["X-Forwarded-For"]), headers[wire.IdempotencyKey])
+}
+
+// keyUses returns the first request that used each idempotency key of a service.
+func (x *index) keyUses() map[string]*trail.Request {
+	out := map[string]*trail.Request{}
+	for _, r := range x.Requests {
+		k := keyOf(r)
+		if first := out[k]; k != "" && (first == nil || r.Sent.Before(first.Sent)) {
+			out[k] = r
+		}
+	}
+	return out
+}
+
+// inForce checks that a process that was undisturbed for the bound, like the store, has each change in force that is older.
+func inForce(x *index) (out []Broken) {
+	late := map[string]bool{}
+	for _, v := range x.Views {
+		l, from := x.lives[v.Entry], v.At.Add(-InForceBound)
+		if l == nil || late[v.Entry] || l.Begin.After(from) || ended(l, v.At) || x.disturbed("store", from, v.At) || x.disturbedSince(l.Begin, entryName(l.Entry), from, v.At) {
+			continue
+		}
+		var due trail.Change
+		for _, c := range x.Changes {
+			if !c.At.After(from) {
+				due = c
+			}
+		}
+		if v.Revision < due.Revision {
+			late[v.Entry] = true
+			out = append(out, Broken{Promise: InForce, At: v.At, Text: fmt.Sprintf("%s has revision %d in force, and not %d of %s, %v after its start and %v after the change", v.Entry, v.Revision,
+				due.Revision, due.Record, v.At.Sub(l.Begin).Round(time.Millisecond), v.At.Sub(due.At).Round(time.Millisecond))})
+		}
+	}
+	return out
+}
+
+// ended reports whether a process was told to exit, or exited, up to a time.
+func ended(l *trail.Life, at time.Time) bool {
+	for _, end := range []time.Time{l.Stopped, l.Killed, l.End} {
+		if !end.IsZero() && !end.After(at) {
+			return true
+		}
+	}
+	return false
+}
--- a/internal/soak/check/promise_string.go
+++ b/internal/soak/check/promise_string.go
@@ -18,11 +18,13 @@
 	_ = x[StopsInTime-7]
 	_ = x[ReadyInTime-8]
 	_ = x[NoGrowth-9]
+	_ = x[NoDenial-10]
+	_ = x[InForce-11]
 }
 
-const _Promise_name = "runs-oncestop-keeps-answersown-answerends-in-timetrue-refusalremoved-is-leftstays-alivestops-in-timeready-in-timeno-growth"
+const _Promise_name = "runs-oncestop-keeps-answersown-answerends-in-timetrue-refusalremoved-is-leftstays-alivestops-in-timeready-in-timeno-growthno-denialin-force"
 
-var _Promise_index = [...]uint8{0, 9, 27, 37, 49, 61, 76, 87, 100, 113, 122}
+var _Promise_index = [...]uint8{0, 9, 27, 37, 49, 61, 76, 87, 100, 113, 122, 131, 139}
 
 func (i Promise) String() string {
 	idx := int(i) - 0
--- a/internal/soak/fleet/entry.go
+++ b/internal/soak/fleet/entry.go
@@ -234,9 +234,7 @@
 			e.misses = 0
 		}
 		e.mu.Unlock()
-		if ok {
-			e.sample(false)
-		}
+		e.sample(ok, false)
 		e.fleet.sleep(balancerInterval)
 	}
 }
@@ -250,13 +248,14 @@
 // Sample samples what each entry uses while no caller has a connection.
 func (f *Fleet) Sample() {
 	for _, e := range f.entries {
-		e.sample(true)
+		e.sample(true, true)
 	}
 }
 
-// sample records what the process uses, if its metrics can be read.
-func (e *entry) sample(idle bool) {
+// sample records the configuration that the process has in force and, if it is ready, what it uses.
+func (e *entry) sample(ready, idle bool) {
 	_, life := e.current()
+	v := trail.View{Entry: life.Entry, At: e.fleet.Clock.Now()}
 	res, err := metricsClient.Get("http://" + e.admin.String() + "/metrics")
 	if err != nil {
 		return
@@ -280,9 +279,16 @@
 			s.Files = int(value)
 		case "process_resident_memory_bytes":
 			s.MemoryBytes = int64(value)
+		case "balsamvale_configuration_revision":
+			v.Revision = int64(value)
 		}
 	}
-	e.fleet.Trail.Update(func() { e.fleet.Trail.Samples = append(e.fleet.Trail.Samples, s) })
+	e.fleet.Trail.Update(func() {
+		e.fleet.Trail.Views = append(e.fleet.Trail.Views, v)
+		if ready {
+			e.fleet.Trail.Samples = append(e.fleet.Trail.Samples, s)
+		}
+	})
 }
 
 // metricsClient reads metrics; it keeps no connections, since these would count as the entry's own.
--- a/internal/soak/fleet/fleet.go
+++ b/internal/soak/fleet/fleet.go
@@ -9,12 +9,14 @@
 	"net/netip"
 	"os"
 	"slices"
+	"strings"
 	"sync"
 	"time"
 
 	"github.com/rotisserie/eris"
 
 	"github.com/balsamvale/balsamvale/internal/apply"
+	pb "github.com/balsamvale/balsamvale/internal/gen/balsamvale/v1"
 	rpc "github.com/balsamvale/balsamvale/internal/gen/balsamvale/v1/balsamvalev1connect"
 	"github.com/balsamvale/balsamvale/internal/kvsim"
 	"github.com/balsamvale/balsamvale/internal/ports"
@@ -22,6 +24,7 @@
 	"github.com/balsamvale/balsamvale/internal/soak/plan"
 	"github.com/balsamvale/balsamvale/internal/soak/trail"
 	"github.com/balsamvale/balsamvale/internal/store"
+	"github.com/balsamvale/balsamvale/pkg/control/keys"
 	"github.com/balsamvale/balsamvale/pkg/shared/clock"
 )
 
@@ -81,6 +84,7 @@
 	f.ports.Host = ownHost()
 	f.rand, f.changing = rand.New(rand.NewPCG(f.Plan.Seed, 3)), map[string]bool{}
 	f.kv = kvsim.New(f.Clock, f.Plan.Seed)
+	f.kv.Written = f.recordChange
 	mux := http.NewServeMux()
 	mux.Handle(rpc.NewStoreHandler(f.kv))
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
@@ -160,6 +164,14 @@
 	return text
 }
 
+// recordChange records a change of an operator's record.
+func (f *Fleet) recordChange(it *pb.Item) {
+	if record, ok := strings.CutPrefix(it.GetKey(), keys.RecordPrefix); ok {
+		c := trail.Change{Record: record, Gone: it.GetGone(), Revision: it.GetRevision(), At: f.Clock.Now()}
+		f.Trail.Update(func() { f.Trail.Changes = append(f.Trail.Changes, c) })
+	}
+}
+
 // awaitReady waits until all entries are ready.
 func (f *Fleet) awaitReady(ctx context.Context) error {
 	deadline := f.Clock.Now().Add(readyTimeout)
--- a/internal/soak/trail/trail.go
+++ b/internal/soak/trail/trail.go
@@ -130,6 +130,24 @@
 	Bound time.Duration
 }
 
+// Change is a change of an operator's record in the store.
+type Change struct {
+	// Record is the kind and name of the record, such as service/lookup.
+	Record string
+	// Gone reports whether the record was removed.
+	Gone     bool
+	Revision int64
+	At       time.Time
+}
+
+// View is the configuration that a process had in force at one time.
+type View struct {
+	Entry string
+	At    time.Time
+	// Revision is 0 while there is none.
+	Revision int64
+}
+
 // Sample is what a process used at one time.
 type Sample struct {
 	Entry       string
@@ -160,8 +178,11 @@
 	Lives    []*Life
 	Faults   []*Disturbance
 	Removals []*Removal
-	Samples  []Sample
-	Stalls   []Stall
+	// Changes lists the changes of records in their order.
+	Changes []Change
+	Views   []View
+	Samples []Sample
+	Stalls  []Stall
 
 	mu sync.Mutex
 }
