--- a/internal/kvsim/server.go
+++ b/internal/kvsim/server.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"math/rand/v2"
 	"slices"
 	"strings"
@@ -34,6 +35,8 @@
 //
 // It implements the Store service of the schema.
 type Server struct {
+	// Rewrite returns the value to store for one that Swap is to write; it may be nil.
+	Rewrite func(key string, value []byte) []byte
 	// Written is called for each change, in their order, before any call returns it; it may be nil.
 	Written func(it *pb.Item)
 
@@ -54,8 +57,9 @@
 	lastLeaseID int64
 	// changed is closed and replaced at each change, and when the store goes down or comes back.
 	changed chan struct{}
-	// down, delay and replyLoss are the faults in effect.
+	// down, muted, delay and replyLoss are the faults in effect.
 	down      bool
+	muted     bool
 	delay     time.Duration
 	replyLoss float64
 	writes    callCounter
@@ -90,6 +94,23 @@
 	})
 }
 
+// SetMuted keeps all watches from a response while muted is true, waiting ones included.
+func (s *Server) SetMuted(muted bool) {
+	s.withLock(func() {
+		s.muted = muted
+		s.notifyWatchers()
+	})
+}
+
+// Load writes some keys at once, whatever their revisions and the limit of calls.
+func (s *Server) Load(values map[string][]byte) {
+	s.withLock(func() {
+		for _, key := range slices.Sorted(maps.Keys(values)) {
+			s.write(&pb.Item{Key: key, Value: values[key]}, 0)
+		}
+	})
+}
+
 // SetDelay delays each call by d.
 func (s *Server) SetDelay(d time.Duration) { s.withLock(func() { s.delay = d }) }
 
@@ -246,6 +267,9 @@
 		}
 	}
 	it := &pb.Item{Key: m.GetKey(), Value: m.GetValue(), Gone: m.GetGone()}
+	if s.Rewrite != nil && !it.GetGone() {
+		it.Value = s.Rewrite(it.GetKey(), it.GetValue())
+	}
 	s.write(it, m.GetLease())
 	// The reply omits the value, since the writer knows it.
 	return &pb.SwapResponse{Done: true, Item: &pb.Item{Key: it.GetKey(), Revision: it.GetRevision()}}
@@ -284,13 +308,17 @@
 	timeout, stop := s.clock.Timer(req.Msg.GetWait().AsDuration())
 	defer stop()
 	for {
-		res, changed := s.changes(req.Msg)
-		if len(res.GetItem()) > 0 || res.GetLost() {
+		res, changed, muted := s.changes(req.Msg)
+		if !muted && (len(res.GetItem()) > 0 || res.GetLost()) {
 			return connect.NewResponse(res), nil
 		}
+		expired := timeout
+		if muted {
+			expired = nil
+		}
 		select {
 		case <-changed:
-		case <-timeout:
+		case <-expired:
 			return connect.NewResponse(res), nil
 		case <-ctx.Done():
 			return nil, connect.NewError(connect.CodeCanceled, ctx.Err())
@@ -307,16 +335,17 @@
 	return down
 }
 
-// changes returns the changes that a watch request asks for, and a channel that is closed at the next change.
+// changes returns the changes that a watch request asks for, a channel that is closed at the next change, and whether watches are
+// muted.
 //
 // The response has Lost set if the history no longer reaches back to the revision of the request.
-func (s *Server) changes(m *pb.WatchRequest) (*pb.WatchResponse, <-chan struct{}) {
+func (s *Server) changes(m *pb.WatchRequest) (res *pb.WatchResponse, changed <-chan struct{}, muted bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	res := &pb.WatchResponse{Revision: s.revision}
+	res = &pb.WatchResponse{Revision: s.revision}
 	if len(s.history) > 0 && m.GetAfter() < s.history[0].GetRevision()-1 {
 		res.Lost = true
-		return res, s.changed
+		return res, s.changed, s.muted
 	}
 	i, _ := slices.BinarySearchFunc(s.history, m.GetAfter()+1, func(it *pb.Item, rev int64) int {
 		return int(it.GetRevision() - rev)
@@ -329,7 +358,7 @@
 			}
 		}
 	}
-	return res, s.changed
+	return res, s.changed, s.muted
 }
 
 // Lease grants a lease if the ID is 0, and renews the lease with that ID otherwise.
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -27,6 +27,11 @@
 	// delay is added to each part of the data; dropReplies drops what the target sends.
 	delay       time.Duration
 	dropReplies bool
+	// rate is the number of bytes a second that the connections carry together in each direction, 0 for no limit; requestsUntil and
+	// repliesUntil are when the bytes forwarded so far have passed.
+	rate          int
+	requestsUntil time.Time
+	repliesUntil  time.Time
 }
 
 // link is one connection from a client to the target.
@@ -43,8 +48,11 @@
 // dialTimeout bounds the opening of a connection to the target.
 const dialTimeout = 5 * time.Second
 
-// partBytes is the size in bytes of the parts in which data is forwarded.
-const partBytes = 32 << 10
+// Sizes in bytes of the parts in which data is forwarded, and of those on a link with a rate, which connections use in turn.
+const (
+	partBytes     = 32 << 10
+	ratePartBytes = 2 << 10
+)
 
 // New returns a relay to a target that listens on a loopback port; the error matches ErrListen.
 func New(c clock.Clock, target netip.AddrPort) (*Relay, error) {
@@ -73,6 +81,13 @@
 	r.delay = d
 }
 
+// SetRate limits the bytes a second that all connections carry together, in each direction; 0 ends that.
+func (r *Relay) SetRate(bytesPerSecond int) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.rate = bytesPerSecond
+}
+
 // SetDropReplies drops what the target sends, or ends that.
 func (r *Relay) SetDropReplies(drop bool) {
 	r.mu.Lock()
@@ -179,7 +194,7 @@
 	defer close(p.done)
 	part := make([]byte, partBytes)
 	for gone := false; ; {
-		n, err := p.from.Read(part)
+		n, err := p.from.Read(part[:p.partSize()])
 		drop, delay := p.state()
 		switch {
 		case drop && err != nil:
@@ -192,6 +207,7 @@
 			p.wait(delay)
 		}
 		if n > 0 && !gone {
+			p.wait(p.reserve(n))
 			_, werr := p.to.Write(part[:n])
 			gone = werr != nil
 		}
@@ -216,7 +232,41 @@
 	return p.link.silent || p.replies && r.dropReplies, r.delay
 }
 
+// partSize returns the size of the next part.
+func (p *pump) partSize() int {
+	r := p.link.relay
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.rate > 0 {
+		return ratePartBytes
+	}
+	return partBytes
+}
+
+// reserve takes the time of some bytes on a link with a rate and returns how long it takes until they have passed.
+func (p *pump) reserve(n int) time.Duration {
+	r := p.link.relay
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.rate == 0 {
+		return 0
+	}
+	until := &r.requestsUntil
+	if p.replies {
+		until = &r.repliesUntil
+	}
+	now := r.clock.Now()
+	if until.Before(now) {
+		*until = now
+	}
+	*until = until.Add(time.Duration(n) * time.Second / time.Duration(r.rate))
+	return until.Sub(now)
+}
+
 func (p *pump) wait(d time.Duration) {
+	if d <= 0 {
+		return
+	}
 	t, stop := p.link.relay.clock.Timer(d)
 	defer stop()
 	select {
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -88,6 +88,41 @@
 		})
 	}
 
+	It("carries so many bytes a second on all connections together, in each direction", func() {
+		const rate, size = 200_000, 50_000
+		r.SetRate(rate)
+		conns := []net.Conn{dial(), dial()}
+		begin := time.Now()
+		for _, c := range conns {
+			_, err := c.Write(make([]byte, size))
+			Expect(err).NotTo(HaveOccurred())
+		}
+		for _, c := range conns {
+			_, err := io.ReadFull(c, make([]byte, size))
+			Expect(err).NotTo(HaveOccurred())
+		}
+		Expect(time.Since(begin)).To(BeNumerically(">=", time.Duration(len(conns)*size)*time.Second/rate))
+		r.SetRate(0)
+		begin = time.Now()
+		_, err := conns[0].Write(make([]byte, size))
+		Expect(err).NotTo(HaveOccurred())
+		_, err = io.ReadFull(conns[0], make([]byte, size))
+		Expect(err).NotTo(HaveOccurred())
+		Expect(time.Since(begin)).To(BeNumerically("<", size*time.Second/rate))
+	})
+
+	It("lets the data of a connection that has ended take no time of the others", func() {
+		const rate, size = 100_000, 400_000
+		r.SetRate(rate)
+		gone, err := net.Dial("tcp", r.Addr().String())
+		Expect(err).NotTo(HaveOccurred())
+		_, err = gone.Write(make([]byte, size))
+		Expect(err).NotTo(HaveOccurred())
+		Expect(gone.(*net.TCPConn).SetLinger(0)).To(Succeed())
+		Expect(gone.Close()).To(Succeed())
+		Expect(exchange(dial())).To(Succeed())
+	})
+
 	It("passes on the end of a stream after all its data", func() {
 		c := dial()
 		_, err := c.Write(make([]byte, 1<<20))
--- a/internal/soak/caller/call.go
+++ b/internal/soak/caller/call.go
@@ -61,7 +61,7 @@
 // newCall draws a call.
 func (c *caller) newCall() *call {
 	n := c.crowd.lastCall.Add(1)
-	r := &trail.Request{Call: fmt.Sprintf("%s.%d", c.name, n), Service: c.service.Name, Kind: c.service.Kind, Habit: c.habit.String(), Deadline: c.crowd.Timeout}
+	r := &trail.Request{Call: fmt.Sprintf("%s.%d", c.name, n), Service: c.drawService(), Kind: c.service.Kind, Habit: c.habit.String(), Deadline: c.crowd.Timeout}
 	k := &call{request: r, method: http.MethodGet, headers: http.Header{}}
 	size := 0
 	switch {
@@ -89,6 +89,15 @@
 	return k
 }
 
+// drawService draws the service to call: the caller's own, or one that was added.
+func (c *caller) drawService() string {
+	added := c.crowd.added.Load()
+	if c.service.Kind != trail.Idempotent || added == nil || c.float() >= addedShare {
+		return c.service.Name
+	}
+	return (*added)[c.intN(len(*added))].Name
+}
+
 // drawHeaders draws the headers of a call: an idempotency key, a deadline, and ordinary ones.
 func (c *caller) drawHeaders(k *call) {
 	r := k.request
--- a/internal/soak/caller/crowd.go
+++ b/internal/soak/caller/crowd.go
@@ -64,6 +64,21 @@
 
 	wg       sync.WaitGroup
 	lastCall atomic.Int64
+	// added are the services that were added; nil before the first.
+	added atomic.Pointer[[]Service]
+}
+
+// addedShare is the share of the idempotent calls that go to added services, once there are some.
+const addedShare = 0.3
+
+// AddServices adds idempotent services that are called from now on.
+func (c *Crowd) AddServices(services []Service) {
+	var all []Service
+	if old := c.added.Load(); old != nil {
+		all = append(all, *old...)
+	}
+	all = append(all, services...)
+	c.added.Store(&all)
 }
 
 // caller is one caller; its loop method is a goroutine.
--- a/internal/soak/check/check.go
+++ b/internal/soak/check/check.go
@@ -81,6 +81,8 @@
 	At time.Time
 	// Text says what happened.
 	Text string
+	// Late is how long the entry had been due to know better, if the promise is about that.
+	Late time.Duration
 	// Request and Runs are the request concerned and its runs, if any.
 	Request *trail.Request
 	Runs    []*trail.Run
@@ -364,12 +366,7 @@
 			last = r.Sent
 		}
 	}
-	for _, end := range []time.Time{l.Stopped, l.Killed, l.End} {
-		if !end.IsZero() && end.Before(until) {
-			return false
-		}
-	}
-	return last.After(until)
+	return !ended(l, until) && last.After(until)
 }
 
 // noGrowth checks that a process that no caller is connected to uses no more than it did under load in the first half of its
--- a/internal/soak/check/config.go
+++ b/internal/soak/check/config.go
@@ -44,11 +44,12 @@
 		if !ok {
 			continue
 		}
-		text := fmt.Sprintf("refused with %d, and no configuration was there", r.Status)
+		b := x.broken(NoDenial, r, r.Ended, "refused with %d, and no configuration was there", r.Status)
 		if !since.IsZero() {
-			text = fmt.Sprintf("refused with %d %v after its service was written", r.Status, r.Ended.Sub(since).Round(time.Millisecond))
+			b.Late = r.Ended.Sub(since)
+			b.Text = fmt.Sprintf("refused with %d %v after its service was written", r.Status, b.Late.Round(time.Millisecond))
 		}
-		out = append(out, x.broken(NoDenial, r, r.Ended, "%s", text))
+		out = append(out, b)
 	}
 	return out
 }
@@ -60,33 +61,19 @@
 	if first.IsZero() || first.After(r.Ended) {
 		return time.Time{}, true
 	}
-	ok = false
+	var bound time.Duration
 	for _, c := range x.Changes {
-		if c.Record != servicePrefix+r.Service || c.At.After(r.Ended) {
-			continue
-		}
 		switch {
+		case c.Record != servicePrefix+r.Service || c.At.After(r.Ended):
 		case c.Gone:
-			since, ok = time.Time{}, false
-		case since.IsZero() && x.wasDropped(c):
-			since, ok = c.At, r.Sent.After(c.At.Add(dropBound))
+			since, ok, bound = time.Time{}, false, dropBound
 		case since.IsZero():
-			since, ok = c.At, r.Sent.After(c.At)
+			since, ok = c.At, r.Sent.After(c.At.Add(bound))
 		}
 	}
 	return since, ok
 }
 
-// wasDropped reports whether the record of a change was removed before it.
-func (x *index) wasDropped(c trail.Change) bool {
-	for _, d := range x.Changes {
-		if d.Record == c.Record && d.Gone && d.Revision < c.Revision {
-			return true
-		}
-	}
-	return false
-}
-
 // keyOf returns the idempotency key of a request with its service and account, empty without one.
 func keyOf(r *trail.Request) string {
 	headers := map[string]string{}
@@ -128,17 +115,18 @@
 		}
 		if v.Revision < due.Revision {
 			late[v.Entry] = true
-			out = append(out, Broken{Promise: InForce, At: v.At, Text: fmt.Sprintf("%s has revision %d in force, and not %d of %s, %v after its start and %v after the change", v.Entry, v.Revision,
-				due.Revision, due.Record, v.At.Sub(l.Begin).Round(time.Millisecond), v.At.Sub(due.At).Round(time.Millisecond))})
+			started, changed := v.At.Sub(l.Begin), v.At.Sub(due.At)
+			out = append(out, Broken{Promise: InForce, At: v.At, Late: min(started, changed), Text: fmt.Sprintf("%s has revision %d in force, and not %d of %s, %v after its start and %v after the change",
+				v.Entry, v.Revision, due.Revision, due.Record, started.Round(time.Millisecond), changed.Round(time.Millisecond))})
 		}
 	}
 	return out
 }
 
-// ended reports whether a process was told to exit, or exited, up to a time.
+// ended reports whether a process was told to exit, or exited, before a time.
 func ended(l *trail.Life, at time.Time) bool {
 	for _, end := range []time.Time{l.Stopped, l.Killed, l.End} {
-		if !end.IsZero() && !end.After(at) {
+		if !end.IsZero() && end.Before(at) {
 			return true
 		}
 	}
--- a/internal/soak/fleet/entry.go
+++ b/internal/soak/fleet/entry.go
@@ -44,11 +44,14 @@
 	name     string
 	domain   int
 	front    netip.AddrPort
+	peer     netip.AddrPort
 	admin    netip.AddrPort
 	settings string
-	// callerRelay and storeRelay are nil if the plan has no faults of these links.
+	// callerRelay, storeRelay and peerRelay are nil if the plan has no faults of these links. The other entries know the entry by the
+	// address of peerRelay.
 	callerRelay *relay.Relay
 	storeRelay  *relay.Relay
+	peerRelay   *relay.Relay
 	// ended is closed when loop has ended.
 	ended chan struct{}
 
@@ -58,46 +61,68 @@
 	life    *trail.Life
 	starts  int
 	closing bool
+	// retired is set before a stop after which no process follows.
+	retired bool
 	misses  int
 }
 
-// startEntry writes the settings of entry i and starts it.
-func (f *Fleet) startEntry(i int) error {
+// newEntry returns entry i with its addresses, relays and settings; it may ask the entries before it for the configuration.
+func (f *Fleet) newEntry(i int) (*entry, error) {
 	e := &entry{fleet: f, name: fmt.Sprintf("entry-%d", i+1), domain: i % domainCount, ended: make(chan struct{})}
-	var addrs [3]netip.AddrPort
-	for j := range addrs {
-		addr, err := f.ports.Next()
-		if err != nil {
-			return eris.Wrap(ErrFleet, err.Error())
+	for _, addr := range []*netip.AddrPort{&e.front, &e.peer, &e.admin} {
+		var err error
+		if *addr, err = f.ports.Next(); err != nil {
+			return nil, eris.Wrap(ErrFleet, err.Error())
 		}
-		addrs[j] = addr
 	}
-	e.front, e.admin = addrs[0], addrs[2]
-	storeAddr := f.kvAddr
-	var err error
-	if f.uses(plan.SilentStore, plan.ResetStore, plan.SlowStore, plan.OneWayStore) {
-		if e.storeRelay, err = relay.New(f.Clock, f.kvAddr); err != nil {
-			return eris.Wrap(ErrFleet, err.Error())
+	for _, l := range []struct {
+		relay  **relay.Relay
+		target netip.AddrPort
+		kinds  []plan.Kind
+	}{
+		{&e.storeRelay, f.kvAddr, []plan.Kind{plan.SilentStore, plan.ResetStore, plan.SlowStore, plan.OneWayStore, plan.LimitStore}},
+		{&e.callerRelay, e.front, []plan.Kind{plan.SilentCallers, plan.ResetCallers, plan.SlowCallers}},
+		{&e.peerRelay, e.peer, []plan.Kind{plan.LimitPeers}},
+	} {
+		if !f.uses(l.kinds...) {
+			continue
 		}
-		storeAddr = e.storeRelay.Addr()
-	}
-	if f.uses(plan.SilentCallers, plan.ResetCallers, plan.SlowCallers) {
-		if e.callerRelay, err = relay.New(f.Clock, e.front); err != nil {
-			return eris.Wrap(ErrFleet, err.Error())
+		var err error
+		if *l.relay, err = relay.New(f.Clock, l.target); err != nil {
+			return nil, eris.Wrap(ErrFleet, err.Error())
 		}
 	}
-	text := fmt.Sprintf("schema = 1\nname = %q\ndomain = %q\nfront = %q\npeer = %q\nadmin = %q\nstore = [%q]\n[log]\nsample = 1\n[stop]\nlag = %q\nwait = %q\n",
-		e.name, domainName(e.domain), e.front, addrs[1], e.admin, storeAddr, stopLag, stopWait)
+	text := fmt.Sprintf("schema = 1\nname = %q\ndomain = %q\nfront = %q\npeer = %q\nadmin = %q\nstore = [%q]\n%s[log]\nsample = 1\n[stop]\nlag = %q\nwait = %q\n",
+		e.name, domainName(e.domain), e.front, e.peer, e.admin, through(e.storeRelay, f.kvAddr), f.seeds(), stopLag, stopWait)
 	e.settings = filepath.Join(f.Dir, e.name+".toml")
 	if err := os.WriteFile(e.settings, []byte(text), 0o600); err != nil {
-		return eris.Wrap(ErrFleet, err.Error())
+		return nil, eris.Wrap(ErrFleet, err.Error())
+	}
+	return e, nil
+}
+
+// through returns the address of a relay, or the address itself without one.
+func through(r *relay.Relay, addr netip.AddrPort) netip.AddrPort {
+	if r != nil {
+		return r.Addr()
+	}
+	return addr
+}
+
+// startEntry starts the next entry.
+func (f *Fleet) startEntry() (*entry, error) {
+	e, err := f.newEntry(len(f.allEntries()))
+	if err != nil {
+		return nil, err
 	}
 	if err := e.start(); err != nil {
-		return err
+		return nil, err
 	}
+	f.mu.Lock()
 	f.entries = append(f.entries, e)
+	f.mu.Unlock()
 	go e.loop()
-	return nil
+	return e, nil
 }
 
 // start starts the next process of the entry.
@@ -125,7 +150,7 @@
 	return filepath.Join(e.fleet.Dir, fmt.Sprintf("%s.%d.log", e.name, n))
 }
 
-// loop starts a new process after each exit until the fleet closes; it is a goroutine.
+// loop starts a new process after each exit until the fleet closes or the entry retires; it is a goroutine.
 func (e *entry) loop() {
 	defer close(e.ended)
 	for {
@@ -138,7 +163,7 @@
 				life.End, life.Code = now, process.ExitCode()
 			}
 		})
-		if closing {
+		if closing || e.isRetired() {
 			return
 		}
 		e.fleet.sleep(restartDelay)
@@ -160,6 +185,18 @@
 	return e.closing
 }
 
+func (e *entry) isRetired() bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.retired
+}
+
+// isGone reports whether the entry has retired and its last process has exited.
+func (e *entry) isGone() bool {
+	process, _ := e.current()
+	return e.isRetired() && !process.Running()
+}
+
 // close kills the process, without a record of its exit.
 func (e *entry) close() {
 	e.mu.Lock()
@@ -169,7 +206,7 @@
 	process.Signal(syscall.SIGCONT)
 	process.Kill()
 	<-e.ended
-	for _, r := range []*relay.Relay{e.callerRelay, e.storeRelay} {
+	for _, r := range []*relay.Relay{e.callerRelay, e.storeRelay, e.peerRelay} {
 		if r != nil {
 			r.Close()
 		}
@@ -202,11 +239,7 @@
 // target returns the current process as the target of a connection.
 func (e *entry) target() (caller.Target, bool) {
 	process, life := e.current()
-	addr := e.front
-	if e.callerRelay != nil {
-		addr = e.callerRelay.Addr()
-	}
-	return caller.Target{Entry: life.Entry, Addr: addr}, process.Running()
+	return caller.Target{Entry: life.Entry, Addr: through(e.callerRelay, e.front)}, process.Running()
 }
 
 // checkReady asks the process whether it is ready, and records the first time that it is.
@@ -226,7 +259,7 @@
 
 // loopPolls checks the entry as the platform's balancer does, and takes samples of what it uses; it is a goroutine.
 func (e *entry) loopPolls() {
-	for !e.isClosing() {
+	for !e.isClosing() && !e.isGone() {
 		ok := e.checkReady()
 		e.mu.Lock()
 		e.misses++
@@ -247,7 +280,7 @@
 
 // Sample samples what each entry uses while no caller has a connection.
 func (f *Fleet) Sample() {
-	for _, e := range f.entries {
+	for _, e := range f.allEntries() {
 		e.sample(true, true)
 	}
 }
--- a/internal/soak/fleet/fleet.go
+++ b/internal/soak/fleet/fleet.go
@@ -21,6 +21,7 @@
 	"github.com/balsamvale/balsamvale/internal/kvsim"
 	"github.com/balsamvale/balsamvale/internal/ports"
 	"github.com/balsamvale/balsamvale/internal/soak/caller"
+	"github.com/balsamvale/balsamvale/internal/soak/check"
 	"github.com/balsamvale/balsamvale/internal/soak/plan"
 	"github.com/balsamvale/balsamvale/internal/soak/trail"
 	"github.com/balsamvale/balsamvale/internal/store"
@@ -66,13 +67,22 @@
 	kvAddr   netip.AddrPort
 	kvServer *http.Server
 	client   *store.Client
-	entries  []*entry
 	faults   sync.WaitGroup
 	// done is closed when the fleet closes.
 	done chan struct{}
+	// domainText and serviceText are the records of domains and upstreams, and of services, at the begin.
+	domainText  string
+	serviceText string
+	// starting is held while an entry is added or retires, growing while the configuration grows.
+	starting sync.Mutex
+	growing  sync.Mutex
+	// grown are the upstreams of the services that were added, and growths the number of times that there were some.
+	grown   []*upstream
+	growths int
 
 	// mu guards the fields below.
 	mu        sync.Mutex
+	entries   []*entry
 	upstreams []*upstream
 	rand      *rand.Rand
 	// changing holds the names of the records that a fault has changed and will restore.
@@ -84,7 +94,7 @@
 	f.ports.Host = ownHost()
 	f.rand, f.changing = rand.New(rand.NewPCG(f.Plan.Seed, 3)), map[string]bool{}
 	f.kv = kvsim.New(f.Clock, f.Plan.Seed)
-	f.kv.Written = f.recordChange
+	f.kv.Written, f.kv.Rewrite = f.recordChange, f.relayPeer
 	mux := http.NewServeMux()
 	mux.Handle(rpc.NewStoreHandler(f.kv))
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
@@ -95,7 +105,7 @@
 	f.kvServer = &http.Server{Handler: mux, ReadHeaderTimeout: readyTimeout}
 	go (&server{f.kvServer, ln}).run()
 	f.client = store.New(&http.Client{}, []netip.AddrPort{f.kvAddr})
-	text := f.domainsTOML() + servicesTOML()
+	f.domainText, f.serviceText = f.domainsTOML(), servicesTOML()
 	for _, s := range Services {
 		for i := range upstreamsPerService {
 			u, err := f.startUpstream(s, fmt.Sprintf("%s-%d", s.Name, i+1), "v1", i%domainCount)
@@ -103,18 +113,30 @@
 				return err
 			}
 			u.SkipWarmup()
-			text += u.record()
+			f.domainText += u.record()
 		}
 	}
-	if _, err := apply.Text(ctx, f.client, text); err != nil {
-		return eris.Wrap(ErrFleet, err.Error())
+	if err := f.startGrown(); err != nil {
+		return err
+	}
+	late := f.uses(plan.LateRecords)
+	if !late {
+		if _, err := apply.Text(ctx, f.client, f.domainText+f.serviceText); err != nil {
+			return eris.Wrap(ErrFleet, err.Error())
+		}
 	}
-	for i := range f.Plan.Size {
-		if err := f.startEntry(i); err != nil {
+	for range f.Plan.Size {
+		if _, err := f.startEntry(); err != nil {
 			return err
 		}
 	}
-	return f.awaitReady(ctx)
+	if !late {
+		if err := f.awaitReady(ctx); err != nil {
+			return err
+		}
+	}
+	f.startPolls()
+	return nil
 }
 
 // ownHost returns a loopback address of this process alone, so that soaks that run at the same time do not take each other's ports.
@@ -175,7 +197,7 @@
 // awaitReady waits until all entries are ready.
 func (f *Fleet) awaitReady(ctx context.Context) error {
 	deadline := f.Clock.Now().Add(readyTimeout)
-	for _, e := range f.entries {
+	for _, e := range f.allEntries() {
 		for !e.checkReady() {
 			if f.Clock.Now().After(deadline) || ctx.Err() != nil {
 				return eris.Wrapf(ErrFleet, "%s did not become ready", e.name)
@@ -183,12 +205,16 @@
 			f.sleep(pollInterval)
 		}
 	}
+	return nil
+}
+
+// startPolls starts what observes the processes.
+func (f *Fleet) startPolls() {
 	f.done = make(chan struct{})
 	go (&stallWatch{fleet: f, done: f.done, waited: map[string]time.Duration{}}).loop()
-	for _, e := range f.entries {
+	for _, e := range f.allEntries() {
 		go e.loopPolls()
 	}
-	return nil
 }
 
 func (f *Fleet) sleep(d time.Duration) {
@@ -201,7 +227,10 @@
 // half are, any.
 func (f *Fleet) Pick() (caller.Target, bool) {
 	var in, all []*entry
-	for _, e := range f.entries {
+	for _, e := range f.allEntries() {
+		if e.isGone() {
+			continue
+		}
 		if e.inRotation() {
 			in = append(in, e)
 		}
@@ -216,11 +245,15 @@
 	return e.target()
 }
 
-// Settle waits until the entries that are stopping have exited.
+// Settle waits until the entries that are stopping have exited and, if the plan has a growing fleet, until the changes of records have
+// to be in force and were observed.
 func (f *Fleet) Settle() {
-	for _, e := range f.entries {
+	for _, e := range f.allEntries() {
 		e.awaitStop()
 	}
+	if f.grows() {
+		f.sleep(check.InForceBound + 2*balancerInterval)
+	}
 }
 
 // Close kills the entries, closes the servers, and completes the record of the processes.
@@ -228,10 +261,10 @@
 	if f.done != nil {
 		close(f.done)
 	}
-	for _, e := range f.entries {
+	for _, e := range f.allEntries() {
 		e.close()
 	}
-	for _, u := range f.allUpstreams() {
+	for _, u := range append(f.allUpstreams(), f.grown...) {
 		u.close()
 	}
 	if f.kvServer != nil {
@@ -239,6 +272,12 @@
 	}
 }
 
+func (f *Fleet) allEntries() []*entry {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return slices.Clone(f.entries)
+}
+
 func (f *Fleet) allUpstreams() []*upstream {
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/internal/soak/fleet/inject.go
+++ b/internal/soak/fleet/inject.go
@@ -90,7 +90,7 @@
 	if !i.fault.Kind.HitsEntries() {
 		return nil
 	}
-	all := i.fleet.entries
+	all := i.fleet.allEntries()
 	if !i.fault.Domain {
 		return all[i.fault.Target%len(all) : i.fault.Target%len(all)+1]
 	}
@@ -141,6 +141,12 @@
 		return i.openIdle(e)
 	case plan.FewFiles:
 		e.limitFiles(uint64(i.fault.Share))
+	case plan.RemoveEntry:
+		i.fleet.retire(e)
+	case plan.LimitStore:
+		e.storeRelay.SetRate(int(i.fault.Share))
+	case plan.LimitPeers:
+		e.peerRelay.SetRate(int(i.fault.Share))
 	}
 	return nothing
 }
@@ -226,6 +232,12 @@
 		return func() { kv.SetReplyLoss(0) }
 	case plan.StoreForget:
 		kv.ForgetHistory()
+	case plan.StoreMute:
+		kv.SetMuted(true)
+		return func() {
+			kv.ForgetHistory()
+			kv.SetMuted(false)
+		}
 	}
 	return nothing
 }
@@ -236,6 +248,14 @@
 	case plan.SharedKeys:
 		i.fleet.Crowd.SharedKeys.Store(true)
 		return func() { i.fleet.Crowd.SharedKeys.Store(false) }
+	case plan.AddEntries:
+		return i.addEntries()
+	case plan.LateRecords:
+		i.fleet.load(i.fleet.domainText)
+		return func() { i.fleet.load(i.fleet.serviceText) }
+	case plan.GrowRecords, plan.SwellRecords:
+		i.growRecords()
+		return nothing
 	case plan.DrainDomain:
 		return i.drainDomain(i.fault.Target % domainCount)
 	case plan.DropService:
--- a/internal/soak/fleet/stalls.go
+++ b/internal/soak/fleet/stalls.go
@@ -35,7 +35,7 @@
 			return
 		}
 		s.read(trail.Machine, os.Getpid())
-		for _, e := range s.fleet.entries {
+		for _, e := range s.fleet.allEntries() {
 			process, _ := e.current()
 			s.read(e.name, process.PID())
 		}
--- a/internal/soak/fleet/upstream.go
+++ b/internal/soak/fleet/upstream.go
@@ -35,15 +35,30 @@
 	shares map[upsim.Delivery]float64
 }
 
-// startUpstream starts an upstream of a service.
+// startUpstream starts an upstream of a service, which faults may hit.
 func (f *Fleet) startUpstream(s caller.Service, name, version string, domain int) (*upstream, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	u, err := f.newUpstream(s, name, version, domain)
+	if err != nil {
+		return nil, err
+	}
+	if f.uses(plan.SilentUpstream, plan.ResetUpstream, plan.SlowUpstream, plan.OneWayUpstream) {
+		if u.relay, err = relay.New(f.Clock, u.addr); err != nil {
+			return nil, eris.Wrap(ErrFleet, err.Error())
+		}
+	}
+	f.upstreams = append(f.upstreams, u)
+	return u, nil
+}
+
+// newUpstream starts an upstream; the caller holds mu.
+func (f *Fleet) newUpstream(s caller.Service, name, version string, domain int) (*upstream, error) {
 	u := &upstream{fleet: f, service: s, domain: domain, shares: map[upsim.Delivery]float64{}}
 	u.Upstream = &upsim.Upstream{
 		Name: name, Version: version, Slots: slotsPerUpstream, Backlog: 3 * slotsPerUpstream, MeanRunTime: meanRunTime,
 		ColdConcurrency: 2, Warmup: warmup, Clock: f.Clock, Begin: u.begin, Draw: u.draw,
 	}
-	f.mu.Lock()
-	defer f.mu.Unlock()
 	u.Upstream.Start(f.Plan.Seed + uint64(len(f.upstreams)))
 	var err error
 	if u.addr, err = f.ports.Next(); err != nil {
@@ -52,12 +67,6 @@
 	if err := u.listen(); err != nil {
 		return nil, err
 	}
-	if f.uses(plan.SilentUpstream, plan.ResetUpstream, plan.SlowUpstream, plan.OneWayUpstream) {
-		if u.relay, err = relay.New(f.Clock, u.addr); err != nil {
-			return nil, eris.Wrap(ErrFleet, err.Error())
-		}
-	}
-	f.upstreams = append(f.upstreams, u)
 	return u, nil
 }
 
@@ -94,12 +103,13 @@
 
 // record returns the record of the upstream as TOML.
 func (u *upstream) record() string {
-	addr := u.addr
-	if u.relay != nil {
-		addr = u.relay.Addr()
-	}
+	return u.recordFor(u.Name, u.service.Name)
+}
+
+// recordFor returns a record of that name that lists the upstream for a service.
+func (u *upstream) recordFor(name, service string) string {
 	return fmt.Sprintf("[[upstream]]\nschema = 1\nname = %q\nservice = %q\ndomain = %q\naddr = %q\nversion = %q\n",
-		u.Name, u.service.Name, domainName(u.domain), addr, u.Version)
+		name, service, domainName(u.domain), through(u.relay, u.addr), u.Version)
 }
 
 // begin records a run.
--- a/internal/soak/plan/kind.go
+++ b/internal/soak/plan/kind.go
@@ -63,7 +63,23 @@
 	FewFiles // few-files
 	// SharedKeys makes callers use each other's idempotency keys.
 	SharedKeys // shared-keys
+	// LateRecords lets the entries start without any record; domains and upstreams are written at the begin, services at the end.
+	LateRecords // late-records
+	// GrowRecords adds Share services at once, SwellRecords adds services whose records have Share kilobytes.
+	GrowRecords  // grow-records
+	SwellRecords // swell-records
+	// AddEntries starts Share entries more and stops them at the end, for good; RemoveEntry stops an entry for good.
+	AddEntries  // add-entries
+	RemoveEntry // remove-entry
+	// LimitStore and LimitPeers limit the links of an entry to the store, and from other entries; Share is the bytes a second.
+	LimitStore // limit-store
+	LimitPeers // limit-peers
+	// StoreMute keeps watches from a response, and drops the history at its end.
+	StoreMute // store-mute
 	kindCount
+
+	// mixedKinds is the number of kinds that the episodes of each seed draw from.
+	mixedKinds = SharedKeys + 1
 )
 
 // MarshalText returns the name of the kind.
@@ -90,8 +106,8 @@
 	records
 )
 
-// specs describe the kinds: what they hit, whether they end after a time, whether operators or callers do them, and the shares
-// that are drawn.
+// specs describe the kinds: what they hit, whether they end after a time, whether operators or callers do them or they are what a link
+// is like, and the shares that are drawn.
 var specs = [kindCount]struct {
 	target  target
 	lasts   bool
@@ -110,6 +126,9 @@
 	DoubleAnswers: {upstreams, true, false, spoilt}, GarbleAnswers: {upstreams, true, false, spoilt}, FailAnswers: {upstreams, true, false, spoilt},
 	SlowAnswers: {upstreams, true, false, []float64{2, 5, 10}}, IdleCallers: {entries, true, true, []float64{50, 500, 2000}},
 	FewFiles: {entries, false, true, []float64{120, 200, 400}}, SharedKeys: {records, true, true, nil},
+	LateRecords: {records, true, true, nil}, GrowRecords: {records, false, true, nil}, SwellRecords: {records, false, true, nil},
+	AddEntries: {records, true, true, nil}, RemoveEntry: {entries, false, true, nil},
+	LimitStore: {entries, false, true, nil}, LimitPeers: {entries, false, true, nil}, StoreMute: {kvStore, true, false, nil},
 }
 
 // Shares of connections, delays in seconds, and shares of answers.
@@ -128,12 +147,15 @@
 // HitsStore reports whether the target of the fault is the store.
 func (k Kind) HitsStore() bool { return specs[k].target == kvStore }
 
-// HitsRecords reports whether the fault changes records of operators, or the habits of callers.
+// HitsRecords reports whether the fault changes records of operators, the number of entries, or the habits of callers.
 func (k Kind) HitsRecords() bool { return specs[k].target == records }
 
-// Planned reports whether the fault is something that operators and callers do, which excuses nothing.
+// Planned reports whether the fault is something that operators and callers do, or what a link is like, which excuses nothing.
 func (k Kind) Planned() bool { return specs[k].planned }
 
+// Grows reports whether the fault is one of a growing fleet or configuration.
+func (k Kind) Grows() bool { return k >= mixedKinds }
+
 // Lasting reports whether the fault lasts for the connections that are open when it begins.
 func (k Kind) Lasting() bool {
 	return k == SilentCallers || k == SilentStore || k == SilentUpstream
--- a/internal/soak/plan/plan.go
+++ b/internal/soak/plan/plan.go
@@ -109,12 +109,26 @@
 // Draw draws a plan.
 //
 // A plan has episodes: a series of faults of one kind, at one target after the other, at several at once, or at one failure
-// domain. Every second seed has a loss of contact with the store and a failure of all upstreams besides.
+// domain. Every second seed has a loss of contact with the store and a failure of all upstreams besides. From FirstGrowing on, seeds
+// have a growing fleet, of which half have no more than that.
 func Draw(seed uint64, size int, length time.Duration) *Plan {
-	r := rand.New(rand.NewPCG(seed, 2))
 	p := &Plan{Seed: seed, Size: size, Length: Duration(length)}
+	if seed < FirstGrowing || seed%4 < 2 {
+		p.drawMix()
+	}
+	if seed >= FirstGrowing {
+		p.Fault = append(p.Fault, growth(rand.New(rand.NewPCG(seed, 6)), size, length)...)
+	}
+	slices.SortStableFunc(p.Fault, func(a, b Fault) int { return cmp.Compare(a.At, b.At) })
+	return p
+}
+
+// drawMix adds the episodes of a seed, and its loss of contact and failure of all upstreams.
+func (p *Plan) drawMix() {
+	seed, size, length := p.Seed, p.Size, time.Duration(p.Length)
+	r := rand.New(rand.NewPCG(seed, 2))
 	var kinds []Kind
-	for _, k := range r.Perm(int(kindCount))[:kindsPerSeed] {
+	for _, k := range r.Perm(int(mixedKinds))[:kindsPerSeed] {
 		kinds = append(kinds, Kind(k))
 	}
 	// Planned stops are the most frequent event of all, so each seed has some.
@@ -126,8 +140,6 @@
 		p.Fault = append(p.Fault, lossOfContact(rand.New(rand.NewPCG(seed, 4)), size, length)...)
 		p.Fault = append(p.Fault, upstreamsFail(rand.New(rand.NewPCG(seed, 5)), length)...)
 	}
-	slices.SortStableFunc(p.Fault, func(a, b Fault) int { return cmp.Compare(a.At, b.At) })
-	return p
 }
 
 // episode draws the faults of one episode.
--- a/internal/soak/plan/plan_test.go
+++ b/internal/soak/plan/plan_test.go
@@ -1,6 +1,8 @@
 package plan_test
 
 import (
+	"crypto/sha256"
+	"encoding/hex"
 	"os"
 	"path/filepath"
 	"time"
@@ -21,6 +23,26 @@
 		Expect(a.Fault).NotTo(Equal(c.Fault))
 	})
 
+	// The seeds of the continuous integration and of KNOWN-RED.txt name runs by what they play.
+	for _, tc := range []struct {
+		name         string
+		first, count uint64
+		digest       string
+	}{
+		{"no growing fleet", 0, 200, "e40bdac18e32eeef9ca86a4b1fa926247887483fd5c1028023c2d9d42b6be84f"},
+		{"a growing fleet", plan.FirstGrowing, 50, "d0065540eaa8aa662cbcc600a238ca070abe7124023531a57a25eae2552553bd"},
+	} {
+		It("draws what it always drew from the seeds with "+tc.name, func() {
+			h := sha256.New()
+			for seed := range tc.count {
+				text, err := plan.Draw(tc.first+seed, 3, 12*time.Second).Text()
+				Expect(err).NotTo(HaveOccurred())
+				_, _ = h.Write([]byte(text))
+			}
+			Expect(hex.EncodeToString(h.Sum(nil))).To(Equal(tc.digest))
+		})
+	}
+
 	It("stays within the bounds, and draws each kind within 50 seeds", func() {
 		drawn := map[string]bool{}
 		for seed := range uint64(50) {
@@ -40,6 +62,60 @@
 	})
 })
 
+var _ = Describe("a growing fleet", func() {
+	const length = 12 * time.Second
+	grownBytes := func(f plan.Fault) float64 {
+		switch f.Kind {
+		case plan.GrowRecords:
+			return f.Share * plan.GrownBytes
+		case plan.SwellRecords:
+			return f.Share * plan.SwollenRecords * 1024
+		}
+		return 0
+	}
+
+	It("is in each seed from the first on, with each of its kinds within 50 seeds, and alone in half of them", func() {
+		drawn, alone := map[string]bool{}, 0
+		for seed := range uint64(50) {
+			mixed := false
+			for _, f := range plan.Draw(plan.FirstGrowing+seed, 3, length).Fault {
+				drawn[f.Kind.String()] = true
+				mixed = mixed || f.Kind == plan.Pause || f.Kind.HitsUpstreams() || f.Kind.HitsRecords() && !f.Kind.Grows()
+				Expect(time.Duration(f.At)).To(BeNumerically(">", 0))
+				Expect(time.Duration(f.At)).To(BeNumerically("<", length))
+			}
+			if !mixed {
+				alone++
+			}
+		}
+		Expect(alone).To(BeNumerically(">=", 25))
+		for k := plan.LateRecords; k <= plan.StoreMute; k++ {
+			Expect(k.Grows()).To(BeTrue())
+			Expect(drawn).To(HaveKey(k.String()))
+		}
+	})
+
+	// An entry with a limited link can have a change in force in time only if the link carries the whole configuration in less.
+	It("grows by what limited links carry within 3 s", func() {
+		for seed := range uint64(200) {
+			rate, bytes, starts := 0.0, 0.0, 0
+			for _, f := range plan.Draw(plan.FirstGrowing+seed, 3, length).Fault {
+				if f.Kind == plan.LimitStore || f.Kind == plan.LimitPeers {
+					rate = f.Share
+				}
+				bytes += grownBytes(f)
+				if f.Kind == plan.Kill || f.Kind == plan.Stop || f.Kind == plan.AddEntries || f.Kind == plan.RemoveEntry {
+					starts++
+				}
+			}
+			Expect(rate).To(BeNumerically(">", 0))
+			Expect(bytes).To(BeNumerically(">", 0))
+			Expect(bytes / rate).To(BeNumerically("<", 3))
+			Expect(starts).To(BeNumerically(">=", 2))
+		}
+	})
+})
+
 var _ = Describe("a loss of contact", func() {
 	It("is in every second seed, and removals follow that outlast their bound", func() {
 		for seed := range uint64(50) {
--- a/internal/soak/report.go
+++ b/internal/soak/report.go
@@ -36,7 +36,7 @@
 	}
 	for _, p := range slices.Sorted(maps.Keys(byPromise)) {
 		list := byPromise[p]
-		fmt.Fprintf(w, "\nbroken promise: %v, %d times%s\n", p, len(list), habits(list))
+		fmt.Fprintf(w, "\nbroken promise: %v, %d times%s%s\n", p, len(list), latest(list), habits(list))
 		for _, b := range list[:min(len(list), maxRecords)] {
 			r.writeBroken(w, b)
 		}
@@ -62,6 +62,18 @@
 	return s
 }
 
+// latest returns how late the last of the promises broke, if they are about that.
+func latest(list []check.Broken) string {
+	var late time.Duration
+	for _, b := range list {
+		late = max(late, b.Late)
+	}
+	if late == 0 {
+		return ""
+	}
+	return fmt.Sprintf(", up to %v late", late.Round(time.Millisecond))
+}
+
 // at returns a time relative to the begin of the soak.
 func (r *Report) at(t time.Time) string {
 	if t.IsZero() {
