--- a/internal/daemon/build_test.go
+++ b/internal/daemon/build_test.go
@@ -58,7 +58,7 @@
 			DeferCleanup(log.Close)
 			stop, cancel := context.WithCancel(context.Background())
 			DeferCleanup(cancel)
-			d := daemon.New(o, clock.Wall(), log, 1, store.New(&http.Client{}, o.Store).Seams())
+			d := daemon.New(o, clock.Wall(), log, 1, store.New(clock.Wall(), &http.Client{}, o.Store).Seams())
 			d.Build.ReadInfo = func() (*debug.BuildInfo, bool) { return tc.info, tc.info != nil }
 			d.Build.Processors = func() int { return 3 }
 			d.Build.GoMemory = func() int64 { return 200 << 20 }
