--- a/internal/store/client.go
+++ b/internal/store/client.go
@@ -29,6 +29,9 @@
 // ErrCallFailed is matched by errors about a store call whose outcome is unknown.
 var ErrCallFailed = eris.New("store call failed")
 
+// errTooLarge is matched by the errors about a message of more than tune.MaxMessageBytes, beside ErrCallFailed.
+var errTooLarge = eris.Wrap(ErrCallFailed, "message is too large")
+
 // Client calls the store; it is safe for concurrent use.
 //
 // After a failed call, further calls go to the next of its addresses.
@@ -76,6 +79,10 @@
 // It does not wrap err, so that the RPC library stays hidden from callers.
 func (c *Client) failover(err error) error {
 	c.current.Add(1)
+	// The store answers with the same code when its limit of calls is exceeded.
+	if connect.CodeOf(err) == connect.CodeResourceExhausted && !connect.IsWireError(err) {
+		return eris.Wrap(errTooLarge, err.Error())
+	}
 	return eris.Wrap(ErrCallFailed, err.Error())
 }
 
@@ -99,7 +106,8 @@
 	}
 	res, err := c.execute(ctx, req)
 	if err != nil {
-		return kvresp.Response{ID: req.ID, OutcomeUnknown: true}
+		tooLarge := req.Op == kvop.Watch && (eris.Is(err, errTooLarge) || eris.Is(context.Cause(ctx), stall.ErrSlow))
+		return kvresp.Response{ID: req.ID, OutcomeUnknown: true, TooLarge: tooLarge}
 	}
 	res.ID = req.ID
 	return res
--- a/internal/store/slow_test.go
+++ b/internal/store/slow_test.go
@@ -37,6 +37,34 @@
 	return connect.NewResponse(&pb.WatchResponse{Item: s.items, Revision: 300}), nil
 }
 
+// Guards against an entry that stays behind: a watch whose response is too large would fail again.
+var _ = Describe("A watch of a store with a long history", func() {
+	for _, tc := range []struct {
+		name     string
+		req      kvreq.Request
+		versions int
+		tooLarge bool
+	}{
+		{"succeeds when the response fits", kvreq.Request{Op: kvop.Watch}, 15, false},
+		{"reports that the response is too large", kvreq.Request{Op: kvop.Watch}, 17, true},
+		{"does not report it for a list", kvreq.Request{Op: kvop.List}, 17, false},
+	} {
+		It(tc.name, func() {
+			s := &largeStore{}
+			for range tc.versions {
+				s.items = append(s.items, &pb.Item{Key: "c/rec/set/", Value: make([]byte, 1<<20)})
+			}
+			_, h := rpc.NewStoreHandler(s)
+			srv := httptest.NewServer(h)
+			DeferCleanup(srv.Close)
+			c := store.New(clock.Wall(), &http.Client{Transport: &http.Transport{}}, []netip.AddrPort{netip.MustParseAddrPort(strings.TrimPrefix(srv.URL, "http://"))})
+			resp := c.Do(context.Background(), tc.req)
+			Expect(resp.OutcomeUnknown).To(Equal(tc.versions == 17))
+			Expect(resp.TooLarge).To(Equal(tc.tooLarge))
+		})
+	}
+})
+
 // slowWriter sends a response in pieces, with a pause after each.
 type slowWriter struct {
 	http.ResponseWriter
--- a/pkg/control/watch/watcher.go
+++ b/pkg/control/watch/watcher.go
@@ -93,6 +93,8 @@
 	req := w.pending
 	w.pending = kvreq.Request{}
 	if resp.OutcomeUnknown || resp.Revision < req.SinceRevision {
+		// The same watch would fail again.
+		w.relist = w.relist || resp.TooLarge
 		w.backoff.Fail(now, w.rand)
 		w.failures++
 		w.interrupted = true
--- a/pkg/control/watch/watcher_test.go
+++ b/pkg/control/watch/watcher_test.go
@@ -28,6 +28,8 @@
 		{"a watch without changes makes the replica fresh", kvresp.Response{Revision: 7, Applied: true}, tune.WatchTimeout, tune.WatchTimeout, kvop.Watch},
 		{"a response that is delayed makes it fresh up to the end of the wait", kvresp.Response{Revision: 7, Applied: true}, 1800 * time.Millisecond, tune.WatchTimeout, kvop.Watch},
 		{"a watch whose history is compacted does not, and a list follows at once", kvresp.Response{Revision: 7, Applied: true, Compacted: true}, tune.WatchTimeout, 0, kvop.List},
+		{"a watch whose response is too large does not, and a list follows", kvresp.Response{OutcomeUnknown: true, TooLarge: true}, 100 * time.Millisecond, 0, kvop.List},
+		{"a watch that fails does not, and a watch follows", kvresp.Response{OutcomeUnknown: true}, 100 * time.Millisecond, 0, kvop.Watch},
 	} {
 		It(tc.name, func() {
 			w := watch.New(rand.New(rand.NewPCG(1, 1)))
@@ -45,6 +47,9 @@
 			Expect(w.FreshAt().Sub(start)).To(Equal(tc.fresh))
 			Expect(w.NeedsList()).To(Equal(tc.next == kvop.List))
 			if tc.next == kvop.List {
+				if r.OutcomeUnknown {
+					now = now.Add(tune.MaxBackoff)
+				}
 				req, ok = w.Next(now, 3, 7)
 				Expect(ok).To(BeTrue())
 				Expect(req.Op).To(Equal(kvop.List))
--- a/pkg/stored/kvresp/response.go
+++ b/pkg/stored/kvresp/response.go
@@ -10,6 +10,9 @@
 	OutcomeUnknown bool
 	// Err is the reason why the outcome is unknown, for logging; it may be nil.
 	Err error
+	// TooLarge is set when a Watch failed since its response is too large, or takes too long to transfer. A List may succeed, since
+	// it holds each key once.
+	TooLarge bool
 	// Applied is set when a CompareAndSwap or Lease took effect, or when a Get, List or Watch succeeded.
 	Applied bool
 	Items   []item.Item
