--- a/internal/cmds/explain.go
+++ b/internal/cmds/explain.go
@@ -138,12 +138,14 @@
 				l.field("fate"), l.field("leaving"), l.field("cold"), l.field("open"), l.field("conns"), l.field("busy"), l.field("tried"),
 				l.field("waiting"), l.field("limit"))
 		}
-		return s
+		return s + l.ownAnswer()
 	case "end":
 		return fmt.Sprintf("attempt %s ended: %s, status %s, after %s; load %s, pace %s",
 			l.field("attempt"), l.field("cause"), l.field("status"), l.field("took"), l.field("busy"), l.field("pace"))
 	case "early":
-		return fmt.Sprintf("answered %s for %s%s: %s", l.field("status"), l.field("host"), l.field("path"), l.field("reason"))
+		return fmt.Sprintf("%s for %s%s: %s", l.field("reason"), l.field("host"), l.field("path"), l.field("text")) + l.ownAnswer()
+	case "abort":
+		return l.field("reason") + l.ownAnswer()
 	case "cut":
 		return fmt.Sprintf("cut by a planned stop; the call came %s and its connection %s after SIGTERM; sent to an upstream: %s",
 			l.field("arrived"), l.field("opened"), l.field("sent"))
@@ -152,3 +154,14 @@
 	}
 	return l.text
 }
+
+// ownAnswer returns the fields of an answer that the entry made itself as readable text, or "" if the line has none.
+func (l *logLine) ownAnswer() string {
+	switch l.field("status") {
+	case "":
+		return ""
+	case "0":
+		return fmt.Sprintf("; connection closed without a whole answer, by revision %s of age %s", l.field("revision"), l.field("lag"))
+	}
+	return fmt.Sprintf("; answered %s by revision %s of age %s", l.field("status"), l.field("revision"), l.field("lag"))
+}
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -35,6 +35,7 @@
 	"github.com/balsamvale/balsamvale/pkg/records/bounds"
 	"github.com/balsamvale/balsamvale/pkg/records/rulrec"
 	"github.com/balsamvale/balsamvale/pkg/records/svcrec"
+	"github.com/balsamvale/balsamvale/pkg/shared/basis"
 	"github.com/balsamvale/balsamvale/pkg/shared/clock"
 	"github.com/balsamvale/balsamvale/pkg/shared/snap"
 	"github.com/balsamvale/balsamvale/pkg/shared/tune"
@@ -180,6 +181,16 @@
 // Revision returns the revision of the configuration in force, or 0 while there is none.
 func (co *Core) Revision() int64 { return co.view.Load().snapshot.Revision }
 
+// Basis returns the revision of the configuration in force, and the time since it was last known to match the store. What is
+// looked up later is of that revision or a later one.
+func (co *Core) Basis() basis.Basis {
+	age, ok := co.ConfigAge()
+	if !ok {
+		age = -1
+	}
+	return basis.Basis{Revision: co.Revision(), Age: age}
+}
+
 // Bounds returns the limits that operators have set on what callers may send, or nil if only the settings apply.
 func (co *Core) Bounds() *bounds.Bounds { return co.view.Load().snapshot.Bounds }
 
@@ -317,6 +328,9 @@
 		}
 	}
 	co.ready.Store(co.control.Ready())
+	if old.snapshot.OperatorRevision != e.Snapshot.OperatorRevision || old.snapshot.Revision == 0 {
+		co.log.ConfigInForce(e.Snapshot, now.Sub(co.control.FreshAt()))
+	}
 }
 
 func (co *Core) newPool() *pool.Pool {
--- a/internal/core/panic_test.go
+++ b/internal/core/panic_test.go
@@ -25,6 +25,7 @@
 	"github.com/balsamvale/balsamvale/pkg/events/evkind"
 	"github.com/balsamvale/balsamvale/pkg/records/record"
 	"github.com/balsamvale/balsamvale/pkg/records/svcrec"
+	"github.com/balsamvale/balsamvale/pkg/records/upsrec"
 	"github.com/balsamvale/balsamvale/pkg/shared/clock"
 	"github.com/balsamvale/balsamvale/pkg/stored/delta"
 	"github.com/balsamvale/balsamvale/pkg/stored/item"
@@ -82,6 +83,9 @@
 			close(g.entered)
 			<-g.gate
 		}
+		if name, ok := strings.CutPrefix(it.Key, keys.Record("upstream", "")); ok {
+			return value.Value{Record: &record.Record{Upstream: &upsrec.Upstream{Name: name, Service: "s"}}}, nil
+		}
 		return value.Value{Record: &record.Record{Service: &svcrec.Service{Name: strings.TrimPrefix(it.Key, keys.Record("service", ""))}}}, nil
 	})
 	co.CallStore = func(_ context.Context, req kvreq.Request) kvresp.Response {
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -30,6 +30,7 @@
 	"github.com/balsamvale/balsamvale/internal/seams"
 	"github.com/balsamvale/balsamvale/internal/sender"
 	"github.com/balsamvale/balsamvale/pkg/calls/call"
+	"github.com/balsamvale/balsamvale/pkg/calls/reason"
 	"github.com/balsamvale/balsamvale/pkg/shared/clock"
 	"github.com/balsamvale/balsamvale/pkg/shared/tune"
 	"github.com/balsamvale/balsamvale/pkg/stored/member"
@@ -50,6 +51,8 @@
 	inFlight       *flight.Table
 	callerServer   *http.Server
 	callerListener *demux.Listener
+	// onServerAnswer records an answer of callerServer to a request that did not reach its handler.
+	onServerAnswer func(caller netip.AddrPort, status int, why reason.Reason)
 	peerServer     *http.Server
 	adminServer    *http.Server
 	// stopping is closed when calls that still wait are to be refused.
@@ -98,11 +101,12 @@
 	d.core.Probe = upstreams.Probe
 	d.memory = memory.New(int64(callMemoryShare * float64(o.MemoryLimitBytes)))
 	handler := &proxy.Handler{
-		Rule: d.core.Rule, Bounds: d.core.Bounds, Configured: d.core.Configured, Headers: d.seams.Headers,
+		Rule: d.core.Rule, Bounds: d.core.Bounds, Configured: d.core.Configured, Basis: d.core.Basis, Headers: d.seams.Headers,
 		Service: d.core.Service, Send: upstreams.Send, Probe: upstreams.Probe, Claim: claimClient.Claim, CompleteClaim: claimClient.Complete,
 		Clock: d.clock, Log: d.log, Poison: d.core.Poison(), InFlight: d.inFlight, Admits: d.admits, Name: o.Name, Incarnation: incarnation, MaxBodyBytes: o.MaxBodyBytes, Memory: d.memory, Stopping: d.stopping,
 	}
 	handler.SetMetrics(d.metrics)
+	d.onServerAnswer = handler.RecordServerAnswer
 	d.metrics.NewGauge("balsamvale_store_reads_total", func() float64 { return float64(d.seams.StoreReads()) })
 	d.metrics.NewGauge("balsamvale_store_writes_total", func() float64 { return float64(d.seams.StoreWrites()) })
 	d.metrics.NewGauge("balsamvale_configuration_age_seconds", func() float64 {
@@ -207,6 +211,7 @@
 	d.callerListener.MaxConns = d.maxConns
 	d.callerListener.Memory = d.memory
 	d.callerListener.OnPressure = d.logPressure
+	d.callerListener.OnServerAnswer = d.onServerAnswer
 	conns := d.callerListener.Conns
 	d.metrics.NewGauge("balsamvale_caller_connections", func() float64 { return float64(conns()) })
 	go (&serverRunner{func() error { return d.callerListener.Serve(d.callerServer) }, d.errs}).run()
--- a/internal/daemon/metrics_test.go
+++ b/internal/daemon/metrics_test.go
@@ -50,6 +50,7 @@
 			return string(data)
 		}
 		Eventually(func() string { return get(o.Front, "/s/a") }, "10s", "20ms").Should(Equal("x"))
+		Expect(get(o.Front, "/none")).To(ContainSubstring("not known"))
 		served := map[string]bool{}
 		for _, m := range regexp.MustCompile(`(?m)^(balsamvale_[a-z_]+?)(_bucket|_sum|_count)?[{ ]`).FindAllStringSubmatch(get(o.Admin, "/metrics"), -1) {
 			served[m[1]] = true
--- a/internal/demux/conn.go
+++ b/internal/demux/conn.go
@@ -5,6 +5,7 @@
 	"cmp"
 	"errors"
 	"net"
+	"net/netip"
 	"os"
 	"slices"
 	"sync"
@@ -12,6 +13,7 @@
 
 	"golang.org/x/sys/unix"
 
+	"github.com/balsamvale/balsamvale/pkg/calls/reason"
 	"github.com/balsamvale/balsamvale/pkg/shared/tune"
 )
 
@@ -159,11 +161,32 @@
 	}
 	if err != nil {
 		m.Close()
+		c.reportLostHead(err)
 		return nil, err
 	}
 	return h, nil
 }
 
+// reportLostHead reports that the connection closes because the head of a request is late or does not fit the memory. A caller that
+// closes the connection itself is not reported.
+func (c *conn) reportLostHead(err error) {
+	switch {
+	case errors.Is(err, errNoMemory):
+		c.reportOwn(0, reason.NoMemory)
+	case errors.Is(err, os.ErrDeadlineExceeded) && !c.isClosed():
+		c.reportOwn(0, reason.HeaderLate)
+	}
+}
+
+// reportOwn calls OnServerAnswer with the address of the caller.
+func (c *conn) reportOwn(status int, why reason.Reason) {
+	caller := netip.AddrPort{}
+	if a, ok := c.raw.RemoteAddr().(*net.TCPAddr); ok {
+		caller = a.AddrPort()
+	}
+	c.listener.OnServerAnswer(caller, status, why)
+}
+
 // setReadDeadline sets the deadline for reads, unless that of a close is set already. The caller of the method must hold mu.
 func (c *conn) setReadDeadline(t time.Time) error {
 	if c.closed {
--- a/internal/demux/listener.go
+++ b/internal/demux/listener.go
@@ -16,6 +16,7 @@
 	"maps"
 	"net"
 	"net/http"
+	"net/netip"
 	"os"
 	"slices"
 	"sync"
@@ -23,6 +24,7 @@
 	"time"
 
 	"github.com/balsamvale/balsamvale/internal/memory"
+	"github.com/balsamvale/balsamvale/pkg/calls/reason"
 	"github.com/balsamvale/balsamvale/pkg/records/bounds"
 	"github.com/balsamvale/balsamvale/pkg/shared/clock"
 	"github.com/balsamvale/balsamvale/pkg/shared/tune"
@@ -40,6 +42,9 @@
 	Memory *memory.Budget
 	// OnPressure is called before room is made, with the number of open connections and the error of Accept, if it was one.
 	OnPressure func(conns int, err error)
+	// OnServerAnswer is called for each response that the server writes to a request before a handler has seen it, and with
+	// status 0 for a connection that closes because the head of a request is late or does not fit the memory. It must not block.
+	OnServerAnswer func(caller netip.AddrPort, status int, why reason.Reason)
 
 	inner net.Listener
 	clock clock.Clock
@@ -73,8 +78,8 @@
 func New(inner net.Listener, c clock.Clock) *Listener {
 	return &Listener{
 		Bounds:     func() *bounds.Bounds { return nil },
-		OnPressure: func(int, error) {},
-		inner:      inner, clock: c, accepted: make(chan *virtualConn), done: make(chan struct{}),
+		OnPressure: func(int, error) {}, OnServerAnswer: func(netip.AddrPort, int, reason.Reason) {},
+		inner: inner, clock: c, accepted: make(chan *virtualConn), done: make(chan struct{}),
 		started: make(chan struct{}), conns: map[*conn]struct{}{},
 	}
 }
@@ -91,6 +96,7 @@
 		case ok && st == http.StateActive:
 			vc.conn.markActive()
 		case ok && st == http.StateIdle:
+			vc.answered.Store(false)
 			vc.release()
 		}
 	}
@@ -98,6 +104,9 @@
 	l.pipelined = l.Memory.Part(l.Memory.Limit() / pipelinedFraction)
 	next := s.Handler
 	s.Handler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if vc, ok := r.Context().Value(virtualConnKey{}).(*virtualConn); ok {
+			vc.answered.Store(true)
+		}
 		next.ServeHTTP(&writer{ResponseWriter: w, ctx: r.Context()}, r)
 	})
 	l.accepting.Store(true)
--- a/internal/demux/virtual.go
+++ b/internal/demux/virtual.go
@@ -1,11 +1,16 @@
 package demux
 
 import (
+	"bytes"
 	"errors"
 	"net"
+	"net/http"
 	"os"
+	"strconv"
 	"sync/atomic"
 	"time"
+
+	"github.com/balsamvale/balsamvale/pkg/calls/reason"
 )
 
 // virtualConn is a connection to the server that holds one request of a caller's connection at a time.
@@ -28,6 +33,8 @@
 	consumed atomic.Int64
 	// busy is set while a request is assigned and not fully answered; guarded by conn.mu.
 	busy bool
+	// answered is set once a handler has the current request, or the server has begun to answer it by itself.
+	answered atomic.Bool
 }
 
 // Write writes a part of the response to the caller once all earlier requests are answered. The error is net.ErrClosed if
@@ -36,6 +43,7 @@
 	if !vc.conn.awaitTurn(vc.seq) {
 		return 0, net.ErrClosed
 	}
+	vc.noteServerAnswer(p)
 	_, idle := vc.conn.timeouts()
 	for n := 0; ; {
 		if err := vc.conn.raw.SetWriteDeadline(vc.conn.deadlineAfter(idle)); err != nil {
@@ -49,6 +57,43 @@
 	}
 }
 
+// noteServerAnswer reports the start of an HTTP/1 response to a request that no handler has seen.
+func (vc *virtualConn) noteServerAnswer(p []byte) {
+	if vc.answered.Load() {
+		return
+	}
+	status, ok := parseStatus(p)
+	if !ok {
+		return
+	}
+	vc.answered.Store(true)
+	vc.conn.reportOwn(status, serverReason(status))
+}
+
+// parseStatus returns the status of an HTTP/1 response that begins with p, and whether it is one.
+func parseStatus(p []byte) (status int, ok bool) {
+	version, rest, _ := bytes.Cut(p[:min(len(p), maxStatusLine)], []byte(" "))
+	code, _, ok := bytes.Cut(rest, []byte(" "))
+	status, err := strconv.Atoi(string(code))
+	return status, ok && err == nil && bytes.HasPrefix(version, []byte("HTTP/1."))
+}
+
+// maxStatusLine is more than the length of a status line up to the space behind the status, in bytes.
+const maxStatusLine = 16
+
+// serverReason returns why net/http answers a request by itself.
+func serverReason(status int) reason.Reason {
+	switch status {
+	case http.StatusOK:
+		return reason.ServerOptions
+	case http.StatusRequestHeaderFieldsTooLarge:
+		return reason.HeaderTooLarge
+	case http.StatusNotImplemented, http.StatusHTTPVersionNotSupported, http.StatusExpectationFailed:
+		return reason.Unsupported
+	}
+	return reason.Malformed
+}
+
 // Read reads a part of the request.
 func (vc *virtualConn) Read(p []byte) (int, error) {
 	n, err := vc.Conn.Read(p)
--- a/internal/logs/log.go
+++ b/internal/logs/log.go
@@ -2,6 +2,7 @@
 
 import (
 	"io"
+	"net/netip"
 	"time"
 
 	"go.uber.org/zap"
@@ -11,11 +12,14 @@
 
 	"github.com/balsamvale/balsamvale/pkg/calls/call"
 	"github.com/balsamvale/balsamvale/pkg/calls/cause"
+	"github.com/balsamvale/balsamvale/pkg/calls/reason"
 	"github.com/balsamvale/balsamvale/pkg/calls/result"
 	"github.com/balsamvale/balsamvale/pkg/calls/stage"
 	"github.com/balsamvale/balsamvale/pkg/calls/step"
 	"github.com/balsamvale/balsamvale/pkg/events/logmsg"
+	"github.com/balsamvale/balsamvale/pkg/shared/basis"
 	"github.com/balsamvale/balsamvale/pkg/shared/clock"
+	"github.com/balsamvale/balsamvale/pkg/shared/snap"
 )
 
 // Log writes lines for routing decisions, the results of attempts, early refusals and placement decisions; it is safe for
@@ -83,16 +87,30 @@
 	if routine && l.sampleEvery > 1 && l.routeCount.Add(1)%l.sampleEvery != 0 {
 		return
 	}
-	ce := l.check("route", routine)
-	if ce == nil {
-		return
+	if ce := l.check("route", routine); ce != nil {
+		ce.Write(routeFields(c, s)...)
+	}
+}
+
+// Refusal logs the refusal of a call after a routing decision, with the status that the caller gets.
+func (l *Log) Refusal(c *call.Call, s *step.Step, status int, b basis.Basis) {
+	if ce := l.check("route", false); ce != nil {
+		ce.Write(append(routeFields(c, s), ownFields(status, b)...)...)
 	}
+}
+
+// ownFields returns the fields of an answer that the entry makes itself.
+func ownFields(status int, b basis.Basis) []zap.Field {
+	return []zap.Field{zap.Int("status", status), zap.Int64("revision", b.Revision), zap.Duration("lag", b.Age)}
+}
+
+func routeFields(c *call.Call, s *step.Step) []zap.Field {
 	choice := &s.Choice
 	upstream, domain, version := "", "", ""
 	if choice.Target != nil {
 		upstream, domain, version = choice.Target.Name, choice.Target.Domain, choice.Target.Version
 	}
-	ce.Write(
+	return []zap.Field{
 		zap.Uint64("call", c.ID), zap.String("mark", cut(c.RequestID)), zap.String("service", c.Service), zap.String("route", c.Route),
 		zap.Stringer("step", s.Stage), zap.Stringer("reason", s.Reason), zap.Int("attempt", s.Attempt),
 		zap.String("upstream", upstream), zap.String("domain", domain), zap.String("version", version),
@@ -100,7 +118,7 @@
 		zap.Int("limit", choice.AdmitLimit), zap.Int("waiting", choice.AdmitWaiting), zap.Stringer("fate", s.Outcome),
 		zap.Int("out", choice.SkippedUnavailable), zap.Int("leaving", choice.SkippedDraining), zap.Int("cold", choice.SkippedCold), zap.Int("open", choice.SkippedCircuitOpen),
 		zap.Int("conns", choice.SkippedConnLimit), zap.Int("busy", choice.SkippedBusy), zap.Int("limited", choice.SkippedLimited), zap.Int("paused", choice.SkippedPaused), zap.Int("tried", choice.SkippedTried),
-	)
+	}
 }
 
 // AttemptEnd logs the result of an attempt with the load that the upstream reported in its response.
@@ -129,12 +147,45 @@
 	}
 }
 
-// EarlyRefusal logs a call that is refused before any routing decision; status is the HTTP status of the answer.
-func (l *Log) EarlyRefusal(requestID, host, path string, status int, reason string) {
+// EarlyRefusal logs a call that is refused before any routing decision; status is the HTTP status of the answer, and text its
+// body.
+func (l *Log) EarlyRefusal(requestID, host, path string, status int, why reason.Reason, b basis.Basis, text string) {
 	if ce := l.check("early", false); ce != nil {
-		ce.Write(zap.String("mark", cut(requestID)), zap.String("host", cut(host)), zap.String("path", cut(path)),
-			zap.Int("status", status), zap.String("reason", reason))
+		ce.Write(append(ownFields(status, b), zap.String("mark", cut(requestID)), zap.String("host", cut(host)), zap.String("path", cut(path)),
+			zap.Stringer("reason", why), zap.String("text", cut(text)))...)
+	}
+}
+
+// ServerAnswer logs an answer of the HTTP server to a request that no handler has seen, or the end of a connection in the middle
+// of one, with status 0.
+func (l *Log) ServerAnswer(caller netip.AddrPort, status int, why reason.Reason, b basis.Basis) {
+	if ce := l.check("server", false); ce != nil {
+		ce.Write(append(ownFields(status, b), zap.Stringer("caller", caller), zap.Stringer("reason", why))...)
+	}
+}
+
+// Abort logs a call whose connection the entry closes without a whole answer.
+func (l *Log) Abort(requestID string, why reason.Reason, b basis.Basis) {
+	if ce := l.check("abort", false); ce != nil {
+		ce.Write(append(ownFields(0, b), zap.String("mark", cut(requestID)), zap.Stringer("reason", why))...)
+	}
+}
+
+// ConfigInForce logs that a configuration of the operators has come into force.
+func (l *Log) ConfigInForce(s *snap.Snapshot, age time.Duration) {
+	ce := l.check("config", false)
+	if ce == nil {
+		return
+	}
+	rules, upstreams := 0, 0
+	if s.Rules != nil {
+		rules = s.Rules.Len()
+	}
+	for _, cfg := range s.Services {
+		upstreams += len(cfg.Targets)
 	}
+	ce.Write(zap.Int64("revision", s.Revision), zap.Int64("version", s.Version), zap.Int("rules", rules),
+		zap.Int("services", len(s.Services)), zap.Int("upstreams", upstreams), zap.Duration("lag", age), zap.String("from", s.Source))
 }
 
 // Panic logs a recovered panic with its value and the stack of the goroutine; requestID is that of the call it ended, if any.
--- a/internal/logs/log_test.go
+++ b/internal/logs/log_test.go
@@ -12,9 +12,11 @@
 
 	"github.com/balsamvale/balsamvale/pkg/calls/call"
 	"github.com/balsamvale/balsamvale/pkg/calls/cause"
+	"github.com/balsamvale/balsamvale/pkg/calls/reason"
 	"github.com/balsamvale/balsamvale/pkg/calls/result"
 	"github.com/balsamvale/balsamvale/pkg/calls/stage"
 	"github.com/balsamvale/balsamvale/pkg/calls/step"
+	"github.com/balsamvale/balsamvale/pkg/shared/basis"
 	"github.com/balsamvale/balsamvale/pkg/shared/clock"
 )
 
@@ -116,7 +118,11 @@
 		name  string
 		write func(l *Log, long string)
 	}{
-		{"of an early refusal", func(l *Log, long string) { l.EarlyRefusal(long, long, long, 404, "none") }},
+		{"of an early refusal", func(l *Log, long string) { l.EarlyRefusal(long, long, long, 404, reason.NoRule, basis.Basis{}, long) }},
+		{"of a refusal", func(l *Log, long string) {
+			l.Refusal(&call.Call{ID: 1, RequestID: long}, &step.Step{Stage: stage.Refuse}, 503, basis.Basis{})
+		}},
+		{"of an aborted call", func(l *Log, long string) { l.Abort(long, reason.ResponseCut, basis.Basis{}) }},
 		{"of a routing decision", func(l *Log, long string) {
 			l.RouteDecision(&call.Call{ID: 1, RequestID: long}, &step.Step{Stage: stage.Refuse})
 		}},
--- a/internal/proxy/body.go
+++ b/internal/proxy/body.go
@@ -172,17 +172,30 @@
 	_ = http.NewResponseController(d.w).EnableFullDuplex()
 }
 
-// refuseBadBody answers a request whose body could not be read: with status 413 if it exceeds the limit, 408 if it did not
-// arrive in time, otherwise 400.
+// refuseBadBody logs, counts and answers a request whose body could not be read before a flow was started for it.
 func (d *callDriver) refuseBadBody(err error) {
-	status := http.StatusBadRequest
+	h, r := d.handler, d.r
+	status, why := d.badBodyStatus(err)
+	h.countOwn(status, why)
+	h.Log.EarlyRefusal(h.Headers.RequestID(r.Header), r.Host, r.URL.Path, status, why, d.basis, err.Error())
+	d.answerBadBody(status)
+}
+
+// badBodyStatus returns the status for a request whose body could not be read, and the reason: 413 if the body exceeds the limit,
+// 408 if it did not arrive in time, otherwise 400.
+func (d *callDriver) badBodyStatus(err error) (int, reason.Reason) {
 	var tooLarge *http.MaxBytesError
-	if errors.As(err, &tooLarge) {
-		status = http.StatusRequestEntityTooLarge
-	}
-	if errors.Is(err, os.ErrDeadlineExceeded) && len(d.attempts) == 0 {
-		status = http.StatusRequestTimeout
+	switch {
+	case errors.As(err, &tooLarge):
+		return http.StatusRequestEntityTooLarge, reason.BodyTooLarge
+	case errors.Is(err, os.ErrDeadlineExceeded) && len(d.attempts) == 0:
+		return http.StatusRequestTimeout, reason.BodyLate
 	}
+	return http.StatusBadRequest, reason.BodyUnreadable
+}
+
+// answerBadBody answers a request whose body could not be read, and closes the connection.
+func (d *callDriver) answerBadBody(status int) {
 	outcome := flow.OutcomeBeforeClaim(d.handler.Headers.IdempotencyKey(d.r.Header) != "")
 	if len(d.attempts) > 0 {
 		outcome = outcom.Unknown
--- a/internal/proxy/driver.go
+++ b/internal/proxy/driver.go
@@ -22,6 +22,7 @@
 	"github.com/balsamvale/balsamvale/pkg/calls/stage"
 	"github.com/balsamvale/balsamvale/pkg/calls/state"
 	"github.com/balsamvale/balsamvale/pkg/calls/step"
+	"github.com/balsamvale/balsamvale/pkg/shared/basis"
 	"github.com/balsamvale/balsamvale/pkg/shared/tune"
 	"github.com/balsamvale/balsamvale/pkg/traffic/flow"
 )
@@ -32,8 +33,10 @@
 	w       http.ResponseWriter
 	r       *http.Request
 	match   routeMatch
-	call    *call.Call
-	flow    *flow.Flow
+	// basis is the configuration that the call was matched with.
+	basis basis.Basis
+	call  *call.Call
+	flow  *flow.Flow
 
 	body []byte
 	// buffered is set if body holds the whole request body.
@@ -59,6 +62,8 @@
 	claim   claim.Claim
 	// held is the claim of an earlier call with the same idempotency key.
 	held claim.Claim
+	// writeFailed is set once the caller can no longer be written to.
+	writeFailed bool
 }
 
 // informational is a 1xx response to an attempt.
@@ -131,7 +136,6 @@
 			d.replay(s)
 			return
 		case stage.Refuse:
-			d.handler.Log.RouteDecision(d.call, &s)
 			d.refuse(s)
 			return
 		}
@@ -312,6 +316,12 @@
 		d.completeClaim(ans, err == nil && headErr == nil && saved != nil)
 	}
 	if err != nil {
+		why := reason.ResponseCut
+		if d.writeFailed {
+			why = reason.CallerGone
+		}
+		d.handler.countOwn(0, why)
+		d.handler.Log.Abort(d.call.RequestID, why, d.basis)
 		// Aborting the connection keeps the caller from taking a partial response for a complete one.
 		panic(http.ErrAbortHandler)
 	}
@@ -344,6 +354,7 @@
 			saved = append(saved, p...)
 		}
 		if _, err := d.w.Write(p); err != nil {
+			d.writeFailed = true
 			return err
 		}
 		if a.res.ContentLength < 0 {
@@ -397,9 +408,16 @@
 		}
 		d.endClaim(st, answer.Answer{})
 	}
+	status := refusalStatus(s)
+	badBody := d.stream != nil && d.stream.readErr() != nil
+	if badBody {
+		status, s.Reason = d.badBodyStatus(d.stream.readErr())
+	}
 	d.handler.countCall(d.call, s.Outcome, s.Reason)
-	if d.stream != nil && d.stream.readErr() != nil {
-		d.refuseBadBody(d.stream.readErr())
+	d.handler.countOwn(status, s.Reason)
+	d.handler.Log.Refusal(d.call, &s, status, d.basis)
+	if badBody {
+		d.answerBadBody(status)
 		return
 	}
 	h := d.w.Header()
@@ -413,7 +431,7 @@
 	}
 	d.handler.Headers.PrepareRefusal(h, &s, retryAfter)
 	d.closeUnlessBodyRead()
-	http.Error(d.w, text, refusalStatus(s))
+	http.Error(d.w, text, status)
 }
 
 // retryAfter returns the time after which a refused caller may find capacity: the predicted wait, but at least
--- a/internal/proxy/handler.go
+++ b/internal/proxy/handler.go
@@ -32,6 +32,7 @@
 	"github.com/balsamvale/balsamvale/pkg/records/retry"
 	"github.com/balsamvale/balsamvale/pkg/records/rulrec"
 	"github.com/balsamvale/balsamvale/pkg/records/svcrec"
+	"github.com/balsamvale/balsamvale/pkg/shared/basis"
 	"github.com/balsamvale/balsamvale/pkg/shared/clock"
 	"github.com/balsamvale/balsamvale/pkg/shared/tune"
 	"github.com/balsamvale/balsamvale/pkg/traffic/flow"
@@ -50,6 +51,8 @@
 	Headers *header.Codec
 	// Configured reports whether a configuration is in force.
 	Configured func() bool
+	// Basis returns the revision and the age of the configuration in force.
+	Basis func() basis.Basis
 	// Service returns the record and the pool of a service; both are nil if the service is not known.
 	Service func(name string) (*svcrec.Service, *pool.Pool)
 	// Send sends an attempt to an upstream.
@@ -101,6 +104,18 @@
 		Update(h.Clock.Now().Sub(c.Arrived).Seconds())
 }
 
+// countOwn counts an answer that the entry made itself, or with status 0 a connection that it closed without a whole answer.
+func (h *Handler) countOwn(status int, why reason.Reason) {
+	h.metrics.GetOrCreateCounter(fmt.Sprintf(`balsamvale_own_answers_total{status="%d",reason=%q}`, status, why)).Inc()
+}
+
+// RecordServerAnswer logs and counts an answer of the HTTP server to a request that did not reach the handler, or with status 0
+// the end of a connection in the middle of a request.
+func (h *Handler) RecordServerAnswer(caller netip.AddrPort, status int, why reason.Reason) {
+	h.countOwn(status, why)
+	h.Log.ServerAnswer(caller, status, why, h.Basis())
+}
+
 // ServeHTTP serves one call. A panic is logged with the ID of the request and aborts the connection.
 func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	defer func() {
@@ -110,6 +125,7 @@
 		}
 		if v != http.ErrAbortHandler {
 			h.Log.Panic("call", h.Headers.RequestID(r.Header), v)
+			h.countOwn(0, reason.Panicked)
 		}
 		panic(http.ErrAbortHandler)
 	}()
@@ -118,48 +134,28 @@
 
 // serve refuses a request that cannot be served, or drives its call.
 func (h *Handler) serve(w http.ResponseWriter, r *http.Request) {
-	if r.Method == http.MethodConnect || strings.Contains(strings.ToLower(r.Header.Get("Connection")), "upgrade") && r.Header.Get("Upgrade") != "h2c" {
-		h.refuseEarly(w, r, http.StatusNotImplemented, "upgrades and tunnels are not served")
-		return
-	}
-	if !h.Configured() {
-		h.refuseUnconfigured(w, r)
-		return
-	}
-	m, why := h.matchRoute(r)
-	if why != "" {
-		h.refuseEarly(w, r, http.StatusNotFound, why)
-		return
-	}
-	if m.pool == nil {
-		h.refuseUnconfigured(w, r)
-		return
-	}
-	if b := h.Bounds(); b != nil && b.MaxHeaderBytes > 0 && headerSize(r) > b.MaxHeaderBytes {
-		h.refuseEarly(w, r, http.StatusRequestHeaderFieldsTooLarge, "the header is too large")
-		return
-	}
-	if r.ContentLength > h.bodyLimit() {
-		h.refuseEarly(w, r, http.StatusRequestEntityTooLarge, "the body is too large")
+	b := h.Basis()
+	m, ok := h.matchOrRefuse(w, r, b)
+	if !ok {
 		return
 	}
-	d := &callDriver{handler: h, w: w, r: r, match: m, memory: h.memoryOf(m.service.Name).Part(0)}
+	d := &callDriver{handler: h, w: w, r: r, match: m, basis: b, memory: h.memoryOf(m.service.Name).Part(0)}
 	defer d.memory.Close()
 	// A connection of HTTP/2 has hundreds of requests at once, of which the listener counts none.
 	if r.ProtoMajor > 1 && !d.memory.Reserve(tune.PipelinedMemory) {
-		h.refuseUnserved(w, r, reason.NoMemory, "no memory for the call")
+		h.refuseUnserved(w, r, b, reason.NoMemory, "no memory for the call")
 		return
 	}
 	arrived := h.Clock.Now()
 	limit := deadline(arrived, h.Headers.RemainingTime(r.Header), m.timeout, m.route.Class)
 	if !h.Admits(limit) {
-		h.refuseUnserved(w, r, reason.Stopping, "the entry stops")
+		h.refuseUnserved(w, r, b, reason.Stopping, "the entry stops")
 		return
 	}
 	switch err := d.readBodyUntil(limit); {
 	case errors.Is(err, errNoMemory):
 		w.Header().Set("Connection", "close")
-		h.refuseUnserved(w, r, reason.NoMemory, err.Error())
+		h.refuseUnserved(w, r, b, reason.NoMemory, err.Error())
 		return
 	case err != nil:
 		d.refuseBadBody(err)
@@ -167,7 +163,7 @@
 	}
 	if h.isStopping() {
 		d.closeUnlessBodyRead()
-		h.refuseUnserved(w, r, reason.Stopping, "the entry stops")
+		h.refuseUnserved(w, r, b, reason.Stopping, "the entry stops")
 		return
 	}
 	d.call = h.newCall(r, m, d.body, d.buffered, arrived)
@@ -178,6 +174,36 @@
 	d.serve()
 }
 
+// matchOrRefuse returns the match of a request that the configuration b allows, or refuses the request.
+func (h *Handler) matchOrRefuse(w http.ResponseWriter, r *http.Request, b basis.Basis) (routeMatch, bool) {
+	if r.Method == http.MethodConnect || strings.Contains(strings.ToLower(r.Header.Get("Connection")), "upgrade") && r.Header.Get("Upgrade") != "h2c" {
+		h.refuseEarly(w, r, b, http.StatusNotImplemented, reason.Unsupported, "upgrades and tunnels are not served")
+		return routeMatch{}, false
+	}
+	if !h.Configured() {
+		h.refuseUnserved(w, r, b, reason.Unconfigured, "no configuration is in force yet")
+		return routeMatch{}, false
+	}
+	m, why, text := h.matchRoute(r)
+	if why != reason.None {
+		h.refuseEarly(w, r, b, http.StatusNotFound, why, text)
+		return routeMatch{}, false
+	}
+	if m.pool == nil {
+		h.refuseUnserved(w, r, b, reason.Unconfigured, "no configuration is in force yet")
+		return routeMatch{}, false
+	}
+	if limits := h.Bounds(); limits != nil && limits.MaxHeaderBytes > 0 && headerSize(r) > limits.MaxHeaderBytes {
+		h.refuseEarly(w, r, b, http.StatusRequestHeaderFieldsTooLarge, reason.HeaderTooLarge, "the header is too large")
+		return routeMatch{}, false
+	}
+	if r.ContentLength > h.bodyLimit() {
+		h.refuseEarly(w, r, b, http.StatusRequestEntityTooLarge, reason.BodyTooLarge, "the body is too large")
+		return routeMatch{}, false
+	}
+	return m, true
+}
+
 // memoryOf returns the share of Memory for the calls of a service. The names come from operators' records, which limits their number.
 func (h *Handler) memoryOf(service string) *memory.Budget {
 	if m, ok := h.shares.Load(service); ok {
@@ -225,20 +251,16 @@
 	return h.MaxBodyBytes
 }
 
-// refuseUnconfigured refuses a call with status 503 because no configuration is in force for it yet.
-func (h *Handler) refuseUnconfigured(w http.ResponseWriter, r *http.Request) {
-	h.refuseUnserved(w, r, reason.UnknownService, "no configuration is in force yet")
-}
-
 // refuseUnserved refuses a call with status 503 before it is looked at; another entry may serve it at once.
-func (h *Handler) refuseUnserved(w http.ResponseWriter, r *http.Request, why reason.Reason, text string) {
+func (h *Handler) refuseUnserved(w http.ResponseWriter, r *http.Request, b basis.Basis, why reason.Reason, text string) {
 	h.Headers.PrepareRefusal(w.Header(), &step.Step{Outcome: outcom.NotRun, Reason: why}, tune.MinRetryAfter)
-	h.refuseEarly(w, r, http.StatusServiceUnavailable, text)
+	h.refuseEarly(w, r, b, http.StatusServiceUnavailable, why, text)
 }
 
-// refuseEarly logs and refuses a request before a flow is started for it; text is the body of the response.
-func (h *Handler) refuseEarly(w http.ResponseWriter, r *http.Request, status int, text string) {
-	h.Log.EarlyRefusal(h.Headers.RequestID(r.Header), r.Host, r.URL.Path, status, text)
+// refuseEarly logs, counts and refuses a request before a flow is started for it; text is the body of the response.
+func (h *Handler) refuseEarly(w http.ResponseWriter, r *http.Request, b basis.Basis, status int, why reason.Reason, text string) {
+	h.countOwn(status, why)
+	h.Log.EarlyRefusal(h.Headers.RequestID(r.Header), r.Host, r.URL.Path, status, why, b, text)
 	h.Headers.SetOutcome(w.Header(), flow.OutcomeBeforeClaim(h.Headers.IdempotencyKey(r.Header) != ""), reason.None)
 	http.Error(w, text, status)
 }
--- a/internal/proxy/handler_test.go
+++ b/internal/proxy/handler_test.go
@@ -37,6 +37,7 @@
 	"github.com/balsamvale/balsamvale/pkg/records/rulrec"
 	"github.com/balsamvale/balsamvale/pkg/records/svcrec"
 	"github.com/balsamvale/balsamvale/pkg/records/upsrec"
+	"github.com/balsamvale/balsamvale/pkg/shared/basis"
 	"github.com/balsamvale/balsamvale/pkg/shared/clock"
 	"github.com/balsamvale/balsamvale/pkg/shared/svcfg"
 	"github.com/balsamvale/balsamvale/pkg/shared/target"
@@ -70,7 +71,7 @@
 		InFlight: flight.New(), Admits: func(time.Time) bool { return true },
 		Rule:    func(string, string) (*rulrec.Rule, bool) { return nil, false },
 		Bounds:  func() *bounds.Bounds { return &bounds.Bounds{MaxHeaderBytes: headerLimit} },
-		Headers: header.Default(), Configured: func() bool { return true },
+		Headers: header.Default(), Configured: func() bool { return true }, Basis: func() basis.Basis { return basis.Basis{Revision: 1} },
 		Service: func(name string) (*svcrec.Service, *pool.Pool) {
 			if name != "s" {
 				return nil, nil
--- a/internal/proxy/match.go
+++ b/internal/proxy/match.go
@@ -10,6 +10,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/balsamvale/balsamvale/pkg/calls/class"
+	"github.com/balsamvale/balsamvale/pkg/calls/reason"
 	"github.com/balsamvale/balsamvale/pkg/records/route"
 	"github.com/balsamvale/balsamvale/pkg/records/rulrec"
 	"github.com/balsamvale/balsamvale/pkg/records/svcrec"
@@ -30,17 +31,17 @@
 	timeout time.Duration
 }
 
-// matchRoute returns the match of a request. If there is none, the string is the reason, which is sent to the
-// caller and logged. If the service of the matching rule is not known, the string is empty and the match has no pool.
-func (h *Handler) matchRoute(r *http.Request) (routeMatch, string) {
+// matchRoute returns the match of a request. If there is none, why is the reason and text says so to the caller. If the service
+// of the matching rule is not known, why is reason.None and the match has no pool.
+func (h *Handler) matchRoute(r *http.Request) (m routeMatch, why reason.Reason, text string) {
 	rule, known := h.Rule(r.Host, r.URL.EscapedPath())
 	if !known {
 		return h.matchPath(r)
 	}
 	if rule == nil {
-		return routeMatch{}, "no rule matches the host and path"
+		return routeMatch{}, reason.NoRule, "no rule matches the host and path"
 	}
-	m := routeMatch{rule: rule, requestURI: r.URL.RequestURI(), timeout: rule.Timeout}
+	m = routeMatch{rule: rule, requestURI: r.URL.RequestURI(), timeout: rule.Timeout}
 	random := rand.IntN
 	if key := h.Headers.IdempotencyKey(r.Header); key != "" {
 		// A repeat must get to the service of the first request, as claims are kept for each service.
@@ -48,28 +49,28 @@
 	}
 	m.service, m.pool = h.Service(pickWeighted(rule, random))
 	if m.pool == nil {
-		return routeMatch{}, ""
+		return routeMatch{}, reason.None, ""
 	}
 	if m.timeout == 0 {
 		m.timeout = m.service.Timeout
 	}
 	m.route = route.Route{Path: rule.Name, Class: class.Interactive, Retry: rule.Retry}
-	return m, ""
+	return m, reason.None, ""
 }
 
 // matchPath returns the match of a request whose first path segment names the service, with the same results as
 // matchRoute.
-func (h *Handler) matchPath(r *http.Request) (routeMatch, string) {
+func (h *Handler) matchPath(r *http.Request) (m routeMatch, why reason.Reason, text string) {
 	name, path, _ := strings.Cut(strings.TrimPrefix(r.URL.EscapedPath(), "/"), "/")
 	svc, p := h.Service(name)
 	if svc == nil || p == nil {
-		return routeMatch{}, "service " + strconv.Quote(name) + " is not known"
+		return routeMatch{}, reason.UnknownService, "service " + strconv.Quote(name) + " is not known"
 	}
-	m := routeMatch{service: svc, pool: p, route: svc.Route("/" + path), requestURI: "/" + path, timeout: svc.Timeout}
+	m = routeMatch{service: svc, pool: p, route: svc.Route("/" + path), requestURI: "/" + path, timeout: svc.Timeout}
 	if r.URL.RawQuery != "" {
 		m.requestURI += "?" + r.URL.RawQuery
 	}
-	return m, ""
+	return m, reason.None, ""
 }
 
 // pickWeighted picks a service of a rule by weight with the number from 0 to n-1 that random returns; a single one is picked whatever its weight. It returns "" if
--- a/pkg/calls/reason/reason.go
+++ b/pkg/calls/reason/reason.go
@@ -47,4 +47,29 @@
 	KeyReused // reused
 	// NoMemory means that there is no memory for the body of the request.
 	NoMemory // memory
+	// Unsupported means that the entry does not serve what the request asks for: an upgrade, a tunnel, a protocol version, a
+	// transfer coding or an expectation.
+	Unsupported // unsupported
+	// Malformed means that the request is not valid HTTP.
+	Malformed // malformed
+	// HeaderTooLarge means that the head of the request exceeds the limit.
+	HeaderTooLarge // header
+	// HeaderLate means that the head of the request did not arrive in time.
+	HeaderLate // headlate
+	// BodyTooLarge means that the body of the request exceeds the limit.
+	BodyTooLarge // body
+	// BodyLate means that the body of the request did not arrive in time.
+	BodyLate // bodylate
+	// BodyUnreadable means that the body of the request broke off or is not valid.
+	BodyUnreadable // bodycut
+	// Unconfigured means that no configuration is in force yet.
+	Unconfigured // unconfigured
+	// NoRule means that no routing rule matches the host and path.
+	NoRule // norule
+	// ResponseCut means that the response of the upstream broke off after its head had been passed on.
+	ResponseCut // cut
+	// Panicked means that an unexpected error ended the call.
+	Panicked // panic
+	// ServerOptions means that the request was an OPTIONS request for the server itself.
+	ServerOptions // options
 )
--- a/pkg/calls/reason/reason_string.go
+++ b/pkg/calls/reason/reason_string.go
@@ -28,11 +28,23 @@
 	_ = x[Stopping-17]
 	_ = x[KeyReused-18]
 	_ = x[NoMemory-19]
+	_ = x[Unsupported-20]
+	_ = x[Malformed-21]
+	_ = x[HeaderTooLarge-22]
+	_ = x[HeaderLate-23]
+	_ = x[BodyTooLarge-24]
+	_ = x[BodyLate-25]
+	_ = x[BodyUnreadable-26]
+	_ = x[Unconfigured-27]
+	_ = x[NoRule-28]
+	_ = x[ResponseCut-29]
+	_ = x[Panicked-30]
+	_ = x[ServerOptions-31]
 }
 
-const _Reason_name = "nonelowestonlycredittrialabsentemptyfullcrowdedlateretriesspentpoisonedonceclaimduplicategonestoppingreusedmemory"
+const _Reason_name = "nonelowestonlycredittrialabsentemptyfullcrowdedlateretriesspentpoisonedonceclaimduplicategonestoppingreusedmemoryunsupportedmalformedheaderheadlatebodybodylatebodycutunconfigurednorulecutpanicoptions"
 
-var _Reason_index = [...]uint8{0, 4, 10, 14, 20, 25, 31, 36, 40, 47, 51, 58, 63, 71, 75, 80, 89, 93, 101, 107, 113}
+var _Reason_index = [...]uint8{0, 4, 10, 14, 20, 25, 31, 36, 40, 47, 51, 58, 63, 71, 75, 80, 89, 93, 101, 107, 113, 124, 133, 139, 147, 151, 159, 166, 178, 184, 187, 192, 199}
 
 func (i Reason) String() string {
 	idx := int(i) - 0
--- a/pkg/control/config/config.go
+++ b/pkg/control/config/config.go
@@ -48,6 +48,10 @@
 
 	// Revision is the highest revision at which a record was put in force or removed.
 	Revision int64
+	// OperatorRevision is the highest revision at which a service, a routing rule or Bounds was put in force or removed.
+	OperatorRevision int64
+	// Version is the number that the operators gave the last batch; 0 if there is none.
+	Version int64
 
 	// values holds the value in force of each store key.
 	values map[string]value.Value
@@ -148,6 +152,9 @@
 	if isRecord(old) || isRecord(v) {
 		c.Revision = max(c.Revision, it.Revision)
 	}
+	if isOperators(old) || isOperators(v) {
+		c.OperatorRevision = max(c.OperatorRevision, it.Revision)
+	}
 	if v == (value.Value{}) {
 		delete(c.values, it.Key)
 	}
@@ -156,6 +163,12 @@
 // isRecord reports whether a value is a record or a batch of records.
 func isRecord(v value.Value) bool { return v.Record != nil || v.Batch != nil }
 
+// isOperators reports whether a value is a batch, or the record of a service, a routing rule or limits.
+func isOperators(v value.Value) bool {
+	r := v.Record
+	return v.Batch != nil || r != nil && (r.Service != nil || r.Rule != nil || r.Bounds != nil)
+}
+
 // selfAnnounced reports whether a value is an upstream that announces itself and is not draining.
 func selfAnnounced(v value.Value) bool {
 	return v.Record != nil && v.Record.Upstream != nil && v.Record.Upstream.Incarnation != 0 && !v.Record.Upstream.Drain
@@ -194,6 +207,7 @@
 	case v.Record != nil:
 		c.dropRecord(now, v.Record)
 	case v.Batch != nil:
+		c.Version = 0
 		for _, r := range v.Batch.Records {
 			c.dropRecord(now, r)
 		}
@@ -241,6 +255,7 @@
 	case v.Record != nil:
 		c.putRecord(now, old.Record, v.Record, warmup)
 	case v.Batch != nil:
+		c.Version = v.Batch.Version
 		for _, r := range v.Batch.Records {
 			c.putRecord(now, nil, r, warmup)
 		}
--- a/pkg/control/contrl/control.go
+++ b/pkg/control/contrl/control.go
@@ -68,6 +68,8 @@
 	rollouts  rolloutStates
 
 	snapshot *snap.Snapshot
+	// source is "store", or the name of the peer that sent the latest changes.
+	source string
 	// revisionSince is when the revision of the snapshot came into force.
 	revisionSince time.Time
 	// synced is set once the replica holds the control keys, and bootstrapped once it is also settled which upstreams
@@ -79,6 +81,8 @@
 	// heldDelta is the newest state that a stale peer sent before the first sync. It may hold what has been removed since,
 	// so it is only applied once the store does not answer.
 	heldDelta delta.Delta
+	// heldFrom is the name of the peer that sent heldDelta.
+	heldFrom string
 	// peersFreshAt is the latest time at which the replica is known to have matched the store, from peers' digests.
 	peersFreshAt time.Time
 	// sweepAt is when the state of upstreams that are gone is discarded next.
@@ -181,7 +185,7 @@
 				}
 				c.log(logmsg.Message{Type: msgtyp.DependencyRestored, Subject: "store", Reason: "a list or watch request succeeded again"})
 			}
-			c.applyDelta(d)
+			c.applyDelta(d, storeSource)
 		} else if c.watcher.Failing() {
 			c.applyHeldDelta()
 		}
@@ -199,6 +203,9 @@
 	}
 }
 
+// storeSource is the source of changes that this entry has read from the store itself.
+const storeSource = "store"
+
 // issueRequests issues the store requests that are due.
 func (c *Control) issueRequests() {
 	if c.watchesStore() {
@@ -252,7 +259,10 @@
 	if len(changed) == 0 && c.snapshot.Revision == c.config.Revision {
 		return
 	}
-	next := &snap.Snapshot{Revision: c.config.Revision, Rules: c.config.Rules(), Bounds: c.config.Bounds, Services: make(map[string]*svcfg.Config, len(c.snapshot.Services))}
+	next := &snap.Snapshot{
+		Revision: c.config.Revision, Rules: c.config.Rules(), Bounds: c.config.Bounds, Services: make(map[string]*svcfg.Config, len(c.snapshot.Services)),
+		OperatorRevision: c.config.OperatorRevision, Version: c.config.Version, Source: c.source,
+	}
 	for name, cfg := range c.snapshot.Services {
 		next.Services[name] = cfg
 	}
--- a/pkg/control/contrl/gossip.go
+++ b/pkg/control/contrl/gossip.go
@@ -60,8 +60,9 @@
 }
 
 // applyDelta applies changes of the control keys. If some entries do not watch the store, it pushes new changes to a few
-// peers.
-func (c *Control) applyDelta(d delta.Delta) {
+// peers. The source is storeSource or the name of the peer that sent the changes.
+func (c *Control) applyDelta(d delta.Delta, source string) {
+	c.source = source
 	base := c.replica.Revision()
 	changed := c.replica.Apply(d)
 	activeBefore := len(c.config.ActiveMembers())
@@ -304,10 +305,10 @@
 		// A part of the state, without the operators' configuration for instance, must not come into force.
 	case !c.synced && d.Age > tune.MaxPeerStaleness && !c.watcher.Failing():
 		if d.Delta.Revision > c.heldDelta.Revision {
-			c.heldDelta = d.Delta
+			c.heldDelta, c.heldFrom = d.Delta, d.From
 		}
 	default:
-		c.applyDelta(d.Delta)
+		c.applyDelta(d.Delta, d.From)
 	}
 	// The sender's replica matched the store d.Age ago. Its revision is not above that of this entry's replica, so this
 	// one is at least as fresh.
@@ -319,7 +320,7 @@
 // applyHeldDelta applies the newest state that a stale peer sent to this entry before its first sync.
 func (c *Control) applyHeldDelta() {
 	if d := c.heldDelta; !c.synced && d.Revision > c.replica.Revision() {
-		c.applyDelta(d)
+		c.applyDelta(d, c.heldFrom)
 	}
 	c.heldDelta = delta.Delta{}
 }
--- a/pkg/shared/snap/snapshot.go
+++ b/pkg/shared/snap/snapshot.go
@@ -16,4 +16,10 @@
 	Rules *rules.Rules
 	// Bounds limits what callers may send; nil applies the limits of the settings.
 	Bounds *bounds.Bounds
+	// OperatorRevision is the highest store revision at which a service, a routing rule or the limits changed; 0 if there was none.
+	OperatorRevision int64
+	// Version is the number that the operators gave their configuration; 0 if it has none.
+	Version int64
+	// Source is "store", or the name of the peer from which the latest changes came.
+	Source string
 }
