--- a/internal/stall/call.go
+++ b/internal/stall/call.go
@@ -42,6 +42,8 @@
 	mu sync.Mutex
 	// sentAt is when the bytes of the request so far have been transferred at minSendRate.
 	sentAt time.Time
+	// respondedAt is when the head of the last response was complete.
+	respondedAt time.Time
 	// silentAt is when the call ends unless there is progress, and endAt when it ends in any case.
 	silentAt, endAt time.Time
 }
@@ -96,6 +98,21 @@
 	return c.silentAt.Sub(now), eris.Wrapf(ErrSilent, "nothing was transferred for %v", c.Silence)
 }
 
+// RespondedAt returns when the head of the last response was complete, or zero before the first response.
+func (c *Call) RespondedAt() time.Time {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.respondedAt
+}
+
+// responded records that the head of a response is complete.
+func (c *Call) responded() {
+	c.received(0)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.respondedAt = c.Clock.Now()
+}
+
 // sent records that n bytes of a request were passed to the connection. Its buffers may take all of them at once, so the time
 // without progress starts when a link of minSendRate has transferred them.
 func (c *Call) sent(n int) {
@@ -143,7 +160,7 @@
 	if err != nil {
 		return nil, err
 	}
-	c.received(0)
+	c.responded()
 	res.Body = &body{ReadCloser: res.Body, progress: c.received}
 	return res, nil
 }
--- a/internal/store/client.go
+++ b/internal/store/client.go
@@ -91,9 +91,9 @@
 // It waits at most tune.StoreTimeout for the response; a list or watch may take tune.TransferTimeout while it makes progress,
 // and a watch its own wait in addition.
 func (c *Client) Do(ctx context.Context, req kvreq.Request) kvresp.Response {
+	call := &stall.Call{Clock: c.clock, Silence: tune.StoreTimeout, Total: tune.TransferTimeout}
 	switch req.Op {
 	case kvop.List, kvop.Watch:
-		call := &stall.Call{Clock: c.clock, Silence: tune.StoreTimeout, Total: tune.TransferTimeout}
 		if req.Op == kvop.Watch {
 			call.Wait = req.Wait
 		}
@@ -110,6 +110,9 @@
 		return kvresp.Response{ID: req.ID, OutcomeUnknown: true, TooLarge: tooLarge}
 	}
 	res.ID = req.ID
+	if req.Op == kvop.Watch {
+		res.RespondedAt = call.RespondedAt()
+	}
 	return res
 }
 
--- a/internal/store/slow_test.go
+++ b/internal/store/slow_test.go
@@ -137,6 +137,9 @@
 			Expect(resp.OutcomeUnknown).To(Equal(!tc.ok))
 			if tc.ok {
 				Expect(resp.Items).To(HaveLen(len(s.items)))
+				if tc.req.Op == kvop.Watch {
+					Expect(resp.RespondedAt).To(BeTemporally("~", begin.Add(wait), tune.StoreTimeout/2))
+				}
 			}
 			Expect(took).To(And(BeNumerically(">=", tc.least), BeNumerically("<", tc.most)))
 		})
--- a/pkg/control/watch/watcher.go
+++ b/pkg/control/watch/watcher.go
@@ -110,8 +110,12 @@
 	if req.Op == kvop.List {
 		return w.handlePage(req, resp)
 	}
+	respondedAt := now
+	if !resp.RespondedAt.IsZero() {
+		respondedAt = resp.RespondedAt
+	}
 	// A response that took longer than the wait was delayed on its way.
-	w.setFresh(now, w.sentAt.Add(req.Wait))
+	w.setFresh(earlier(now, respondedAt), w.sentAt.Add(req.Wait))
 	if len(resp.Items) > 0 {
 		w.nextWatchAt = now.Add(w.pause())
 	}
@@ -119,15 +123,20 @@
 }
 
 // setFresh records that the replica matched the store at the earlier of two times.
-func (w *Watcher) setFresh(now, at time.Time) {
-	if at.After(now) {
-		at = now
-	}
-	if at.After(w.freshAt) {
+func (w *Watcher) setFresh(a, b time.Time) {
+	if at := earlier(a, b); at.After(w.freshAt) {
 		w.freshAt = at
 	}
 }
 
+// earlier returns the earlier of two times.
+func earlier(a, b time.Time) time.Time {
+	if b.Before(a) {
+		return b
+	}
+	return a
+}
+
 // pause returns the pause after a watch that returned changes.
 func (w *Watcher) pause() time.Duration {
 	if w.Pause <= tune.WatchPause {
--- a/pkg/stored/kvresp/response.go
+++ b/pkg/stored/kvresp/response.go
@@ -1,6 +1,10 @@
 package kvresp
 
-import "github.com/balsamvale/balsamvale/pkg/stored/item"
+import (
+	"time"
+
+	"github.com/balsamvale/balsamvale/pkg/stored/item"
+)
 
 // Response is the outcome of one request.
 type Response struct {
@@ -19,6 +23,9 @@
 	// Revision is the store's revision when it answered a List or Watch, or that of the key for Get and an applied
 	// CompareAndSwap.
 	Revision int64
+	// RespondedAt is when the first part of the response to a Watch arrived, or zero if that is unknown. What follows on a slow link
+	// is no newer.
+	RespondedAt time.Time
 	// More is set when a List has further pages.
 	More bool
 	// Compacted is set when the history that a Watch needs is gone from the store.
