--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -90,7 +90,7 @@
 	ready atomic.Bool
 	// stopping is set by Drain; a snapshot that control publishes before it knows does not make the entry ready again.
 	stopping atomic.Bool
-	// freshAt is when the configuration was last known to match the store, as of the last tick.
+	// freshAt is when the configuration was last known to match the store, as of the last tick or change.
 	freshAt atomic.Pointer[time.Time]
 	view    atomic.Pointer[trafficView]
 	// DroppedEvents counts the events that were dropped because the queue of control was full.
@@ -247,8 +247,7 @@
 func (co *Core) tick(ctx context.Context) {
 	co.step(ctx, event.Event{Kind: evkind.Tick})
 	now := co.clock.Now()
-	fresh := co.control.FreshAt()
-	co.freshAt.Store(&fresh)
+	co.updateFreshAt()
 	co.poison.Sweep(now)
 	for service, p := range co.view.Load().pools {
 		p.PublishEvidence(now)
@@ -259,6 +258,12 @@
 	}
 }
 
+// updateFreshAt takes freshAt over from control. The view must hold all that control had in force by then.
+func (co *Core) updateFreshAt() {
+	fresh := co.control.FreshAt()
+	co.freshAt.Store(&fresh)
+}
+
 // step passes an event to control and carries out the effects that it requests.
 func (co *Core) step(ctx context.Context, ev event.Event) {
 	effects, ok := co.decide(ev)
@@ -322,6 +327,7 @@
 		}
 	}
 	co.view.Store(next)
+	co.updateFreshAt()
 	for name, p := range old.pools {
 		if next.pools[name] == nil {
 			p.Close(now)
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -1,6 +1,7 @@
 package daemon
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"net"
@@ -103,7 +104,7 @@
 	handler := &proxy.Handler{
 		Rule: d.core.Rule, Bounds: d.core.Bounds, Configured: d.core.Configured, Basis: d.core.Basis, Headers: d.seams.Headers,
 		Service: d.core.Service, Send: upstreams.Send, Probe: upstreams.Probe, Claim: claimClient.Claim, CompleteClaim: claimClient.Complete,
-		Clock: d.clock, Log: d.log, Poison: d.core.Poison(), InFlight: d.inFlight, Admits: d.admits, Name: o.Name, Incarnation: incarnation, MaxBodyBytes: o.MaxBodyBytes, Memory: d.memory, Stopping: d.stopping,
+		Clock: d.clock, Log: d.log, Poison: d.core.Poison(), InFlight: d.inFlight, Admits: d.admits, Name: o.Name, Incarnation: incarnation, MaxBodyBytes: o.MaxBodyBytes, MaxConfigAge: cmp.Or(o.MaxConfigAge, tune.MaxConfigAge), Memory: d.memory, Stopping: d.stopping,
 	}
 	handler.SetMetrics(d.metrics)
 	d.onServerAnswer = handler.RecordServerAnswer
--- a/internal/option/options.go
+++ b/internal/option/options.go
@@ -50,6 +50,8 @@
 	HandoverTimeout time.Duration
 	// MemoryLimitBytes is the soft memory limit of the Go runtime in bytes; 0 for none.
 	MemoryLimitBytes int64
+	// MaxConfigAge is the time within which operators expect a change of the configuration to be in force; 0 for the default.
+	MaxConfigAge time.Duration
 	// MaxFiles is the number of descriptors that the process may have; 0 if only the system's limit is known.
 	MaxFiles int
 }
--- a/internal/proxy/handler.go
+++ b/internal/proxy/handler.go
@@ -84,6 +84,9 @@
 	// MaxBodyBytes is the maximum size of a request body in bytes; Bounds may lower it.
 	MaxBodyBytes int64
 
+	// MaxConfigAge is the age of the configuration up to which it tells that a route or service does not exist; 0 for no limit.
+	MaxConfigAge time.Duration
+
 	// shares holds the share of Memory for each service, so that the calls of one leave room for those of others.
 	shares     sync.Map
 	lastCallID atomic.Uint64
@@ -185,6 +188,10 @@
 		return routeMatch{}, false
 	}
 	m, why, text := h.matchRoute(r)
+	if why != reason.None && h.isOutdated(b) {
+		h.refuseUnserved(w, r, b, reason.Outdated, text+" in a configuration that may be out of date")
+		return routeMatch{}, false
+	}
 	if why != reason.None {
 		h.refuseEarly(w, r, b, http.StatusNotFound, why, text)
 		return routeMatch{}, false
@@ -204,6 +211,12 @@
 	return m, true
 }
 
+// isOutdated reports whether the store may have had a newer configuration for longer than MaxConfigAge, so that what b lacks may
+// exist. Callers come back after 503, but not after 404.
+func (h *Handler) isOutdated(b basis.Basis) bool {
+	return b.Age < 0 || h.MaxConfigAge > 0 && b.Age > h.MaxConfigAge
+}
+
 // memoryOf returns the share of Memory for the calls of a service. The names come from operators' records, which limits their number.
 func (h *Handler) memoryOf(service string) *memory.Budget {
 	if m, ok := h.shares.Load(service); ok {
--- a/pkg/calls/reason/reason.go
+++ b/pkg/calls/reason/reason.go
@@ -64,6 +64,8 @@
 	BodyUnreadable // bodycut
 	// Unconfigured means that no configuration is in force yet.
 	Unconfigured // unconfigured
+	// Outdated means that no routing rule or service matches, in a configuration that may lack a newer one.
+	Outdated // outdated
 	// NoRule means that no routing rule matches the host and path.
 	NoRule // norule
 	// ResponseCut means that the response of the upstream broke off after its head had been passed on.
--- a/pkg/calls/reason/reason_string.go
+++ b/pkg/calls/reason/reason_string.go
@@ -36,15 +36,16 @@
 	_ = x[BodyLate-25]
 	_ = x[BodyUnreadable-26]
 	_ = x[Unconfigured-27]
-	_ = x[NoRule-28]
-	_ = x[ResponseCut-29]
-	_ = x[Panicked-30]
-	_ = x[ServerOptions-31]
+	_ = x[Outdated-28]
+	_ = x[NoRule-29]
+	_ = x[ResponseCut-30]
+	_ = x[Panicked-31]
+	_ = x[ServerOptions-32]
 }
 
-const _Reason_name = "nonelowestonlycredittrialabsentemptyfullcrowdedlateretriesspentpoisonedonceclaimduplicategonestoppingreusedmemoryunsupportedmalformedheaderheadlatebodybodylatebodycutunconfigurednorulecutpanicoptions"
+const _Reason_name = "nonelowestonlycredittrialabsentemptyfullcrowdedlateretriesspentpoisonedonceclaimduplicategonestoppingreusedmemoryunsupportedmalformedheaderheadlatebodybodylatebodycutunconfiguredoutdatednorulecutpanicoptions"
 
-var _Reason_index = [...]uint8{0, 4, 10, 14, 20, 25, 31, 36, 40, 47, 51, 58, 63, 71, 75, 80, 89, 93, 101, 107, 113, 124, 133, 139, 147, 151, 159, 166, 178, 184, 187, 192, 199}
+var _Reason_index = [...]uint8{0, 4, 10, 14, 20, 25, 31, 36, 40, 47, 51, 58, 63, 71, 75, 80, 89, 93, 101, 107, 113, 124, 133, 139, 147, 151, 159, 166, 178, 186, 192, 195, 200, 207}
 
 func (i Reason) String() string {
 	idx := int(i) - 0
--- a/pkg/shared/tune/constants.go
+++ b/pkg/shared/tune/constants.go
@@ -168,6 +168,8 @@
 	MaxWatchPause = 750 * time.Millisecond
 	// MaxPeerStaleness is the age of the configuration received from peers beyond which an entry watches the store itself.
 	MaxPeerStaleness = 1500 * time.Millisecond
+	// MaxConfigAge is the time within which a change is in force on every entry, unless the settings say otherwise.
+	MaxConfigAge = 2 * time.Second
 	// DefaultLoadPath is the path of the load report, unless the service sets another for the probes that calls send.
 	DefaultLoadPath = "/load"
 	// ProbeReportAge is the age of the last load report from which a healthy upstream is probed.
