--- a/pkg/control/contrl/status.go
+++ b/pkg/control/contrl/status.go
@@ -49,11 +49,17 @@
 	return p
 }
 
-// FreshAt returns the latest time at which the replica is known to have matched the store, or the zero time before the
-// first sync.
+// FreshAt returns the latest time at which the configuration in force is known to have matched the store, or the zero time
+// before the first sync and while what operators have written was never in force.
 func (c *Control) FreshAt() time.Time {
 	if !c.synced {
 		return time.Time{}
 	}
-	return c.freshAt()
+	at := c.freshAt()
+	for key, r := range c.config.Rejects {
+		if keys.IsOperators(key) && r.Since.Before(at) {
+			at = r.Since
+		}
+	}
+	return at
 }
--- a/pkg/control/keys/keys.go
+++ b/pkg/control/keys/keys.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strings"
 
 	"github.com/balsamvale/balsamvale/pkg/control/shard"
 )
@@ -25,6 +26,16 @@
 // Record returns the key of a record of a kind, such as "service".
 func Record(kind, name string) string { return RecordPrefix + kind + "/" + name }
 
+// IsOperators reports whether a key is that of a batch, or the record of a service, a routing rule or limits.
+func IsOperators(key string) bool {
+	rest, ok := strings.CutPrefix(key, RecordPrefix)
+	if !ok {
+		return false
+	}
+	kind, _, _ := strings.Cut(rest, "/")
+	return kind != "upstream" && kind != "domain" && kind != "move"
+}
+
 // Member returns the member key of an entry.
 func Member(name string) string { return MemberPrefix + name }
 
