--- a/internal/peers/service.go
+++ b/internal/peers/service.go
@@ -4,6 +4,7 @@
 	"context"
 	"net/http"
 	"net/netip"
+	"time"
 
 	"connectrpc.com/connect"
 	"github.com/rotisserie/eris"
@@ -49,12 +50,22 @@
 func (s *Service) Handler() (string, http.Handler) {
 	path, h := rpc.NewPeerHandler(s, connect.WithReadMaxBytes(tune.MaxMessageBytes),
 		connect.WithCompression("gzip", newGzipReader, newGzipWriter), connect.WithCompressMinBytes(tune.MinCompressedBytes))
-	return path, http.MaxBytesHandler(h, tune.MaxMessageBytes)
+	h = http.MaxBytesHandler(h, tune.MaxMessageBytes)
+	return path, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		h.ServeHTTP(w, r.WithContext(context.WithValue(r.Context(), arrivalKey{}, s.clock.Now())))
+	})
 }
 
+// arrivalKey is the key of the time at which the head of a request had arrived, in the context of the request.
+type arrivalKey struct{}
+
 // Exchange passes a peer's digest to control and answers with this entry's facts and the changes that the peer lacks.
 func (s *Service) Exchange(ctx context.Context, req *connect.Request[pb.Digest]) (*connect.Response[pb.Digest], error) {
-	ev := event.Event{Kind: evkind.DigestReceived, Digest: codec.DigestFromProto(s.clock.Now(), req.Msg)}
+	now := s.clock.Now()
+	ev := event.Event{Kind: evkind.DigestReceived, Digest: codec.DigestFromProto(now, req.Msg)}
+	if at, ok := ctx.Value(arrivalKey{}).(time.Time); ok {
+		ev.Digest.Age += now.Sub(at)
+	}
 	e, err := s.Submit(ctx, ev)
 	if err != nil {
 		return nil, connect.NewError(connect.CodeUnavailable, err)
@@ -95,16 +106,21 @@
 
 // SendDigest sends a digest to a peer and returns its answer; errors match ErrPeer.
 //
-// Both may hold the whole configuration, so the exchange may take tune.TransferTimeout while it makes progress.
+// Both may hold the whole configuration, so the exchange may take tune.TransferTimeout while it makes progress. The age in the
+// answer includes the time that the exchange took.
 func (s *Service) SendDigest(ctx context.Context, addr netip.AddrPort, d digest.Digest) (digest.Digest, error) {
 	call := &stall.Call{Clock: s.clock, Silence: tune.PeerTimeout, Total: tune.TransferTimeout}
 	ctx = call.Begin(ctx)
 	defer call.End()
+	sent := s.clock.Now()
 	res, err := s.client(addr).Exchange(ctx, connect.NewRequest(codec.DigestToProto(s.clock.Now(), d)))
 	if err != nil {
 		return digest.Digest{}, eris.Wrapf(ErrPeer, "sending a digest to %s: %v", addr, err)
 	}
-	return codec.DigestFromProto(s.clock.Now(), res.Msg), nil
+	now := s.clock.Now()
+	answer := codec.DigestFromProto(now, res.Msg)
+	answer.Age += now.Sub(sent)
+	return answer, nil
 }
 
 // RequestCredits asks a peer for credits of a cold upstream; errors match ErrPeer.
