--- a/internal/peers/slow_test.go
+++ b/internal/peers/slow_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"net/http/httptest"
@@ -93,8 +94,12 @@
 		readPiece = 2 << 10
 	)
 	large := delta.Delta{Revision: 300, Full: true}
+	// Answers are compressed, so only random values take their size on the link.
+	random := rand.NewChaCha8([32]byte{})
 	for i := range 300 {
-		large.Items = append(large.Items, item.Item{Key: fmt.Sprintf("c/rec/upstream/i-%03d", i), Value: []byte(strings.Repeat("v", 900)), Revision: int64(i + 1)})
+		value := make([]byte, 900)
+		_, _ = random.Read(value)
+		large.Items = append(large.Items, item.Item{Key: fmt.Sprintf("c/rec/upstream/i-%03d", i), Value: value, Revision: int64(i + 1)})
 	}
 	for _, tc := range []struct {
 		name         string
