--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -110,8 +110,8 @@
 
 // New returns a core that does nothing before Start.
 //
-// The function fields have to be set before Start. The entry sends a digest to each peer in seeds when it starts, so
-// that it gets the configuration from them while the store cannot be reached. Seed and the incarnation of self seed the
+// The function fields have to be set before Start. The entry sends a digest to each peer in seeds when it starts, and
+// gets the configuration from one of them while the store cannot be reached. Seed and the incarnation of self seed the
 // random numbers, and decode turns items of the store into values.
 func New(c clock.Clock, log *logs.Log, self member.Member, seeds []netip.AddrPort, seed uint64, decode func(item.Item) (value.Value, error)) *Core {
 	rnd := rand.New(rand.NewPCG(seed, self.Incarnation))
@@ -131,7 +131,7 @@
 		rand:           rand.New(rand.NewPCG(self.Incarnation, seed)),
 	}
 	co.view.Store(&trafficView{snapshot: &snap.Snapshot{}, pools: map[string]*pool.Pool{}})
-	co.control.ReportAge = co.reportAge
+	co.control.ReportAge, co.control.Seeds = co.reportAge, seeds
 	co.poison.OnCrash = co.postCrash
 	return co
 }
@@ -202,7 +202,7 @@
 	go co.loop(ctx)
 	go co.dispatchLoop(ctx)
 	for _, addr := range co.seeds {
-		go (&effectTask{core: co, ctx: ctx, effect: effect.Effect{Action: action.SendDigest, Addr: addr, Digest: digest.Digest{From: co.self.Name}}}).run()
+		go (&effectTask{core: co, ctx: ctx, effect: effect.Effect{Action: action.SendDigest, Addr: addr, Digest: digest.Digest{From: co.self.Name, Brief: true}}}).run()
 	}
 }
 
--- a/pkg/control/contrl/control.go
+++ b/pkg/control/contrl/control.go
@@ -13,6 +13,7 @@
 
 import (
 	"math/rand/v2"
+	"net/netip"
 	"time"
 
 	"github.com/balsamvale/balsamvale/pkg/control/config"
@@ -48,6 +49,10 @@
 	// uncertain, so that it has to be probed more often. No upstream is probed while ReportAge is nil.
 	ReportAge func(now time.Time, service, upstream string) (age time.Duration, uncertain bool)
 
+	// Seeds are the peers that are asked for the state of the fleet, one after the other, while the store does not answer the
+	// first list.
+	Seeds []netip.AddrPort
+
 	self member.Member
 	rand *rand.Rand
 	// rank is the index of this entry among the active members, or -1 while it is not one of them.
@@ -158,6 +163,7 @@
 	c.bootstrap()
 	c.pushPending()
 	c.fetch()
+	c.askSeeds()
 	if !c.now.Before(c.gossipAt) {
 		c.gossip()
 	}
@@ -188,6 +194,7 @@
 			c.applyDelta(d)
 		} else if c.watcher.Failing() {
 			c.applyHeldDelta()
+			c.askSeeds()
 		}
 		if c.watcher.OutageBegan() {
 			c.log(logmsg.Message{Type: msgtyp.DependencyLost, Subject: "store", Reason: "a list or watch request got no valid response"})
--- a/pkg/control/contrl/fetch.go
+++ b/pkg/control/contrl/fetch.go
@@ -5,7 +5,9 @@
 	"slices"
 	"time"
 
+	"github.com/balsamvale/balsamvale/pkg/events/action"
 	"github.com/balsamvale/balsamvale/pkg/events/digest"
+	"github.com/balsamvale/balsamvale/pkg/events/effect"
 	"github.com/balsamvale/balsamvale/pkg/events/event"
 	"github.com/balsamvale/balsamvale/pkg/shared/tune"
 	"github.com/balsamvale/balsamvale/pkg/stored/delta"
@@ -22,6 +24,9 @@
 	startedAt time.Time
 	// offers holds the revision that each peer has offered, by entry name.
 	offers map[string]int64
+	// askedSeeds counts the fetches from seeds, and seedAt is when the next seed is due; zero before the first tick.
+	askedSeeds int
+	seedAt     time.Time
 	// served are the times within tune.TransferWindow at which this entry has sent large changes itself.
 	served []time.Time
 }
@@ -91,5 +96,34 @@
 	if ev.FetchID != 0 && ev.FetchID == c.fetches.id {
 		c.endFetch()
 		c.fetch()
+		if c.fetches.askedSeeds%max(1, len(c.Seeds)) != 0 {
+			c.fetches.seedAt = c.now
+		}
+		c.askSeeds()
+	}
+}
+
+// askSeeds asks the next seed for the state of the fleet if this entry has none yet: once the store has failed or not answered
+// for tune.SeedDelay, and again after that time if the previous seed has not answered. It pauses after a round, and ends with
+// the first state, which is held if the seed is out of date.
+func (c *Control) askSeeds() {
+	f := &c.fetches
+	if c.synced || len(c.Seeds) == 0 || c.heldDelta.Revision > 0 {
+		return
 	}
+	if f.seedAt.IsZero() {
+		f.seedAt = c.now.Add(tune.SeedDelay)
+	}
+	if first := f.askedSeeds == 0 && c.watcher.Failing(); !first && c.now.Before(f.seedAt) {
+		return
+	}
+	addr := c.Seeds[f.askedSeeds%len(c.Seeds)]
+	f.askedSeeds++
+	f.seedAt = c.now.Add(tune.SeedDelay)
+	if f.askedSeeds%len(c.Seeds) == 0 {
+		f.seedAt = c.now.Add(tune.FetchTimeout)
+	}
+	f.lastID++
+	f.id, f.peer, f.startedAt = f.lastID, "", c.now
+	c.emit(effect.Effect{Action: action.SendDigest, Addr: addr, Digest: digest.Digest{From: c.self.Name}, FetchID: f.id})
 }
--- a/pkg/control/contrl/fleet_test.go
+++ b/pkg/control/contrl/fleet_test.go
@@ -5,6 +5,7 @@
 	"container/heap"
 	"fmt"
 	"math/rand/v2"
+	"net/netip"
 	"slices"
 	"strconv"
 	"strings"
@@ -47,6 +48,8 @@
 	watches  []*fleetWatch
 	// watchCalls counts the watch requests that have reached the store.
 	watchCalls int
+	// restarts counts the entries that were started anew.
+	restarts int
 	// linkRate is what the link of an entry carries in each direction, in bytes of item values a second; 0 for no limit.
 	linkRate float64
 	// transfers are the messages with item values between entries.
@@ -130,6 +133,17 @@
 	return value.Value{Record: &record.Record{Domain: &domrec.Domain{Name: it.Key}}}, nil
 }
 
+// restart starts an entry anew, without any state, with the first three entries as its seeds.
+func (f *fleet) restart(e *fleetEntry) {
+	f.restarts++
+	self := member.Member{Name: e.name, Domain: fleetDomain(e.name), Incarnation: uint64(len(f.entries) + f.restarts)}
+	e.control = contrl.New(self, rand.New(rand.NewPCG(0, self.Incarnation)), decodeFleetItem)
+	for i := range uint16(3) {
+		e.control.Seeds = append(e.control.Seeds, netip.AddrPortFrom(netip.IPv4Unspecified(), i))
+	}
+	e.revision = 0
+}
+
 // fleetDomain returns the failure domain of an entry.
 func fleetDomain(name string) string {
 	i, err := strconv.Atoi(strings.TrimPrefix(name, "entry-"))
@@ -198,6 +212,9 @@
 // sendDigest delivers a digest to a peer, and its answer.
 func (f *fleet) sendDigest(from *fleetEntry, ef effect.Effect) {
 	i := slices.IndexFunc(f.entries, func(e *fleetEntry) bool { return e.name == ef.Peer })
+	if ef.Peer == "" {
+		i = int(ef.Addr.Port()) // a seed
+	}
 	to := f.entries[i]
 	f.after(f.transfer(from, to, ef.Digest), func() {
 		for _, out := range to.control.Step(f.now, event.Event{Kind: evkind.DigestReceived, Digest: ef.Digest}) {
--- a/pkg/control/contrl/gossip.go
+++ b/pkg/control/contrl/gossip.go
@@ -76,10 +76,15 @@
 		}
 	}
 	c.trackShards()
-	if !c.synced && c.replica.Revision() > 0 {
+	first := !c.synced && c.replica.Revision() > 0
+	if first {
 		c.synced, c.syncedAt = true, c.now
 	}
 	c.bootstrap()
+	if first && !c.bootstrapped && len(c.Seeds) > 0 {
+		// The answers hold the facts that the bootstrap waits for.
+		c.push(digest.Digest{})
+	}
 	if c.worthPushing(changed) && c.bootstrapped && len(c.config.Members) > c.watcherCount() {
 		c.pushDelta(delta.Delta{Items: changed, BaseRevision: base, Revision: c.replica.Revision()})
 	}
@@ -295,13 +300,28 @@
 // handleDigestAnswer merges a peer's answer to a digest. The first answer after which the entry is synced ends the
 // bootstrap.
 func (c *Control) handleDigestAnswer(ev event.Event) {
+	revision, known := c.peerRevisions[ev.Digest.From]
 	c.mergeDigest(ev.Digest)
 	c.fetchDone(ev)
+	if known && revision == 0 && ev.Digest.Revision == 0 {
+		c.sendState(ev.Digest.From)
+	}
 	if c.synced && !c.bootstrapped {
 		c.finishBootstrap("facts from " + ev.Digest.From)
 	}
 }
 
+// sendState sends all of the state to a peer that has had none in two exchanges. Such a peer cannot ask for it, because it knows
+// no addresses but those of its seeds.
+func (c *Control) sendState(peer string) {
+	d := digest.Digest{Facts: c.facts.Live(c.now, tune.MaxFacts)}
+	c.setDelta(&d, c.replica.Since(0, tune.MaxChanges), true)
+	if d.Delta.Revision > 0 {
+		c.send(peer, d)
+		delete(c.peerRevisions, peer)
+	}
+}
+
 // mergeDigest adds the facts and applies the changes that a peer has sent.
 func (c *Control) mergeDigest(d digest.Digest) {
 	if d.From != "" {
--- a/pkg/control/contrl/transfer_test.go
+++ b/pkg/control/contrl/transfer_test.go
@@ -85,6 +85,54 @@
 	}
 })
 
+// Guards against entries that are without a configuration for seconds after a restart of most of the fleet, because each asks
+// several peers for all of it at once, besides the store.
+var _ = Describe("A start of two thirds of the entries", func() {
+	const (
+		size     = 64 << 10
+		linkRate = 10e6 / 8
+		// maxSent is the number of copies out of any one entry in a second.
+		maxSent = 4
+	)
+	for _, tc := range []struct {
+		entries int
+		// cut is set if no entry reaches the store.
+		cut bool
+		// maxMean is the mean number of copies into an entry from its peers, besides that of the store, maxReceived the number
+		// into any one, and bound the time until all have the state.
+		maxMean, maxReceived float64
+		bound                time.Duration
+	}{
+		{12, false, 0.1, 1, 500 * time.Millisecond},
+		{118, false, 0.1, 1, 500 * time.Millisecond},
+		{12, true, 1.1, 2, 2 * time.Second},
+	} {
+		It(fmt.Sprintf("costs each at most a few copies: %d entries, cut off from the store: %v", tc.entries, tc.cut), func() {
+			f := newFleet(tc.entries, 1)
+			f.linkRate = linkRate
+			f.writeValue(keys.Record("domain", "config"), make([]byte, size))
+			f.run(5 * time.Second)
+			want, before := f.revision, len(f.transfers)
+			for i, e := range f.entries {
+				e.cut = tc.cut
+				if i%3 != 0 {
+					f.restart(e)
+				}
+			}
+			f.run(tc.bound)
+			received, sent := f.copies(before, size)
+			total := 0.0
+			for _, e := range f.entries {
+				total += received[e]
+				Expect(e.revision).To(BeNumerically(">=", want), e.name)
+				Expect(received[e]).To(BeNumerically("<=", tc.maxReceived), e.name)
+				Expect(sent[e]).To(BeNumerically("<=", maxSent), e.name)
+			}
+			Expect(total / float64(tc.entries)).To(BeNumerically("<=", tc.maxMean))
+		})
+	}
+})
+
 // fetching is an entry of a fleet of 100 at revision 100, with the fetches that it has begun.
 type fetching struct {
 	control *contrl.Control
@@ -233,3 +281,33 @@
 		})
 	}
 })
+
+// Guards against an entry without seeds that has no configuration until a slow store answers, while its peers offer theirs to it
+// and it does not know their addresses.
+var _ = Describe("A peer that has no state yet", func() {
+	now := time.Unix(1000, 0)
+	for _, tc := range []struct {
+		name      string
+		revisions []int64
+		sends     int
+	}{
+		{"is left to the store at first", []int64{0}, 0},
+		{"is sent all of it when it still has none in the next exchange", []int64{0, 0}, 1},
+		{"is not sent it again at once, when it holds it back", []int64{0, 0, 0}, 1},
+		{"is not sent it once it has some", []int64{0, 90}, 0},
+	} {
+		It(tc.name, func() {
+			c := newControl(now, 100)
+			c.Step(now, event.Event{Kind: evkind.DigestReceived, Digest: digest.Digest{From: "entry-0", Revision: 110, Delta: largeDelta(100, 110)}})
+			sends := 0
+			for _, revision := range tc.revisions {
+				for _, e := range c.Step(now, event.Event{Kind: evkind.DigestAnswered, Digest: digest.Digest{From: "entry-1", Revision: revision, Brief: true}}) {
+					if e.Action == action.SendDigest && e.Digest.Delta.Full {
+						sends++
+					}
+				}
+			}
+			Expect(sends).To(Equal(tc.sends))
+		})
+	}
+})
--- a/pkg/shared/tune/constants.go
+++ b/pkg/shared/tune/constants.go
@@ -201,6 +201,9 @@
 	TransferWindow = time.Second
 	// FetchTimeout is the time after which an entry that has asked a peer for changes asks another one.
 	FetchTimeout = time.Second
+	// SeedDelay is how long an entry that starts waits for the store before it asks a seed for the state of the fleet, and
+	// for the answer of one seed before it asks the next.
+	SeedDelay = 250 * time.Millisecond
 	// MaxFacts bounds the facts in one digest.
 	MaxFacts = 64
 	// MaxChanges is the number of store changes after which the answer to an older revision ends at the next revision. A
