--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -205,8 +205,9 @@
 // Ready reports whether the entry should get calls: it has a configuration and is not stopping.
 func (co *Core) Ready() bool { return co.ready.Load() && !co.stopping.Load() }
 
-// Configured reports whether a configuration is in force.
-func (co *Core) Configured() bool { return co.view.Load().snapshot.Revision > 0 }
+// Configured reports whether the operators' configuration is in force: a service, a routing rule or limits. Without one, what the
+// entry does not know may exist.
+func (co *Core) Configured() bool { return co.view.Load().snapshot.OperatorRevision > 0 }
 
 // Start starts the goroutines of the core and sends a digest to each seed; the goroutines end when ctx is done.
 func (co *Core) Start(ctx context.Context) {
--- a/pkg/control/contrl/status.go
+++ b/pkg/control/contrl/status.go
@@ -33,8 +33,9 @@
 	return s
 }
 
-// Ready reports whether the entry has a configuration and is not draining.
-func (c *Control) Ready() bool { return c.bootstrapped && !c.self.Draining }
+// Ready reports whether the entry has the operators' configuration in force and is not draining. Upstreams alone, which may announce
+// themselves before there is a configuration, are not enough.
+func (c *Control) Ready() bool { return c.snapshot.OperatorRevision > 0 && !c.self.Draining }
 
 // progress returns the progress of a rollout as this entry acts on it: a rollback that an entry has reported counts even
 // if the store does not hold it yet.
