--- a/internal/proxy/driver.go
+++ b/internal/proxy/driver.go
@@ -447,8 +447,6 @@
 		return http.StatusConflict
 	case s.Reason == reason.KeyReused:
 		return http.StatusUnprocessableEntity
-	case s.Reason == reason.UnknownService:
-		return http.StatusNotFound
 	case s.Outcome == outcom.NotRun || s.Reason == reason.ClaimFailed:
 		return http.StatusServiceUnavailable
 	case s.Reason == reason.Deadline:
--- a/internal/proxy/refusal_test.go
+++ b/internal/proxy/refusal_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -16,8 +17,11 @@
 	"github.com/balsamvale/balsamvale/internal/wire"
 	"github.com/balsamvale/balsamvale/pkg/calls/cause"
 	"github.com/balsamvale/balsamvale/pkg/calls/claim"
+	"github.com/balsamvale/balsamvale/pkg/calls/policy"
 	"github.com/balsamvale/balsamvale/pkg/calls/result"
 	"github.com/balsamvale/balsamvale/pkg/calls/state"
+	"github.com/balsamvale/balsamvale/pkg/records/svcrec"
+	"github.com/balsamvale/balsamvale/pkg/traffic/pool"
 )
 
 // newHandler returns the handler of an entry and its address.
@@ -68,3 +72,19 @@
 		}
 	})
 })
+
+// A pool gets its configuration after the service is known. Calls that came in between were answered 404, which no caller repeats.
+var _ = Describe("A call for a service whose pool has no configuration yet", func() {
+	It("is refused with 503", func() {
+		h, url := newHandler()
+		svc, _ := h.Service("s")
+		empty := pool.New(rand.New(rand.NewPCG(1, 1)), policy.LeastPredictedWait)
+		h.Service = func(string) (*svcrec.Service, *pool.Pool) { return svc, empty }
+		res, err := http.Get(url + "/s/a")
+		Expect(err).NotTo(HaveOccurred())
+		defer func() { _ = res.Body.Close() }()
+		Expect(res.StatusCode).To(Equal(http.StatusServiceUnavailable))
+		Expect(res.Header.Get("Retry-After")).NotTo(BeEmpty())
+		Expect(res.Header.Get(wire.Outcome)).To(Equal("notrun"))
+	})
+})
