--- a/internal/soak/fleet/growth.go
+++ b/internal/soak/fleet/growth.go
@@ -146,11 +146,9 @@
 func (f *Fleet) retire(e *entry) {
 	f.starting.Lock()
 	last := f.running() < 2
-	if !last {
-		e.mu.Lock()
-		e.retired = true
-		e.mu.Unlock()
-	}
+	e.mu.Lock()
+	e.retired = e.retired || !last
+	e.mu.Unlock()
 	f.starting.Unlock()
 	if !last {
 		e.stop()
--- a/internal/soak/plan/growth.go
+++ b/internal/soak/plan/growth.go
@@ -38,9 +38,9 @@
 	out := limits(r, size, rate)
 	begin := linksBegin + millis(r, 1500)
 	if r.IntN(4) == 0 {
-		late := Fault{Kind: LateRecords, At: Duration(begin), Lasts: Duration(200*time.Millisecond + millis(r, 1300))}
-		out = append(out, late)
-		begin += time.Duration(late.Lasts)
+		lasts := 200*time.Millisecond + millis(r, 1300)
+		out = append(out, Fault{Kind: LateRecords, At: Duration(begin), Lasts: Duration(lasts)})
+		begin += lasts
 	}
 	growths := 1 + r.IntN(2)
 	bytes := int(float64(rate)*(minTransfer+millis(r, transferRange)).Seconds()) / growths
@@ -51,8 +51,7 @@
 		case 0:
 			out = append(out, Fault{Kind: StoreForget, At: Duration(begin + millis(r, 1500))})
 		case 1:
-			mute := Fault{Kind: StoreMute, At: Duration(max(linksBegin, begin-millis(r, 1000))), Lasts: Duration(time.Second + millis(r, 2000))}
-			out = append(out, mute)
+			out = append(out, Fault{Kind: StoreMute, At: Duration(max(linksBegin, begin-millis(r, 1000))), Lasts: Duration(time.Second + millis(r, 2000))})
 		}
 		begin += millis(r, int(max(time.Second, length/2).Milliseconds()))
 	}
