--- a/internal/option/options.go
+++ b/internal/option/options.go
@@ -81,6 +81,7 @@
 		{"stop.lag", o.ShutdownDelay},
 		{"stop.wait", o.DrainTimeout},
 		{"stop.handover", o.HandoverTimeout},
+		{"config.age", o.MaxConfigAge},
 		{"limits.memory", o.MemoryLimitBytes},
 		{"limits.files", o.MaxFiles},
 	} {
