--- a/pkg/control/contrl/gossip.go
+++ b/pkg/control/contrl/gossip.go
@@ -225,9 +225,10 @@
 	}
 }
 
-// pushDelta pushes changes of the store, or offers them if they are large. In a large fleet, all but one of the peers are of this entry's failure domain, since
-// some entry of each domain learns of the changes from elsewhere soon; if there are too few of one kind, others take their
-// place.
+// pushDelta pushes changes of the store, or offers them if they are large.
+//
+// In a large fleet, all but one of the peers are of this entry's failure domain, since some entry of each domain learns of the
+// changes from elsewhere soon; if there are too few of one kind, others take their place.
 func (c *Control) pushDelta(changes delta.Delta) {
 	all := c.randomPeers()
 	if c.largeFleet() {
