--- a/internal/peers/compress_test.go
+++ b/internal/peers/compress_test.go
@@ -104,7 +104,7 @@
 // small hosts. During an upgrade, entries that compress answers and others that do not understand each other.
 var _ = Describe("The answer to a digest", func() {
 	answer := func(value []byte) digest.Digest {
-		return digest.Digest{From: "e", Revision: 9, Delta: delta.Delta{Revision: 9, Full: true, Items: []item.Item{{Key: "c/r/op/config", Value: value, Revision: 9}}}}
+		return digest.Digest{From: "e", Revision: 9, Delta: delta.Delta{Revision: 9, Full: true, Items: []item.Item{{Key: "c/r/routes", Value: value, Revision: 9}}}}
 	}
 	for _, tc := range []struct {
 		name   string
