--- a/internal/daemon/memory_test.go
+++ b/internal/daemon/memory_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -10,10 +11,12 @@
 	"runtime/metrics"
 	"strings"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
+	"golang.org/x/sys/unix"
 
 	"github.com/balsamvale/balsamvale/internal/option"
 	"github.com/balsamvale/balsamvale/internal/wire"
@@ -45,6 +48,8 @@
 		if err != nil {
 			return
 		}
+		// If this fails, the connection has ended.
+		_ = c.(*net.TCPConn).SetWriteBuffer(socketBuffer)
 		go (&endlessConn{u, c}).loop()
 	}
 }
@@ -122,7 +127,7 @@
 			sent := []byte(tc.sent)
 			before := usedMemory()
 			for range tc.callers {
-				c, err := net.Dial("tcp", o.Front.String())
+				c, err := dialSmall(o.Front.String())
 				Expect(err).NotTo(HaveOccurred())
 				DeferCleanup(c.Close)
 				go (&silentCaller{c, sent}).run()
@@ -139,6 +144,27 @@
 	}
 })
 
+// The sizes in bytes that stand-ins ask for their sockets. With those that the system chooses on loopback, where a segment has 64 kB, the
+// send buffers of 800 connections grow to 2 to 3 GB, which is about all that the system gives to TCP: then connections of all processes
+// lose segments.
+const (
+	socketBuffer = 16 << 10
+	segment      = 1460
+)
+
+// dialSmall connects to an address, with a receive buffer of socketBuffer and segments of a usual network in both directions.
+func dialSmall(addr string) (net.Conn, error) {
+	d := net.Dialer{Control: func(_, _ string, raw syscall.RawConn) error {
+		var failed error
+		err := raw.Control(func(fd uintptr) {
+			failed = errors.Join(unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_RCVBUF, socketBuffer),
+				unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_MAXSEG, segment))
+		})
+		return errors.Join(err, failed)
+	}}
+	return d.Dial("tcp", addr)
+}
+
 // silentCaller sends requests and reads no response; its run method is a goroutine.
 type silentCaller struct {
 	conn net.Conn
