--- a/internal/demux/conn.go
+++ b/internal/demux/conn.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"cmp"
+	"context"
 	"errors"
 	"net"
 	"net/netip"
@@ -390,6 +391,25 @@
 	return !c.closed
 }
 
+// awaitTurnWithin waits until the response to request seq may be written or the connection closes. It returns false if ctx is done
+// by then.
+func (c *conn) awaitTurnWithin(ctx context.Context, seq uint64) bool {
+	defer context.AfterFunc(ctx, c.wake)()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for c.responseSeq != seq && !c.closed && ctx.Err() == nil {
+		c.changed.Wait()
+	}
+	return ctx.Err() == nil
+}
+
+// wake lets those that wait for a change look again.
+func (c *conn) wake() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.changed.Broadcast()
+}
+
 // responseDone lets the next response be written after the one on vc is complete. In passthrough mode, the virtual
 // connection of the latest request keeps its turn, since the server reads all further requests from it.
 //
--- a/internal/proxy/driver.go
+++ b/internal/proxy/driver.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/balsamvale/balsamvale/internal/codec"
+	"github.com/balsamvale/balsamvale/internal/demux"
 	"github.com/balsamvale/balsamvale/internal/memory"
 	"github.com/balsamvale/balsamvale/internal/outreq"
 	"github.com/balsamvale/balsamvale/pkg/calls/answer"
@@ -288,12 +289,21 @@
 }
 
 // deliver passes the response of the winning attempt on to the caller. If the body cannot be copied to its end, it aborts
-// the connection.
+// the connection, which takes the responses to requests behind it along. So a response that is cut before its turn is not begun.
 func (d *callDriver) deliver(s step.Step) {
 	a := d.attempts[s.Attempt]
 	d.cancelOthers(a.id)
 	defer a.cancel()
 	defer func() { _ = a.res.Body.Close() }()
+	if a.res.Body != http.NoBody && !demux.AwaitTurn(d.r.Context(), a.ctx) {
+		d.flow.Close(d.now(), a.id)
+		why := reason.Deadline
+		if d.r.Context().Err() != nil {
+			why = reason.CallerGone
+		}
+		d.answerRefusal(step.Step{Stage: stage.Refuse, Outcome: outcom.Unknown, Reason: why})
+		return
+	}
 	h := d.w.Header()
 	for k, v := range a.res.Header {
 		h[k] = v
@@ -397,10 +407,14 @@
 	}
 }
 
-// refuse cancels all attempts and answers the call with a refusal. It completes the claim of the idempotency key, if the call
-// holds one.
+// refuse cancels all attempts and answers the call with a refusal.
 func (d *callDriver) refuse(s step.Step) {
 	d.cancelOthers(-1)
+	d.answerRefusal(s)
+}
+
+// answerRefusal answers the call with a refusal. It completes the claim of the idempotency key, if the call holds one.
+func (d *callDriver) answerRefusal(s step.Step) {
 	if d.claimed {
 		st := state.Unknown
 		if s.Outcome == outcom.NotRun {
