--- a/internal/stall/call.go
+++ b/internal/stall/call.go
@@ -197,8 +197,12 @@
 	progress func(n int)
 }
 
+// progressBytes bounds a read in bytes. net/http returns from a read within a chunk only when it has filled the buffer, which may take
+// longer than the time without progress, while large messages are read into buffers of megabytes.
+const progressBytes = 1 << 10
+
 func (b *body) Read(p []byte) (int, error) {
-	n, err := b.ReadCloser.Read(p)
+	n, err := b.ReadCloser.Read(p[:min(len(p), progressBytes)])
 	if n > 0 {
 		b.progress(n)
 	}
--- a/internal/stall/call_test.go
+++ b/internal/stall/call_test.go
@@ -2,9 +2,11 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
 	"net/http"
 	"net/http/httptest"
+	"slices"
 	"strings"
 	"sync/atomic"
 	"time"
@@ -27,6 +29,8 @@
 	forever bool
 	// silentFrom is the number of the first request without a response; 0 if all have one.
 	silentFrom int64
+	// oneChunk sends all pieces as one chunk, as net/http does with a large response.
+	oneChunk bool
 
 	requests atomic.Int64
 }
@@ -46,6 +50,10 @@
 	if !sleep(r, think) {
 		return
 	}
+	if s.oneChunk {
+		s.sendChunk(w, r)
+		return
+	}
 	w.WriteHeader(http.StatusOK)
 	_ = http.NewResponseController(w).Flush()
 	for i := 0; i < len(s.pieces); i++ {
@@ -60,6 +68,23 @@
 	}
 }
 
+// sendChunk sends the pieces as one chunk, with pauses.
+func (s *pacedServer) sendChunk(w http.ResponseWriter, r *http.Request) {
+	c, _, err := http.NewResponseController(w).Hijack()
+	if err != nil {
+		return
+	}
+	defer func() { _ = c.Close() }()
+	_, _ = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n%x\r\n", len(strings.Join(s.pieces, "")))
+	for _, p := range s.pieces {
+		if !sleep(r, s.pause) {
+			return
+		}
+		_, _ = io.WriteString(c, p)
+	}
+	_, _ = io.WriteString(c, "\r\n0\r\n\r\n")
+}
+
 // sleep waits, and reports whether the request was not canceled meanwhile.
 func sleep(r *http.Request, d time.Duration) bool {
 	select {
@@ -96,6 +121,7 @@
 	)
 	steady := strings.Split(strings.Repeat("x", 10), "")
 	kilobyte := strings.Repeat("x", 1<<10)
+	kilobytes := slices.Repeat([]string{kilobyte}, 10)
 	none := &pacedBody{}
 	for _, tc := range []struct {
 		name   string
@@ -109,6 +135,7 @@
 		least, most time.Duration
 	}{
 		{"succeeds while the response comes slowly but steadily", &pacedServer{pieces: steady, pause: step}, none, 1, 0, nil, 10 * step, total},
+		{"succeeds while a response of one chunk comes slowly but steadily", &pacedServer{pieces: kilobytes, pause: step, oneChunk: true}, none, 1, 0, nil, 10 * step, total},
 		{"succeeds while the request is written slowly but steadily", &pacedServer{}, &pacedBody{10, "x", step}, 1, 0, nil, 10 * step, total},
 		{"succeeds when a large request is in the buffers of the connection at once and goes slowly from there", &pacedServer{readPause: 10 * time.Millisecond}, &pacedBody{50, kilobyte, 0}, 1, 0, nil, 2 * silence, total},
 		{"succeeds with several requests that make progress", &pacedServer{think: 2 * step, pieces: steady[:1]}, none, 4, 0, nil, 8 * step, total},
--- a/internal/store/slow_test.go
+++ b/internal/store/slow_test.go
@@ -15,6 +15,7 @@
 
 	pb "github.com/balsamvale/balsamvale/internal/gen/balsamvale/v1"
 	rpc "github.com/balsamvale/balsamvale/internal/gen/balsamvale/v1/balsamvalev1connect"
+	"github.com/balsamvale/balsamvale/internal/relay"
 	"github.com/balsamvale/balsamvale/internal/store"
 	"github.com/balsamvale/balsamvale/pkg/shared/clock"
 	"github.com/balsamvale/balsamvale/pkg/shared/tune"
@@ -93,6 +94,31 @@
 	return len(p), nil
 }
 
+// Guards against a store over a slow link that is taken for silent: a large response is one chunk, of which net/http passes on nothing
+// until it has filled the buffer of the reader.
+var _ = Describe("A large response of the store", func() {
+	// rate is that of a link of 2 Mbit/s, in bytes per second.
+	const rate = 250_000
+	for _, op := range []kvop.Op{kvop.List, kvop.Watch} {
+		It(fmt.Sprintf("comes over a slow link: to a %v", op), func() {
+			s := &largeStore{items: []*pb.Item{{Key: "c/a", Value: make([]byte, 3*rate)}}}
+			_, h := rpc.NewStoreHandler(s)
+			srv := httptest.NewServer(h)
+			DeferCleanup(srv.Close)
+			link, err := relay.New(clock.Wall(), netip.MustParseAddrPort(strings.TrimPrefix(srv.URL, "http://")))
+			Expect(err).NotTo(HaveOccurred())
+			DeferCleanup(link.Close)
+			link.SetRate(rate)
+			c := store.New(clock.Wall(), &http.Client{Transport: &http.Transport{}}, []netip.AddrPort{link.Addr()})
+			begin := time.Now()
+			resp := c.Do(context.Background(), kvreq.Request{Op: op})
+			Expect(resp.OutcomeUnknown).To(BeFalse())
+			Expect(resp.Items).To(HaveLen(1))
+			Expect(time.Since(begin)).To(And(BeNumerically(">=", 2*tune.StoreTimeout), BeNumerically("<", tune.TransferTimeout)))
+		})
+	}
+})
+
 // Guards against entries that have no configuration, or an old one, since a list or watch over a slow link is cut after a fixed
 // time and begins again from nothing.
 var _ = Describe("A store behind a slow link", func() {
