--- a/pkg/control/config/config.go
+++ b/pkg/control/config/config.go
@@ -136,13 +136,7 @@
 		var err error
 		if v, err = c.Decode(it); err != nil {
 			old := c.values[it.Key]
-			since := now
-			if earlier, ok := c.Rejects[it.Key]; ok {
-				since = earlier.Since
-			} else if old == (value.Value{}) {
-				since = time.Time{}
-			}
-			c.Rejects[it.Key] = reject.Reject{Key: it.Key, Revision: it.Revision, Since: since, Err: err}
+			c.Rejects[it.Key] = reject.Reject{Key: it.Key, Revision: it.Revision, Err: err}
 			if selfAnnounced(old) {
 				// Nothing but its announcement is known of such an upstream, so the old announcement cannot stay in force.
 				c.drop(now, it.Key, old)
--- a/pkg/control/contrl/control.go
+++ b/pkg/control/contrl/control.go
@@ -90,6 +90,8 @@
 	heldFrom string
 	// peersFreshAt is the latest time at which the replica is known to have matched the store, from peers' digests.
 	peersFreshAt time.Time
+	// matchedAt is what FreshAt returns, as of the last Step.
+	matchedAt time.Time
 	// sweepAt is when the state of upstreams that are gone is discarded next.
 	sweepAt time.Time
 	// gossipAt is when the next exchange with peers is due.
@@ -152,6 +154,7 @@
 		c.self.Draining = true
 	}
 	c.issueRequests()
+	c.updateMatchedAt()
 	c.publish()
 	return c.effects
 }
--- a/pkg/control/contrl/status.go
+++ b/pkg/control/contrl/status.go
@@ -52,15 +52,18 @@
 
 // FreshAt returns the latest time at which the configuration in force is known to have matched the store, or the zero time
 // before the first sync and while what operators have written was never in force.
-func (c *Control) FreshAt() time.Time {
+func (c *Control) FreshAt() time.Time { return c.matchedAt }
+
+// updateMatchedAt raises matchedAt to that of the replica, unless a record of operators in it is not in force. When such a record
+// arrives, the store may have had it for as long as the replica had not been confirmed.
+func (c *Control) updateMatchedAt() {
 	if !c.synced {
-		return time.Time{}
+		return
 	}
-	at := c.freshAt()
-	for key, r := range c.config.Rejects {
-		if keys.IsOperators(key) && r.Since.Before(at) {
-			at = r.Since
+	for key := range c.config.Rejects {
+		if keys.IsOperators(key) {
+			return
 		}
 	}
-	return at
+	c.matchedAt = c.freshAt()
 }
--- a/pkg/records/reject/reject.go
+++ b/pkg/records/reject/reject.go
@@ -1,7 +1,5 @@
 package reject
 
-import "time"
-
 // Reject is a record that could not be decoded or is invalid, and so is not in force.
 //
 // The previous record under its key stays in force, unless it is that of an upstream that announces itself and
@@ -11,8 +9,6 @@
 	Key string
 	// Revision is that of the rejected write.
 	Revision int64
-	// Since is when the record in force under the key became out of date; zero if there has been none.
-	Since time.Time
 	// Err says what is wrong with the record.
 	Err error
 }
