--- a/internal/daemon/conns.go
+++ b/internal/daemon/conns.go
@@ -1,6 +1,8 @@
 package daemon
 
 import (
+	"errors"
+	"syscall"
 	"time"
 
 	"go.uber.org/zap"
@@ -18,8 +20,8 @@
 	// callMemoryShare is the part of the memory that connections, pipelined requests and bodies may take together. The rest is
 	// for control and for garbage.
 	callMemoryShare = 0.7
-	// pressureLogInterval bounds how often a lack of room for connections is logged.
-	pressureLogInterval = time.Second
+	// pressureInterval bounds how often a lack of room for connections is logged, and idle connections to upstreams are closed.
+	pressureInterval = time.Second
 )
 
 // maxCallerConns returns the number of callers' connections that fit the descriptors of the process (0 if only the system's
@@ -37,12 +39,16 @@
 	return conns
 }
 
-// logPressure logs that there is no room for further connections: MaxConns are open, or Accept has failed.
-func (d *Daemon) logPressure(conns int, err error) {
+// onPressure logs that there is no room for further connections: MaxConns are open, or Accept has failed. If it failed for lack of
+// descriptors, idle connections to upstreams close as well.
+func (d *Daemon) onPressure(conns int, err error) {
 	now := d.clock.Now()
-	if now.Sub(d.pressureLogged) < pressureLogInterval {
+	if now.Sub(d.pressureAt) < pressureInterval {
 		return
 	}
-	d.pressureLogged = now
+	d.pressureAt = now
 	d.log.Warn("closing idle connections of callers to make room", zap.Int("conns", conns), zap.Int("limit", d.maxConns), zap.Error(err))
+	if errors.Is(err, syscall.EMFILE) || errors.Is(err, syscall.ENFILE) {
+		d.upstreams.CloseIdle()
+	}
 }
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -66,8 +66,10 @@
 	memory *memory.Budget
 	// maxConns is the number of callers' connections from which on idle ones are closed to make room.
 	maxConns int
-	// pressureLogged is when a lack of room for connections was last logged; only the goroutine that accepts them uses it.
-	pressureLogged time.Time
+	// pressureAt is when onPressure last made room; only the goroutine that accepts connections uses it.
+	pressureAt time.Time
+	// upstreams has the connections to upstreams.
+	upstreams *sender.Sender
 	// stopBegin is when the stop has begun; nil before.
 	stopBegin atomic.Pointer[time.Time]
 	// errs receives the error of each server that fails; its buffer has room for one error of each server.
@@ -105,12 +107,12 @@
 	d.maxConns = maxCallerConns(o.MaxFiles, o.MemoryLimitBytes)
 	claimClient := claims.New(d.clock, fmt.Sprintf("%s.%d", o.Name, incarnation))
 	claimClient.Get, claimClient.CompareAndSwap, claimClient.Entries = d.seams.Get, d.seams.CompareAndSwap, d.core.Entries
-	upstreams := sender.New(d.clock, d.seams.Headers)
-	d.core.Probe = upstreams.Probe
+	d.upstreams = sender.New(d.clock, d.seams.Headers)
+	d.core.Probe = d.upstreams.Probe
 	d.memory = memory.New(int64(callMemoryShare * float64(o.MemoryLimitBytes)))
 	handler := &proxy.Handler{
 		Rule: d.core.Rule, Bounds: d.core.Bounds, Configured: d.core.Configured, Basis: d.core.Basis, Headers: d.seams.Headers,
-		Service: d.core.Service, Send: upstreams.Send, Probe: upstreams.Probe, Claim: claimClient.Claim, CompleteClaim: claimClient.Complete,
+		Service: d.core.Service, Send: d.upstreams.Send, Probe: d.upstreams.Probe, Claim: claimClient.Claim, CompleteClaim: claimClient.Complete,
 		Clock: d.clock, Log: d.log, Poison: d.core.Poison(), InFlight: d.inFlight, Admits: d.admits, Name: o.Name, Incarnation: incarnation, MaxBodyBytes: o.MaxBodyBytes, MaxConfigAge: cmp.Or(o.MaxConfigAge, tune.MaxConfigAge), Memory: d.memory, Stopping: d.stopping,
 	}
 	handler.SetMetrics(d.metrics)
@@ -219,7 +221,7 @@
 	d.callerListener.Bounds = d.core.Bounds
 	d.callerListener.MaxConns = d.maxConns
 	d.callerListener.Memory = d.memory
-	d.callerListener.OnPressure = d.logPressure
+	d.callerListener.OnPressure = d.onPressure
 	d.callerListener.OnServerAnswer = d.onServerAnswer
 	conns := d.callerListener.Conns
 	d.metrics.NewGauge("balsamvale_caller_connections", func() float64 { return float64(conns()) })
--- a/internal/sender/sender.go
+++ b/internal/sender/sender.go
@@ -101,6 +101,9 @@
 	return res, out
 }
 
+// CloseIdle closes the connections that no attempt uses.
+func (s *Sender) CloseIdle() { s.pooled.CloseIdleConnections() }
+
 // Probe requests the load report of the named upstream from addr; path is the URL path of the report. It gives up after
 // tune.ProbeTimeout.
 func (s *Sender) Probe(ctx context.Context, name string, addr netip.AddrPort, path string) result.Result {
