--- a/internal/daemon/daemon_test.go
+++ b/internal/daemon/daemon_test.go
@@ -26,6 +26,7 @@
 	"github.com/balsamvale/balsamvale/internal/logs"
 	"github.com/balsamvale/balsamvale/internal/option"
 	"github.com/balsamvale/balsamvale/internal/ports"
+	"github.com/balsamvale/balsamvale/internal/reqlog"
 	"github.com/balsamvale/balsamvale/internal/store"
 	"github.com/balsamvale/balsamvale/internal/wire"
 	"github.com/balsamvale/balsamvale/pkg/control/keys"
@@ -146,10 +147,10 @@
 	It("ends within its limits while an upstream holds calls, and refuses the calls that still wait", func() {
 		var held atomic.Int64
 		release := make(chan struct{})
-		up := httptest.NewServer(http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
-			GinkgoWriter.Printf("held: %d, %s %s, attempt %s, from %s\n", held.Add(1), r.Method, r.URL, r.Header.Get(wire.AttemptID), r.RemoteAddr)
+		up := httptest.NewServer(reqlog.New(http.HandlerFunc(func(http.ResponseWriter, *http.Request) {
+			held.Add(1)
 			<-release
-		}))
+		}), clock.Wall(), GinkgoWriter))
 		DeferCleanup(up.Close)
 		DeferCleanup(func() { close(release) })
 		o := &option.Options{ShutdownDelay: 100 * time.Millisecond, DrainTimeout: 600 * time.Millisecond, HandoverTimeout: 100 * time.Millisecond}
--- a/internal/daemon/late_send_test.go
+++ b/internal/daemon/late_send_test.go
@@ -14,7 +14,9 @@
 	. "github.com/onsi/gomega"
 
 	"github.com/balsamvale/balsamvale/internal/option"
+	"github.com/balsamvale/balsamvale/internal/reqlog"
 	"github.com/balsamvale/balsamvale/internal/wire"
+	"github.com/balsamvale/balsamvale/pkg/shared/clock"
 )
 
 const (
@@ -120,11 +122,12 @@
 	} {
 		It(tc.name, func() {
 			u := &shedOnce{}
-			up, other := httptest.NewServer(u), httptest.NewServer(u)
+			logged := reqlog.New(u, clock.Wall(), GinkgoWriter)
+			up, other := httptest.NewServer(logged), httptest.NewServer(logged)
 			DeferCleanup(up.Close)
 			DeferCleanup(other.Close)
 			o := &option.Options{ShutdownDelay: lateDelay, DrainTimeout: lateDrain, HandoverTimeout: 100 * time.Millisecond}
-			stop, done := startDaemon(up, o)
+			stop, done := startLoggingDaemon(up, o, GinkgoWriter)
 			putRecords(o.Store, "[[upstream]]\nschema = 1\nname = \"v\"\nservice = \"s\"\ndomain = \"zone-1\"\nversion = \"v1\"\naddr = \""+strings.TrimPrefix(other.URL, "http://")+"\"\n")
 			time.Sleep(500 * time.Millisecond)
 			at := time.Now().Add(50 * time.Millisecond)
--- a/internal/proxy/handler_test.go
+++ b/internal/proxy/handler_test.go
@@ -28,6 +28,7 @@
 	"github.com/balsamvale/balsamvale/internal/header"
 	"github.com/balsamvale/balsamvale/internal/logs"
 	"github.com/balsamvale/balsamvale/internal/proxy"
+	"github.com/balsamvale/balsamvale/internal/reqlog"
 	"github.com/balsamvale/balsamvale/internal/sender"
 	"github.com/balsamvale/balsamvale/internal/wire"
 	"github.com/balsamvale/balsamvale/pkg/calls/claim"
@@ -53,9 +54,13 @@
 
 // startEntry starts a server with a Handler whose service "s" has one upstream with the given handler.
 func startEntry(upstream http.HandlerFunc) *httptest.Server {
-	up := httptest.NewServer(upstream)
+	up := httptest.NewServer(reqlog.New(upstream, clock.Wall(), GinkgoWriter))
 	DeferCleanup(up.Close)
-	return startEntryFor(up, bodyLimit, func(f func()) { DeferCleanup(f) })
+	srv := startEntryFor(up, bodyLimit, func(f func()) { DeferCleanup(f) })
+	log := logs.New(GinkgoWriter, clock.Wall(), zapcore.InfoLevel, 1)
+	DeferCleanup(log.Close)
+	srv.Config.Handler.(*proxy.Handler).Log = log
+	return srv
 }
 
 // startEntryFor starts a server with a Handler whose service "s" has the upstream up; limit is the maximum size of a request
