--- a/pkg/control/watch/watcher.go
+++ b/pkg/control/watch/watcher.go
@@ -59,14 +59,15 @@
 // Next returns the next request, with the given ID, and whether one is due. None is due while another is pending,
 // during a backoff, or during the delay after changes.
 //
-// A watch asks for the changes after the revision since.
+// A watch asks for the changes after the revision since, which is that of the replica. A list below it fails, as the replica would
+// ignore it.
 func (w *Watcher) Next(now time.Time, id uint64, since int64) (kvreq.Request, bool) {
 	if w.pending.ID != 0 || !w.backoff.Ready(now) || now.Before(w.nextWatchAt) {
 		return kvreq.Request{}, false
 	}
 	req := kvreq.Request{ID: id, Op: kvop.Watch, Key: keys.ControlPrefix, SinceRevision: since, Wait: max(w.Wait, tune.WatchTimeout)}
 	if w.relist {
-		req = kvreq.Request{ID: id, Op: kvop.List, Key: keys.ControlPrefix, After: w.after}
+		req = kvreq.Request{ID: id, Op: kvop.List, Key: keys.ControlPrefix, After: w.after, SinceRevision: since}
 	}
 	w.pending = req
 	w.sentAt = now
--- a/pkg/control/watch/watcher_test.go
+++ b/pkg/control/watch/watcher_test.go
@@ -59,4 +59,52 @@
 			}
 		})
 	}
+
+	// Guards against an entry that takes its configuration for current by a list that its replica ignores, and so ends calls with 404.
+	for _, tc := range []struct {
+		name string
+		// revisions are those of the pages of the list that follows a watch after revision 100, which is too large.
+		revisions []int64
+		fresh     bool
+	}{
+		{"a list below the revision of the replica does not make it fresh", []int64{90}, false},
+		{"a list of two pages below the revision of the replica does not make it fresh", []int64{99, 101}, false},
+		{"a list at the revision of the replica makes it fresh", []int64{100}, true},
+		{"a list of two pages above the revision of the replica makes it fresh", []int64{101, 102}, true},
+	} {
+		It(tc.name, func() {
+			w := watch.New(rand.New(rand.NewPCG(1, 1)))
+			now, id := start, uint64(0)
+			respond := func(op kvop.Op, r kvresp.Response) bool {
+				id++
+				req, ok := w.Next(now, id, 100)
+				Expect(ok).To(BeTrue())
+				Expect(req.Op).To(Equal(op))
+				now = now.Add(time.Millisecond)
+				r.ID = id
+				_, ok = w.HandleResponse(now, r)
+				return ok
+			}
+			Expect(respond(kvop.List, kvresp.Response{Revision: 100, Applied: true})).To(BeTrue())
+			Expect(respond(kvop.Watch, kvresp.Response{OutcomeUnknown: true, TooLarge: true})).To(BeFalse())
+			now = now.Add(tune.MaxBackoff)
+			listed, done := now, false
+			for i, revision := range tc.revisions {
+				more := i+1 < len(tc.revisions)
+				done = respond(kvop.List, kvresp.Response{Revision: revision, Applied: true, More: more, Items: []item.Item{{Key: "a", Revision: 9}}})
+				if !tc.fresh {
+					break
+				}
+				Expect(done).To(Equal(!more))
+			}
+			if tc.fresh {
+				Expect(w.FreshAt()).To(Equal(listed))
+			} else {
+				Expect(w.FreshAt()).To(Equal(start))
+			}
+			Expect(done).To(Equal(tc.fresh))
+			Expect(w.NeedsList()).To(Equal(!tc.fresh))
+			Expect(w.Failing()).To(Equal(!tc.fresh))
+		})
+	}
 })
--- a/pkg/stored/kvreq/request.go
+++ b/pkg/stored/kvreq/request.go
@@ -16,7 +16,7 @@
 	Key string
 	// After is the last key of the previous page of a List; empty for the first page.
 	After string
-	// SinceRevision is the revision after which Watch reports changes.
+	// SinceRevision is the revision after which Watch reports changes, and the lowest of which a List is of use.
 	SinceRevision int64
 	// Value is what CompareAndSwap writes.
 	Value value.Value
