--- a/internal/proxy/match.go
+++ b/internal/proxy/match.go
@@ -1,6 +1,7 @@
 package proxy
 
 import (
+	"cmp"
 	"math/rand/v2"
 	"net/http"
 	"strconv"
@@ -34,7 +35,8 @@
 // matchRoute returns the match of a request. If there is none, why is the reason and text says so to the caller. If the service
 // of the matching rule is not known, why is reason.None and the match has no pool.
 func (h *Handler) matchRoute(r *http.Request) (m routeMatch, why reason.Reason, text string) {
-	rule, known := h.Rule(r.Host, r.URL.EscapedPath())
+	// An absolute URI may have no path, which stands for the root.
+	rule, known := h.Rule(r.Host, cmp.Or(r.URL.EscapedPath(), "/"))
 	if !known {
 		return h.matchPath(r)
 	}
