--- a/pkg/control/config/config.go
+++ b/pkg/control/config/config.go
@@ -1,6 +1,7 @@
 package config
 
 import (
+	"cmp"
 	"maps"
 	"slices"
 	"time"
@@ -70,9 +71,9 @@
 	// self is the name of this entry.
 	self string
 
-	// rulesByName holds the routing rules by name.
-	rulesByName map[string]*rulrec.Rule
-	// ruleTable is built from rulesByName on demand, and nil after a change.
+	// rules holds the routing rules. Their names alone do not tell them apart, as those of a batch may share one.
+	rules map[ruleKey]*rulrec.Rule
+	// ruleTable is built from rules on demand, and nil after a change.
 	ruleTable *rules.Rules
 	// deferUntil is when the deferral of removals ends. Until then, an upstream may have been removed merely because its
 	// lease expired during an outage of the store.
@@ -81,6 +82,16 @@
 	deferred map[string]deferredRemoval
 }
 
+// ruleKey tells routing rules apart.
+type ruleKey struct{ name, host, path string }
+
+func keyOf(r *rulrec.Rule) ruleKey { return ruleKey{r.Name, r.Host, r.Path} }
+
+// compare compares two keys by name, host and path, as cmp.Compare does.
+func (k ruleKey) compare(other ruleKey) int {
+	return cmp.Or(cmp.Compare(k.name, other.name), cmp.Compare(k.host, other.host), cmp.Compare(k.path, other.path))
+}
+
 // deferredRemoval is a tombstone that is applied at a later time.
 type deferredRemoval struct {
 	tombstone item.Item
@@ -105,7 +116,7 @@
 		dirty:       map[string]bool{},
 		homeDomain:  homeDomain,
 		self:        self,
-		rulesByName: map[string]*rulrec.Rule{},
+		rules:       map[ruleKey]*rulrec.Rule{},
 		deferred:    map[string]deferredRemoval{},
 	}
 }
@@ -235,7 +246,7 @@
 		delete(c.Rollouts, r.Rollout.Name)
 		c.dirty[r.Rollout.Service] = true
 	case r.Rule != nil:
-		delete(c.rulesByName, r.Rule.Name)
+		delete(c.rules, keyOf(r.Rule))
 		c.ruleTable = nil
 	case r.Bounds != nil:
 		c.Bounds = nil
@@ -285,7 +296,7 @@
 		c.dirty[rollout.Service] = true
 		c.restoreStart(rollout.Name)
 	case r.Rule != nil:
-		c.rulesByName[r.Rule.Name] = r.Rule
+		c.rules[keyOf(r.Rule)] = r.Rule
 		c.ruleTable = nil
 	case r.Bounds != nil:
 		c.Bounds = r.Bounds
@@ -312,13 +323,13 @@
 
 // Rules returns the table of the routing rules, or nil when there are none.
 func (c *Config) Rules() *rules.Rules {
-	if len(c.rulesByName) == 0 {
+	if len(c.rules) == 0 {
 		return nil
 	}
 	if c.ruleTable == nil {
-		list := make([]*rulrec.Rule, 0, len(c.rulesByName))
-		for _, name := range slices.Sorted(maps.Keys(c.rulesByName)) {
-			list = append(list, c.rulesByName[name])
+		list := make([]*rulrec.Rule, 0, len(c.rules))
+		for _, key := range slices.SortedFunc(maps.Keys(c.rules), ruleKey.compare) {
+			list = append(list, c.rules[key])
 		}
 		c.ruleTable = rules.New(list)
 	}
--- a/pkg/control/config/config_test.go
+++ b/pkg/control/config/config_test.go
@@ -1,6 +1,7 @@
 package config_test
 
 import (
+	"fmt"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -181,4 +182,25 @@
 		Expect(f.config.Rules().Find("h", "/a/x").Splits[0].Service).To(Equal("t"))
 		Expect(f.config.Rules().Len()).To(Equal(1))
 	})
+	// Of the rules that share a name, the last one alone was in force: calls for the others were ended with 404.
+	for _, names := range [][2]string{{"a", "b"}, {"a", "a"}, {"", ""}} {
+		It(fmt.Sprintf("puts all its rules in force: %q", names), func() {
+			f := newFixture()
+			rules := func(paths ...string) value.Value {
+				b := &batch.Batch{Records: []*record.Record{service().Record}}
+				for i, p := range paths {
+					b.Records = append(b.Records, &record.Record{Rule: &rulrec.Rule{Name: names[i], Host: "h", Path: p, Splits: []split.Split{{Service: "s", Weight: 1}}}})
+				}
+				return value.Value{Batch: b}
+			}
+			f.put(start, "set", rules("/x/", "/y/"))
+			Expect(f.config.Rules().Find("h", "/x/a")).NotTo(BeNil())
+			Expect(f.config.Rules().Find("h", "/y/a")).NotTo(BeNil())
+			f.put(start, "set", rules("/y/"))
+			Expect(f.config.Rules().Find("h", "/x/a")).To(BeNil())
+			Expect(f.config.Rules().Find("h", "/y/a")).NotTo(BeNil())
+			f.remove(start, "set")
+			Expect(f.config.Rules()).To(BeNil())
+		})
+	}
 })
