--- a/pkg/control/rules/rules.go
+++ b/pkg/control/rules/rules.go
@@ -33,13 +33,21 @@
 
 // Find returns the rule of the host with the longest prefix that matches the path, or nil if there is none.
 //
-// The host may include a port and is compared without regard to case. Prefixes end with a slash, so they match
-// whole path segments only.
+// The host may include a port and is compared without regard to case. The rules of a host with its port come before those of
+// the host. Prefixes end with a slash, so they match whole path segments only.
 func (t *Rules) Find(host, path string) *rulrec.Rule {
+	host = strings.ToLower(host)
+	if r := longest(t.byHost[host], path); r != nil {
+		return r
+	}
 	if name, _, err := net.SplitHostPort(host); err == nil {
-		host = name
+		return longest(t.byHost[name], path)
 	}
-	paths := t.byHost[strings.ToLower(host)]
+	return nil
+}
+
+// longest returns the rule with the longest prefix that matches the path, or nil if there is none.
+func longest(paths map[string]*rulrec.Rule, path string) *rulrec.Rule {
 	if paths == nil {
 		return nil
 	}
--- a/pkg/control/rules/rules_test.go
+++ b/pkg/control/rules/rules_test.go
@@ -21,6 +21,9 @@
 		{Name: "x", Host: "a.example", Path: "/x/"},
 		{Name: "deep", Host: "a.example", Path: "/x/y/z/"},
 		{Name: "other", Host: "b.example", Path: "/only/"},
+		{Name: "port", Host: "D.example:81", Path: "/"},
+		{Name: "part", Host: "d.example:83", Path: "/p/"},
+		{Name: "any port", Host: "d.example", Path: "/x/"},
 	})
 	for _, tc := range []struct{ host, path, want string }{
 		{"a.example", "/", "root"},
@@ -35,6 +38,13 @@
 		{"b.example", "/", ""},
 		{"b.example", "/only/1", "other"},
 		{"c.example", "/", ""},
+		// A rule of a host with a port matched no call, which was ended with 404.
+		{"d.example:81", "/q", "port"},
+		{"d.Example:81", "/x/1", "port"},
+		{"d.example:82", "/x/1", "any port"},
+		{"d.example:83", "/p/1", "part"},
+		{"d.example:83", "/x/1", "any port"},
+		{"d.example", "/q", ""},
 		{"a.example", "", ""},
 	} {
 		It(tc.host+tc.path, func() {
