--- a/internal/replay/storage.go
+++ b/internal/replay/storage.go
@@ -196,7 +196,7 @@
 			w.done(kvresp.Response{OutcomeUnknown: true})
 			return
 		}
-		w.done(kvresp.Response{Applied: true, Revision: st.revision})
+		w.done(kvresp.Response{Applied: true, Waited: true, Revision: st.revision})
 	})
 	st.notify()
 }
--- a/internal/store/client.go
+++ b/internal/store/client.go
@@ -207,7 +207,7 @@
 		return kvresp.Response{}, c.failover(err)
 	}
 	m := res.Msg
-	return kvresp.Response{Items: codec.ItemsFromProto(m.GetItem()), Revision: m.GetRevision(), Compacted: m.GetLost(), Applied: true}, nil
+	return kvresp.Response{Items: codec.ItemsFromProto(m.GetItem()), Revision: m.GetRevision(), Waited: len(m.GetItem()) == 0, Compacted: m.GetLost(), Applied: true}, nil
 }
 
 // lease grants a lease, or renews the one with the given ID; Applied stays unset if that lease has expired.
--- a/pkg/control/contrl/control.go
+++ b/pkg/control/contrl/control.go
@@ -220,7 +220,7 @@
 // issueRequests issues the store requests that are due.
 func (c *Control) issueRequests() {
 	if c.watchesStore() {
-		c.watcher.Pause, c.watcher.Wait = c.watchPause(), c.watchWait()
+		c.watcher.Pause, c.watcher.Wait, c.watcher.Renew = c.watchPause(), c.watchWait(), c.watchRenew()
 		if req, ok := c.watcher.Next(c.now, c.nextID(), c.replica.Revision()); ok {
 			c.callStore(req)
 		}
--- a/pkg/control/contrl/fleet_test.go
+++ b/pkg/control/contrl/fleet_test.go
@@ -313,7 +313,7 @@
 	f.after(req.Wait, func() {
 		if i := slices.Index(f.watches, w); i >= 0 {
 			f.watches = slices.Delete(f.watches, i, i+1)
-			answer(kvresp.Response{Applied: true, Revision: f.revision})
+			answer(kvresp.Response{Applied: true, Waited: true, Revision: f.revision})
 		}
 	})
 }
--- a/pkg/control/contrl/gossip.go
+++ b/pkg/control/contrl/gossip.go
@@ -51,6 +51,15 @@
 	return min(tune.MaxWatchTimeout, tune.WatchTimeout*time.Duration(c.watcherCount())/tune.MinWatchers)
 }
 
+// watchRenew returns the age of the replica at which a watch after changes ends. Only tune.MinWatchers entries end it, so that their
+// calls do not grow with the fleet; the others wait as long as always.
+func (c *Control) watchRenew() time.Duration {
+	if shard.Shard(0).Rank(c.config.ActiveMembers(), c.self.Name) < tune.MinWatchers {
+		return tune.WatchTimeout
+	}
+	return 0
+}
+
 // freshAt returns the latest time at which this entry's replica is known to have matched the store.
 func (c *Control) freshAt() time.Time {
 	if f := c.watcher.FreshAt(); f.After(c.peersFreshAt) {
--- a/pkg/control/contrl/staleness_test.go
+++ b/pkg/control/contrl/staleness_test.go
@@ -66,4 +66,26 @@
 		f.run(seconds * time.Second)
 		Expect(float64(f.watchCalls - before)).To(BeNumerically("<=", slack*tune.MinWatchers*seconds/tune.WatchTimeout.Seconds()))
 	})
+
+	// Guards against a fleet whose entries all turn to the store since what a watch with changes proves is as old as the watch: one call
+	// for each change and one for each tune.WatchTimeout is enough for a watcher.
+	It("is looked for by the watchers alone while the store changes", func() {
+		const seconds, slack = 20, 1.25
+		for seed := range uint64(4) {
+			for _, every := range []time.Duration{400 * time.Millisecond, time.Second, 1500 * time.Millisecond} {
+				f := newFleet(17, seed)
+				before, changes := f.watchCalls, 0
+				next := f.now
+				for end := f.now.Add(seconds * time.Second); f.now.Before(end); f.run(tune.Tick) {
+					if !f.now.Before(next) {
+						changes++
+						f.write(keys.Record("domain", "changed"))
+						next = f.now.Add(every/2 + time.Duration(f.rand.Int64N(int64(every))))
+					}
+				}
+				most := slack * tune.MinWatchers * (seconds/tune.WatchTimeout.Seconds() + float64(changes))
+				Expect(float64(f.watchCalls-before)).To(BeNumerically("<=", most), fmt.Sprintf("seed %d, every %v", seed, every))
+			}
+		}
+	})
 })
--- a/pkg/control/watch/watcher.go
+++ b/pkg/control/watch/watcher.go
@@ -23,6 +23,9 @@
 	Pause time.Duration
 	// Wait is how long a watch waits for a change; 0 means tune.WatchTimeout.
 	Wait time.Duration
+	// Renew ends the watch after one that was answered early, which proves less than the end of a wait, once the replica was last known
+	// to match the store so long ago; 0 means that such a watch waits like others.
+	Renew time.Duration
 
 	rand    *rand.Rand
 	backoff backof.Backoff
@@ -39,15 +42,19 @@
 	after string
 	// freshAt is the latest time at which the replica is known to have matched the store.
 	freshAt time.Time
+	// answeredAt is when the last usable response came, or was due if it came late.
+	answeredAt time.Time
 	// sentAt is when the last request was issued.
 	sentAt time.Time
+	// early is set if the last watch was answered before the end of its wait, as far as is known.
+	early bool
 	// nextWatchAt delays the watch that follows a response with changes, so that one watch returns all changes
 	// made within the delay.
 	nextWatchAt time.Time
 	// failures counts the requests in a row whose outcome is unknown or whose response was out of date.
 	failures int
 	// interrupted is set from a failure until changes are returned again, and recovered if the last response returned the
-	// first changes after a failure. outage is then how long before it the replica was last known to match the store.
+	// first changes after a failure. outage is then how long before it the store had last answered.
 	interrupted bool
 	recovered   bool
 	outage      time.Duration
@@ -65,7 +72,7 @@
 	if w.pending.ID != 0 || !w.backoff.Ready(now) || now.Before(w.nextWatchAt) {
 		return kvreq.Request{}, false
 	}
-	req := kvreq.Request{ID: id, Op: kvop.Watch, Key: keys.ControlPrefix, SinceRevision: since, Wait: max(w.Wait, tune.WatchTimeout)}
+	req := kvreq.Request{ID: id, Op: kvop.Watch, Key: keys.ControlPrefix, SinceRevision: since, Wait: w.wait(now)}
 	if w.relist {
 		req = kvreq.Request{ID: id, Op: kvop.List, Key: keys.ControlPrefix, After: w.after, SinceRevision: since}
 	}
@@ -81,10 +88,10 @@
 // to apply: a watch without changes yields an empty delta; an incomplete list, a failed request and a compacted history
 // yield none.
 func (w *Watcher) HandleResponse(now time.Time, resp kvresp.Response) (delta.Delta, bool) {
-	lastFresh := w.freshAt
+	lastAnswered := w.answeredAt
 	d, ok := w.handle(now, resp)
 	w.recovered = ok && w.interrupted
-	w.outage = now.Sub(lastFresh)
+	w.outage = now.Sub(lastAnswered)
 	w.interrupted = w.interrupted && !ok
 	return d, ok
 }
@@ -111,21 +118,28 @@
 	if req.Op == kvop.List {
 		return w.handlePage(req, resp)
 	}
-	respondedAt := now
+	respondedAt, waited := now, w.sentAt.Add(req.Wait)
 	if !resp.RespondedAt.IsZero() {
-		respondedAt = resp.RespondedAt
+		respondedAt = earlier(now, resp.RespondedAt)
+	}
+	w.answeredAt = earlier(respondedAt, waited)
+	// The store decides what it reports after the watch was sent, but how long the response was on its way is not known. One without
+	// changes was decided no earlier than at the end of the wait, unless it arrived before that.
+	w.early = !resp.Waited || respondedAt.Before(waited)
+	if w.early {
+		w.setFresh(w.sentAt)
+	} else {
+		w.setFresh(waited)
 	}
-	// A response that took longer than the wait was delayed on its way.
-	w.setFresh(earlier(now, respondedAt), w.sentAt.Add(req.Wait))
 	if len(resp.Items) > 0 {
 		w.nextWatchAt = now.Add(w.pause())
 	}
 	return delta.Delta{Items: resp.Items, BaseRevision: req.SinceRevision, Revision: resp.Revision}, true
 }
 
-// setFresh records that the replica matched the store at the earlier of two times.
-func (w *Watcher) setFresh(a, b time.Time) {
-	if at := earlier(a, b); at.After(w.freshAt) {
+// setFresh records that the replica matched the store at a time.
+func (w *Watcher) setFresh(at time.Time) {
+	if at.After(w.freshAt) {
 		w.freshAt = at
 	}
 }
@@ -138,6 +152,18 @@
 	return a
 }
 
+// wait returns how long the next watch waits.
+func (w *Watcher) wait(now time.Time) time.Duration {
+	whole := max(w.Wait, tune.WatchTimeout)
+	if !w.early || w.Renew == 0 {
+		return whole
+	}
+	return max(minWait, min(whole, w.freshAt.Add(w.Renew).Sub(now).Truncate(minWait)))
+}
+
+// minWait is the shortest wait, and the unit of waits.
+const minWait = time.Millisecond
+
 // pause returns the pause after a watch that returned changes.
 func (w *Watcher) pause() time.Duration {
 	if w.Pause <= tune.WatchPause {
@@ -158,7 +184,8 @@
 	}
 	full := delta.Delta{Items: w.listedItems, Revision: w.listRevision, Full: true}
 	w.relist, w.after, w.listedItems = false, "", nil
-	w.setFresh(w.sentAt, w.listSentAt)
+	w.answeredAt = w.listSentAt
+	w.setFresh(w.listSentAt)
 	return full, true
 }
 
@@ -172,7 +199,7 @@
 // the store had been out of touch.
 func (w *Watcher) OutageEnded() (length time.Duration, ended bool) { return w.outage, w.recovered }
 
-// FreshAt returns the latest time at which the replica is known to have matched the store: that of the last response.
+// FreshAt returns the latest time at which the replica is known to have matched the store.
 //
 // A pending watch does not count, since the store cannot report a change to an entry that it does not reach.
 func (w *Watcher) FreshAt() time.Time { return w.freshAt }
@@ -183,5 +210,5 @@
 // Healthy reports whether the store answered a list or watch within twice tune.MaxWatchTimeout. A response that reports the
 // history as compacted does not count.
 func (w *Watcher) Healthy(now time.Time) bool {
-	return !w.freshAt.IsZero() && now.Sub(w.freshAt) < 2*tune.MaxWatchTimeout
+	return !w.answeredAt.IsZero() && now.Sub(w.answeredAt) < 2*tune.MaxWatchTimeout
 }
--- a/pkg/control/watch/watcher_test.go
+++ b/pkg/control/watch/watcher_test.go
@@ -11,11 +11,21 @@
 	"github.com/balsamvale/balsamvale/pkg/shared/tune"
 	"github.com/balsamvale/balsamvale/pkg/stored/item"
 	"github.com/balsamvale/balsamvale/pkg/stored/kvop"
+	"github.com/balsamvale/balsamvale/pkg/stored/kvreq"
 	"github.com/balsamvale/balsamvale/pkg/stored/kvresp"
 )
 
 var _ = Describe("Watcher", func() {
 	start := time.Unix(1000, 0)
+	changes := kvresp.Response{Revision: 8, Applied: true, Items: []item.Item{{Key: "a", Revision: 8}}}
+	nothing := kvresp.Response{Revision: 7, Applied: true, Waited: true}
+	arrived := func(r kvresp.Response, after time.Duration) kvresp.Response {
+		r.RespondedAt = start.Add(after)
+		return r
+	}
+	const listed, wait, early = -3 * time.Second, 2 * time.Second, 600 * time.Millisecond
+	// Guards against an entry that ends calls with 404 since it takes its configuration for newer than it is: the store may have decided
+	// what it reports at any time since the watch was sent, and the response may have been delayed on its way.
 	for _, tc := range []struct {
 		name     string
 		response kvresp.Response
@@ -24,26 +34,32 @@
 		took, fresh time.Duration
 		next        kvop.Op
 	}{
-		{"a watch with changes makes the replica fresh", kvresp.Response{Revision: 8, Applied: true, Items: []item.Item{{Key: "a", Revision: 8}}}, 600 * time.Millisecond, 600 * time.Millisecond, kvop.Watch},
-		{"a watch without changes makes the replica fresh", kvresp.Response{Revision: 7, Applied: true}, tune.WatchTimeout, tune.WatchTimeout, kvop.Watch},
-		{"a response that is delayed makes it fresh up to the end of the wait", kvresp.Response{Revision: 7, Applied: true}, 1800 * time.Millisecond, tune.WatchTimeout, kvop.Watch},
-		{"a response that took long to arrive makes it fresh up to its first part", kvresp.Response{Revision: 8, Applied: true, Items: []item.Item{{Key: "a", Revision: 8}}, RespondedAt: start.Add(100 * time.Millisecond)}, 900 * time.Millisecond, 100 * time.Millisecond, kvop.Watch},
-		{"a response whose first part is delayed makes it fresh up to the end of the wait", kvresp.Response{Revision: 7, Applied: true, RespondedAt: start.Add(1700 * time.Millisecond)}, 1800 * time.Millisecond, tune.WatchTimeout, kvop.Watch},
-		{"a response does not make it fresh at a later time than its own", kvresp.Response{Revision: 8, Applied: true, RespondedAt: start.Add(700 * time.Millisecond)}, 600 * time.Millisecond, 600 * time.Millisecond, kvop.Watch},
-		{"a watch whose history is compacted does not, and a list follows at once", kvresp.Response{Revision: 7, Applied: true, Compacted: true}, tune.WatchTimeout, 0, kvop.List},
-		{"a watch whose response is too large does not, and a list follows", kvresp.Response{OutcomeUnknown: true, TooLarge: true}, 100 * time.Millisecond, 0, kvop.List},
-		{"a watch that fails does not, and a watch follows", kvresp.Response{OutcomeUnknown: true}, 100 * time.Millisecond, 0, kvop.Watch},
+		{"a watch with changes makes the replica fresh as of the request", changes, early, 0, kvop.Watch},
+		{"a watch with changes that arrive after the wait does", changes, 2 * wait, 0, kvop.Watch},
+		{"a watch with changes whose first part arrives after the wait does", arrived(changes, 2*wait), 3 * wait, 0, kvop.Watch},
+		{"a watch with changes that took long to arrive does", arrived(changes, early), 3 * wait, 0, kvop.Watch},
+		{"a watch without changes makes it fresh as of the end of the wait", nothing, wait, wait, kvop.Watch},
+		{"a watch without changes that is delayed does", nothing, 2 * wait, wait, kvop.Watch},
+		{"a watch without changes whose first part is delayed does", arrived(nothing, 2*wait), 3 * wait, wait, kvop.Watch},
+		{"a watch without changes that ends early makes it fresh as of the request", nothing, early, 0, kvop.Watch},
+		{"a watch without changes whose first part arrives early does", arrived(nothing, early), 2 * wait, 0, kvop.Watch},
+		{"a watch whose changes are of no concern makes it fresh as of the request", kvresp.Response{Revision: 8, Applied: true}, 2 * wait, 0, kvop.Watch},
+		{"a watch whose history is compacted does not, and a list follows at once", kvresp.Response{Revision: 7, Applied: true, Compacted: true}, wait, listed, kvop.List},
+		{"a watch whose response is too large does not, and a list follows", kvresp.Response{OutcomeUnknown: true, TooLarge: true}, 100 * time.Millisecond, listed, kvop.List},
+		{"a watch that fails does not, and a watch follows", kvresp.Response{OutcomeUnknown: true}, 100 * time.Millisecond, listed, kvop.Watch},
 	} {
 		It(tc.name, func() {
 			w := watch.New(rand.New(rand.NewPCG(1, 1)))
-			req, ok := w.Next(start, 1, 0)
+			w.Wait = wait
+			req, ok := w.Next(start.Add(listed), 1, 0)
 			Expect(ok).To(BeTrue())
 			Expect(req.Op).To(Equal(kvop.List))
 			w.HandleResponse(start, kvresp.Response{ID: 1, Revision: 7, Applied: true})
 			req, _ = w.Next(start, 2, 7)
 			Expect(req.Op).To(Equal(kvop.Watch))
+			Expect(req.Wait).To(Equal(wait))
 			now := start.Add(tc.took)
-			Expect(w.FreshAt()).To(Equal(start), "a pending watch does not count")
+			Expect(w.FreshAt()).To(Equal(start.Add(listed)), "a pending watch does not count")
 			r := tc.response
 			r.ID = 2
 			w.HandleResponse(now, r)
@@ -60,6 +76,42 @@
 		})
 	}
 
+	// Guards against entries that answer 503 instead of 404, or turn to the store, since watches with changes prove little.
+	for _, tc := range []struct {
+		name     string
+		response kvresp.Response
+		took     time.Duration
+		// renew is Renew of the watcher, and wait the wait of the next watch.
+		renew, wait time.Duration
+	}{
+		{"a watch that waited is followed by one with the same wait", nothing, wait, wait, wait},
+		{"a watch that waited and is delayed is followed by one with the same wait", nothing, 2 * wait, wait, wait},
+		{"a watch with changes is followed by one that waits for the rest", changes, early, wait, wait - early - tune.WatchPause},
+		{"a watch with changes is followed by one that waits for the rest of a shorter time", changes, early, time.Second, time.Second - early - tune.WatchPause},
+		{"a watch with changes is followed by one with the same wait where nothing is renewed", changes, early, 0, wait},
+		{"a watch with late changes is followed by one that waits no longer", changes, wait, wait, time.Millisecond},
+		{"a watch with changes that are delayed is followed by one that waits no longer", changes, 2 * wait, wait, time.Millisecond},
+		{"a watch without changes that ends early is followed by one that waits for the rest", nothing, early, wait, wait - early},
+		{"a watch that fails is followed by one with the same wait", kvresp.Response{OutcomeUnknown: true}, wait, wait, wait},
+	} {
+		It(tc.name, func() {
+			w := watch.New(rand.New(rand.NewPCG(1, 1)))
+			w.Wait, w.Renew = wait, tc.renew
+			w.Next(start, 1, 0)
+			w.HandleResponse(start, kvresp.Response{ID: 1, Revision: 7, Applied: true})
+			w.Next(start, 2, 7)
+			r := tc.response
+			r.ID = 2
+			now := start.Add(tc.took)
+			w.HandleResponse(now, r)
+			var req kvreq.Request
+			for ok := false; !ok; now = now.Add(tune.Tick) {
+				req, ok = w.Next(now, 3, 8)
+			}
+			Expect(req.Wait).To(Equal(tc.wait))
+		})
+	}
+
 	// Guards against an entry that takes its configuration for current by a list that its replica ignores, and so ends calls with 404.
 	for _, tc := range []struct {
 		name string
--- a/pkg/stored/kvresp/response.go
+++ b/pkg/stored/kvresp/response.go
@@ -26,6 +26,8 @@
 	// RespondedAt is when the first part of the response to a Watch arrived, or zero if that is unknown. What follows on a slow link
 	// is no newer.
 	RespondedAt time.Time
+	// Waited is set when a Watch has nothing to report, which the store says at the end of the wait.
+	Waited bool
 	// More is set when a List has further pages.
 	More bool
 	// Compacted is set when the history that a Watch needs is gone from the store.
