--- a/internal/demux/conn.go
+++ b/internal/demux/conn.go
@@ -391,6 +391,13 @@
 	return !c.closed
 }
 
+// isTurn reports whether the response to request seq may be written.
+func (c *conn) isTurn(seq uint64) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.responseSeq == seq
+}
+
 // awaitTurnWithin waits until the response to request seq may be written or the connection closes. It returns false if ctx is done
 // by then.
 func (c *conn) awaitTurnWithin(ctx context.Context, seq uint64) bool {
--- a/internal/demux/virtual.go
+++ b/internal/demux/virtual.go
@@ -116,12 +116,20 @@
 	return vc.Conn.Close()
 }
 
-// AwaitTurn waits until the response to a request with the given context is due, as all earlier requests of its connection are
-// answered, or the connection closes. It returns false if limit is done by then. It does not wait for a request that did not come
-// through a Listener.
+// IsTurn reports whether the response to a request with the given context is due, as all earlier requests of its connection are
+// answered, or as the request did not come through a Listener.
+func IsTurn(ctx context.Context) bool {
+	vc, ok := ctx.Value(virtualConnKey{}).(*virtualConn)
+	return !ok || vc.conn.isTurn(vc.seq)
+}
+
+// AwaitTurn waits until IsTurn holds or the connection closes. It returns false if limit is done by then.
 func AwaitTurn(ctx, limit context.Context) bool {
 	vc, ok := ctx.Value(virtualConnKey{}).(*virtualConn)
-	return !ok || vc.conn.awaitTurnWithin(limit, vc.seq)
+	if !ok {
+		return limit.Err() == nil
+	}
+	return vc.conn.awaitTurnWithin(limit, vc.seq)
 }
 
 // CloseWrite waits until all earlier requests are answered and shuts down the writing side of the connection of the
--- a/internal/proxy/driver.go
+++ b/internal/proxy/driver.go
@@ -295,12 +295,8 @@
 	d.cancelOthers(a.id)
 	defer a.cancel()
 	defer func() { _ = a.res.Body.Close() }()
-	if a.res.Body != http.NoBody && !demux.AwaitTurn(d.r.Context(), a.ctx) {
+	if why := d.holdUntilTurn(a); why != reason.None {
 		d.flow.Close(d.now(), a.id)
-		why := reason.Deadline
-		if d.r.Context().Err() != nil {
-			why = reason.CallerGone
-		}
 		d.answerRefusal(step.Step{Stage: stage.Refuse, Outcome: outcom.Unknown, Reason: why})
 		return
 	}
@@ -341,6 +337,42 @@
 	d.handler.countCall(d.call, outcom.Answered, reason.None)
 }
 
+// holdUntilTurn waits until the response is due. Meanwhile it reads the body, if that has a known length of up to
+// tune.MaxHeldResponse bytes and fits the memory, so that the deadline cannot cut it any more. It returns why the response cannot be
+// delivered, if so.
+func (d *callDriver) holdUntilTurn(a *attempt) reason.Reason {
+	if a.res.Body == http.NoBody {
+		return reason.None
+	}
+	if n := a.res.ContentLength; n >= 0 && n <= tune.MaxHeldResponse && !demux.IsTurn(d.r.Context()) {
+		body, whole, err := readBuffered(a.res.Body, n, tune.MaxHeldResponse, d.memory)
+		if err != nil {
+			return d.whyCut(a)
+		}
+		if whole {
+			_ = a.res.Body.Close()
+			a.body, a.res.Body = body, http.NoBody
+			return reason.None
+		}
+		a.res.Body = newPrefixedBody(body, a.res.Body, d.memory)
+	}
+	if !demux.AwaitTurn(d.r.Context(), a.ctx) {
+		return d.whyCut(a)
+	}
+	return reason.None
+}
+
+// whyCut returns why the body of a response could not be read.
+func (d *callDriver) whyCut(a *attempt) reason.Reason {
+	switch {
+	case d.r.Context().Err() != nil:
+		return reason.CallerGone
+	case a.ctx.Err() != nil:
+		return reason.Deadline
+	}
+	return reason.ResponseCut
+}
+
 const (
 	// copyBufferSize is the size of the buffer for copying a response body, in bytes.
 	copyBufferSize = 32 << 10
--- a/pkg/calls/reason/reason.go
+++ b/pkg/calls/reason/reason.go
@@ -68,7 +68,8 @@
 	Outdated // outdated
 	// NoRule means that no routing rule matches the host and path.
 	NoRule // norule
-	// ResponseCut means that the response of the upstream broke off after its head had been passed on.
+	// ResponseCut means that the response of the upstream broke off after its head had been passed on, or while it was held for
+	// earlier responses.
 	ResponseCut // cut
 	// Panicked means that an unexpected error ended the call.
 	Panicked // panic
--- a/pkg/shared/tune/constants.go
+++ b/pkg/shared/tune/constants.go
@@ -132,6 +132,8 @@
 	DialTimeout = time.Second
 	// MaxBufferedResponse is the largest response body in bytes that is read completely before it is passed on.
 	MaxBufferedResponse = 64 << 10
+	// MaxHeldResponse is the largest response body in bytes that is read completely while its caller waits for earlier responses.
+	MaxHeldResponse = 256 << 10
 	// MinRetryAfter is the shortest time after which a refused caller is told to retry.
 	MinRetryAfter = 50 * time.Millisecond
 	// MaxReplayBody is the largest request body in bytes that is kept for further attempts.
