--- a/internal/core/config_test.go
+++ b/internal/core/config_test.go
@@ -37,4 +37,14 @@
 		Expect(co.Basis().Revision).To(Equal(int64(9)))
 		Expect(co.Basis().Age).To(BeNumerically(">=", 0))
 	})
+
+	// Nothing said that an entry does not keep to a limit of the operators as it is.
+	It("is logged with what of it applies only in part", func() {
+		co, out := brokenCore("")
+		Eventually(co.Ready, "3s").Should(BeTrue())
+		d := digest.Digest{From: "e2", Revision: 8, Delta: delta.Delta{Items: []item.Item{{Key: keys.Record("set", ""), Revision: 8}}, BaseRevision: 7, Revision: 8}}
+		_, err := co.Submit(context.Background(), event.Event{Kind: evkind.DigestReceived, Digest: d})
+		Expect(err).NotTo(HaveOccurred())
+		Eventually(out.String).Should(MatchRegexp(`"level":"warn",.*"msg":"limit","key":"[^"]+","revision":8,"text":"a limit is too high"`))
+	})
 })
--- a/internal/core/decode.go
+++ b/internal/core/decode.go
@@ -2,6 +2,7 @@
 
 import (
 	"github.com/rotisserie/eris"
+	"go.uber.org/zap"
 
 	"github.com/balsamvale/balsamvale/internal/logs"
 	"github.com/balsamvale/balsamvale/pkg/stored/item"
@@ -17,7 +18,7 @@
 	log    *logs.Log
 }
 
-// decodeItem decodes an item; errors are those of decode, or match errDecodePanic.
+// decodeItem decodes an item and logs its warnings; errors are those of decode, or match errDecodePanic.
 func (d *safeDecoder) decodeItem(it item.Item) (v value.Value, err error) {
 	defer func() {
 		if p := recover(); p != nil {
@@ -25,5 +26,11 @@
 			err = eris.Wrapf(errDecodePanic, "%s at revision %d: %v", it.Key, it.Revision, p)
 		}
 	}()
-	return d.decode(it)
+	v, err = d.decode(it)
+	if v.Batch != nil {
+		for _, text := range v.Batch.Warnings {
+			d.log.Warn("limit", zap.String("key", it.Key), zap.Int64("revision", it.Revision), zap.String("text", text))
+		}
+	}
+	return v, err
 }
--- a/internal/core/panic_test.go
+++ b/internal/core/panic_test.go
@@ -27,6 +27,7 @@
 	"github.com/balsamvale/balsamvale/pkg/records/svcrec"
 	"github.com/balsamvale/balsamvale/pkg/records/upsrec"
 	"github.com/balsamvale/balsamvale/pkg/shared/clock"
+	"github.com/balsamvale/balsamvale/pkg/stored/batch"
 	"github.com/balsamvale/balsamvale/pkg/stored/delta"
 	"github.com/balsamvale/balsamvale/pkg/stored/item"
 	"github.com/balsamvale/balsamvale/pkg/stored/kvop"
@@ -83,6 +84,9 @@
 			close(g.entered)
 			<-g.gate
 		}
+		if it.Key == keys.Record("set", "") {
+			return value.Value{Batch: &batch.Batch{Warnings: []string{"a limit is too high"}}}, nil
+		}
 		if name, ok := strings.CutPrefix(it.Key, keys.Record("upstream", "")); ok {
 			return value.Value{Record: &record.Record{Upstream: &upsrec.Upstream{Name: name, Service: "s"}}}, nil
 		}
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -58,8 +58,10 @@
 	callerListener *demux.Listener
 	// onServerAnswer records an answer of callerServer to a request that did not reach its handler.
 	onServerAnswer func(caller netip.AddrPort, status int, why reason.Reason)
-	peerServer     *http.Server
-	adminServer    *http.Server
+	// refuseHead returns the response to a request whose head exceeds a limit.
+	refuseHead  func(limit int) (status int, why reason.Reason, h http.Header)
+	peerServer  *http.Server
+	adminServer *http.Server
 	// stopping is closed when calls that still wait are to be refused.
 	stopping chan struct{}
 	// memory bounds what connections of callers and their calls take; nil for no limit.
@@ -111,10 +113,10 @@
 	handler := &proxy.Handler{
 		Rule: d.core.Rule, Bounds: d.core.Bounds, Configured: d.core.Configured, Basis: d.core.Basis, Headers: d.seams.Headers,
 		Service: d.core.Service, Send: upstreams.Send, Probe: upstreams.Probe, Claim: claimClient.Claim, CompleteClaim: claimClient.Complete,
-		Clock: d.clock, Log: d.log, Poison: d.core.Poison(), InFlight: d.inFlight, Admits: d.admits, Name: o.Name, Incarnation: incarnation, MaxBodyBytes: o.MaxBodyBytes, MaxConfigAge: cmp.Or(o.MaxConfigAge, tune.MaxConfigAge), Memory: d.memory, Stopping: d.stopping,
+		Clock: d.clock, Log: d.log, Poison: d.core.Poison(), InFlight: d.inFlight, Admits: d.admits, Name: o.Name, Incarnation: incarnation, MaxBodyBytes: o.MaxBodyBytes, MaxHeaderBytes: o.MaxHeaderBytes, MaxConfigAge: cmp.Or(o.MaxConfigAge, tune.MaxConfigAge), Memory: d.memory, Stopping: d.stopping,
 	}
 	handler.SetMetrics(d.metrics)
-	d.onServerAnswer = handler.RecordServerAnswer
+	d.onServerAnswer, d.refuseHead = handler.RecordServerAnswer, handler.RefuseHead
 	d.metrics.NewGauge("balsamvale_store_reads_total", func() float64 { return float64(d.seams.StoreReads()) })
 	d.metrics.NewGauge("balsamvale_store_writes_total", func() float64 { return float64(d.seams.StoreWrites()) })
 	d.metrics.NewGauge("balsamvale_configuration_age_seconds", func() float64 {
@@ -133,7 +135,7 @@
 	d.metrics.NewGauge(`balsamvale_calls_since_stop{opened="after"}`, func() float64 { _, onNew := d.inFlight.SinceStop(); return float64(onNew) })
 	d.metrics.NewGauge("balsamvale_log_lines_dropped_total", func() float64 { return float64(d.log.Dropped()) })
 	d.metrics.NewGauge("balsamvale_news_dropped_total", func() float64 { return float64(d.core.DroppedEvents.Load()) })
-	d.callerServer = &http.Server{Handler: handler, ReadHeaderTimeout: o.ReadHeaderTimeout, IdleTimeout: tune.CallerIdleTimeout, MaxHeaderBytes: o.MaxHeaderBytes, Protocols: protocols()}
+	d.callerServer = &http.Server{Handler: handler, ReadHeaderTimeout: o.ReadHeaderTimeout, IdleTimeout: tune.CallerIdleTimeout, MaxHeaderBytes: tune.ServerHeadBytes, Protocols: protocols()}
 }
 
 // protocols returns the protocols that callers may use: HTTP/1 and HTTP/2 without TLS.
@@ -216,7 +218,7 @@
 		return eris.Wrap(ErrListen, err.Error())
 	}
 	d.callerListener = demux.New(ln, d.clock)
-	d.callerListener.Bounds = d.core.Bounds
+	d.callerListener.Bounds, d.callerListener.MaxHeaderBytes, d.callerListener.RefuseHead = d.core.Bounds, d.options.MaxHeaderBytes, d.refuseHead
 	d.callerListener.MaxConns = d.maxConns
 	d.callerListener.Memory = d.memory
 	d.callerListener.OnPressure = d.logPressure
--- a/internal/daemon/daemon_test.go
+++ b/internal/daemon/daemon_test.go
@@ -96,7 +96,7 @@
 	kvServer := httptest.NewServer(mux)
 	DeferCleanup(kvServer.Close)
 	o.Name, o.Domain, o.Front, o.Peer, o.Admin = "e", "zone-1", freeAddr(), freeAddr(), freeAddr()
-	o.Store, o.MaxHeaderBytes, o.MaxBodyBytes = []netip.AddrPort{address(kvServer)}, 1<<16, 1<<30
+	o.Store, o.MaxHeaderBytes, o.MaxBodyBytes = []netip.AddrPort{address(kvServer)}, cmp.Or(o.MaxHeaderBytes, 1<<16), 1<<30
 	o.ReadHeaderTimeout = cmp.Or(o.ReadHeaderTimeout, time.Second)
 	putRecords(o.Store, "[[domain]]\nschema = 1\nname = \"zone-1\"\n[[service]]\nschema = 2\nname = \"s\"\nslots = "+strconv.Itoa(slots)+"\nconns = "+strconv.Itoa(conns)+"\nwarm = \"0s\"\n[[service.route]]\npath = \"/up\"\nclass = \"bulk\"\n[[upstream]]\nschema = 1\nname = \"u\"\nservice = \"s\"\ndomain = \"zone-1\"\nversion = \"v1\"\naddr = \""+up.String()+"\"\n")
 	ctx, cancel := context.WithCancel(context.Background())
--- a/internal/daemon/memory_test.go
+++ b/internal/daemon/memory_test.go
@@ -14,6 +14,8 @@
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
+	"golang.org/x/net/http2"
+	"golang.org/x/net/http2/hpack"
 
 	"github.com/balsamvale/balsamvale/internal/option"
 	"github.com/balsamvale/balsamvale/internal/wire"
@@ -97,6 +99,9 @@
 	get := "GET /s/a HTTP/1.1\r\nHost: a\r\n" + wire.Deadline + ": " + timeout + "\r\n\r\n"
 	post := fmt.Sprintf("POST /s/a HTTP/1.1\r\nHost: a\r\n%s: %s\r\nContent-Length: %d\r\n\r\n", wire.Deadline, timeout, uploadBytes)
 	chunked := fmt.Sprintf("POST /s/a HTTP/1.1\r\nHost: a\r\n%s: %s\r\nTransfer-Encoding: chunked\r\n\r\n%x\r\n", wire.Deadline, timeout, uploadBytes)
+	// With the highest limit, the server reads these heads itself.
+	bigHead := "GET /s/a HTTP/1.1\r\nHost: a\r\nX: " + strings.Repeat("x", 1000<<10)
+	chunkedFirst := "POST /none HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nxy\r\n0\r\n\r\n"
 	for _, tc := range []struct {
 		name    string
 		callers int
@@ -107,17 +112,23 @@
 		pause time.Duration
 		// answered is the least number of responses that begin.
 		answered int64
+		// limit is the limit for heads in bytes; 0 for the default.
+		limit int
 	}{
-		{"while responses do not end", 800, get, endlessPart, 0, 200},
-		{"while responses trickle", 800, get, endlessPart[:1], 20 * time.Millisecond, 200},
-		{"while responses to callers that pipeline do not end", 250, strings.Repeat(get, 8), endlessPart, 0, 200},
-		{"while heads do not end", 1150, "GET /s/a HTTP/1.1\r\nHost: a\r\nX: " + strings.Repeat("x", 70<<10), endlessPart, 0, 0},
-		{"while uploads of known length do not end", 300, post + strings.Repeat("x", uploadBytes-1), endlessPart, 0, 0},
-		{"while chunked uploads do not end", 300, chunked + strings.Repeat("x", uploadBytes-1), endlessPart, 0, 0},
+		{"while responses do not end", 800, get, endlessPart, 0, 200, 0},
+		{"while responses trickle", 800, get, endlessPart[:1], 20 * time.Millisecond, 200, 0},
+		{"while responses to callers that pipeline do not end", 250, strings.Repeat(get, 8), endlessPart, 0, 200, 0},
+		{"while heads do not end", 1150, "GET /s/a HTTP/1.1\r\nHost: a\r\nX: " + strings.Repeat("x", 70<<10), endlessPart, 0, 0, 0},
+		{"while uploads of known length do not end", 300, post + strings.Repeat("x", uploadBytes-1), endlessPart, 0, 0, 0},
+		{"while chunked uploads do not end", 300, chunked + strings.Repeat("x", uploadBytes-1), endlessPart, 0, 0, 0},
+		{"while large heads do not end", 300, bigHead, endlessPart, 0, 0, 1 << 20},
+		{"while large heads behind a chunked request do not end", 300, chunkedFirst + bigHead, endlessPart, 0, 0, 1 << 20},
+		{"while large heads over HTTP/2 do not end", 300, http2Head(strings.Repeat("x", 1000<<10)), endlessPart, 0, 0, 1 << 20},
+		{"while heads over HTTP/2 repeat a field", 300, http2Head("a", strings.Repeat("\xbe", 60<<10)), endlessPart, 0, 0, 1 << 20},
 	} {
 		It(tc.name, func() {
 			u := startEndless(tc.part, tc.pause)
-			o := &option.Options{MemoryLimitBytes: limit, DrainTimeout: time.Second}
+			o := &option.Options{MemoryLimitBytes: limit, MaxHeaderBytes: tc.limit, DrainTimeout: time.Second}
 			startSizedDaemon(netip.MustParseAddrPort(u.listener.Addr().String()), 2000, 2000, o, io.Discard)
 			sent := []byte(tc.sent)
 			before := usedMemory()
@@ -139,6 +150,27 @@
 	}
 })
 
+// http2Head returns the start of a connection of HTTP/2 with a head that does not end: one field with the given value, which is the
+// first in the table of the connection if it is short, and further bytes of the header block.
+func http2Head(value string, rest ...string) string {
+	var b bytes.Buffer
+	b.WriteString(http2.ClientPreface)
+	f := http2.NewFramer(&b, nil)
+	var block bytes.Buffer
+	e := hpack.NewEncoder(&block)
+	for _, field := range [][2]string{{":method", "GET"}, {":scheme", "http"}, {":path", "/s/a"}, {":authority", "a"}, {"x", value}} {
+		// Writes to a buffer never fail.
+		_ = e.WriteField(hpack.HeaderField{Name: field[0], Value: field[1]})
+	}
+	block.WriteString(strings.Join(rest, ""))
+	_ = f.WriteSettings()
+	_ = f.WriteHeaders(http2.HeadersFrameParam{StreamID: 1, BlockFragment: block.Next(16 << 10)})
+	for block.Len() > 0 {
+		_ = f.WriteContinuation(1, false, block.Next(16<<10))
+	}
+	return b.String()
+}
+
 // silentCaller sends requests and reads no response; its run method is a goroutine.
 type silentCaller struct {
 	conn net.Conn
--- a/internal/demux/conn.go
+++ b/internal/demux/conn.go
@@ -2,7 +2,6 @@
 
 import (
 	"bufio"
-	"cmp"
 	"errors"
 	"net"
 	"net/netip"
@@ -155,7 +154,7 @@
 		}
 	}
 	m := c.listener.Memory.Part(0)
-	h, err := readHead(c.reader, m)
+	h, err := readHead(c.reader, m, c.listener.headLimit)
 	if err == nil {
 		err = c.endHead()
 	}
@@ -267,24 +266,6 @@
 	return c.setReadDeadline(time.Time{})
 }
 
-// timeouts returns how long the head of a request may take and how long the connection may be idle: those of Bounds, or else of
-// the server. 0 means no limit.
-func (c *conn) timeouts() (read, idle time.Duration) {
-	s := c.listener.server
-	if b := c.listener.Bounds(); b != nil {
-		read, idle = b.ReadHeaderTimeout, b.IdleTimeout
-	}
-	return cmp.Or(read, s.ReadHeaderTimeout), cmp.Or(idle, s.IdleTimeout)
-}
-
-// deadlineAfter returns the time d from now, or the zero time, which means no deadline, if d is 0.
-func (c *conn) deadlineAfter(d time.Duration) time.Time {
-	if d <= 0 {
-		return time.Time{}
-	}
-	return c.listener.clock.Now().Add(d)
-}
-
 // hasPending reports whether any accepted request is unanswered.
 func (c *conn) hasPending() bool {
 	c.mu.Lock()
@@ -350,12 +331,19 @@
 	}
 	c.nextSeq++
 	c.passthrough = h.passthrough
+	if h.passthrough {
+		vc.meter.Store(newHeadMeter(c.listener, h.http2))
+	}
 	c.stopped = h.last || c.listener.isClosing()
 }
 
 // forward writes the head and the body of a request to its virtual connection; with passthrough, all bytes until the
-// connection ends.
+// connection ends. A request whose head exceeds the limit is refused instead.
 func (c *conn) forward(vc *virtualConn, h *head) error {
+	if h.limit > 0 {
+		vc.refuseHead(h.limit)
+		return nil
+	}
 	if _, err := vc.input.Write(h.bytes); err != nil {
 		return err
 	}
--- a/internal/demux/demux_test.go
+++ b/internal/demux/demux_test.go
@@ -152,7 +152,7 @@
 		{"limits the number of concurrent requests", strings.Repeat(get("/a"), 9) + get("/b"), []string{"/a", "/a", "/a", "/a", "/a", "/a", "/a", "/a"}, []string{"/a", "/b"}, []string{"/a:", "/a:", "/a:", "/a:", "/a:", "/a:", "/a:", "/a:", "/a:", "/b:"}},
 		{"abandons the requests after an aborted response", get("/a") + get("/cut") + get("/b"), []string{"/a", "/cut", "/b"}, []string{"/cut", "/a"}, []string{"/a:", ""}},
 		{"passes a malformed head through to the server", "GET /a HTTP/1.1\r\nno field\r\n\r\n", nil, nil, []string{"400 Bad Request"}},
-		{"passes a head that is too long through to the server", "GET /a HTTP/1.1\r\nHost: a\r\nX: " + strings.Repeat("x", 1100<<10) + "\r\n\r\n", nil, nil, []string{"431 Request Header Fields Too Large"}},
+		{"refuses a head that is too long", "GET /a HTTP/1.1\r\nHost: a\r\nX: " + strings.Repeat("x", 1100<<10) + "\r\n\r\n", nil, nil, []string{"431 Request Header Fields Too Large"}},
 	} {
 		It(tc.name, func() {
 			f := newFixture(nil)
--- a/internal/demux/listener.go
+++ b/internal/demux/listener.go
@@ -32,8 +32,12 @@
 
 // Listener accepts callers' connections and passes their virtual connections to an http.Server.
 type Listener struct {
-	// Bounds returns the time limits for reading requests, or nil if only the server's own limits apply.
+	// Bounds returns the limits for reading heads of requests, or nil if only MaxHeaderBytes and the server's time limits apply.
 	Bounds func() *bounds.Bounds
+	// RefuseHead returns the response to a request whose head exceeds the limit in bytes, and the reason for it.
+	RefuseHead func(limit int) (status int, why reason.Reason, h http.Header)
+	// MaxHeaderBytes is the limit for the head of a request in bytes while Bounds has none; 0 for tune.MaxHeadBytes.
+	MaxHeaderBytes int
 	// MaxConns is the number of connections from which on the longest idle ones close to make room for others; 0 for no limit.
 	// Without an idle one, further connections wait in the queue of the listener.
 	MaxConns int
@@ -42,7 +46,7 @@
 	Memory *memory.Budget
 	// OnPressure is called before room is made, with the number of open connections and the error of Accept, if it was one.
 	OnPressure func(conns int, err error)
-	// OnServerAnswer is called for each response that the server writes to a request before a handler has seen it, and with
+	// OnServerAnswer is called for each response to a request that no handler has seen, of RefuseHead or the server, and with
 	// status 0 for a connection that closes because the head of a request is late or does not fit the memory. It must not block.
 	OnServerAnswer func(caller netip.AddrPort, status int, why reason.Reason)
 
@@ -77,7 +81,10 @@
 // New returns a Listener that splits the connections accepted by inner. Read deadlines are computed from the time of c.
 func New(inner net.Listener, c clock.Clock) *Listener {
 	return &Listener{
-		Bounds:     func() *bounds.Bounds { return nil },
+		Bounds: func() *bounds.Bounds { return nil },
+		RefuseHead: func(int) (int, reason.Reason, http.Header) {
+			return http.StatusRequestHeaderFieldsTooLarge, reason.HeaderTooLarge, http.Header{}
+		},
 		OnPressure: func(int, error) {}, OnServerAnswer: func(netip.AddrPort, int, reason.Reason) {},
 		inner: inner, clock: c, accepted: make(chan *virtualConn), done: make(chan struct{}),
 		started: make(chan struct{}), conns: map[*conn]struct{}{},
@@ -105,7 +112,7 @@
 	next := s.Handler
 	s.Handler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if vc, ok := r.Context().Value(virtualConnKey{}).(*virtualConn); ok {
-			vc.answered.Store(true)
+			vc.setAnswered()
 		}
 		next.ServeHTTP(&writer{ResponseWriter: w, ctx: r.Context()}, r)
 	})
--- a/internal/demux/virtual.go
+++ b/internal/demux/virtual.go
@@ -35,6 +35,9 @@
 	busy bool
 	// answered is set once a handler has the current request, or the server has begun to answer it by itself.
 	answered atomic.Bool
+	// meter counts the heads that the server reads by itself; nil while it gets them from conn. It is set before the bytes of such a
+	// request are written to input.
+	meter atomic.Pointer[headMeter]
 }
 
 // Write writes a part of the response to the caller once all earlier requests are answered. The error is net.ErrClosed if
@@ -66,10 +69,18 @@
 	if !ok {
 		return
 	}
-	vc.answered.Store(true)
+	vc.setAnswered()
 	vc.conn.reportOwn(status, serverReason(status))
 }
 
+// setAnswered notes that a handler has the current request, or that the server answers it by itself.
+func (vc *virtualConn) setAnswered() {
+	vc.answered.Store(true)
+	if m := vc.meter.Load(); m != nil {
+		m.endHead()
+	}
+}
+
 // parseStatus returns the status of an HTTP/1 response that begins with p, and whether it is one.
 func parseStatus(p []byte) (status int, ok bool) {
 	version, rest, _ := bytes.Cut(p[:min(len(p), maxStatusLine)], []byte(" "))
@@ -94,13 +105,32 @@
 	return reason.Malformed
 }
 
-// Read reads a part of the request.
+// Read reads a part of the request. It fails if that is part of a head that exceeds its limit or does not fit the memory.
 func (vc *virtualConn) Read(p []byte) (int, error) {
+	if m := vc.meter.Load(); m != nil {
+		m.beginRead()
+	}
 	n, err := vc.Conn.Read(p)
 	vc.consumed.Add(int64(n))
+	m := vc.meter.Load()
+	if n == 0 || m == nil {
+		return n, err
+	}
+	limit, merr := m.note(p[:n], vc.answered.Load())
+	switch {
+	case limit > 0:
+		vc.refuseHead(limit)
+		return 0, errHeadRefused
+	case merr != nil:
+		vc.conn.reportOwn(0, reason.NoMemory)
+		return 0, errHeadRefused
+	}
 	return n, err
 }
 
+// errHeadRefused is the error of a read of a head that is not read further. On such an error the server writes nothing.
+var errHeadRefused = &net.OpError{Op: "read", Net: "tcp", Err: net.ErrClosed}
+
 // release lets the next response be written and makes vc available for another request.
 func (vc *virtualConn) release() { vc.conn.responseDone(vc) }
 
@@ -112,6 +142,9 @@
 func (vc *virtualConn) Close() error {
 	vc.conn.virtualClosed(vc)
 	_ = vc.input.Close()
+	if m := vc.meter.Load(); m != nil {
+		m.memory.Close()
+	}
 	return vc.Conn.Close()
 }
 
--- a/internal/proxy/handler.go
+++ b/internal/proxy/handler.go
@@ -83,6 +83,8 @@
 	Memory *memory.Budget
 	// MaxBodyBytes is the maximum size of a request body in bytes; Bounds may lower it.
 	MaxBodyBytes int64
+	// MaxHeaderBytes is the maximum size of a request head in bytes while Bounds has none; 0 for no limit.
+	MaxHeaderBytes int
 
 	// MaxConfigAge is the age of the configuration up to which it tells that a route or service does not exist; 0 for no limit.
 	MaxConfigAge time.Duration
@@ -144,8 +146,7 @@
 	}
 	d := &callDriver{handler: h, w: w, r: r, match: m, basis: b, memory: h.memoryOf(m.service.Name).Part(0)}
 	defer d.memory.Close()
-	// A connection of HTTP/2 has hundreds of requests at once, of which the listener counts none.
-	if r.ProtoMajor > 1 && !d.memory.Reserve(tune.PipelinedMemory) {
+	if !d.memory.Reserve(requestMemory(r)) {
 		h.refuseUnserved(w, r, b, reason.NoMemory, "no memory for the call")
 		return
 	}
@@ -200,7 +201,7 @@
 		h.refuseUnserved(w, r, b, reason.Unconfigured, "no configuration is in force yet")
 		return routeMatch{}, false
 	}
-	if limits := h.Bounds(); limits != nil && limits.MaxHeaderBytes > 0 && headerSize(r) > limits.MaxHeaderBytes {
+	if limit := h.headLimit(); limit > 0 && headSize(r) > limit {
 		h.refuseEarly(w, r, b, http.StatusRequestHeaderFieldsTooLarge, reason.HeaderTooLarge, "the header is too large")
 		return routeMatch{}, false
 	}
@@ -236,18 +237,6 @@
 	}
 }
 
-// headerSize returns the size of the head of a request in bytes, as written without optional white space.
-func headerSize(r *http.Request) int {
-	const fieldOverhead, lineOverhead = len(": \r\n"), len("  HTTP/1.1\r\n")
-	n := len(r.Method) + len(r.RequestURI) + lineOverhead + len("Host") + len(r.Host) + fieldOverhead
-	for k, values := range r.Header {
-		for _, v := range values {
-			n += len(k) + len(v) + fieldOverhead
-		}
-	}
-	return n
-}
-
 // idleTimeout returns how long a caller may take nothing of its response: the operators' idle timeout, or else the default.
 func (h *Handler) idleTimeout() time.Duration {
 	if b := h.Bounds(); b != nil && b.IdleTimeout > 0 {
@@ -256,14 +245,6 @@
 	return tune.CallerIdleTimeout
 }
 
-// bodyLimit returns the maximum size of a request body in bytes: the lower of the operators' limit and the settings.
-func (h *Handler) bodyLimit() int64 {
-	if b := h.Bounds(); b != nil && b.MaxBodyBytes > 0 {
-		return min(b.MaxBodyBytes, h.MaxBodyBytes)
-	}
-	return h.MaxBodyBytes
-}
-
 // refuseUnserved refuses a call with status 503 before it is looked at; another entry may serve it at once.
 func (h *Handler) refuseUnserved(w http.ResponseWriter, r *http.Request, b basis.Basis, why reason.Reason, text string) {
 	h.Headers.PrepareRefusal(w.Header(), &step.Step{Outcome: outcom.NotRun, Reason: why}, tune.MinRetryAfter)
--- a/pkg/shared/tune/constants.go
+++ b/pkg/shared/tune/constants.go
@@ -124,8 +124,17 @@
 	ConnMemory = 40 << 10
 	// PipelinedMemory is what each further request of a connection takes that is served at once, in bytes, without its bodies.
 	PipelinedMemory = 64 << 10
-	// MaxHeadBytes is the size in bytes up to which a request head is searched for its end before the server reads it.
-	MaxHeadBytes = 72 << 10
+	// MaxHeadBytes is the highest limit for a request head in bytes that an entry serves.
+	MaxHeadBytes = 1 << 20
+	// HeadSlack is how many bytes a head may be above its limit and still be read, as optional white space in it does not count.
+	HeadSlack = 8 << 10
+	// FreeHeadBytes is the size in bytes up to which a head counts as part of its connection or call.
+	FreeHeadBytes = 64 << 10
+	// FieldMemory is what a header field takes beyond its text, in bytes.
+	FieldMemory = 128
+	// ServerHeadBytes is the limit of the HTTP server itself. HTTP/2 counts 32 bytes more for each field, so that it is above
+	// MaxHeadBytes.
+	ServerHeadBytes = 4 * MaxHeadBytes
 	// ConnIdleTimeout is how long an unused connection to an upstream is kept.
 	ConnIdleTimeout = 10 * time.Second
 	// DialTimeout bounds the opening of a connection.
--- a/pkg/stored/batch/batch.go
+++ b/pkg/stored/batch/batch.go
@@ -7,4 +7,6 @@
 	Records []*record.Record
 	// Version is the number that the operator gave this set.
 	Version int64
+	// Warnings says what of the set applies only in part.
+	Warnings []string
 }
