--- a/internal/proxy/handler.go
+++ b/internal/proxy/handler.go
@@ -81,7 +81,7 @@
 	// Memory bounds what the calls keep of request and response bodies; nil for no limit. A call whose request does not fit is
 	// refused, a response that does not fit is streamed.
 	Memory *memory.Budget
-	// MaxBodyBytes is the maximum size of a request body in bytes; Bounds may lower it.
+	// MaxBodyBytes is the maximum size of a request body in bytes while Bounds has none.
 	MaxBodyBytes int64
 	// MaxHeaderBytes is the maximum size of a request head in bytes while Bounds has none; 0 for no limit.
 	MaxHeaderBytes int
--- a/internal/proxy/limits.go
+++ b/internal/proxy/limits.go
@@ -16,10 +16,10 @@
 	return h.MaxHeaderBytes
 }
 
-// bodyLimit returns the maximum size of a request body in bytes: the lower of the operators' limit and the settings.
+// bodyLimit returns the maximum size of a request body in bytes: the operators' limit, or else that of the settings.
 func (h *Handler) bodyLimit() int64 {
 	if b := h.Bounds(); b != nil && b.MaxBodyBytes > 0 {
-		return min(b.MaxBodyBytes, h.MaxBodyBytes)
+		return b.MaxBodyBytes
 	}
 	return h.MaxBodyBytes
 }
