--- a/internal/proxy/body.go
+++ b/internal/proxy/body.go
@@ -182,12 +182,12 @@
 }
 
 // badBodyStatus returns the status for a request whose body could not be read, and the reason: 413 if the body exceeds the limit,
-// 408 if it did not arrive in time, otherwise 400.
+// or that of tooLargeBody, 408 if it did not arrive in time, otherwise 400.
 func (d *callDriver) badBodyStatus(err error) (int, reason.Reason) {
 	var tooLarge *http.MaxBytesError
 	switch {
 	case errors.As(err, &tooLarge):
-		return http.StatusRequestEntityTooLarge, reason.BodyTooLarge
+		return d.handler.tooLargeBody(tooLarge.Limit, len(d.attempts) > 0)
 	case errors.Is(err, os.ErrDeadlineExceeded) && len(d.attempts) == 0:
 		return http.StatusRequestTimeout, reason.BodyLate
 	}
@@ -200,6 +200,9 @@
 	if len(d.attempts) > 0 {
 		outcome = outcom.Unknown
 	}
+	if status == http.StatusServiceUnavailable {
+		d.handler.prepareUnserved(d.w.Header(), reason.Outdated)
+	}
 	d.handler.Headers.SetOutcome(d.w.Header(), outcome, reason.None)
 	d.w.Header().Set("Connection", "close")
 	http.Error(d.w, "the request body cannot be read", status)
--- a/internal/proxy/handler.go
+++ b/internal/proxy/handler.go
@@ -202,11 +202,11 @@
 		return routeMatch{}, false
 	}
 	if limit := h.headLimit(); limit > 0 && headSize(r) > limit {
-		h.refuseEarly(w, r, b, http.StatusRequestHeaderFieldsTooLarge, reason.HeaderTooLarge, "the header is too large")
+		h.refuseTooLarge(w, r, b, http.StatusRequestHeaderFieldsTooLarge, reason.HeaderTooLarge, "the header is too large")
 		return routeMatch{}, false
 	}
 	if r.ContentLength > h.bodyLimit() {
-		h.refuseEarly(w, r, b, http.StatusRequestEntityTooLarge, reason.BodyTooLarge, "the body is too large")
+		h.refuseTooLarge(w, r, b, http.StatusRequestEntityTooLarge, reason.BodyTooLarge, "the body is too large")
 		return routeMatch{}, false
 	}
 	return m, true
@@ -247,10 +247,15 @@
 
 // refuseUnserved refuses a call with status 503 before it is looked at; another entry may serve it at once.
 func (h *Handler) refuseUnserved(w http.ResponseWriter, r *http.Request, b basis.Basis, why reason.Reason, text string) {
-	h.Headers.PrepareRefusal(w.Header(), &step.Step{Outcome: outcom.NotRun, Reason: why}, tune.MinRetryAfter)
+	h.prepareUnserved(w.Header(), why)
 	h.refuseEarly(w, r, b, http.StatusServiceUnavailable, why, text)
 }
 
+// prepareUnserved sets the headers of a response with status 503 to a call that was not looked at.
+func (h *Handler) prepareUnserved(header http.Header, why reason.Reason) {
+	h.Headers.PrepareRefusal(header, &step.Step{Outcome: outcom.NotRun, Reason: why}, tune.MinRetryAfter)
+}
+
 // refuseEarly logs, counts and refuses a request before a flow is started for it; text is the body of the response.
 func (h *Handler) refuseEarly(w http.ResponseWriter, r *http.Request, b basis.Basis, status int, why reason.Reason, text string) {
 	h.countOwn(status, why)
--- a/internal/proxy/limits.go
+++ b/internal/proxy/limits.go
@@ -4,6 +4,7 @@
 	"net/http"
 
 	"github.com/balsamvale/balsamvale/pkg/calls/reason"
+	"github.com/balsamvale/balsamvale/pkg/shared/basis"
 	"github.com/balsamvale/balsamvale/pkg/shared/tune"
 	"github.com/balsamvale/balsamvale/pkg/traffic/flow"
 )
@@ -25,11 +26,47 @@
 }
 
 // RefuseHead returns the response to a request whose head was not read to its end, as it exceeds the limit in bytes.
-func (h *Handler) RefuseHead(int) (status int, why reason.Reason, header http.Header) {
+func (h *Handler) RefuseHead(limit int) (status int, why reason.Reason, header http.Header) {
 	header = http.Header{}
+	switch b := h.Basis(); {
+	case !h.Configured():
+		status, why = http.StatusServiceUnavailable, reason.Unconfigured
+	case h.isOutdated(b):
+		status, why = http.StatusServiceUnavailable, reason.Outdated
+	case limit < h.headLimit():
+		status, why = http.StatusServiceUnavailable, reason.HeaderTooLarge
+	default:
+		status, why = http.StatusRequestHeaderFieldsTooLarge, reason.HeaderTooLarge
+	}
+	if status == http.StatusServiceUnavailable {
+		h.prepareUnserved(header, why)
+	}
 	// The request may have a key.
 	h.Headers.SetOutcome(header, flow.OutcomeBeforeClaim(true), reason.None)
-	return http.StatusRequestHeaderFieldsTooLarge, reason.HeaderTooLarge, header
+	return status, why, header
+}
+
+// refuseTooLarge refuses a request that exceeds a limit of the configuration b: with status, which is final, only while the limit
+// is known to be that of the store.
+func (h *Handler) refuseTooLarge(w http.ResponseWriter, r *http.Request, b basis.Basis, status int, why reason.Reason, text string) {
+	if h.isOutdated(b) {
+		h.refuseUnserved(w, r, b, reason.Outdated, text+" for a configuration that may be out of date")
+		return
+	}
+	h.refuseEarly(w, r, b, status, why, text)
+}
+
+// tooLargeBody returns the status for a body of which more than limit bytes came, and the reason. The limit may have risen
+// meanwhile, or be out of date. Once a part was sent to an upstream, the status is one that promises nothing.
+func (h *Handler) tooLargeBody(limit int64, sent bool) (int, reason.Reason) {
+	outdated := h.isOutdated(h.Basis()) || limit < h.bodyLimit()
+	switch {
+	case !outdated:
+		return http.StatusRequestEntityTooLarge, reason.BodyTooLarge
+	case sent:
+		return http.StatusBadGateway, reason.Outdated
+	}
+	return http.StatusServiceUnavailable, reason.Outdated
 }
 
 // headSize returns the size of the head of a request in bytes, as written in the shortest way: without optional white space, and
--- a/internal/proxy/own_test.go
+++ b/internal/proxy/own_test.go
@@ -62,6 +62,8 @@
 		{"to an unknown route", http.MethodGet, "/t/a", [2]string{}, func(h *proxy.Handler) { h.Rule = func(string, string) (*rulrec.Rule, bool) { return nil, true } }, "early", 404, reason.NoRule},
 		{"to a large header", http.MethodGet, "/s/a", [2]string{"X", strings.Repeat("x", headerLimit)}, nil, "early", 431, reason.HeaderTooLarge},
 		{"to a large body", http.MethodPost, "/s/a", [2]string{}, func(h *proxy.Handler) { h.MaxBodyBytes = 1 }, "early", 413, reason.BodyTooLarge},
+		{"to a large header, with an old configuration", http.MethodGet, "/s/a", [2]string{"X", strings.Repeat("x", headerLimit)}, func(h *proxy.Handler) { h.MaxConfigAge = 1499 * time.Millisecond }, "early", 503, reason.Outdated},
+		{"to a large body, with an old configuration", http.MethodPost, "/s/a", [2]string{}, func(h *proxy.Handler) { h.MaxBodyBytes, h.MaxConfigAge = 1, 1499*time.Millisecond }, "early", 503, reason.Outdated},
 		{"in a stop", http.MethodPost, "/s/a", [2]string{}, func(h *proxy.Handler) { h.Admits = func(time.Time) bool { return false } }, "early", 503, reason.Stopping},
 		{"after a failure that may be a run", http.MethodPost, "/s/a", [2]string{}, failWith(cause.ConnBroken), "route", 502, reason.NotIdempotent},
 		{"after refusals of upstreams", http.MethodPost, "/s/a", [2]string{}, failWith(cause.Shed), "route", 503, reason.RetryLimit},
