--- a/internal/logs/log.go
+++ b/internal/logs/log.go
@@ -164,10 +164,10 @@
 	}
 }
 
-// Abort logs a call whose connection the entry closes without a whole answer.
-func (l *Log) Abort(requestID string, why reason.Reason, b basis.Basis) {
+// Abort logs a call whose connection the entry closes without a whole answer, with the error that the response ended in.
+func (l *Log) Abort(c *call.Call, why reason.Reason, b basis.Basis, err error) {
 	if ce := l.check("abort", false); ce != nil {
-		ce.Write(append(ownFields(0, b), zap.String("mark", cut(requestID)), zap.Stringer("reason", why))...)
+		ce.Write(append(ownFields(0, b), zap.Uint64("call", c.ID), zap.String("mark", cut(c.RequestID)), zap.Stringer("reason", why), zap.String("text", cut(err.Error())))...)
 	}
 }
 
--- a/internal/logs/log_test.go
+++ b/internal/logs/log_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"errors"
 	"strings"
 	"sync"
 	"time"
@@ -122,7 +123,9 @@
 		{"of a refusal", func(l *Log, long string) {
 			l.Refusal(&call.Call{ID: 1, RequestID: long}, &step.Step{Stage: stage.Refuse}, 503, basis.Basis{})
 		}},
-		{"of an aborted call", func(l *Log, long string) { l.Abort(long, reason.ResponseCut, basis.Basis{}) }},
+		{"of an aborted call", func(l *Log, long string) {
+			l.Abort(&call.Call{ID: 1, RequestID: long}, reason.ResponseCut, basis.Basis{}, errors.New(long))
+		}},
 		{"of a routing decision", func(l *Log, long string) {
 			l.RouteDecision(&call.Call{ID: 1, RequestID: long}, &step.Step{Stage: stage.Refuse})
 		}},
--- a/internal/proxy/driver.go
+++ b/internal/proxy/driver.go
@@ -327,7 +327,7 @@
 			why = reason.CallerGone
 		}
 		d.handler.countOwn(0, why)
-		d.handler.Log.Abort(d.call.RequestID, why, d.basis)
+		d.handler.Log.Abort(d.call, why, d.basis, err)
 		// Aborting the connection keeps the caller from taking a partial response for a complete one.
 		panic(http.ErrAbortHandler)
 	}
--- a/internal/proxy/own_test.go
+++ b/internal/proxy/own_test.go
@@ -106,6 +106,9 @@
 				Expect(line).To(And(ContainSubstring(`"status":%d`, tc.status), ContainSubstring(`"reason":%q`, tc.why),
 					ContainSubstring(`"revision":1234`), ContainSubstring(`"lag":"1.5s"`)))
 			}
+			if tc.line == "abort" {
+				Expect(line).To(And(ContainSubstring(`"call":1`), ContainSubstring(`"text":"unexpected EOF"`)))
+			}
 			var text bytes.Buffer
 			set.WritePrometheus(&text)
 			Expect(text.String()).To(ContainSubstring(fmt.Sprintf(`balsamvale_own_answers_total{status="%d",reason=%q} 1`, tc.status, tc.why)))
