--- a/internal/daemon/build_test.go
+++ b/internal/daemon/build_test.go
@@ -56,15 +56,12 @@
 			lines := gbytes.NewBuffer()
 			log := logs.New(lines, clock.Wall(), zapcore.InfoLevel, 1)
 			DeferCleanup(log.Close)
-			stop, cancel := context.WithCancel(context.Background())
-			DeferCleanup(cancel)
 			d := daemon.New(o, clock.Wall(), log, 1, store.New(clock.Wall(), &http.Client{}, o.Store).Seams())
 			d.Build.ReadInfo = func() (*debug.BuildInfo, bool) { return tc.info, tc.info != nil }
 			d.Build.Processors = func() int { return 3 }
 			d.Build.GoMemory = func() int64 { return 200 << 20 }
 			d.Build.ReadLimit = func(_ int, r *syscall.Rlimit) error { r.Cur = 4000; return nil }
-			r := &daemonRunner{d, stop, make(chan error, 1)}
-			go r.run()
+			stop, done := runDaemon(d)
 			Eventually(lines, "10s").Should(gbytes.Say(`"msg":"started"`))
 
 			first, _, _ := bytes.Cut(lines.Contents(), []byte("\n"))
@@ -89,8 +86,8 @@
 			b := s.GetBuild()
 			Expect([]string{b.GetRevision(), b.GetTree(), b.GetGo(), b.GetArch(), b.GetSettings()}).To(Equal([]string{tc.revision, tc.tree, tc.version, tc.arch, o.Digest()}))
 			Expect([]int64{int64(b.GetProcessors()), b.GetMemory(), b.GetHeap(), int64(b.GetFiles())}).To(Equal([]int64{3, 300 << 20, 200 << 20, 4000}))
-			cancel()
-			Eventually(r.done, "10s").Should(Receive(BeNil()))
+			stop()
+			Eventually(done, "10s").Should(Receive(BeNil()))
 		})
 	}
 })
--- a/internal/daemon/daemon_test.go
+++ b/internal/daemon/daemon_test.go
@@ -49,14 +49,33 @@
 	return addr
 }
 
-// daemonRunner runs a daemon and sends its result to done; its run method is a goroutine.
+// daemonRunner runs a daemon, sends its result to done and closes ended; its run method is a goroutine.
 type daemonRunner struct {
 	daemon *daemon.Daemon
 	stop   context.Context
 	done   chan error
+	ended  chan struct{}
 }
 
-func (r *daemonRunner) run() { r.done <- r.daemon.Run(r.stop, nil) }
+func (r *daemonRunner) run() {
+	defer close(r.ended)
+	r.done <- r.daemon.Run(r.stop, nil)
+}
+
+// runDaemon runs a daemon; the first call of stop begins its planned stop.
+//
+// The test goes on until the daemon has ended. An entry calls its store and its upstreams to its end, and a port that is free
+// again may belong to the upstream of another test, also of another package.
+func runDaemon(d *daemon.Daemon) (stop func(), done <-chan error) {
+	ctx, cancel := context.WithCancel(context.Background())
+	r := &daemonRunner{d, ctx, make(chan error, 1), make(chan struct{})}
+	go r.run()
+	DeferCleanup(func() {
+		cancel()
+		Eventually(r.ended, "10s").Should(BeClosed(), "the entry of an ended test")
+	})
+	return cancel, r.done
+}
 
 // slowUpload is a request body of which a part of 10 bytes arrives every 10 ms, and which begins the planned stop midway.
 type slowUpload struct {
@@ -100,15 +119,12 @@
 	o.Store, o.MaxHeaderBytes, o.MaxBodyBytes = []netip.AddrPort{address(kvServer)}, 1<<16, 1<<30
 	o.ReadHeaderTimeout = cmp.Or(o.ReadHeaderTimeout, time.Second)
 	putRecords(o.Store, "[[domain]]\nschema = 1\nname = \"zone-1\"\n[[service]]\nschema = 2\nname = \"s\"\nslots = "+strconv.Itoa(slots)+"\nconns = "+strconv.Itoa(conns)+"\nwarm = \"0s\"\n[[service.route]]\npath = \"/up\"\nclass = \"bulk\"\n[[upstream]]\nschema = 1\nname = \"u\"\nservice = \"s\"\ndomain = \"zone-1\"\nversion = \"v1\"\naddr = \""+up.String()+"\"\n")
-	ctx, cancel := context.WithCancel(context.Background())
-	DeferCleanup(cancel)
 	log := logs.New(w, clock.Wall(), zapcore.InfoLevel, 1)
 	DeferCleanup(log.Close)
-	r := &daemonRunner{daemon.New(o, clock.Wall(), log, 1, store.New(clock.Wall(), &http.Client{}, o.Store).Seams()), ctx, make(chan error, 1)}
-	go r.run()
+	stop, done = runDaemon(daemon.New(o, clock.Wall(), log, 1, store.New(clock.Wall(), &http.Client{}, o.Store).Seams()))
 	ready := func() int {
 		// An entry that has ended, for example since another program has taken a port, will never be ready.
-		Expect(r.done).NotTo(Receive(), "the result of the entry before it was ready")
+		Expect(done).NotTo(Receive(), "the result of the entry before it was ready")
 		res, err := http.Get("http://" + o.Admin.String() + "/ready")
 		if err != nil {
 			return 0
@@ -117,7 +133,7 @@
 		return res.StatusCode
 	}
 	Eventually(ready, "10s", "20ms").Should(Equal(http.StatusOK))
-	return cancel, r.done
+	return stop, done
 }
 
 var _ = Describe("A planned stop", func() {
--- a/internal/daemon/metrics_test.go
+++ b/internal/daemon/metrics_test.go
@@ -1,7 +1,6 @@
 package daemon_test
 
 import (
-	"context"
 	"io"
 	"net/http"
 	"net/http/httptest"
@@ -37,9 +36,7 @@
 			Store: []netip.AddrPort{address(kv)}, MaxHeaderBytes: 1 << 16, MaxBodyBytes: 1 << 20, ReadHeaderTimeout: time.Second, ShutdownDelay: 10 * time.Millisecond,
 		}
 		putRecords(o.Store, "[[domain]]\nschema = 1\nname = \"zone-1\"\n[[service]]\nschema = 2\nname = \"s\"\nslots = 4\nconns = 10\nwarm = \"0s\"\n[[upstream]]\nschema = 1\nname = \"u\"\nservice = \"s\"\ndomain = \"zone-1\"\nversion = \"v1\"\naddr = \""+address(up).String()+"\"\n")
-		stop, cancel := context.WithCancel(context.Background())
-		r := &daemonRunner{daemon.New(o, clock.Wall(), logs.New(io.Discard, clock.Wall(), zapcore.ErrorLevel, 1), 1, store.New(clock.Wall(), &http.Client{}, o.Store).Seams()), stop, make(chan error, 1)}
-		go r.run()
+		stop, done := runDaemon(daemon.New(o, clock.Wall(), logs.New(io.Discard, clock.Wall(), zapcore.ErrorLevel, 1), 1, store.New(clock.Wall(), &http.Client{}, o.Store).Seams()))
 		get := func(addr netip.AddrPort, path string) string {
 			res, err := http.Get("http://" + addr.String() + path)
 			if err != nil {
@@ -62,7 +59,7 @@
 			documented[strings.TrimSpace(m[1])] = true
 		}
 		Expect(served).To(Equal(documented))
-		cancel()
-		Eventually(r.done, "10s").Should(Receive(BeNil()))
+		stop()
+		Eventually(done, "10s").Should(Receive(BeNil()))
 	})
 })
