--- a/internal/daemon/daemon_test.go
+++ b/internal/daemon/daemon_test.go
@@ -31,6 +31,7 @@
 	"github.com/balsamvale/balsamvale/internal/wire"
 	"github.com/balsamvale/balsamvale/pkg/control/keys"
 	"github.com/balsamvale/balsamvale/pkg/shared/clock"
+	"github.com/balsamvale/balsamvale/pkg/shared/tune"
 	"github.com/balsamvale/balsamvale/pkg/stored/item"
 )
 
@@ -77,6 +78,30 @@
 	return cancel, r.done
 }
 
+// probedUpstream answers probes itself and passes calls on, for tests that count calls or hold them. An entry probes an upstream
+// once it has been in charge of it for a second.
+type probedUpstream struct {
+	calls  http.Handler
+	probes atomic.Int64
+}
+
+func (u *probedUpstream) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if r.URL.Path == tune.DefaultLoadPath {
+		u.probes.Add(1)
+		http.NotFound(w, r)
+		return
+	}
+	u.calls.ServeHTTP(w, r)
+}
+
+// startProbed starts a probedUpstream, whose requests are logged.
+func startProbed(calls http.HandlerFunc) (*probedUpstream, *httptest.Server) {
+	u := &probedUpstream{calls: calls}
+	srv := httptest.NewServer(reqlog.New(u, clock.Wall(), GinkgoWriter))
+	DeferCleanup(srv.Close)
+	return u, srv
+}
+
 // slowUpload is a request body of which a part of 10 bytes arrives every 10 ms, and which begins the planned stop midway.
 type slowUpload struct {
 	// parts is the number of parts still to come.
@@ -163,11 +188,10 @@
 	It("ends within its limits while an upstream holds calls, and refuses the calls that still wait", func() {
 		var held atomic.Int64
 		release := make(chan struct{})
-		up := httptest.NewServer(reqlog.New(http.HandlerFunc(func(http.ResponseWriter, *http.Request) {
+		_, up := startProbed(func(http.ResponseWriter, *http.Request) {
 			held.Add(1)
 			<-release
-		}), clock.Wall(), GinkgoWriter))
-		DeferCleanup(up.Close)
+		})
 		DeferCleanup(func() { close(release) })
 		o := &option.Options{ShutdownDelay: 100 * time.Millisecond, DrainTimeout: 600 * time.Millisecond, HandoverTimeout: 100 * time.Millisecond}
 		stop, done := startLoggingDaemon(up, o, GinkgoWriter)
@@ -191,11 +215,10 @@
 	It("logs each call that it cuts, and whether it came before the stop", func() {
 		arrived := make(chan struct{}, 2)
 		release := make(chan struct{})
-		up := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) {
+		_, up := startProbed(func(http.ResponseWriter, *http.Request) {
 			arrived <- struct{}{}
 			<-release
-		}))
-		DeferCleanup(up.Close)
+		})
 		DeferCleanup(func() { close(release) })
 		o := &option.Options{ShutdownDelay: 300 * time.Millisecond, DrainTimeout: 600 * time.Millisecond, HandoverTimeout: 100 * time.Millisecond}
 		log := gbytes.NewBuffer()
--- a/internal/daemon/late_send_test.go
+++ b/internal/daemon/late_send_test.go
@@ -5,7 +5,6 @@
 	"io"
 	"net"
 	"net/http"
-	"net/http/httptest"
 	"strings"
 	"sync/atomic"
 	"time"
@@ -14,9 +13,7 @@
 	. "github.com/onsi/gomega"
 
 	"github.com/balsamvale/balsamvale/internal/option"
-	"github.com/balsamvale/balsamvale/internal/reqlog"
 	"github.com/balsamvale/balsamvale/internal/wire"
-	"github.com/balsamvale/balsamvale/pkg/shared/clock"
 )
 
 const (
@@ -69,15 +66,14 @@
 	} {
 		It(tc.name, func() {
 			var runs atomic.Int64
-			up := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			_, up := startProbed(func(w http.ResponseWriter, r *http.Request) {
 				runs.Add(1)
 				_, _ = io.Copy(io.Discard, r.Body)
 				time.Sleep(lateWork)
 				_, _ = io.WriteString(w, "x")
-			}))
-			DeferCleanup(up.Close)
+			})
 			o := &option.Options{ShutdownDelay: lateDelay, DrainTimeout: lateDrain, HandoverTimeout: 100 * time.Millisecond}
-			stop, done := startDaemon(up, o)
+			stop, done := startLoggingDaemon(up, o, GinkgoWriter)
 			outcomes, half := make(chan string, 1), make(chan struct{})
 			begin := time.Now().Add(50 * time.Millisecond)
 			go func() { outcomes <- slowBody(o.Front.String(), begin.Add(tc.complete), half) }()
@@ -122,14 +118,14 @@
 	} {
 		It(tc.name, func() {
 			u := &shedOnce{}
-			logged := reqlog.New(u, clock.Wall(), GinkgoWriter)
-			up, other := httptest.NewServer(logged), httptest.NewServer(logged)
-			DeferCleanup(up.Close)
-			DeferCleanup(other.Close)
+			first, up := startProbed(u.ServeHTTP)
+			second, other := startProbed(u.ServeHTTP)
 			o := &option.Options{ShutdownDelay: lateDelay, DrainTimeout: lateDrain, HandoverTimeout: 100 * time.Millisecond}
 			stop, done := startLoggingDaemon(up, o, GinkgoWriter)
 			putRecords(o.Store, "[[upstream]]\nschema = 1\nname = \"v\"\nservice = \"s\"\ndomain = \"zone-1\"\nversion = \"v1\"\naddr = \""+strings.TrimPrefix(other.URL, "http://")+"\"\n")
 			time.Sleep(500 * time.Millisecond)
+			// A probe once counted as the call, which was then served instead of refused.
+			Eventually(func() int64 { return first.probes.Load() + second.probes.Load() }, "10s").Should(BeNumerically(">", 0))
 			at := time.Now().Add(50 * time.Millisecond)
 			fails := at.Add(tc.fails)
 			u.shedAt.Store(&fails)
