--- a/internal/proxy/match.go
+++ b/internal/proxy/match.go
@@ -1,7 +1,6 @@
 package proxy
 
 import (
-	"cmp"
 	"math/rand/v2"
 	"net/http"
 	"strconv"
@@ -35,15 +34,15 @@
 // matchRoute returns the match of a request. If there is none, why is the reason and text says so to the caller. If the service
 // of the matching rule is not known, why is reason.None and the match has no pool.
 func (h *Handler) matchRoute(r *http.Request) (m routeMatch, why reason.Reason, text string) {
-	// An absolute URI may have no path, which stands for the root.
-	rule, known := h.Rule(r.Host, cmp.Or(r.URL.EscapedPath(), "/"))
+	path, uri := requestTarget(r)
+	rule, known := h.Rule(r.Host, path)
 	if !known {
 		return h.matchPath(r)
 	}
 	if rule == nil {
 		return routeMatch{}, reason.NoRule, "no rule matches the host and path"
 	}
-	m = routeMatch{rule: rule, requestURI: r.URL.RequestURI(), timeout: rule.Timeout}
+	m = routeMatch{rule: rule, requestURI: uri, timeout: rule.Timeout}
 	random := rand.IntN
 	if key := h.Headers.IdempotencyKey(r.Header); key != "" {
 		// A repeat must get to the service of the first request, as claims are kept for each service.
@@ -60,18 +59,28 @@
 	return m, reason.None, ""
 }
 
+// requestTarget returns the path of a request, and the path with the query, as the caller wrote them: net/url would escape some
+// characters and then unescape others. An absolute URI without a path stands for the root.
+func requestTarget(r *http.Request) (path, uri string) {
+	uri = r.RequestURI
+	if !strings.HasPrefix(uri, "/") {
+		uri = r.URL.RequestURI()
+	}
+	path, _, _ = strings.Cut(uri, "?")
+	return path, uri
+}
+
 // matchPath returns the match of a request whose first path segment names the service, with the same results as
 // matchRoute.
 func (h *Handler) matchPath(r *http.Request) (m routeMatch, why reason.Reason, text string) {
-	name, path, _ := strings.Cut(strings.TrimPrefix(r.URL.EscapedPath(), "/"), "/")
+	path, uri := requestTarget(r)
+	query := strings.TrimPrefix(uri, path)
+	name, path, _ := strings.Cut(strings.TrimPrefix(path, "/"), "/")
 	svc, p := h.Service(name)
 	if svc == nil || p == nil {
 		return routeMatch{}, reason.UnknownService, "service " + strconv.Quote(name) + " is not known"
 	}
-	m = routeMatch{service: svc, pool: p, route: svc.Route("/" + path), requestURI: "/" + path, timeout: svc.Timeout}
-	if r.URL.RawQuery != "" {
-		m.requestURI += "?" + r.URL.RawQuery
-	}
+	m = routeMatch{service: svc, pool: p, route: svc.Route("/" + path), requestURI: "/" + path + query, timeout: svc.Timeout}
 	return m, reason.None, ""
 }
 
--- a/internal/proxy/proper_test.go
+++ b/internal/proxy/proper_test.go
@@ -17,11 +17,13 @@
 )
 
 // An absolute URI without a path names the root. It matched no rule and was ended with 404, while the upstream would have got "/".
+// Paths that net/url escapes otherwise than the caller matched no rule either, or reached the upstream changed.
 var _ = Describe("A request that the configuration allows", func() {
 	to := []split.Split{{Service: "s", Weight: 1}}
 	table := rules.New([]*rulrec.Rule{
 		{Name: "x", Host: "a.example", Path: "/x/", Splits: to},
 		{Name: "escaped", Host: "a.example", Path: "/e%2F/", Splits: to},
+		{Name: "unescaped", Host: "a.example", Path: "/{ü}/", Splits: to},
 		{Name: "root", Host: "b.example", Path: "/", Splits: append(to, split.Split{Service: "none"})},
 	})
 	const a, b = "Host: a.example\r\n", "Host: b.example\r\n"
@@ -35,6 +37,10 @@
 		{"with slashes in the query", "GET /x/?q=/../;%zz HTTP/1.1\r\n" + a + "\r\n", "/x/?q=/../;%zz"},
 		{"with escapes in the path", "GET /x/a%2Fb%20c HTTP/1.1\r\n" + a + "\r\n", "/x/a%2Fb%20c"},
 		{"with escapes in the prefix", "GET /e%2F/a HTTP/1.1\r\n" + a + "\r\n", "/e%2F/a"},
+		{"with characters in the prefix that are not escaped", "GET /{ü}/a%2Fb HTTP/1.1\r\n" + a + "\r\n", "/{ü}/a%2Fb"},
+		{"with characters in the path that are not escaped", "GET /x/|a%2Fb HTTP/1.1\r\n" + a + "\r\n", "/x/|a%2Fb"},
+		{"with an empty query", "GET /x/a? HTTP/1.1\r\n" + a + "\r\n", "/x/a?"},
+		{"with two slashes at the start and an empty query", "GET //c/a? HTTP/1.1\r\n" + b + "\r\n", "//c/a?"},
 		{"with dots and empty segments", "GET /x//../x/. HTTP/1.1\r\n" + a + "\r\n", "/x//../x/."},
 		{"with two slashes at the start", "GET //c/a HTTP/1.1\r\n" + b + "\r\n", "//c/a"},
 		{"with an absolute URI", "GET http://A.example:80/x/a?b HTTP/1.1\r\n" + b + "\r\n", "/x/a?b"},
@@ -51,7 +57,7 @@
 		{"with unusual fields", "GET /x/a HTTP/1.1\r\n" + a + "A!#$%&'*+.^_`|~: \xe9\t\r\nB:\r\n\r\n", "/x/a"},
 	} {
 		It("is served "+tc.name, func() {
-			srv := startEntry(echo)
+			srv := startEntry(func(w http.ResponseWriter, r *http.Request) { w.Header().Set("X-Path", r.RequestURI) })
 			srv.Config.Handler.(*proxy.Handler).Rule = func(host, path string) (*rulrec.Rule, bool) { return table.Find(host, path), true }
 			c, err := net.Dial("tcp", serveSplit(srv))
 			Expect(err).NotTo(HaveOccurred())
--- a/internal/sender/exchange.go
+++ b/internal/sender/exchange.go
@@ -9,6 +9,7 @@
 	"net/http/httptrace"
 	"net/textproto"
 	"net/url"
+	"strings"
 	"sync/atomic"
 
 	"github.com/rotisserie/eris"
@@ -90,8 +91,14 @@
 		Method: r.Method, URL: u, Host: r.Host, Header: r.Header.Clone(),
 		Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1,
 	}
-	if parsed, err := url.ParseRequestURI(r.RequestURI); err == nil {
-		u.Path, u.RawPath, u.RawQuery = parsed.Path, parsed.RawPath, parsed.RawQuery
+	switch parsed, err := url.ParseRequestURI(r.RequestURI); {
+	case err != nil:
+	case strings.HasPrefix(r.RequestURI, "//"):
+		// As Opaque, it would be the start of an absolute URI.
+		u.Path, u.RawPath, u.RawQuery, u.ForceQuery = parsed.Path, parsed.RawPath, parsed.RawQuery, parsed.ForceQuery
+	default:
+		// Opaque is written as it is.
+		u.Opaque = r.RequestURI
 	}
 	if _, ok := req.Header["User-Agent"]; !ok {
 		// An empty value keeps net/http from adding its own.
