--- a/internal/demux/conn.go
+++ b/internal/demux/conn.go
@@ -351,6 +351,7 @@
 	h.memory.Close()
 	for left := h.bodyLen; left > 0 || h.passthrough; {
 		if _, err := c.reader.Peek(1); err != nil {
+			c.reportLostHead(err)
 			return err
 		}
 		n := c.reader.Buffered()
--- a/internal/demux/limits.go
+++ b/internal/demux/limits.go
@@ -39,6 +39,19 @@
 	return c.listener.clock.Now().Add(d)
 }
 
+// limitHead sets the deadline for the rest of a head that the server reads by itself, or takes it off.
+func (c *conn) limitHead(open bool) {
+	read, _ := c.timeouts()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	deadline := time.Time{}
+	if open {
+		deadline = c.deadlineAfter(read)
+	}
+	// If this fails, the connection has ended.
+	_ = c.setReadDeadline(deadline)
+}
+
 // refuseHead answers the request on vc, whose head exceeds the limit, and ends the connection.
 func (vc *virtualConn) refuseHead(limit int) {
 	c := vc.conn
--- a/internal/demux/meter.go
+++ b/internal/demux/meter.go
@@ -22,6 +22,8 @@
 	reserved int64
 	// size is the number of bytes of the head so far.
 	size int
+	// limited is set while there is a deadline for the rest of a head of HTTP/2.
+	limited bool
 }
 
 // readAhead is at most what net/http reads behind the end of a head, in bytes.
@@ -82,6 +84,17 @@
 	return 0, m.reserve(m.reserved + headMemory(n, p))
 }
 
+// updateLimit reports whether a head of HTTP/2 has begun or ended since the last call, and whether one is incomplete now.
+func (m *headMeter) updateLimit() (changed, open bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.blocks == nil || m.limited == m.blocks.open {
+		return false, m.limited
+	}
+	m.limited = m.blocks.open
+	return true, m.limited
+}
+
 // blockMemory is what a header list of HTTP/2 takes, for each byte of its size.
 const blockMemory = 3
 
--- a/internal/demux/meter_test.go
+++ b/internal/demux/meter_test.go
@@ -8,6 +8,7 @@
 	"net/netip"
 	"strconv"
 	"strings"
+	"time"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
@@ -17,6 +18,7 @@
 	"github.com/balsamvale/balsamvale/internal/demux"
 	"github.com/balsamvale/balsamvale/internal/memory"
 	"github.com/balsamvale/balsamvale/pkg/calls/reason"
+	"github.com/balsamvale/balsamvale/pkg/records/bounds"
 	"github.com/balsamvale/balsamvale/pkg/shared/clock"
 	"github.com/balsamvale/balsamvale/pkg/shared/tune"
 )
@@ -127,3 +129,40 @@
 func longHead(n int) string {
 	return "GET /a HTTP/1.1\r\nHost: a\r\nX: " + strings.Repeat("x", n) + "\r\n\r\n"
 }
+
+// pingLen is the length of a frame of type PING, in bytes.
+const pingLen = 17
+
+// A header block of HTTP/2 that did not end had no limit in time while another call of its connection ran, and holds memory.
+var _ = Describe("A head over HTTP/2", func() {
+	for _, tc := range []struct {
+		name string
+		// cut is the number of bytes that are not sent at the end of the second request.
+		cut  int
+		ends bool
+	}{
+		{"ends the connection if it does not come in time", pingLen + 10, true},
+		{"leaves the connection open if it has come", 0, false},
+	} {
+		It(tc.name, func() {
+			f := newFixture(&bounds.Bounds{ReadHeaderTimeout: 200 * time.Millisecond, IdleTimeout: time.Minute})
+			got := make(chan ownAnswer, 10)
+			f.listener.OnServerAnswer = func(_ netip.AddrPort, status int, why reason.Reason) { got <- ownAnswer{status, why} }
+			ended := make(chan struct{})
+			go func() {
+				defer close(ended)
+				_, _ = io.Copy(io.Discard, f.conn)
+			}()
+			sent := http2Heads(false, fields(1), fields(20))
+			f.send(sent[:len(sent)-tc.cut])
+			Eventually(f.handler.snapshot(&f.handler.started)).Should(ContainElement("/a"))
+			if tc.ends {
+				Eventually(got, "2s").Should(Receive(Equal(ownAnswer{0, reason.HeaderLate})))
+				Eventually(ended, "2s").Should(BeClosed())
+				return
+			}
+			Consistently(ended, "600ms").ShouldNot(BeClosed())
+			Expect(got).NotTo(Receive())
+		})
+	}
+})
--- a/internal/demux/virtual.go
+++ b/internal/demux/virtual.go
@@ -117,6 +117,9 @@
 		return n, err
 	}
 	limit, merr := m.note(p[:n], vc.answered.Load())
+	if changed, open := m.updateLimit(); changed {
+		vc.conn.limitHead(open)
+	}
 	switch {
 	case limit > 0:
 		vc.refuseHead(limit)
