--- a/internal/proxy/slowbody_test.go
+++ b/internal/proxy/slowbody_test.go
@@ -12,9 +12,26 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
+	"github.com/balsamvale/balsamvale/internal/proxy"
 	"github.com/balsamvale/balsamvale/internal/wire"
+	"github.com/balsamvale/balsamvale/pkg/shared/clock"
 )
 
+// watchedClock tells when it has been read.
+type watchedClock struct {
+	clock.Clock
+	read chan struct{}
+}
+
+func (c *watchedClock) Now() time.Time {
+	now := c.Clock.Now()
+	select {
+	case c.read <- struct{}{}:
+	default:
+	}
+	return now
+}
+
 // The time of a call counts from the arrival of its head. A body that comes slowly uses it up, and one that does not come ends
 // the call, as nothing has been sent to an upstream.
 var _ = Describe("A body that comes slowly", func() {
@@ -34,6 +51,8 @@
 			const limit = 400 * time.Millisecond
 			left := make(chan string, 1)
 			srv := startEntry(func(_ http.ResponseWriter, r *http.Request) { left <- r.Header.Get(wire.Deadline) })
+			entryClock := &watchedClock{clock.Wall(), make(chan struct{}, 1)}
+			srv.Config.Handler.(*proxy.Handler).Clock = entryClock
 			c, err := net.Dial("tcp", srv.Listener.Addr().String())
 			Expect(err).NotTo(HaveOccurred())
 			defer func() { _ = c.Close() }()
@@ -44,6 +63,8 @@
 			_, err = io.WriteString(c, head+body[:50])
 			Expect(err).NotTo(HaveOccurred())
 			if tc.pause > 0 {
+				// The entry first reads the clock when the head arrives, which may be long after it was sent.
+				Eventually(entryClock.read, "2s").Should(Receive())
 				time.Sleep(tc.pause)
 				_, err = io.WriteString(c, body[50:])
 				Expect(err).NotTo(HaveOccurred())
