--- a/pkg/control/contrl/fleet_test.go
+++ b/pkg/control/contrl/fleet_test.go
@@ -52,6 +52,8 @@
 	restarts int
 	// linkRate is what the link of an entry carries in each direction, in bytes of item values a second; 0 for no limit.
 	linkRate float64
+	// peerDelay is how long a message between entries takes besides.
+	peerDelay time.Duration
 	// transfers are the messages with item values between entries.
 	transfers []fleetTransfer
 }
@@ -209,13 +211,13 @@
 	}
 }
 
-// sendDigest delivers a digest to a peer, and its answer.
+// sendDigest delivers a digest to a peer, and its answer, whose age includes the time that the exchange took.
 func (f *fleet) sendDigest(from *fleetEntry, ef effect.Effect) {
 	i := slices.IndexFunc(f.entries, func(e *fleetEntry) bool { return e.name == ef.Peer })
 	if ef.Peer == "" {
 		i = int(ef.Addr.Port()) // a seed
 	}
-	to := f.entries[i]
+	to, sent := f.entries[i], f.now
 	f.after(f.transfer(from, to, ef.Digest), func() {
 		for _, out := range to.control.Step(f.now, event.Event{Kind: evkind.DigestReceived, Digest: ef.Digest}) {
 			if out.Action != action.AnswerDigest {
@@ -223,6 +225,7 @@
 				continue
 			}
 			f.after(f.transfer(to, from, out.Digest), func() {
+				out.Digest.Age += f.now.Sub(sent)
 				f.step(from, event.Event{Kind: evkind.DigestAnswered, Digest: out.Digest, FetchID: ef.FetchID})
 			})
 		}
@@ -236,16 +239,16 @@
 		n += len(it.Value)
 	}
 	if n == 0 {
-		return oneWay
+		return oneWay + f.peerDelay
 	}
 	f.transfers = append(f.transfers, fleetTransfer{f.now, from, to, n})
 	if f.linkRate == 0 {
-		return oneWay
+		return oneWay + f.peerDelay
 	}
 	took := time.Duration(float64(n) / f.linkRate * float64(time.Second))
 	from.sendingUntil = later(f.now, from.sendingUntil).Add(took)
 	to.receivingUntil = later(from.sendingUntil, to.receivingUntil.Add(took))
-	return to.receivingUntil.Sub(f.now) + oneWay
+	return to.receivingUntil.Sub(f.now) + oneWay + f.peerDelay
 }
 
 // later returns the later of two times.
--- a/pkg/control/contrl/gossip.go
+++ b/pkg/control/contrl/gossip.go
@@ -313,6 +313,7 @@
 func (c *Control) handleDigestAnswer(ev event.Event) {
 	revision, known := c.peerRevisions[ev.Digest.From]
 	c.mergeDigest(ev.Digest)
+	c.noteAge(ev.Digest)
 	c.fetchDone(ev)
 	if known && revision == 0 && ev.Digest.Revision == 0 {
 		c.sendState(ev.Digest.From)
@@ -357,6 +358,11 @@
 	default:
 		c.applyDelta(d.Delta, d.From)
 	}
+}
+
+// noteAge takes over the age in a peer's answer, which includes the time since this entry asked. How long a digest that a peer sent
+// by itself was on its way is not known, and its age would grow less than it should with each entry that passes it on.
+func (c *Control) noteAge(d digest.Digest) {
 	// The sender's replica matched the store d.Age ago. Its revision is not above that of this entry's replica, so this
 	// one is at least as fresh.
 	if at := c.now.Add(-d.Age); c.synced && d.Revision <= c.replica.Revision() && at.After(c.peersFreshAt) && d.Revision > 0 {
--- a/pkg/control/contrl/staleness_test.go
+++ b/pkg/control/contrl/staleness_test.go
@@ -88,4 +88,35 @@
 			}
 		}
 	})
+
+	// Guards against entries that end calls with 404 for what the store had before the time up to which they take their configuration
+	// for current: digests that are passed on grow old on their way.
+	It("is in force at each entry that takes its configuration for newer", func() {
+		for seed := range uint64(4) {
+			f := newFleet(17, seed)
+			f.peerDelay = 150 * time.Millisecond
+			type change struct {
+				at       time.Time
+				revision int64
+			}
+			var changes []change
+			next := f.now
+			for end := f.now.Add(20 * time.Second); f.now.Before(end); f.run(10 * time.Millisecond) {
+				if !f.now.Before(next) {
+					f.write(keys.Record("domain", "changed"))
+					changes = append(changes, change{f.now, f.revision})
+					next = f.now.Add(time.Duration(f.rand.Int64N(int64(2 * time.Second))))
+				}
+				for _, e := range f.entries {
+					fresh := e.control.FreshAt()
+					i := len(changes) - 1
+					for ; i >= 0 && !fresh.After(changes[i].at); i-- {
+					}
+					if i >= 0 {
+						Expect(e.revision >= changes[i].revision).To(BeTrue(), fmt.Sprintf("seed %d: %s has revision %d in force and counts as fresh %v after revision %d", seed, e.name, e.revision, fresh.Sub(changes[i].at), changes[i].revision))
+					}
+				}
+			}
+		}
+	})
 })
