--- a/internal/soak/check/check.go
+++ b/internal/soak/check/check.go
@@ -68,8 +68,6 @@
 	// Growth of goroutines, descriptors and memory that an idle process may show over the most that it used under load.
 	growthCount = 50
 	growthBytes = 64 << 20
-	// dropBound is the time after the return of a service that was dropped in which an entry may still refuse its requests as wrong.
-	dropBound = 2 * time.Second
 	// InForceBound is the time from a change of a record, or from the start of a process, until the change is in force in the process.
 	InForceBound = 8 * time.Second
 )
--- a/internal/soak/check/config.go
+++ b/internal/soak/check/config.go
@@ -10,6 +10,7 @@
 
 	"github.com/balsamvale/balsamvale/internal/soak/trail"
 	"github.com/balsamvale/balsamvale/internal/wire"
+	"github.com/balsamvale/balsamvale/pkg/shared/tune"
 )
 
 // servicePrefix begins the names of the records of services.
@@ -26,7 +27,8 @@
 }
 
 // noDenial checks that no request gets a 3xx or 4xx of an entry's own for a service that the configuration has, or while there is no
-// configuration. No disturbance excuses it: an entry that cannot know answers 503. The upstreams of a soak send no such status.
+// configuration. No disturbance excuses it: an entry that cannot know answers 503. Only 404 may follow from the configuration before
+// the service was written, for as long as that may be in force. The upstreams of a soak send no such status.
 func noDenial(x *index) (out []Broken) {
 	keys := x.keyUses()
 	for _, r := range x.Requests {
@@ -47,28 +49,33 @@
 		}
 		b := x.broken(NoDenial, r, r.Ended, "refused with %d, and no configuration was there", r.Status)
 		if !since.IsZero() {
-			b.Late = r.Ended.Sub(since)
-			b.Text = fmt.Sprintf("refused with %d %v after its service was written", r.Status, b.Late.Round(time.Millisecond))
+			b.Late = r.Sent.Sub(since)
+			b.Text = fmt.Sprintf("refused with %d, sent %v after its service was written", r.Status, b.Late.Round(time.Millisecond))
 		}
 		out = append(out, b)
 	}
 	return out
 }
 
-// allowed reports whether the configuration had the service of a request, without a removal whose effects may last, and since
-// when. Before the first service there is no configuration, which allows nothing to be refused as wrong either.
+// allowed reports whether the configuration had the service of a request, without an older one that may be in force and explains the
+// status, and since when. Before the first service there is no configuration, which allows nothing to be refused as wrong either.
 func (x *index) allowed(r *trail.Request) (since time.Time, ok bool) {
 	first := x.firstService()
 	if first.IsZero() || first.After(r.Ended) {
 		return time.Time{}, true
 	}
-	var bound time.Duration
+	// older is set if there was a configuration without the service before it was written.
+	older := false
 	for _, c := range x.Changes {
 		switch {
 		case c.Record != servicePrefix+r.Service || c.At.After(r.Ended):
 		case c.Gone:
-			since, ok, bound = time.Time{}, false, dropBound
+			since, ok, older = time.Time{}, false, true
 		case since.IsZero():
+			var bound time.Duration
+			if older = older || c.At.After(x.Begin) && c.At.After(first); older && r.Status == http.StatusNotFound {
+				bound = tune.MaxConfigAge
+			}
 			since, ok = c.At, r.Sent.After(c.At.Add(bound))
 		}
 	}
--- a/internal/soak/check/config_test.go
+++ b/internal/soak/check/config_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/balsamvale/balsamvale/internal/soak/check"
 	"github.com/balsamvale/balsamvale/internal/soak/trail"
+	"github.com/balsamvale/balsamvale/pkg/shared/tune"
 )
 
 // refused is a request to lookup, sent at 6 s, that its entry refused with a status, and the changes of records until then.
@@ -35,6 +36,16 @@
 	return c
 }
 
+// atBound is the time in milliseconds of the first change that the configuration by which the request is refused may lack.
+const atBound = 6000 - int(tune.MaxConfigAge/time.Millisecond)
+
+// early moves the request to 100 ms after the begin.
+func early(t *trail.Trail) *trail.Trail {
+	r := t.Requests[0]
+	r.Sent, r.Head, r.Ended = at(100), at(200), at(200)
+	return t
+}
+
 // keyed gives the request an idempotency key, and adds another request with one that was sent at some milliseconds.
 func keyed(headers, others []string, millis int) func(t *trail.Trail) {
 	return func(t *trail.Trail) {
@@ -62,7 +73,21 @@
 
 var denialRows = []row{
 	{"404 for a service that was there from the begin", refused(http.StatusNotFound, written("service/lookup", -1000)), denied},
-	{"404 for a service that was written before the request", refused(http.StatusNotFound, written("service/order", -1000), written("service/lookup", 5999)), denied},
+	{"404 for a service that was there from the begin, within the bound", early(refused(http.StatusNotFound, written("service/order", -1000), written("service/lookup", -1))), denied},
+	{"404 for a service that was written within the bound", refused(http.StatusNotFound, written("service/order", -1000), written("service/lookup", atBound)), nil},
+	{"404 for a service that was written just before the request", refused(http.StatusNotFound, written("service/order", -1000), written("service/lookup", 5999)), nil},
+	{"404 for a service that was written before the bound", refused(http.StatusNotFound, written("service/order", -1000), written("service/lookup", atBound-1)), denied},
+	{"404 that was sent within the bound and answered after it", with(refused(http.StatusNotFound, written("service/order", -1000), written("service/lookup", atBound)), func(t *trail.Trail) {
+		t.Requests[0].Head, t.Requests[0].Ended = at(8400), at(8400)
+	}), nil},
+	{"404 for the first service, within the bound", refused(http.StatusNotFound, written("service/lookup", 5000)), denied},
+	{"404 for a service that was written within the bound, on a connection of long before", with(refused(http.StatusNotFound, written("service/order", -1000), written("service/lookup", atBound-1)), func(t *trail.Trail) {
+		t.Requests[0].Opened = at(100)
+	}), denied},
+	{"400 for a service that was written within the bound", refused(http.StatusBadRequest, written("service/order", -1000), written("service/lookup", 5999)), denied},
+	{"431 for a service that was written within the bound", refused(http.StatusRequestHeaderFieldsTooLarge, written("service/order", -1000), written("service/lookup", 5999)), denied},
+	{"a redirect for a service that was written within the bound", refused(http.StatusMovedPermanently, written("service/order", -1000), written("service/lookup", 5999)), denied},
+	{"400 for a service that was written during the request", refused(http.StatusBadRequest, written("service/order", -1000), written("service/lookup", 6050)), nil},
 	{"404 for a service that was written during the request", refused(http.StatusNotFound, written("service/order", -1000), written("service/lookup", 6050)), nil},
 	{"404 for a service that was never written", refused(http.StatusNotFound, written("service/order", -1000)), nil},
 	{"404 before any record", refused(http.StatusNotFound), denied},
@@ -74,8 +99,12 @@
 
 	{"404 for a service that was dropped", refused(http.StatusNotFound, written("service/lookup", -1000), removed("service/lookup", 5000)), nil},
 	{"404 for a service that was dropped during the request", refused(http.StatusNotFound, written("service/lookup", -1000), removed("service/lookup", 6050)), nil},
-	{"404 within the bound after the return of a service", refused(http.StatusNotFound, written("service/lookup", -1000), removed("service/lookup", 3000), written("service/lookup", 4000)), nil},
-	{"404 after the bound after the return of a service", refused(http.StatusNotFound, written("service/lookup", -1000), removed("service/lookup", 3000), written("service/lookup", 3999)), denied},
+	{"404 within the bound after the return of a service", refused(http.StatusNotFound, written("service/lookup", -1000), removed("service/lookup", 3000), written("service/lookup", atBound)), nil},
+	{"404 after the bound after the return of a service", refused(http.StatusNotFound, written("service/lookup", -1000), removed("service/lookup", 3000), written("service/lookup", atBound-1)), denied},
+	{"404 within the bound after the return of a service that was written late", refused(http.StatusNotFound, written("service/order", -1000), written("service/lookup", 1000), removed("service/lookup", 3000), written("service/lookup", atBound)), nil},
+	{"404 within the bound after the second return of a service", refused(http.StatusNotFound, written("service/lookup", -1000), removed("service/lookup", 1000), written("service/lookup", 2000), removed("service/lookup", 5000), written("service/lookup", 5999)), nil},
+	{"404 for a service that was changed within the bound after its return before it", refused(http.StatusNotFound, written("service/lookup", -1000), removed("service/lookup", 3000), written("service/lookup", atBound-1), written("service/lookup", 5000)), denied},
+	{"400 within the bound after the return of a service", refused(http.StatusBadRequest, written("service/lookup", -1000), removed("service/lookup", 3000), written("service/lookup", 5000)), denied},
 	{"404 after the drop of another service", refused(http.StatusNotFound, written("service/lookup", -1000), written("service/order", -1000), removed("service/order", 5000)), denied},
 	{"404 for a service that was dropped after the answer", refused(http.StatusNotFound, written("service/lookup", -1000), removed("service/lookup", 6101)), denied},
 	{"404 for a service that was changed within the bound", refused(http.StatusNotFound, written("service/lookup", -1000), written("service/lookup", 5000)), denied},
