--- /dev/null
+++ b/pkg/control/contrl/facts.go
@@ -0,0 +1,130 @@
+package contrl
+
+import (
+	"github.com/balsamvale/balsamvale/pkg/control/shard"
+	"github.com/balsamvale/balsamvale/pkg/events/action"
+	"github.com/balsamvale/balsamvale/pkg/events/digest"
+	"github.com/balsamvale/balsamvale/pkg/events/effect"
+	"github.com/balsamvale/balsamvale/pkg/events/fact"
+	"github.com/balsamvale/balsamvale/pkg/events/logmsg"
+	"github.com/balsamvale/balsamvale/pkg/events/msgtyp"
+	"github.com/balsamvale/balsamvale/pkg/events/topic"
+	"github.com/balsamvale/balsamvale/pkg/shared/tune"
+	"github.com/balsamvale/balsamvale/pkg/stored/phase"
+)
+
+// addFact adds a fact. If it is new, it is delivered to the traffic side, logged and passed on to peers. Evidence is not
+// kept, but passed to sendEvidence.
+func (c *Control) addFact(f fact.Fact) {
+	if f.Origin == "" {
+		f.Origin = c.self.Name
+	}
+	if f.Topic == topic.Evidence {
+		c.sendEvidence(f)
+		return
+	}
+	if !c.facts.Add(c.now, f) {
+		return
+	}
+	if f.Topic == topic.ColdStart {
+		c.config.SetColdUntil(f.Subject, f.Value, f.Until)
+	}
+	c.emit(effect.Effect{Action: action.DeliverFact, Fact: f, Service: c.serviceOf(f)})
+	c.log(logmsg.Message{Type: topicMessageType(f.Topic), Subject: f.Subject, Reason: reasonOf(f)})
+	c.gossipFact(f)
+	if f.Topic == topic.RolledBack {
+		if r := c.config.Rollouts[f.Subject]; r != nil {
+			c.config.MarkDirty(r.Service)
+		}
+	}
+}
+
+// sendEvidence sends this entry's evidence about a new version to the entries that analyze the version for all. Evidence
+// of another entry is delivered to the traffic side only.
+//
+// Evidence is sent directly and once, because evidence that arrived twice would count twice.
+func (c *Control) sendEvidence(f fact.Fact) {
+	r := c.config.Rollouts[f.Subject]
+	if r == nil {
+		return
+	}
+	if f.Origin != c.self.Name {
+		c.emit(effect.Effect{Action: action.DeliverFact, Fact: f, Service: r.Service})
+		return
+	}
+	active := c.config.ActiveMembers()
+	for _, name := range active {
+		if shard.Of(r.Service).Rank(active, name) >= tune.PooledEvaluators {
+			continue
+		}
+		if name == c.self.Name {
+			c.emit(effect.Effect{Action: action.DeliverFact, Fact: f, Service: r.Service})
+		} else {
+			c.send(name, digest.Digest{Facts: []fact.Fact{f}})
+		}
+	}
+}
+
+// gossipFact passes a fact on to peers: the rollback of a rollout at once, other facts together at the next tick.
+//
+// A poison fact with fewer than tune.MaxCrashes crashes waits for the next exchange, because a lost upstream causes one
+// for each call that it was running.
+func (c *Control) gossipFact(f fact.Fact) {
+	switch {
+	case f.Topic == topic.RolledBack:
+		c.push(digest.Digest{Facts: []fact.Fact{f}})
+	case f.Topic == topic.Poison && f.Value < tune.MaxCrashes:
+	default:
+		c.pendingFacts = append(c.pendingFacts, f)
+	}
+}
+
+// pushPending pushes the pending facts in one message; those beyond tune.MaxFacts wait for the next tick.
+func (c *Control) pushPending() {
+	if len(c.pendingFacts) == 0 {
+		return
+	}
+	n := min(len(c.pendingFacts), tune.MaxFacts)
+	c.push(digest.Digest{Facts: c.pendingFacts[:n]})
+	c.pendingFacts = append([]fact.Fact(nil), c.pendingFacts[n:]...)
+}
+
+// reasonOf returns the reason to log for a fact: its detail and the entry that saw it first.
+func reasonOf(f fact.Fact) string {
+	if f.Detail != "" {
+		return f.Detail + ", seen by " + f.Origin
+	}
+	return "seen by " + f.Origin
+}
+
+// serviceOf returns the service of the upstream that a fact is about, or "" if there is no such upstream.
+func (c *Control) serviceOf(f fact.Fact) string {
+	if u := c.config.Upstreams[f.Subject]; u != nil {
+		return u.Service
+	}
+	return ""
+}
+
+// phaseMessageType returns the type of the log message for a rollout that enters a phase.
+func phaseMessageType(p phase.Phase) msgtyp.Type {
+	switch p {
+	case phase.Done:
+		return msgtyp.RolloutDone
+	case phase.RolledBack:
+		return msgtyp.RolledBack
+	}
+	return msgtyp.ShareChanged
+}
+
+// topicMessageType returns the type of the log message for a new fact.
+func topicMessageType(t topic.Topic) msgtyp.Type {
+	switch t {
+	case topic.Draining:
+		return msgtyp.UpstreamDraining
+	case topic.Poison:
+		return msgtyp.PoisonFound
+	case topic.RolledBack:
+		return msgtyp.RolledBack
+	}
+	return msgtyp.UpstreamCold
+}
