--- a/internal/demux/meter.go
+++ b/internal/demux/meter.go
@@ -8,7 +8,7 @@
 )
 
 // headMeter counts the heads that the server reads from a connection by itself, as it reads them, and reserves memory for what
-// exceeds tune.FreeHeadBytes. It is safe for concurrent use, as net/http reads the first byte behind a request while a handler has it.
+// exceeds tune.FreeHeadBytes or, in HTTP/2, tune.FreeBlockBytes. It is safe for concurrent use, as net/http reads the first byte behind a request while a handler has it.
 type headMeter struct {
 	listener *Listener
 	// blocks is set on connections of HTTP/2.
@@ -68,7 +68,7 @@
 	defer m.mu.Unlock()
 	if m.blocks != nil {
 		size := m.blocks.read(p)
-		return 0, m.reserve(blockMemory * int64(size-tune.FreeHeadBytes))
+		return 0, m.reserve(blockMemory * int64(size-tune.FreeBlockBytes))
 	}
 	if answered {
 		return 0, nil
@@ -95,8 +95,9 @@
 	return true, m.limited
 }
 
-// blockMemory is what a header list of HTTP/2 takes, for each byte of its size.
-const blockMemory = 3
+// blockMemory is what a header list of HTTP/2 takes, for each byte of its size: demux and the server both keep an incomplete string in a
+// buffer that doubles, beside the strings that are complete.
+const blockMemory = 6
 
 // reserve raises what is reserved to n bytes; the error is errNoMemory if they do not fit. The caller of the method must hold mu.
 func (m *headMeter) reserve(n int64) error {
--- a/pkg/shared/tune/constants.go
+++ b/pkg/shared/tune/constants.go
@@ -130,6 +130,8 @@
 	HeadSlack = 8 << 10
 	// FreeHeadBytes is the size in bytes up to which a head counts as part of its connection or call.
 	FreeHeadBytes = 64 << 10
+	// FreeBlockBytes takes the place of FreeHeadBytes for a header list of HTTP/2, which is decoded twice.
+	FreeBlockBytes = 16 << 10
 	// FieldMemory is what a header field takes beyond its text, in bytes.
 	FieldMemory = 128
 	// ServerHeadBytes is the limit of the HTTP server itself. HTTP/2 counts 32 bytes more for each field, so that it is above
