--- a/internal/demux/meter.go
+++ b/internal/demux/meter.go
@@ -24,6 +24,8 @@
 	size int
 	// limited is set while there is a deadline for the rest of a head of HTTP/2.
 	limited bool
+	// refused is set once a head is not read further.
+	refused bool
 }
 
 // readAhead is at most what net/http reads behind the end of a head, in bytes.
@@ -37,13 +39,22 @@
 	return m
 }
 
-// beginRead is called before a read. In HTTP/2, the server then has taken the heads that ended before.
-func (m *headMeter) beginRead() {
+// beginRead is called before a read, and reports whether the connection is read further. In HTTP/2, the server then has taken the heads
+// that ended before.
+func (m *headMeter) beginRead() bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if m.blocks != nil && !m.blocks.open {
 		m.release()
 	}
+	return !m.refused
+}
+
+// refuse notes that the head is not read further. The server may read again after an error.
+func (m *headMeter) refuse() {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.refused = true
 }
 
 // endHead is called when the server has taken a head of HTTP/1.
--- a/internal/demux/virtual.go
+++ b/internal/demux/virtual.go
@@ -108,8 +108,8 @@
 
 // Read reads a part of the request. It fails if that is part of a head that exceeds its limit or does not fit the memory.
 func (vc *virtualConn) Read(p []byte) (int, error) {
-	if m := vc.meter.Load(); m != nil {
-		m.beginRead()
+	if m := vc.meter.Load(); m != nil && !m.beginRead() {
+		return 0, errHeadRefused
 	}
 	n, err := vc.Conn.Read(p)
 	vc.consumed.Add(int64(n))
@@ -123,9 +123,11 @@
 	}
 	switch {
 	case limit > 0:
+		m.refuse()
 		vc.refuseHead(limit)
 		return 0, errHeadRefused
 	case merr != nil:
+		m.refuse()
 		vc.conn.reportOwn(0, reason.NoMemory)
 		return 0, errHeadRefused
 	}
