--- a/internal/claims/client.go
+++ b/internal/claims/client.go
@@ -14,6 +14,7 @@
 	"github.com/balsamvale/balsamvale/pkg/shared/tune"
 	"github.com/balsamvale/balsamvale/pkg/stored/item"
 	"github.com/balsamvale/balsamvale/pkg/stored/kvop"
+	"github.com/balsamvale/balsamvale/pkg/stored/revno"
 	"github.com/balsamvale/balsamvale/pkg/traffic/idkey"
 )
 
@@ -25,7 +26,7 @@
 	Get func(ctx context.Context, key string) (item.Item, error)
 	// CompareAndSwap writes a key of the store if its revision is the expected one, and reports whether it did.
 	// An error means that the outcome of the write is unknown.
-	CompareAndSwap func(ctx context.Context, it item.Item, expect, lease int64) (bool, item.Item, error)
+	CompareAndSwap func(ctx context.Context, it item.Item, expect revno.Revision, lease int64) (bool, item.Item, error)
 	// Entries returns the number of entries that share the rate of writes for claims; nil counts as one entry.
 	Entries func() int
 
@@ -227,7 +228,7 @@
 }
 
 // callStore makes one planned store call and reports whether the bucket made progress by it.
-func (w *worker) callStore(op kvop.Op, value []claim.Claim, expect int64) bool {
+func (w *worker) callStore(op kvop.Op, value []claim.Claim, expect revno.Revision) bool {
 	ctx, cancel := context.WithTimeout(context.Background(), tune.StoreTimeout)
 	defer cancel()
 	if op == kvop.Get {
--- a/internal/claims/client_test.go
+++ b/internal/claims/client_test.go
@@ -26,6 +26,7 @@
 	"github.com/balsamvale/balsamvale/pkg/shared/clock"
 	"github.com/balsamvale/balsamvale/pkg/shared/tune"
 	"github.com/balsamvale/balsamvale/pkg/stored/item"
+	"github.com/balsamvale/balsamvale/pkg/stored/revno"
 )
 
 // newClients returns the claim clients of n entries that share one simulated store.
@@ -105,7 +106,7 @@
 	It("gives up a claim whose writes another writer always overtakes", func() {
 		_, clients := newClients(1)
 		swap, swaps := clients[0].CompareAndSwap, atomic.Int64{}
-		clients[0].CompareAndSwap = func(ctx context.Context, it item.Item, expect, lease int64) (bool, item.Item, error) {
+		clients[0].CompareAndSwap = func(ctx context.Context, it item.Item, expect revno.Revision, lease int64) (bool, item.Item, error) {
 			swaps.Add(1)
 			_, _, err := swap(ctx, item.Item{Key: it.Key}, expect, lease)
 			return false, item.Item{}, err
--- a/internal/cmds/records.go
+++ b/internal/cmds/records.go
@@ -22,6 +22,7 @@
 	"github.com/balsamvale/balsamvale/pkg/control/keys"
 	"github.com/balsamvale/balsamvale/pkg/shared/clock"
 	"github.com/balsamvale/balsamvale/pkg/stored/item"
+	"github.com/balsamvale/balsamvale/pkg/stored/revno"
 )
 
 // storeFlag returns the required flag with the addresses of the store.
@@ -159,11 +160,11 @@
 	}
 	old := w.stored[key]
 	if bytes.Equal(old.Value, data) {
-		fmt.Fprintf(w.out, "%s %s unchanged at revision %d\n", r.GetKind(), r.GetName(), old.Revision)
+		fmt.Fprintf(w.out, "%s %s unchanged at revision %d\n", r.GetKind(), r.GetName(), old.Revision.Number())
 		return nil
 	}
-	if w.maxRevision >= 0 && old.Revision > w.maxRevision {
-		return eris.Wrapf(errRefused, "%s %s changed at revision %d, after the expected %d", r.GetKind(), r.GetName(), old.Revision, w.maxRevision)
+	if w.maxRevision >= 0 && old.Revision.Number() > w.maxRevision {
+		return eris.Wrapf(errRefused, "%s %s changed at revision %d, after the expected %d", r.GetKind(), r.GetName(), old.Revision.Number(), w.maxRevision)
 	}
 	if w.dryRun {
 		return w.printChange(r, old)
@@ -173,7 +174,7 @@
 
 // printChange prints the difference between the stored record and the new one.
 func (w *recordWriter) printChange(r *pb.Record, old item.Item) error {
-	fmt.Fprintf(w.out, "%s %s would change from revision %d:\n", r.GetKind(), r.GetName(), old.Revision)
+	fmt.Fprintf(w.out, "%s %s would change from revision %d:\n", r.GetKind(), r.GetName(), old.Revision.Number())
 	before, err := recordTOML(old.Value)
 	if err != nil {
 		return err
@@ -188,11 +189,11 @@
 
 // compareAndSwap writes one record if its key still has the expected revision. When an answer is lost, it reads the key:
 // the write took effect if the key holds the new value.
-func (w *recordWriter) compareAndSwap(ctx context.Context, r *pb.Record, it item.Item, expect int64) error {
+func (w *recordWriter) compareAndSwap(ctx context.Context, r *pb.Record, it item.Item, expect revno.Revision) error {
 	for range maxWriteTries {
 		applied, current, err := w.client.CompareAndSwap(ctx, it, expect, 0)
 		if err == nil && applied {
-			fmt.Fprintf(w.out, "%s %s written at revision %d\n", r.GetKind(), r.GetName(), current.Revision)
+			fmt.Fprintf(w.out, "%s %s written at revision %d\n", r.GetKind(), r.GetName(), current.Revision.Number())
 			return nil
 		}
 		if err != nil {
@@ -201,11 +202,11 @@
 			}
 		}
 		if current.Revision != expect && bytes.Equal(current.Value, it.Value) {
-			fmt.Fprintf(w.out, "%s %s written at revision %d\n", r.GetKind(), r.GetName(), current.Revision)
+			fmt.Fprintf(w.out, "%s %s written at revision %d\n", r.GetKind(), r.GetName(), current.Revision.Number())
 			return nil
 		}
 		if current.Revision != expect {
-			return eris.Wrapf(errRefused, "%s %s was changed by somebody else at revision %d; the record was not written", r.GetKind(), r.GetName(), current.Revision)
+			return eris.Wrapf(errRefused, "%s %s was changed by somebody else at revision %d; the record was not written", r.GetKind(), r.GetName(), current.Revision.Number())
 		}
 	}
 	return eris.Wrapf(errStore, "%s %s may or may not have been written; run apply again", r.GetKind(), r.GetName())
@@ -276,7 +277,7 @@
 		if err != nil {
 			return err
 		}
-		fmt.Fprintf(a.Out, "# revision %d\n%s\n", it.Revision, s)
+		fmt.Fprintf(a.Out, "# revision %d\n%s\n", it.Revision.Number(), s)
 		return nil
 	}
 	var r pb.Record
@@ -292,6 +293,6 @@
 		return eris.Wrapf(errInvalid, "encode stored record %s as JSON: %v", it.Key, err)
 	}
 	return json.NewEncoder(a.Out).Encode(map[string]any{
-		"kind": r.GetKind(), "revision": it.Revision, "record": json.RawMessage(body),
+		"kind": r.GetKind(), "revision": it.Revision.Number(), "record": json.RawMessage(body),
 	})
 }
--- a/internal/cmds/status.go
+++ b/internal/cmds/status.go
@@ -23,6 +23,7 @@
 	"github.com/balsamvale/balsamvale/pkg/shared/clock"
 	"github.com/balsamvale/balsamvale/pkg/stored/phase"
 	"github.com/balsamvale/balsamvale/pkg/stored/progrs"
+	"github.com/balsamvale/balsamvale/pkg/stored/revno"
 )
 
 func (a *App) status() *cli.Command {
@@ -159,7 +160,7 @@
 	ctx, cancel := context.WithTimeout(ctx, cmd.Duration("for"))
 	defer cancel()
 	name := cmd.Args().First()
-	reached, watched := false, int64(0)
+	reached, watched := false, revno.Revision(0)
 	var lastErr error
 	for ctx.Err() == nil {
 		p, rev, err := getProgress(ctx, c, name)
@@ -187,10 +188,10 @@
 
 // getProgress reads the progress of a rollout and its revision; it is nil if there is none that can be read. Errors are
 // those of the client.
-func getProgress(ctx context.Context, c *store.Client, rollout string) (*progrs.Progress, int64, error) {
+func getProgress(ctx context.Context, c *store.Client, rollout string) (*progrs.Progress, revno.Revision, error) {
 	it, err := c.Get(ctx, keys.Rollout(rollout))
-	if err != nil || it.Revision == 0 {
-		return nil, 0, err
+	if err != nil || it.Revision.Number() == 0 {
+		return nil, it.Revision, err
 	}
 	v, err := codec.Decode(it)
 	if err != nil {
--- a/internal/codec/digest.go
+++ b/internal/codec/digest.go
@@ -11,6 +11,7 @@
 	"github.com/balsamvale/balsamvale/pkg/shared/tune"
 	"github.com/balsamvale/balsamvale/pkg/stored/delta"
 	"github.com/balsamvale/balsamvale/pkg/stored/item"
+	"github.com/balsamvale/balsamvale/pkg/stored/revno"
 )
 
 // ItemsFromProto converts a list of items of the store.
@@ -24,19 +25,19 @@
 
 // ItemFromProto converts one item of the store.
 func ItemFromProto(it *pb.Item) item.Item {
-	return item.Item{Key: it.GetKey(), Value: it.GetValue(), Revision: it.GetRevision(), Tombstone: it.GetGone()}
+	return item.Item{Key: it.GetKey(), Value: it.GetValue(), Revision: revno.New(it.GetEra(), it.GetRevision()), Tombstone: it.GetGone()}
 }
 
 // ItemToProto converts an item for the store or a peer.
 func ItemToProto(it item.Item) *pb.Item {
-	return &pb.Item{Key: it.Key, Value: it.Value, Revision: it.Revision, Gone: it.Tombstone}
+	return &pb.Item{Key: it.Key, Value: it.Value, Revision: it.Revision.Number(), Era: it.Revision.Era(), Gone: it.Tombstone}
 }
 
 // DigestFromProto converts a digest that a peer sent.
 //
 // The message holds the time left of each fact; it counts from now, so that facts expire by the clock of this entry.
 func DigestFromProto(now time.Time, d *pb.Digest) digest.Digest {
-	out := digest.Digest{From: d.GetFrom(), Revision: d.GetRevision(), Age: d.GetAge().AsDuration(), Brief: d.GetBrief(), Offer: d.GetOffer()}
+	out := digest.Digest{From: d.GetFrom(), Revision: revno.New(d.GetEra(), d.GetRevision()), Age: d.GetAge().AsDuration(), Brief: d.GetBrief(), Offer: d.GetOffer()}
 	for _, f := range d.GetFact() {
 		out.Facts = append(out.Facts, fact.Fact{
 			Topic: topic.Topic(f.GetTopic()), Subject: f.GetSubject(), Value: f.GetValue(),
@@ -44,7 +45,8 @@
 		})
 	}
 	out.Delta = delta.Delta{
-		Items: ItemsFromProto(d.GetItem()), BaseRevision: d.GetBase(), Revision: d.GetUpto(), Full: d.GetFull(),
+		Items: ItemsFromProto(d.GetItem()), BaseRevision: revno.New(d.GetBaseEra(), d.GetBase()),
+		Revision: revno.New(d.GetUptoEra(), d.GetUpto()), Full: d.GetFull(),
 	}
 	return out
 }
@@ -87,8 +89,9 @@
 // DigestToProto converts a digest for a peer; the time left of each fact counts from now.
 func DigestToProto(now time.Time, d digest.Digest) *pb.Digest {
 	out := &pb.Digest{
-		From: d.From, Revision: d.Revision, Age: duration(d.Age),
-		Base: d.Delta.BaseRevision, Upto: d.Delta.Revision, Full: d.Delta.Full,
+		From: d.From, Revision: d.Revision.Number(), Era: d.Revision.Era(), Age: duration(d.Age),
+		Base: d.Delta.BaseRevision.Number(), BaseEra: d.Delta.BaseRevision.Era(),
+		Upto: d.Delta.Revision.Number(), UptoEra: d.Delta.Revision.Era(), Full: d.Delta.Full,
 		Brief: d.Brief, Offer: d.Offer,
 	}
 	for _, f := range d.Facts {
--- a/internal/codec/digest_test.go
+++ b/internal/codec/digest_test.go
@@ -12,6 +12,8 @@
 	"github.com/balsamvale/balsamvale/internal/codec"
 	pb "github.com/balsamvale/balsamvale/internal/gen/balsamvale/v1"
 	"github.com/balsamvale/balsamvale/pkg/events/digest"
+	"github.com/balsamvale/balsamvale/pkg/stored/delta"
+	"github.com/balsamvale/balsamvale/pkg/stored/revno"
 )
 
 // FuzzDigest checks that no message of a peer makes decoding panic or yields counts that are negative.
@@ -56,6 +58,7 @@
 	}{
 		{"without large changes", digest.Digest{From: "e", Revision: 3, Brief: true}},
 		{"that offers large changes", digest.Digest{From: "e", Revision: 3, Brief: true, Offer: true}},
+		{"of a store that was restored", digest.Digest{From: "e", Revision: revno.New(2, 3), Delta: delta.Delta{BaseRevision: revno.New(1, 9), Revision: revno.New(2, 3)}}},
 		{"that asks for all changes, as those of older builds do", digest.Digest{From: "e", Revision: 3}},
 	} {
 		It("is the same after decoding: "+tc.name, func() {
--- a/internal/core/bench_test.go
+++ b/internal/core/bench_test.go
@@ -38,6 +38,7 @@
 	"github.com/balsamvale/balsamvale/pkg/stored/kvop"
 	"github.com/balsamvale/balsamvale/pkg/stored/kvresp"
 	"github.com/balsamvale/balsamvale/pkg/stored/member"
+	"github.com/balsamvale/balsamvale/pkg/stored/revno"
 	"github.com/balsamvale/balsamvale/pkg/traffic/pool"
 )
 
@@ -62,7 +63,7 @@
 		if err != nil {
 			b.Fatal(err)
 		}
-		out = append(out, item.Item{Key: keys.Record(kind, r.GetName()), Value: data, Revision: int64(len(out) + 1)})
+		out = append(out, item.Item{Key: keys.Record(kind, r.GetName()), Value: data, Revision: revno.Revision(len(out) + 1)})
 	}
 	for i := range 21 {
 		add("domain", &pb.Domain{Schema: 1, Name: fmt.Sprintf("zone-%d", i), Region: fmt.Sprintf("region-%d", i/3)})
@@ -101,7 +102,7 @@
 	c.ReportAge = func(time.Time, string, string) (time.Duration, bool) { return 0, false }
 	for _, e := range c.Step(startTime, event.Event{Kind: evkind.Tick}) {
 		if e.Action == action.CallStore && e.Request.Op == kvop.List {
-			r := kvresp.Response{ID: e.Request.ID, Applied: true, Revision: int64(len(items)), Items: items}
+			r := kvresp.Response{ID: e.Request.ID, Applied: true, Revision: revno.Revision(len(items)), Items: items}
 			c.Step(startTime, event.Event{Kind: evkind.StoreResponse, Response: r})
 		}
 	}
@@ -127,7 +128,7 @@
 		b.Run(fmt.Sprint(n), func(b *testing.B) {
 			items := recordItems(b, n)
 			c := newSyncedControl(b, items)
-			revision := int64(len(items))
+			revision := revno.Revision(len(items))
 			b.ReportAllocs()
 			for b.Loop() {
 				r, err := codec.WrapRecord("upstream", upstreamMessage(int(revision)%n, fmt.Sprintf("v%d", revision)))
--- a/internal/core/config_test.go
+++ b/internal/core/config_test.go
@@ -14,6 +14,7 @@
 	"github.com/balsamvale/balsamvale/pkg/events/evkind"
 	"github.com/balsamvale/balsamvale/pkg/stored/delta"
 	"github.com/balsamvale/balsamvale/pkg/stored/item"
+	"github.com/balsamvale/balsamvale/pkg/stored/revno"
 )
 
 // Nothing told when an entry had put a configuration in force, nor whether it had come from a peer.
@@ -24,7 +25,7 @@
 		lines := func() int { return strings.Count(out.String(), `"msg":"config"`) }
 		Eventually(lines).Should(Equal(1))
 		Expect(out.String()).To(MatchRegexp(`"msg":"config","revision":7,"version":0,"rules":0,"services":1,"upstreams":0,"lag":"[^"]+","from":"store"`))
-		send := func(key string, rev int64) {
+		send := func(key string, rev revno.Revision) {
 			d := digest.Digest{From: "e2", Revision: rev, Delta: delta.Delta{Items: []item.Item{{Key: key, Revision: rev}}, BaseRevision: rev - 1, Revision: rev}}
 			_, err := co.Submit(context.Background(), event.Event{Kind: evkind.DigestReceived, Digest: d})
 			Expect(err).NotTo(HaveOccurred())
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -43,6 +43,7 @@
 	"github.com/balsamvale/balsamvale/pkg/stored/kvreq"
 	"github.com/balsamvale/balsamvale/pkg/stored/kvresp"
 	"github.com/balsamvale/balsamvale/pkg/stored/member"
+	"github.com/balsamvale/balsamvale/pkg/stored/revno"
 	"github.com/balsamvale/balsamvale/pkg/stored/status"
 	"github.com/balsamvale/balsamvale/pkg/stored/value"
 	"github.com/balsamvale/balsamvale/pkg/traffic/poison"
@@ -179,7 +180,7 @@
 }
 
 // Revision returns the revision of the configuration in force, or 0 while there is none.
-func (co *Core) Revision() int64 { return co.view.Load().snapshot.Revision }
+func (co *Core) Revision() revno.Revision { return co.view.Load().snapshot.Revision }
 
 // Basis returns the revision of the configuration in force, and the time since it was last known to match the store. What is
 // looked up later is of that revision or a later one.
--- a/internal/core/decode.go
+++ b/internal/core/decode.go
@@ -23,13 +23,13 @@
 	defer func() {
 		if p := recover(); p != nil {
 			d.log.Panic("decoding "+it.Key, "", p)
-			err = eris.Wrapf(errDecodePanic, "%s at revision %d: %v", it.Key, it.Revision, p)
+			err = eris.Wrapf(errDecodePanic, "%s at revision %d: %v", it.Key, it.Revision.Number(), p)
 		}
 	}()
 	v, err = d.decode(it)
 	if v.Batch != nil {
 		for _, text := range v.Batch.Warnings {
-			d.log.Warn("limit", zap.String("key", it.Key), zap.Int64("revision", it.Revision), zap.String("text", text))
+			d.log.Warn("limit", zap.String("key", it.Key), zap.Int64("revision", it.Revision.Number()), zap.String("text", text))
 		}
 	}
 	return v, err
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -128,7 +128,7 @@
 		}
 		return age.Seconds()
 	})
-	d.metrics.NewGauge("balsamvale_configuration_revision", func() float64 { return float64(d.core.Revision()) })
+	d.metrics.NewGauge("balsamvale_configuration_revision", func() float64 { return float64(d.core.Revision().Number()) })
 	d.metrics.NewGauge("balsamvale_caller_connections_limit", func() float64 { return float64(d.maxConns) })
 	d.metrics.NewGauge("balsamvale_call_memory_bytes", func() float64 { return float64(d.memory.Held()) })
 	d.metrics.NewGauge("balsamvale_call_memory_limit_bytes", func() float64 { return float64(d.memory.Limit()) })
@@ -407,14 +407,14 @@
 		return nil, err
 	}
 	out := &pb.StatusResponse{
-		Name: s.Name, Domain: s.Domain, Revision: s.Revision, Ready: s.Ready,
+		Name: s.Name, Domain: s.Domain, Revision: s.Revision.Number(), Era: s.Revision.Era(), Ready: s.Ready,
 		Store: s.StoreReachable, Members: uint32(s.Members), Duty: s.OwnedShards, Build: d.buildProto(),
 	}
 	if !s.RevisionSince.IsZero() {
 		out.Since = timestamppb.New(s.RevisionSince)
 	}
 	for _, r := range s.Rejects {
-		out.Rejected = append(out.Rejected, &pb.Rejected{Key: r.Key, Revision: r.Revision, Reason: r.Err.Error()})
+		out.Rejected = append(out.Rejected, &pb.Rejected{Key: r.Key, Revision: r.Revision.Number(), Era: r.Revision.Era(), Reason: r.Err.Error()})
 	}
 	for _, ro := range s.Rollouts {
 		out.Move = append(out.Move, &pb.MoveStatus{Name: ro.Rollout, Phase: ro.Phase.String(), Share: uint32(ro.Permille), Reason: ro.Reason})
--- a/internal/logs/log.go
+++ b/internal/logs/log.go
@@ -101,7 +101,7 @@
 
 // ownFields returns the fields of an answer that the entry makes itself.
 func ownFields(status int, b basis.Basis) []zap.Field {
-	return []zap.Field{zap.Int("status", status), zap.Int64("revision", b.Revision), zap.Duration("lag", b.Age)}
+	return []zap.Field{zap.Int("status", status), zap.Int64("revision", b.Revision.Number()), zap.Duration("lag", b.Age)}
 }
 
 func routeFields(c *call.Call, s *step.Step) []zap.Field {
@@ -184,7 +184,7 @@
 	for _, cfg := range s.Services {
 		upstreams += len(cfg.Targets)
 	}
-	ce.Write(zap.Int64("revision", s.Revision), zap.Int64("version", s.Version), zap.Int("rules", rules),
+	ce.Write(zap.Int64("revision", s.Revision.Number()), zap.Int64("version", s.Version), zap.Int("rules", rules),
 		zap.Int("services", len(s.Services)), zap.Int("upstreams", upstreams), zap.Duration("lag", age), zap.String("from", s.Source))
 }
 
--- a/internal/peers/slow_test.go
+++ b/internal/peers/slow_test.go
@@ -25,6 +25,7 @@
 	"github.com/balsamvale/balsamvale/pkg/shared/tune"
 	"github.com/balsamvale/balsamvale/pkg/stored/delta"
 	"github.com/balsamvale/balsamvale/pkg/stored/item"
+	"github.com/balsamvale/balsamvale/pkg/stored/revno"
 )
 
 // slowWriter sends a response in pieces, with a pause after each.
@@ -99,7 +100,7 @@
 	for i := range 300 {
 		value := make([]byte, 900)
 		_, _ = random.Read(value)
-		large.Items = append(large.Items, item.Item{Key: fmt.Sprintf("c/rec/upstream/i-%03d", i), Value: value, Revision: int64(i + 1)})
+		large.Items = append(large.Items, item.Item{Key: fmt.Sprintf("c/rec/upstream/i-%03d", i), Value: value, Revision: revno.Revision(i + 1)})
 	}
 	for _, tc := range []struct {
 		name         string
--- a/internal/proxy/claims_test.go
+++ b/internal/proxy/claims_test.go
@@ -21,6 +21,7 @@
 	"github.com/balsamvale/balsamvale/pkg/shared/clock"
 	"github.com/balsamvale/balsamvale/pkg/shared/tune"
 	"github.com/balsamvale/balsamvale/pkg/stored/item"
+	"github.com/balsamvale/balsamvale/pkg/stored/revno"
 	"github.com/balsamvale/balsamvale/pkg/traffic/pool"
 )
 
@@ -69,7 +70,7 @@
 	return s.items[key], nil
 }
 
-func (s *memoryStore) compareAndSwap(_ context.Context, it item.Item, expect, _ int64) (bool, item.Item, error) {
+func (s *memoryStore) compareAndSwap(_ context.Context, it item.Item, expect revno.Revision, _ int64) (bool, item.Item, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if held := s.items[it.Key]; held.Revision != expect {
--- a/internal/replay/claims.go
+++ b/internal/replay/claims.go
@@ -9,6 +9,7 @@
 	"github.com/balsamvale/balsamvale/pkg/stored/kvop"
 	"github.com/balsamvale/balsamvale/pkg/stored/kvreq"
 	"github.com/balsamvale/balsamvale/pkg/stored/kvresp"
+	"github.com/balsamvale/balsamvale/pkg/stored/revno"
 )
 
 // runPlan carries out the next store request that the bucket plans, one at a time.
@@ -99,7 +100,7 @@
 // compareAndSwapClaims writes a bucket of claims, which is already encoded.
 //
 // An unreachable store or a lost response leads to an unknown outcome after tune.StoreTimeout.
-func (st *storage) compareAndSwapClaims(it item.Item, expected int64, unreachable bool, done func(kvresp.Response)) {
+func (st *storage) compareAndSwapClaims(it item.Item, expected revno.Revision, unreachable bool, done func(kvresp.Response)) {
 	fail := func() { done(kvresp.Response{OutcomeUnknown: true}) }
 	if st.down || unreachable {
 		st.sim.events.after(tune.StoreTimeout, fail)
--- a/internal/replay/entry.go
+++ b/internal/replay/entry.go
@@ -23,6 +23,7 @@
 	"github.com/balsamvale/balsamvale/pkg/shared/tune"
 	"github.com/balsamvale/balsamvale/pkg/stored/kvresp"
 	"github.com/balsamvale/balsamvale/pkg/stored/member"
+	"github.com/balsamvale/balsamvale/pkg/stored/revno"
 	"github.com/balsamvale/balsamvale/pkg/traffic/idkey"
 	"github.com/balsamvale/balsamvale/pkg/traffic/poison"
 	"github.com/balsamvale/balsamvale/pkg/traffic/pool"
@@ -54,7 +55,7 @@
 	blackholed map[int]bool
 	lastCallID uint64
 	// revision is that of the last snapshot; it must never decrease.
-	revision int64
+	revision revno.Revision
 }
 
 // startEntry starts entry i under a new incarnation, in place of the one that ran under its name before.
--- a/internal/replay/faults.go
+++ b/internal/replay/faults.go
@@ -6,6 +6,7 @@
 
 	pb "github.com/balsamvale/balsamvale/internal/gen/balsamvale/v1"
 	"github.com/balsamvale/balsamvale/pkg/calls/result"
+	"github.com/balsamvale/balsamvale/pkg/stored/revno"
 )
 
 // scheduleFaults schedules the start and the end of each fault in the trace.
@@ -198,6 +199,6 @@
 
 // appliedRecord is the revision and time of a record that operators wrote.
 type appliedRecord struct {
-	revision int64
+	revision revno.Revision
 	at       time.Time
 }
--- a/internal/replay/figures.go
+++ b/internal/replay/figures.go
@@ -12,6 +12,7 @@
 	"github.com/balsamvale/balsamvale/pkg/calls/outcom"
 	"github.com/balsamvale/balsamvale/pkg/control/keys"
 	"github.com/balsamvale/balsamvale/pkg/stored/phase"
+	"github.com/balsamvale/balsamvale/pkg/stored/revno"
 )
 
 // counters holds the values that a run collects for its figures.
@@ -259,7 +260,7 @@
 }
 
 // recordPropagation records how long the records took that an entry puts in force when it goes from one revision to another.
-func (c *counters) recordPropagation(now time.Time, from, to int64) {
+func (c *counters) recordPropagation(now time.Time, from, to revno.Revision) {
 	for _, rec := range c.appliedRecords {
 		if rec.revision > from && rec.revision <= to {
 			c.maxPropagation = max(c.maxPropagation, now.Sub(rec.at))
--- a/internal/replay/storage.go
+++ b/internal/replay/storage.go
@@ -12,12 +12,13 @@
 	"github.com/balsamvale/balsamvale/pkg/stored/kvop"
 	"github.com/balsamvale/balsamvale/pkg/stored/kvreq"
 	"github.com/balsamvale/balsamvale/pkg/stored/kvresp"
+	"github.com/balsamvale/balsamvale/pkg/stored/revno"
 )
 
 // storage simulates the platform's key-value store.
 type storage struct {
 	sim      *Sim
-	revision int64
+	revision revno.Revision
 	items    map[string]item.Item
 	// history holds every change, in order of revision.
 	history []item.Item
@@ -105,7 +106,7 @@
 }
 
 // compareAndSwap writes an item if its key is at the expected revision and the lease, if not 0, is alive.
-func (st *storage) compareAndSwap(it item.Item, expected, lease int64) kvresp.Response {
+func (st *storage) compareAndSwap(it item.Item, expected revno.Revision, lease int64) kvresp.Response {
 	if st.items[it.Key].Revision != expected {
 		return kvresp.Response{Revision: st.items[it.Key].Revision}
 	}
@@ -221,7 +222,7 @@
 // since returns the changes after a revision to keys under a prefix.
 func (st *storage) since(req kvreq.Request) []item.Item {
 	var out []item.Item
-	i, _ := slices.BinarySearchFunc(st.history, req.SinceRevision+1, func(it item.Item, rev int64) int {
+	i, _ := slices.BinarySearchFunc(st.history, req.SinceRevision+1, func(it item.Item, rev revno.Revision) int {
 		return cmp.Compare(it.Revision, rev)
 	})
 	for _, it := range st.history[i:] {
--- a/internal/seams/seams.go
+++ b/internal/seams/seams.go
@@ -7,6 +7,7 @@
 	"github.com/balsamvale/balsamvale/pkg/stored/item"
 	"github.com/balsamvale/balsamvale/pkg/stored/kvreq"
 	"github.com/balsamvale/balsamvale/pkg/stored/kvresp"
+	"github.com/balsamvale/balsamvale/pkg/stored/revno"
 	"github.com/balsamvale/balsamvale/pkg/stored/value"
 )
 
@@ -20,7 +21,7 @@
 	// CompareAndSwap writes or removes a key if its revision is the expected one, and attaches it to a lease unless
 	// leaseID is 0. It reports whether it did so, and then returns the key with its new revision. After an error the
 	// change may have taken effect.
-	CompareAndSwap func(ctx context.Context, it item.Item, expectedRevision, leaseID int64) (bool, item.Item, error)
+	CompareAndSwap func(ctx context.Context, it item.Item, expectedRevision revno.Revision, leaseID int64) (bool, item.Item, error)
 	// Decode turns an item under keys.ControlPrefix into a value.
 	Decode func(it item.Item) (value.Value, error)
 	// Headers reads and writes the headers of calls, attempts, responses and refusals.
--- a/internal/store/client.go
+++ b/internal/store/client.go
@@ -24,6 +24,7 @@
 	"github.com/balsamvale/balsamvale/pkg/stored/kvop"
 	"github.com/balsamvale/balsamvale/pkg/stored/kvreq"
 	"github.com/balsamvale/balsamvale/pkg/stored/kvresp"
+	"github.com/balsamvale/balsamvale/pkg/stored/revno"
 )
 
 // ErrCallFailed is matched by errors about a store call whose outcome is unknown.
@@ -158,9 +159,9 @@
 // The returned item is the one written, without its value, or the one stored if nothing was written.
 //
 // An error matches ErrCallFailed and means that the write may have taken effect.
-func (c *Client) CompareAndSwap(ctx context.Context, it item.Item, expect, lease int64) (bool, item.Item, error) {
+func (c *Client) CompareAndSwap(ctx context.Context, it item.Item, expect revno.Revision, lease int64) (bool, item.Item, error) {
 	c.Writes.Add(1)
-	req := &pb.SwapRequest{Key: it.Key, Value: it.Value, Expect: expect, Lease: lease, Gone: it.Tombstone}
+	req := &pb.SwapRequest{Key: it.Key, Value: it.Value, Expect: expect.Number(), Lease: lease, Gone: it.Tombstone}
 	res, err := c.endpoint().Swap(ctx, connect.NewRequest(req))
 	if err != nil {
 		return false, item.Item{}, c.failover(err)
@@ -171,14 +172,14 @@
 // List reads a page of the items under a prefix whose keys are greater than after, and the revision of the store.
 //
 // It reports in more whether further pages follow. Errors match ErrCallFailed.
-func (c *Client) List(ctx context.Context, prefix, after string) (items []item.Item, revision int64, more bool, err error) {
+func (c *Client) List(ctx context.Context, prefix, after string) (items []item.Item, revision revno.Revision, more bool, err error) {
 	c.Reads.Add(1)
 	req := &pb.ListRequest{Prefix: prefix, After: after, Limit: tune.MaxPageItems}
 	res, err := c.endpoint().List(ctx, connect.NewRequest(req))
 	if err != nil {
 		return nil, 0, false, c.failover(err)
 	}
-	return codec.ItemsFromProto(res.Msg.GetItem()), res.Msg.GetRevision(), res.Msg.GetMore(), nil
+	return codec.ItemsFromProto(res.Msg.GetItem()), revno.New(0, res.Msg.GetRevision()), res.Msg.GetMore(), nil
 }
 
 // All reads all items under a prefix, page by page; they need not be of one revision. Errors match ErrCallFailed.
@@ -201,13 +202,13 @@
 // watch waits for changes under a prefix after a revision, for at most the wait of the request.
 func (c *Client) watch(ctx context.Context, req kvreq.Request) (kvresp.Response, error) {
 	c.Reads.Add(1)
-	msg := &pb.WatchRequest{Prefix: []string{req.Key}, After: req.SinceRevision, Wait: durationpb.New(req.Wait)}
+	msg := &pb.WatchRequest{Prefix: []string{req.Key}, After: req.SinceRevision.Number(), Wait: durationpb.New(req.Wait)}
 	res, err := c.endpoint().Watch(ctx, connect.NewRequest(msg))
 	if err != nil {
 		return kvresp.Response{}, c.failover(err)
 	}
 	m := res.Msg
-	return kvresp.Response{Items: codec.ItemsFromProto(m.GetItem()), Revision: m.GetRevision(), Waited: len(m.GetItem()) == 0, Compacted: m.GetLost(), Applied: true}, nil
+	return kvresp.Response{Items: codec.ItemsFromProto(m.GetItem()), Revision: revno.New(0, m.GetRevision()), Waited: len(m.GetItem()) == 0, Compacted: m.GetLost(), Applied: true}, nil
 }
 
 // lease grants a lease, or renews the one with the given ID; Applied stays unset if that lease has expired.
@@ -226,7 +227,7 @@
 
 // Watch waits at most wait for changes under a prefix after the revision since; it returns the changed items and the
 // revision of the store. Errors match ErrCallFailed.
-func (c *Client) Watch(ctx context.Context, prefix string, since int64, wait time.Duration) ([]item.Item, int64, error) {
+func (c *Client) Watch(ctx context.Context, prefix string, since revno.Revision, wait time.Duration) ([]item.Item, revno.Revision, error) {
 	res, err := c.watch(ctx, kvreq.Request{Key: prefix, SinceRevision: since, Wait: wait})
 	return res.Items, res.Revision, err
 }
--- a/pkg/control/config/config.go
+++ b/pkg/control/config/config.go
@@ -23,6 +23,7 @@
 	"github.com/balsamvale/balsamvale/pkg/stored/member"
 	"github.com/balsamvale/balsamvale/pkg/stored/owner"
 	"github.com/balsamvale/balsamvale/pkg/stored/progrs"
+	"github.com/balsamvale/balsamvale/pkg/stored/revno"
 	"github.com/balsamvale/balsamvale/pkg/stored/value"
 )
 
@@ -48,9 +49,9 @@
 	Bounds *bounds.Bounds
 
 	// Revision is the highest revision at which a record was put in force or removed.
-	Revision int64
+	Revision revno.Revision
 	// OperatorRevision is the highest revision at which a service, a routing rule or Bounds was put in force or removed.
-	OperatorRevision int64
+	OperatorRevision revno.Revision
 	// Version is the number that the operators gave the last batch; 0 if there is none.
 	Version int64
 
--- a/pkg/control/config/config_test.go
+++ b/pkg/control/config/config_test.go
@@ -21,6 +21,7 @@
 	"github.com/balsamvale/balsamvale/pkg/stored/item"
 	"github.com/balsamvale/balsamvale/pkg/stored/phase"
 	"github.com/balsamvale/balsamvale/pkg/stored/progrs"
+	"github.com/balsamvale/balsamvale/pkg/stored/revno"
 	"github.com/balsamvale/balsamvale/pkg/stored/value"
 )
 
@@ -30,7 +31,7 @@
 type fixture struct {
 	config   *config.Config
 	values   map[string]value.Value
-	revision int64
+	revision revno.Revision
 }
 
 func newFixture() *fixture {
--- a/pkg/control/contrl/control.go
+++ b/pkg/control/contrl/control.go
@@ -38,6 +38,7 @@
 	"github.com/balsamvale/balsamvale/pkg/stored/item"
 	"github.com/balsamvale/balsamvale/pkg/stored/kvreq"
 	"github.com/balsamvale/balsamvale/pkg/stored/member"
+	"github.com/balsamvale/balsamvale/pkg/stored/revno"
 	"github.com/balsamvale/balsamvale/pkg/stored/value"
 )
 
@@ -97,7 +98,7 @@
 	// gossipAt is when the next exchange with peers is due.
 	gossipAt time.Time
 	// peerRevisions holds the last known revision of each peer's replica, by entry name.
-	peerRevisions map[string]int64
+	peerRevisions map[string]revno.Revision
 	fetches       fetches
 	// pendingFacts are the facts to push at the next tick.
 	pendingFacts []fact.Fact
@@ -118,8 +119,8 @@
 		issuer:        issuer.New(self.Incarnation),
 		scheduler:     probe.New(),
 		snapshot:      &snap.Snapshot{Services: map[string]*svcfg.Config{}},
-		peerRevisions: map[string]int64{},
-		fetches:       fetches{offers: map[string]int64{}},
+		peerRevisions: map[string]revno.Revision{},
+		fetches:       fetches{offers: map[string]revno.Revision{}},
 		rollouts:      rolloutStates{},
 	}
 }
--- a/pkg/control/contrl/fetch.go
+++ b/pkg/control/contrl/fetch.go
@@ -11,6 +11,7 @@
 	"github.com/balsamvale/balsamvale/pkg/events/event"
 	"github.com/balsamvale/balsamvale/pkg/shared/tune"
 	"github.com/balsamvale/balsamvale/pkg/stored/delta"
+	"github.com/balsamvale/balsamvale/pkg/stored/revno"
 )
 
 // fetches requests the large changes that peers offer, from one peer at a time, so that each crosses the link of this entry
@@ -23,7 +24,7 @@
 	peer      string
 	startedAt time.Time
 	// offers holds the revision that each peer has offered, by entry name.
-	offers map[string]int64
+	offers map[string]revno.Revision
 	// askedSeeds counts the fetches from seeds, and seedAt is when the next seed is due; zero before the first tick.
 	askedSeeds int
 	seedAt     time.Time
@@ -68,7 +69,7 @@
 		}
 		c.endFetch()
 	}
-	maps.DeleteFunc(f.offers, func(peer string, revision int64) bool {
+	maps.DeleteFunc(f.offers, func(peer string, revision revno.Revision) bool {
 		return revision <= c.replica.Revision() || c.config.Members[peer] == nil
 	})
 	best := ""
--- a/pkg/control/contrl/fleet_test.go
+++ b/pkg/control/contrl/fleet_test.go
@@ -27,6 +27,7 @@
 	"github.com/balsamvale/balsamvale/pkg/stored/kvreq"
 	"github.com/balsamvale/balsamvale/pkg/stored/kvresp"
 	"github.com/balsamvale/balsamvale/pkg/stored/member"
+	"github.com/balsamvale/balsamvale/pkg/stored/revno"
 	"github.com/balsamvale/balsamvale/pkg/stored/value"
 )
 
@@ -42,7 +43,7 @@
 	// lastTimer is the number of the last timer.
 	lastTimer int
 
-	revision int64
+	revision revno.Revision
 	items    map[string]item.Item
 	history  []item.Item
 	watches  []*fleetWatch
@@ -75,7 +76,7 @@
 	// is not answered.
 	silent time.Time
 	// revision is that of the configuration in force, since inForceAt.
-	revision  int64
+	revision  revno.Revision
 	inForceAt time.Time
 	// sendingUntil and receivingUntil are when the link of the entry has carried what was sent so far.
 	sendingUntil, receivingUntil time.Time
--- a/pkg/control/contrl/gossip_test.go
+++ b/pkg/control/contrl/gossip_test.go
@@ -26,6 +26,7 @@
 	"github.com/balsamvale/balsamvale/pkg/stored/delta"
 	"github.com/balsamvale/balsamvale/pkg/stored/item"
 	"github.com/balsamvale/balsamvale/pkg/stored/member"
+	"github.com/balsamvale/balsamvale/pkg/stored/revno"
 	"github.com/balsamvale/balsamvale/pkg/stored/value"
 )
 
@@ -46,11 +47,11 @@
 	c := contrl.New(member.Member{Name: "me"}, rand.New(rand.NewPCG(1, 1)), decode)
 	var items []item.Item
 	for i := range peers {
-		items = append(items, item.Item{Key: keys.Member(fmt.Sprintf("entry-%d", i)), Revision: int64(i + 1)})
+		items = append(items, item.Item{Key: keys.Member(fmt.Sprintf("entry-%d", i)), Revision: revno.Revision(i + 1)})
 	}
 	items = append(items, item.Item{Key: keys.Record("move", "m"), Revision: 1})
-	d := delta.Delta{Items: items, Revision: int64(peers), Full: true}
-	c.Step(now, event.Event{Kind: evkind.DigestAnswered, Digest: digest.Digest{From: "entry-0", Revision: int64(peers), Delta: d}})
+	d := delta.Delta{Items: items, Revision: revno.Revision(peers), Full: true}
+	c.Step(now, event.Event{Kind: evkind.DigestAnswered, Digest: digest.Digest{From: "entry-0", Revision: revno.Revision(peers), Delta: d}})
 	return c
 }
 
--- a/pkg/control/contrl/locality_test.go
+++ b/pkg/control/contrl/locality_test.go
@@ -20,6 +20,7 @@
 	"github.com/balsamvale/balsamvale/pkg/stored/delta"
 	"github.com/balsamvale/balsamvale/pkg/stored/item"
 	"github.com/balsamvale/balsamvale/pkg/stored/member"
+	"github.com/balsamvale/balsamvale/pkg/stored/revno"
 	"github.com/balsamvale/balsamvale/pkg/stored/value"
 )
 
@@ -35,10 +36,10 @@
 	c := contrl.New(member.Member{Name: "me@zone-0", Domain: "zone-0"}, rand.New(rand.NewPCG(1, 1)), decode)
 	items := []item.Item{{Key: keys.Member("me@zone-0"), Revision: 1}}
 	for i := 1; i < entries; i++ {
-		items = append(items, item.Item{Key: keys.Member(fmt.Sprintf("e%d@zone-%d", i, i%domains)), Revision: int64(i + 1)})
+		items = append(items, item.Item{Key: keys.Member(fmt.Sprintf("e%d@zone-%d", i, i%domains)), Revision: revno.Revision(i + 1)})
 	}
-	d := delta.Delta{Items: items, Revision: int64(entries), Full: true}
-	c.Step(now, event.Event{Kind: evkind.DigestAnswered, Digest: digest.Digest{From: "e1@zone-1", Revision: int64(entries), Delta: d}})
+	d := delta.Delta{Items: items, Revision: revno.Revision(entries), Full: true}
+	c.Step(now, event.Event{Kind: evkind.DigestAnswered, Digest: digest.Digest{From: "e1@zone-1", Revision: revno.Revision(entries), Delta: d}})
 	return c
 }
 
@@ -74,8 +75,8 @@
 		c.Step(now, event.Event{Kind: evkind.Tick})
 		sent := 0
 		for i := range 50 {
-			d := delta.Delta{BaseRevision: int64(entries + i), Revision: int64(entries + i + 1), Items: []item.Item{
-				{Key: keys.Member(fmt.Sprintf("new%d@zone-1", i)), Revision: int64(entries + i + 1)},
+			d := delta.Delta{BaseRevision: revno.Revision(entries + i), Revision: revno.Revision(entries + i + 1), Items: []item.Item{
+				{Key: keys.Member(fmt.Sprintf("new%d@zone-1", i)), Revision: revno.Revision(entries + i + 1)},
 			}}
 			all, _ := digests(c.Step(now, event.Event{Kind: evkind.DigestReceived, Digest: digest.Digest{From: "e1@zone-1", Revision: d.Revision, Delta: d}}))
 			sent += all
@@ -89,7 +90,7 @@
 		event func(n int) event.Event
 	}{
 		{"a record that operators change", func(n int) event.Event {
-			rev := int64(entries + n + 1)
+			rev := revno.Revision(entries + n + 1)
 			d := delta.Delta{BaseRevision: rev - 1, Revision: rev, Items: []item.Item{{Key: keys.Record("domain", fmt.Sprint("d", n)), Revision: rev}}}
 			return event.Event{Kind: evkind.DigestReceived, Digest: digest.Digest{From: "e1@zone-1", Revision: rev, Delta: d}}
 		}},
--- a/pkg/control/contrl/restart_test.go
+++ b/pkg/control/contrl/restart_test.go
@@ -24,6 +24,7 @@
 	"github.com/balsamvale/balsamvale/pkg/stored/kvop"
 	"github.com/balsamvale/balsamvale/pkg/stored/kvresp"
 	"github.com/balsamvale/balsamvale/pkg/stored/member"
+	"github.com/balsamvale/balsamvale/pkg/stored/revno"
 	"github.com/balsamvale/balsamvale/pkg/stored/value"
 )
 
@@ -79,19 +80,19 @@
 func itemsWith(upstreams ...string) []item.Item {
 	out := []item.Item{{Key: keys.Record("service", "s"), Revision: 1}}
 	for i, name := range upstreams {
-		out = append(out, item.Item{Key: keys.Record("upstream", name), Revision: int64(i + 2)})
+		out = append(out, item.Item{Key: keys.Record("upstream", name), Revision: revno.Revision(i + 2)})
 	}
 	return out
 }
 
 // peer passes the answer of a peer whose replica of the given revision matched the store age ago.
-func (f *restartFixture) peer(age time.Duration, revision int64, upstreams ...string) {
+func (f *restartFixture) peer(age time.Duration, revision revno.Revision, upstreams ...string) {
 	d := digest.Digest{From: "peer", Revision: revision, Age: age, Delta: delta.Delta{Items: itemsWith(upstreams...), Revision: revision, Full: true}}
 	f.step(event.Event{Kind: evkind.DigestAnswered, Digest: d})
 }
 
 // list answers the pending list request.
-func (f *restartFixture) list(revision int64, upstreams ...string) {
+func (f *restartFixture) list(revision revno.Revision, upstreams ...string) {
 	f.step(event.Event{Kind: evkind.StoreResponse, Response: kvresp.Response{ID: f.listID, Applied: true, Revision: revision, Items: itemsWith(upstreams...)}})
 }
 
--- a/pkg/control/contrl/staleness_test.go
+++ b/pkg/control/contrl/staleness_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/balsamvale/balsamvale/pkg/control/keys"
 	"github.com/balsamvale/balsamvale/pkg/shared/tune"
+	"github.com/balsamvale/balsamvale/pkg/stored/revno"
 )
 
 // Guards against a configuration that is in force late because the entries that watch the store for the fleet are cut off from
@@ -97,7 +98,7 @@
 			f.peerDelay = 150 * time.Millisecond
 			type change struct {
 				at       time.Time
-				revision int64
+				revision revno.Revision
 			}
 			var changes []change
 			next := f.now
--- a/pkg/control/contrl/transfer_test.go
+++ b/pkg/control/contrl/transfer_test.go
@@ -18,6 +18,7 @@
 	"github.com/balsamvale/balsamvale/pkg/shared/tune"
 	"github.com/balsamvale/balsamvale/pkg/stored/delta"
 	"github.com/balsamvale/balsamvale/pkg/stored/item"
+	"github.com/balsamvale/balsamvale/pkg/stored/revno"
 )
 
 // copies returns the item values that each entry has received from its peers since a transfer, and the most that it has sent
@@ -152,24 +153,24 @@
 }
 
 // offer passes the offer of a peer at the given revision.
-func (f *fetching) offer(peer string, revision int64) {
+func (f *fetching) offer(peer string, revision revno.Revision) {
 	f.step(event.Event{Kind: evkind.DigestReceived, Digest: digest.Digest{From: peer, Revision: revision, Offer: true, Brief: true}})
 }
 
 // answer passes the answer of the peer that was asked last, with the changes up to the given revision.
-func (f *fetching) answer(revision int64) {
+func (f *fetching) answer(revision revno.Revision) {
 	d := digest.Digest{From: f.last.Peer, Revision: revision, Delta: largeDelta(f.last.Digest.Revision, revision)}
 	f.step(event.Event{Kind: evkind.DigestAnswered, FetchID: f.last.FetchID, Digest: d})
 }
 
 // push passes a small change that a peer pushes.
-func (f *fetching) push(peer string, base, revision int64) {
+func (f *fetching) push(peer string, base, revision revno.Revision) {
 	d := delta.Delta{BaseRevision: base, Revision: revision, Items: []item.Item{{Key: keys.Member("new"), Revision: revision}}}
 	f.step(event.Event{Kind: evkind.DigestReceived, Digest: digest.Digest{From: peer, Revision: revision, Brief: true, Delta: d}})
 }
 
 // largeDelta returns changes after base up to revision that are too large to be pushed.
-func largeDelta(base, revision int64) delta.Delta {
+func largeDelta(base, revision revno.Revision) delta.Delta {
 	it := item.Item{Key: keys.Record("move", "m"), Value: make([]byte, tune.MaxPushBytes+1), Revision: revision}
 	return delta.Delta{BaseRevision: base, Revision: revision, Items: []item.Item{it}}
 }
@@ -275,7 +276,7 @@
 					}
 				}
 			}
-			Expect(answer.Revision).To(Equal(int64(110)))
+			Expect(answer.Revision).To(Equal(revno.Revision(110)))
 			Expect(answer.Offer).To(Equal(tc.offered))
 			Expect(len(answer.Delta.Items) > 0).To(Equal(tc.sent))
 		})
@@ -288,13 +289,13 @@
 	now := time.Unix(1000, 0)
 	for _, tc := range []struct {
 		name      string
-		revisions []int64
+		revisions []revno.Revision
 		sends     int
 	}{
-		{"is left to the store at first", []int64{0}, 0},
-		{"is sent all of it when it still has none in the next exchange", []int64{0, 0}, 1},
-		{"is not sent it again at once, when it holds it back", []int64{0, 0, 0}, 1},
-		{"is not sent it once it has some", []int64{0, 90}, 0},
+		{"is left to the store at first", []revno.Revision{0}, 0},
+		{"is sent all of it when it still has none in the next exchange", []revno.Revision{0, 0}, 1},
+		{"is not sent it again at once, when it holds it back", []revno.Revision{0, 0, 0}, 1},
+		{"is not sent it once it has some", []revno.Revision{0, 90}, 0},
 	} {
 		It(tc.name, func() {
 			c := newControl(now, 100)
--- a/pkg/control/contrl/watching_test.go
+++ b/pkg/control/contrl/watching_test.go
@@ -22,6 +22,7 @@
 	"github.com/balsamvale/balsamvale/pkg/stored/kvreq"
 	"github.com/balsamvale/balsamvale/pkg/stored/kvresp"
 	"github.com/balsamvale/balsamvale/pkg/stored/member"
+	"github.com/balsamvale/balsamvale/pkg/stored/revno"
 	"github.com/balsamvale/balsamvale/pkg/stored/value"
 )
 
@@ -38,7 +39,7 @@
 	first := slices.IndexFunc(names, func(name string) bool { return shard.Shard(0).Rank(names, name) == 0 })
 	now := time.Unix(1000, 0)
 	c := contrl.New(member.Member{Name: names[first]}, rand.New(rand.NewPCG(1, 1)), decode)
-	revision, watches := int64(entries), 0
+	revision, watches := revno.Revision(entries), 0
 	var pending []kvreq.Request
 	for end := now.Add(30 * time.Second); now.Before(end); now = now.Add(20 * time.Millisecond) {
 		revision++
@@ -48,7 +49,7 @@
 			switch r.Op {
 			case kvop.List:
 				for i, name := range names {
-					resp.Items = append(resp.Items, item.Item{Key: keys.Member(name), Revision: int64(i + 1)})
+					resp.Items = append(resp.Items, item.Item{Key: keys.Member(name), Revision: revno.Revision(i + 1)})
 				}
 			case kvop.Watch:
 				watches++
--- a/pkg/control/kvrepl/order_test.go
+++ b/pkg/control/kvrepl/order_test.go
@@ -9,6 +9,7 @@
 	"github.com/balsamvale/balsamvale/pkg/control/kvrepl"
 	"github.com/balsamvale/balsamvale/pkg/stored/delta"
 	"github.com/balsamvale/balsamvale/pkg/stored/item"
+	"github.com/balsamvale/balsamvale/pkg/stored/revno"
 )
 
 // A key whose last write is beyond the limit is in no part before that write, so the first part alone would lack it: an entry
@@ -18,7 +19,7 @@
 		r := kvrepl.New()
 		items := []item.Item{{Key: "configuration", Revision: 2000}}
 		for i := range 1000 {
-			items = append(items, item.Item{Key: fmt.Sprint("member-", i), Revision: int64(i + 1)})
+			items = append(items, item.Item{Key: fmt.Sprint("member-", i), Revision: revno.Revision(i + 1)})
 		}
 		r.Apply(delta.Delta{Full: true, Revision: 2000, Items: items})
 		d := r.Since(0, 512)
@@ -34,7 +35,7 @@
 // The pages of a list are not of one revision: a key that is written between two pages comes with a higher revision than the
 // list as a whole, and the watch after the list then returns changes of lower revisions.
 var _ = Describe("A replica that was listed while keys were written", func() {
-	for _, from := range []int64{99, 100, 101, 102, 103, 104, 105, 106} {
+	for _, from := range []revno.Revision{99, 100, 101, 102, 103, 104, 105, 106} {
 		It(fmt.Sprintf("leaves out no change after revision %d", from), func() {
 			r := kvrepl.New()
 			r.Apply(delta.Delta{Full: true, Revision: 100, Items: []item.Item{
@@ -44,8 +45,8 @@
 				{Key: "e", Revision: 101}, {Key: "f", Revision: 102}, {Key: "c", Revision: 103}, {Key: "g", Revision: 104},
 			}})
 			r.Apply(delta.Delta{BaseRevision: 104, Revision: 106, Items: []item.Item{{Key: "b", Revision: 105}, {Key: "h", Revision: 106}}})
-			want := map[string]int64{"d": 100, "e": 101, "f": 102, "c": 103, "g": 104, "b": 105, "h": 106}
-			got := map[string]int64{}
+			want := map[string]revno.Revision{"d": 100, "e": 101, "f": 102, "c": 103, "g": 104, "b": 105, "h": 106}
+			got := map[string]revno.Revision{}
 			at := from
 			for at < r.Revision() {
 				d := r.Since(at, 2)
--- a/pkg/control/kvrepl/replica.go
+++ b/pkg/control/kvrepl/replica.go
@@ -1,32 +1,34 @@
 package kvrepl
 
 import (
+	"cmp"
 	"slices"
 	"sort"
 
 	"github.com/balsamvale/balsamvale/pkg/shared/tune"
 	"github.com/balsamvale/balsamvale/pkg/stored/delta"
 	"github.com/balsamvale/balsamvale/pkg/stored/item"
+	"github.com/balsamvale/balsamvale/pkg/stored/revno"
 )
 
 // Replica is the state of the control keys at one revision of the store, with the writes that led to it.
 //
 // It is not safe for concurrent use.
 type Replica struct {
-	revision int64
+	revision revno.Revision
 	// items holds the newest item of each key, tombstones included.
 	items map[string]item.Item
 	// log lists writes by ascending revision. A compaction removes those that a later write of the key supersedes.
 	log []write
 	// compacted is the highest revision of the tombstones that have been discarded.
-	compacted int64
+	compacted revno.Revision
 	// tombstones is the number of tombstones in items.
 	tombstones int
 }
 
 // write refers to the write of a key at a revision.
 type write struct {
-	revision int64
+	revision revno.Revision
 	key      string
 }
 
@@ -34,7 +36,7 @@
 func New() *Replica { return &Replica{items: map[string]item.Item{}} }
 
 // Revision returns the revision up to which the replica is complete.
-func (r *Replica) Revision() int64 { return r.revision }
+func (r *Replica) Revision() revno.Revision { return r.revision }
 
 // Get returns the item of a key, and whether the key exists. The item of a removed key has revision 0, as in the store.
 func (r *Replica) Get(key string) (item.Item, bool) {
@@ -61,7 +63,7 @@
 	if d.Full {
 		items = append(r.missing(d), items...)
 	}
-	slices.SortStableFunc(items, func(a, b item.Item) int { return int(a.Revision - b.Revision) })
+	slices.SortStableFunc(items, func(a, b item.Item) int { return cmp.Compare(a.Revision, b.Revision) })
 	var changed []item.Item
 	for _, it := range items {
 		if r.put(it) {
@@ -119,7 +121,7 @@
 // Once it has limit changes, it stops at the next revision, so that the changes of one revision stay together. For revision 0,
 // and if tombstones after the given revision have been discarded, it returns all keys instead: a part of them lacks the keys
 // that were written last.
-func (r *Replica) Since(revision int64, limit int) delta.Delta {
+func (r *Replica) Since(revision revno.Revision, limit int) delta.Delta {
 	d := delta.Delta{BaseRevision: revision, Revision: r.revision}
 	if revision >= r.revision {
 		return d
--- a/pkg/control/kvrepl/replica_test.go
+++ b/pkg/control/kvrepl/replica_test.go
@@ -9,9 +9,10 @@
 	"github.com/balsamvale/balsamvale/pkg/control/kvrepl"
 	"github.com/balsamvale/balsamvale/pkg/stored/delta"
 	"github.com/balsamvale/balsamvale/pkg/stored/item"
+	"github.com/balsamvale/balsamvale/pkg/stored/revno"
 )
 
-func newItem(key string, rev int64) item.Item {
+func newItem(key string, rev revno.Revision) item.Item {
 	return item.Item{Key: key, Revision: rev, Value: []byte(fmt.Sprint(rev))}
 }
 
@@ -19,8 +20,8 @@
 	for _, tc := range []struct {
 		name     string
 		next     delta.Delta
-		revision int64
-		a        int64
+		revision revno.Revision
+		a        revno.Revision
 		changed  int
 	}{
 		{"applies a delta from its own revision", delta.Delta{BaseRevision: 5, Revision: 7, Items: []item.Item{newItem("a", 7)}}, 7, 7, 1},
@@ -46,7 +47,7 @@
 	}{{"one change at a time", 1}, {"three", 3}, {"all at once", 1000}} {
 		It("sends a history of writes and removals to a peer, "+tc.name, func() {
 			from, to := kvrepl.New(), kvrepl.New()
-			for rev := int64(1); rev <= 9000; rev++ {
+			for rev := revno.Revision(1); rev <= 9000; rev++ {
 				w := newItem(fmt.Sprintf("k%d", rev%5000), rev)
 				w.Tombstone = rev%3 == 0
 				from.Apply(delta.Delta{BaseRevision: rev - 1, Revision: rev, Items: []item.Item{w}})
--- a/pkg/control/lease/keeper.go
+++ b/pkg/control/lease/keeper.go
@@ -11,6 +11,7 @@
 	"github.com/balsamvale/balsamvale/pkg/stored/kvreq"
 	"github.com/balsamvale/balsamvale/pkg/stored/kvresp"
 	"github.com/balsamvale/balsamvale/pkg/stored/member"
+	"github.com/balsamvale/balsamvale/pkg/stored/revno"
 	"github.com/balsamvale/balsamvale/pkg/stored/value"
 )
 
@@ -50,7 +51,7 @@
 //
 // The request gets the given ID. A lease request asks for a lifetime of ttl; otherwise me is written to the
 // member key, whose known revision is revision, or 0 if the key is absent.
-func (k *Keeper) Next(now time.Time, id uint64, me member.Member, revision int64, ttl time.Duration) (kvreq.Request, bool) {
+func (k *Keeper) Next(now time.Time, id uint64, me member.Member, revision revno.Revision, ttl time.Duration) (kvreq.Request, bool) {
 	if k.pending.ID != 0 || !k.backoff.Ready(now) {
 		return kvreq.Request{}, false
 	}
--- a/pkg/control/watch/watcher.go
+++ b/pkg/control/watch/watcher.go
@@ -12,6 +12,7 @@
 	"github.com/balsamvale/balsamvale/pkg/stored/kvop"
 	"github.com/balsamvale/balsamvale/pkg/stored/kvreq"
 	"github.com/balsamvale/balsamvale/pkg/stored/kvresp"
+	"github.com/balsamvale/balsamvale/pkg/stored/revno"
 )
 
 // Watcher issues the list and watch requests that keep a replica up to date, one at a time.
@@ -35,7 +36,7 @@
 	relist bool
 	// listedItems are the items of the pages received so far, and listRevision the revision of the first page.
 	listedItems  []item.Item
-	listRevision int64
+	listRevision revno.Revision
 	// listSentAt is when the request for the first page was issued.
 	listSentAt time.Time
 	// after is the last key of the previous page, or empty for the first page.
@@ -68,7 +69,7 @@
 //
 // A watch asks for the changes after the revision since, which is that of the replica. A list below it fails, as the replica would
 // ignore it.
-func (w *Watcher) Next(now time.Time, id uint64, since int64) (kvreq.Request, bool) {
+func (w *Watcher) Next(now time.Time, id uint64, since revno.Revision) (kvreq.Request, bool) {
 	if w.pending.ID != 0 || !w.backoff.Ready(now) || now.Before(w.nextWatchAt) {
 		return kvreq.Request{}, false
 	}
--- a/pkg/control/watch/watcher_test.go
+++ b/pkg/control/watch/watcher_test.go
@@ -13,6 +13,7 @@
 	"github.com/balsamvale/balsamvale/pkg/stored/kvop"
 	"github.com/balsamvale/balsamvale/pkg/stored/kvreq"
 	"github.com/balsamvale/balsamvale/pkg/stored/kvresp"
+	"github.com/balsamvale/balsamvale/pkg/stored/revno"
 )
 
 var _ = Describe("Watcher", func() {
@@ -116,13 +117,13 @@
 	for _, tc := range []struct {
 		name string
 		// revisions are those of the pages of the list that follows a watch after revision 100, which is too large.
-		revisions []int64
+		revisions []revno.Revision
 		fresh     bool
 	}{
-		{"a list below the revision of the replica does not make it fresh", []int64{90}, false},
-		{"a list of two pages below the revision of the replica does not make it fresh", []int64{99, 101}, false},
-		{"a list at the revision of the replica makes it fresh", []int64{100}, true},
-		{"a list of two pages above the revision of the replica makes it fresh", []int64{101, 102}, true},
+		{"a list below the revision of the replica does not make it fresh", []revno.Revision{90}, false},
+		{"a list of two pages below the revision of the replica does not make it fresh", []revno.Revision{99, 101}, false},
+		{"a list at the revision of the replica makes it fresh", []revno.Revision{100}, true},
+		{"a list of two pages above the revision of the replica makes it fresh", []revno.Revision{101, 102}, true},
 	} {
 		It(tc.name, func() {
 			w := watch.New(rand.New(rand.NewPCG(1, 1)))
--- a/pkg/events/digest/digest.go
+++ b/pkg/events/digest/digest.go
@@ -5,6 +5,7 @@
 
 	"github.com/balsamvale/balsamvale/pkg/events/fact"
 	"github.com/balsamvale/balsamvale/pkg/stored/delta"
+	"github.com/balsamvale/balsamvale/pkg/stored/revno"
 )
 
 // Digest is one gossip message: the revision of the sender's replica, unexpired facts, and store changes that the
@@ -13,7 +14,7 @@
 	// From is the name of the sending entry.
 	From string
 	// Revision is the store revision up to which the sender's replica is complete.
-	Revision int64
+	Revision revno.Revision
 	// Age is the time since the sender's replica was last known to match the store.
 	Age   time.Duration
 	Facts []fact.Fact
--- a/pkg/records/reject/reject.go
+++ b/pkg/records/reject/reject.go
@@ -1,5 +1,7 @@
 package reject
 
+import "github.com/balsamvale/balsamvale/pkg/stored/revno"
+
 // Reject is a record that could not be decoded or is invalid, and so is not in force.
 //
 // The previous record under its key stays in force, unless it is that of an upstream that announces itself and
@@ -8,7 +10,7 @@
 	// Key is the store key of the record.
 	Key string
 	// Revision is that of the rejected write.
-	Revision int64
+	Revision revno.Revision
 	// Err says what is wrong with the record.
 	Err error
 }
--- a/pkg/shared/snap/snapshot.go
+++ b/pkg/shared/snap/snapshot.go
@@ -4,12 +4,13 @@
 	"github.com/balsamvale/balsamvale/pkg/control/rules"
 	"github.com/balsamvale/balsamvale/pkg/records/bounds"
 	"github.com/balsamvale/balsamvale/pkg/shared/svcfg"
+	"github.com/balsamvale/balsamvale/pkg/stored/revno"
 )
 
 // Snapshot is an immutable copy of the configuration in force.
 type Snapshot struct {
 	// Revision is the highest store revision at which a record was put in force or removed.
-	Revision int64
+	Revision revno.Revision
 	// Services holds the services by name.
 	Services map[string]*svcfg.Config
 	// Rules finds the routing rule for a call; when it is nil, the path of a call names its service.
@@ -17,7 +18,7 @@
 	// Bounds limits what callers may send; nil applies the limits of the settings.
 	Bounds *bounds.Bounds
 	// OperatorRevision is the highest store revision at which a service, a routing rule or the limits changed; 0 if there was none.
-	OperatorRevision int64
+	OperatorRevision revno.Revision
 	// Version is the number that the operators gave their configuration; 0 if it has none.
 	Version int64
 	// Source is "store", or the name of the peer from which the latest changes came.
--- a/pkg/stored/delta/delta.go
+++ b/pkg/stored/delta/delta.go
@@ -1,12 +1,15 @@
 package delta
 
-import "github.com/balsamvale/balsamvale/pkg/stored/item"
+import (
+	"github.com/balsamvale/balsamvale/pkg/stored/item"
+	"github.com/balsamvale/balsamvale/pkg/stored/revno"
+)
 
 // Delta holds the changes after BaseRevision, complete up to and including Revision.
 type Delta struct {
 	Items        []item.Item
-	BaseRevision int64
-	Revision     int64
+	BaseRevision revno.Revision
+	Revision     revno.Revision
 	// Full is set when Items holds every key that existed at Revision, rather than changes only.
 	Full bool
 }
--- a/pkg/stored/kvreq/request.go
+++ b/pkg/stored/kvreq/request.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/balsamvale/balsamvale/pkg/stored/kvop"
+	"github.com/balsamvale/balsamvale/pkg/stored/revno"
 	"github.com/balsamvale/balsamvale/pkg/stored/value"
 )
 
@@ -17,13 +18,13 @@
 	// After is the last key of the previous page of a List; empty for the first page.
 	After string
 	// SinceRevision is the revision after which Watch reports changes, and the lowest of which a List is of use.
-	SinceRevision int64
+	SinceRevision revno.Revision
 	// Value is what CompareAndSwap writes.
 	Value value.Value
 	// Delete makes CompareAndSwap remove the key.
 	Delete bool
 	// ExpectedRevision is the revision that CompareAndSwap requires of the key; 0 requires that the key does not exist.
-	ExpectedRevision int64
+	ExpectedRevision revno.Revision
 	// LeaseID is the lease to renew, or the lease at whose expiry a written key is removed; 0 asks for a new lease, or
 	// writes the key without one.
 	LeaseID int64
--- a/pkg/stored/kvresp/response.go
+++ b/pkg/stored/kvresp/response.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/balsamvale/balsamvale/pkg/stored/item"
+	"github.com/balsamvale/balsamvale/pkg/stored/revno"
 )
 
 // Response is the outcome of one request.
@@ -22,7 +23,7 @@
 	Items   []item.Item
 	// Revision is the store's revision when it answered a List or Watch, or that of the key for Get and an applied
 	// CompareAndSwap.
-	Revision int64
+	Revision revno.Revision
 	// RespondedAt is when the first part of the response to a Watch arrived, or zero if that is unknown. What follows on a slow link
 	// is no newer.
 	RespondedAt time.Time
--- /dev/null
+++ b/pkg/stored/revno/doc.go
@@ -0,0 +1,2 @@
+// Package revno defines the revisions of the store.
+package revno
--- a/pkg/stored/status/status.go
+++ b/pkg/stored/status/status.go
@@ -5,6 +5,7 @@
 
 	"github.com/balsamvale/balsamvale/pkg/records/reject"
 	"github.com/balsamvale/balsamvale/pkg/stored/progrs"
+	"github.com/balsamvale/balsamvale/pkg/stored/revno"
 )
 
 // Status is the state of one entry and what it has in force.
@@ -13,7 +14,7 @@
 	Name   string
 	Domain string
 	// Revision is the highest revision at which a record was put in force or removed.
-	Revision int64
+	Revision revno.Revision
 	// RevisionSince is the time at which Revision came into force.
 	RevisionSince time.Time
 	// Ready is set while the entry has a configuration and is not stopping.
--- a/pkg/traffic/idkey/bucket.go
+++ b/pkg/traffic/idkey/bucket.go
@@ -10,6 +10,7 @@
 	"github.com/balsamvale/balsamvale/pkg/calls/state"
 	"github.com/balsamvale/balsamvale/pkg/shared/tune"
 	"github.com/balsamvale/balsamvale/pkg/stored/kvop"
+	"github.com/balsamvale/balsamvale/pkg/stored/revno"
 )
 
 // Bucket is the state of an entry for one store key, whose value holds many claims; its owner locks it.
@@ -21,7 +22,7 @@
 	owner string
 	// loaded is cleared when the store has to be read before the next write.
 	loaded   bool
-	revision int64
+	revision revno.Revision
 	// claims holds the claims in the last value seen.
 	claims  map[slot]claim.Claim
 	pending []*pendingClaim
@@ -110,7 +111,7 @@
 // Plan returns the next store operation: a Get, or a CompareAndSwap with its value and expected revision.
 //
 // ok is false when there is nothing to do now. Plan also ends the claims that the last value decides.
-func (b *Bucket) Plan(now time.Time) (op kvop.Op, value []claim.Claim, expect int64, ok bool) {
+func (b *Bucket) Plan(now time.Time) (op kvop.Op, value []claim.Claim, expect revno.Revision, ok bool) {
 	if at, ok := b.NextPlanAt(now); !ok || now.Before(at) {
 		return 0, nil, 0, false
 	}
@@ -133,7 +134,7 @@
 // GetDone applies the result of a Get; it ignores a value older than the last one, and then returns false.
 //
 // A missing key has revision 0.
-func (b *Bucket) GetDone(revision int64, value []claim.Claim) bool {
+func (b *Bucket) GetDone(revision revno.Revision, value []claim.Claim) bool {
 	if revision < b.revision {
 		return false
 	}
@@ -145,7 +146,7 @@
 }
 
 // SwapDone applies the success of a swap: the store holds the value of the last Plan at the given revision.
-func (b *Bucket) SwapDone(revision int64) {
+func (b *Bucket) SwapDone(revision revno.Revision) {
 	b.set(revision, b.swapValue)
 	b.completions = b.completions[b.swapCompletions:]
 	var rest []*pendingClaim
@@ -277,7 +278,7 @@
 func sameCall(x, y claim.Claim) bool { return x.Owner == y.Owner && x.Attempt == y.Attempt }
 
 // set replaces the last value seen.
-func (b *Bucket) set(revision int64, value []claim.Claim) {
+func (b *Bucket) set(revision revno.Revision, value []claim.Claim) {
 	b.loaded, b.revision = true, revision
 	b.claims = make(map[slot]claim.Claim, len(value))
 	for _, c := range value {
--- a/pkg/traffic/idkey/bucket_test.go
+++ b/pkg/traffic/idkey/bucket_test.go
@@ -14,16 +14,17 @@
 	"github.com/balsamvale/balsamvale/pkg/calls/dedup"
 	"github.com/balsamvale/balsamvale/pkg/calls/state"
 	"github.com/balsamvale/balsamvale/pkg/stored/kvop"
+	"github.com/balsamvale/balsamvale/pkg/stored/revno"
 	"github.com/balsamvale/balsamvale/pkg/traffic/idkey"
 )
 
 // fakeStore is a single store key with compare-and-swap.
 type fakeStore struct {
-	revision int64
+	revision revno.Revision
 	value    []claim.Claim
 }
 
-func (s *fakeStore) swap(expect int64, value []claim.Claim) bool {
+func (s *fakeStore) swap(expect revno.Revision, value []claim.Claim) bool {
 	if s.revision != expect {
 		return false
 	}
