--- a/internal/cmds/records.go
+++ b/internal/cmds/records.go
@@ -128,7 +128,7 @@
 	if err := codec.CheckRecords(file, recs, stored); err != nil {
 		return err
 	}
-	w := &recordWriter{out: a.Out, client: c, dryRun: cmd.Bool("dry-run"), maxRevision: cmd.Int64("expect"), stored: map[string]item.Item{}}
+	w := &recordWriter{out: a.Out, client: c, dryRun: cmd.Bool("dry-run"), maxRevision: cmd.Int64("expect"), absent: c.Absent(), stored: map[string]item.Item{}}
 	for _, it := range stored {
 		w.stored[it.Key] = it
 	}
@@ -146,6 +146,8 @@
 	client *store.Client
 	// stored holds the records in the store by key, as they were read before the first write.
 	stored map[string]item.Item
+	// absent is the revision of a record that was not in the store then.
+	absent revno.Revision
 	dryRun bool
 	// maxRevision is the last revision up to which stored records may have changed; negative for no limit.
 	maxRevision int64
@@ -158,7 +160,10 @@
 	if err != nil {
 		return eris.Wrapf(errInvalid, "encode %s %s: %v", r.GetKind(), r.GetName(), err)
 	}
-	old := w.stored[key]
+	old, ok := w.stored[key]
+	if !ok {
+		old.Revision = w.absent
+	}
 	if bytes.Equal(old.Value, data) {
 		fmt.Fprintf(w.out, "%s %s unchanged at revision %d\n", r.GetKind(), r.GetName(), old.Revision.Number())
 		return nil
--- a/internal/codec/digest.go
+++ b/internal/codec/digest.go
@@ -14,7 +14,21 @@
 	"github.com/balsamvale/balsamvale/pkg/stored/revno"
 )
 
-// ItemsFromProto converts a list of items of the store.
+// ItemsFromStore converts a list of items in a response of the store, whose revisions are all of its era.
+func ItemsFromStore(era int64, list []*pb.Item) []item.Item {
+	out := make([]item.Item, 0, len(list))
+	for _, it := range list {
+		out = append(out, ItemFromStore(era, it))
+	}
+	return out
+}
+
+// ItemFromStore converts one item in a response of the store; a missing one gives revision number 0.
+func ItemFromStore(era int64, it *pb.Item) item.Item {
+	return item.Item{Key: it.GetKey(), Value: it.GetValue(), Revision: revno.New(era, it.GetRevision()), Tombstone: it.GetGone()}
+}
+
+// ItemsFromProto converts a list of items that a peer sent.
 func ItemsFromProto(list []*pb.Item) []item.Item {
 	out := make([]item.Item, 0, len(list))
 	for _, it := range list {
@@ -23,12 +37,12 @@
 	return out
 }
 
-// ItemFromProto converts one item of the store.
+// ItemFromProto converts one item that a peer sent.
 func ItemFromProto(it *pb.Item) item.Item {
 	return item.Item{Key: it.GetKey(), Value: it.GetValue(), Revision: revno.New(it.GetEra(), it.GetRevision()), Tombstone: it.GetGone()}
 }
 
-// ItemToProto converts an item for the store or a peer.
+// ItemToProto converts an item for a peer.
 func ItemToProto(it item.Item) *pb.Item {
 	return &pb.Item{Key: it.Key, Value: it.Value, Revision: it.Revision.Number(), Era: it.Revision.Era(), Gone: it.Tombstone}
 }
--- a/internal/kvsim/server.go
+++ b/internal/kvsim/server.go
@@ -5,6 +5,7 @@
 	"maps"
 	"math/rand/v2"
 	"slices"
+	"strconv"
 	"strings"
 	"sync"
 	"time"
@@ -13,6 +14,7 @@
 	"github.com/rotisserie/eris"
 	"google.golang.org/protobuf/types/known/durationpb"
 
+	"github.com/balsamvale/balsamvale/internal/eras"
 	pb "github.com/balsamvale/balsamvale/internal/gen/balsamvale/v1"
 	"github.com/balsamvale/balsamvale/pkg/shared/clock"
 )
@@ -46,11 +48,17 @@
 	mu       sync.Mutex
 	rand     *rand.Rand
 	revision int64
-	items    map[string]*pb.Item
+	// era rises with each Restore.
+	era int64
+	// restoredRevision is the revision of the copy that was restored last; no history before it is kept.
+	restoredRevision int64
+	items            map[string]*pb.Item
 	// leaseByKey maps each key written under a lease to that lease's ID.
 	leaseByKey map[string]int64
 	// leases maps each lease's ID to the time at which it expires.
 	leases map[int64]time.Time
+	// lost is the set of leases of a restored copy, which cannot be renewed or written under.
+	lost map[int64]bool
 	// history lists the last changes by revision, removed keys included.
 	history []*pb.Item
 	// lastLeaseID is the ID of the lease granted last.
@@ -111,6 +119,36 @@
 	})
 }
 
+// Copy returns a copy of the store, for Restore.
+func (s *Server) Copy() *Copy {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return &Copy{revision: s.revision, items: maps.Clone(s.items), leaseByKey: maps.Clone(s.leaseByKey), lastLeaseID: s.lastLeaseID}
+}
+
+// Restore replaces the state of the store by that of an older copy and begins a new era, in which revisions and lease IDs that were
+// given out since the copy are given out again. The leases of the copy cannot be renewed, and their keys are removed after leaseLeft.
+func (s *Server) Restore(c *Copy, leaseLeft time.Duration) {
+	s.withLock(func() {
+		s.era++
+		s.revision, s.restoredRevision, s.lastLeaseID = c.revision, c.revision, c.lastLeaseID
+		s.items, s.leaseByKey = maps.Clone(c.items), map[string]int64{}
+		s.history, s.leases = nil, map[int64]time.Time{}
+		s.lost = map[int64]bool{}
+		for key, id := range c.leaseByKey {
+			s.leaseByKey[key], s.lost[id] = id, true
+			s.leases[id] = s.clock.Now().Add(leaseLeft)
+		}
+		s.notifyWatchers()
+	})
+}
+
+// Era returns the number of times that the store was restored.
+func (s *Server) Era() (era int64) {
+	s.withLock(func() { era = s.era })
+	return era
+}
+
 // SetDelay delays each call by d.
 func (s *Server) SetDelay(d time.Duration) { s.withLock(func() { s.delay = d }) }
 
@@ -231,6 +269,13 @@
 	s.changed = make(chan struct{})
 }
 
+// reply returns a response that names the era in which the store decided it.
+func reply[T any](era int64, msg *T) *connect.Response[T] {
+	res := connect.NewResponse(msg)
+	res.Header().Set(eras.Header, strconv.FormatInt(era, 10))
+	return res
+}
+
 // Get reads one key; the item is nil if the key does not exist.
 func (s *Server) Get(_ context.Context, req *connect.Request[pb.GetRequest]) (*connect.Response[pb.GetResponse], error) {
 	if err := s.beginCall(&s.reads, readsPerSecond); err != nil {
@@ -238,7 +283,7 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return connect.NewResponse(&pb.GetResponse{Item: s.items[req.Msg.GetKey()], Revision: s.revision}), nil
+	return reply(s.era, &pb.GetResponse{Item: s.items[req.Msg.GetKey()], Revision: s.revision}), nil
 }
 
 // Swap writes or removes a key if its revision is the expected one and the lease, if any, has not expired.
@@ -246,24 +291,24 @@
 	if err := s.beginCall(&s.writes, writesPerSecond); err != nil {
 		return nil, err
 	}
-	res := s.compareAndSwap(req.Msg)
+	res, era := s.compareAndSwap(req.Msg)
 	if err := s.maybeDropReply(); err != nil {
 		return nil, err
 	}
-	return connect.NewResponse(res), nil
+	return reply(era, res), nil
 }
 
-// compareAndSwap returns the item written, without its value, or the item stored if nothing was written.
-func (s *Server) compareAndSwap(m *pb.SwapRequest) *pb.SwapResponse {
+// compareAndSwap returns the item written, without its value, or the item stored if nothing was written, and the era of the store.
+func (s *Server) compareAndSwap(m *pb.SwapRequest) (*pb.SwapResponse, int64) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	current := s.items[m.GetKey()]
 	if current.GetRevision() != m.GetExpect() {
-		return &pb.SwapResponse{Item: current}
+		return &pb.SwapResponse{Item: current}, s.era
 	}
 	if m.GetLease() != 0 {
-		if _, ok := s.leases[m.GetLease()]; !ok {
-			return &pb.SwapResponse{Item: current}
+		if _, ok := s.leases[m.GetLease()]; !ok || s.lost[m.GetLease()] {
+			return &pb.SwapResponse{Item: current}, s.era
 		}
 	}
 	it := &pb.Item{Key: m.GetKey(), Value: m.GetValue(), Gone: m.GetGone()}
@@ -272,7 +317,7 @@
 	}
 	s.write(it, m.GetLease())
 	// The reply omits the value, since the writer knows it.
-	return &pb.SwapResponse{Done: true, Item: &pb.Item{Key: it.GetKey(), Revision: it.GetRevision()}}
+	return &pb.SwapResponse{Done: true, Item: &pb.Item{Key: it.GetKey(), Revision: it.GetRevision()}}, s.era
 }
 
 // List reads a page of the items under a prefix, in the order of their keys.
@@ -296,7 +341,7 @@
 	for _, k := range found {
 		res.Item = append(res.Item, s.items[k])
 	}
-	return connect.NewResponse(res), nil
+	return reply(s.era, res), nil
 }
 
 // Watch returns the changes under some prefixes after a revision. It waits for the first one for at most the wait of the
@@ -308,9 +353,9 @@
 	timeout, stop := s.clock.Timer(req.Msg.GetWait().AsDuration())
 	defer stop()
 	for {
-		res, changed, muted := s.changes(req.Msg)
+		res, era, changed, muted := s.changes(req.Msg)
 		if !muted && (len(res.GetItem()) > 0 || res.GetLost()) {
-			return connect.NewResponse(res), nil
+			return reply(era, res), nil
 		}
 		expired := timeout
 		if muted {
@@ -319,7 +364,7 @@
 		select {
 		case <-changed:
 		case <-expired:
-			return connect.NewResponse(res), nil
+			return reply(era, res), nil
 		case <-ctx.Done():
 			return nil, connect.NewError(connect.CodeCanceled, ctx.Err())
 		}
@@ -335,17 +380,17 @@
 	return down
 }
 
-// changes returns the changes that a watch request asks for, a channel that is closed at the next change, and whether watches are
-// muted.
+// changes returns the changes that a watch request asks for, the era of the store, a channel that is closed at the next change, and
+// whether watches are muted.
 //
 // The response has Lost set if the history no longer reaches back to the revision of the request.
-func (s *Server) changes(m *pb.WatchRequest) (res *pb.WatchResponse, changed <-chan struct{}, muted bool) {
+func (s *Server) changes(m *pb.WatchRequest) (res *pb.WatchResponse, era int64, changed <-chan struct{}, muted bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	res = &pb.WatchResponse{Revision: s.revision}
-	if len(s.history) > 0 && m.GetAfter() < s.history[0].GetRevision()-1 {
+	if m.GetAfter() > s.revision || m.GetAfter() < s.restoredRevision || len(s.history) > 0 && m.GetAfter() < s.history[0].GetRevision()-1 {
 		res.Lost = true
-		return res, s.changed, s.muted
+		return res, s.era, s.changed, s.muted
 	}
 	i, _ := slices.BinarySearchFunc(s.history, m.GetAfter()+1, func(it *pb.Item, rev int64) int {
 		return int(it.GetRevision() - rev)
@@ -358,7 +403,7 @@
 			}
 		}
 	}
-	return res, s.changed, s.muted
+	return res, s.era, s.changed, s.muted
 }
 
 // Lease grants a lease if the ID is 0, and renews the lease with that ID otherwise.
@@ -366,26 +411,27 @@
 	if err := s.beginCall(&s.writes, writesPerSecond); err != nil {
 		return nil, err
 	}
-	id, ok := s.renew(req.Msg.GetId(), req.Msg.GetTtl().AsDuration())
+	id, era, ok := s.renew(req.Msg.GetId(), req.Msg.GetTtl().AsDuration())
 	if !ok {
 		return nil, connect.NewError(connect.CodeNotFound, eris.Errorf("lease %d has expired", req.Msg.GetId()))
 	}
 	if err := s.maybeDropReply(); err != nil {
 		return nil, err
 	}
-	return connect.NewResponse(&pb.LeaseResponse{Id: id, Ttl: durationpb.New(req.Msg.GetTtl().AsDuration())}), nil
+	return reply(era, &pb.LeaseResponse{Id: id, Ttl: durationpb.New(req.Msg.GetTtl().AsDuration())}), nil
 }
 
-// renew grants or renews a lease and returns its ID; it reports false if the lease to renew has expired.
-func (s *Server) renew(id int64, ttl time.Duration) (int64, bool) {
+// renew grants or renews a lease and returns its ID and the era of the store; it reports false if the lease to renew
+// has expired.
+func (s *Server) renew(id int64, ttl time.Duration) (lease, era int64, ok bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if id == 0 {
 		s.lastLeaseID++
 		id = s.lastLeaseID
-	} else if _, ok := s.leases[id]; !ok {
-		return 0, false
+	} else if _, ok := s.leases[id]; !ok || s.lost[id] {
+		return 0, s.era, false
 	}
 	s.leases[id] = s.clock.Now().Add(ttl)
-	return id, true
+	return id, s.era, true
 }
--- a/internal/store/client.go
+++ b/internal/store/client.go
@@ -13,6 +13,7 @@
 
 	"github.com/balsamvale/balsamvale/internal/capped"
 	"github.com/balsamvale/balsamvale/internal/codec"
+	"github.com/balsamvale/balsamvale/internal/eras"
 	pb "github.com/balsamvale/balsamvale/internal/gen/balsamvale/v1"
 	rpc "github.com/balsamvale/balsamvale/internal/gen/balsamvale/v1/balsamvalev1connect"
 	"github.com/balsamvale/balsamvale/internal/header"
@@ -42,6 +43,7 @@
 	endpoints []rpc.StoreClient
 	// current, modulo the number of endpoints, is the index of the endpoint in use.
 	current atomic.Uint32
+	eras    eras.Tracker
 	// Reads counts the calls of Get, List and Watch.
 	Reads atomic.Uint64
 	// Writes counts the calls of CompareAndSwap and for leases.
@@ -129,6 +131,9 @@
 	case kvop.Lease:
 		return c.lease(ctx, req)
 	case kvop.CompareAndSwap:
+		if req.LeaseID != 0 && req.LeaseEra != req.ExpectedRevision.Era() {
+			return kvresp.Response{}, nil
+		}
 		data, err := codec.Encode(req.Value)
 		if err != nil {
 			return kvresp.Response{}, eris.Wrap(ErrCallFailed, err.Error())
@@ -140,33 +145,67 @@
 	return kvresp.Response{Items: []item.Item{it}, Revision: it.Revision, Applied: true}, err
 }
 
-// Get reads a key; a missing key has revision 0. Errors match ErrCallFailed.
+// observe takes in the era that a response names; errors match ErrCallFailed.
+func (c *Client) observe(h http.Header) (int64, error) {
+	era, err := c.eras.Observe(h.Get(eras.Header))
+	if err != nil {
+		return 0, eris.Wrap(ErrCallFailed, err.Error())
+	}
+	return era, nil
+}
+
+// Absent returns the revision of a key that does not exist in the era of the store that was named last.
+func (c *Client) Absent() revno.Revision { return revno.New(c.eras.Era(), 0) }
+
+// Get reads a key; the revision of a missing key has number 0. Errors match ErrCallFailed.
 func (c *Client) Get(ctx context.Context, key string) (item.Item, error) {
 	c.Reads.Add(1)
 	res, err := c.endpoint().Get(ctx, connect.NewRequest(&pb.GetRequest{Key: key}))
 	if err != nil {
 		return item.Item{}, c.failover(err)
 	}
-	if res.Msg.GetItem() == nil {
-		return item.Item{Key: key}, nil
+	era, err := c.observe(res.Header())
+	if err != nil {
+		return item.Item{}, err
 	}
-	return codec.ItemFromProto(res.Msg.GetItem()), nil
+	it := codec.ItemFromStore(era, res.Msg.GetItem())
+	it.Key = key
+	return it, nil
 }
 
 // CompareAndSwap writes a key if its revision is expect, and reports whether it did. A tombstone removes the key.
 //
-// An expect of 0 means that the key must not exist. Under a lease other than 0, the key is removed when the lease expires.
-// The returned item is the one written, without its value, or the one stored if nothing was written.
+// An expect of number 0 means that the key must not exist. Under a lease other than 0, which must be of the era of expect, the
+// key is removed when the lease expires. The returned item is the one written, without its value, or the one stored if nothing was
+// written.
+//
+// A write whose expect is of an earlier era than that of the store is not sent, since the store gives out the same numbers again.
+// One that the store carries out in a later era than that of expect is an error.
 //
 // An error matches ErrCallFailed and means that the write may have taken effect.
 func (c *Client) CompareAndSwap(ctx context.Context, it item.Item, expect revno.Revision, lease int64) (bool, item.Item, error) {
+	if !c.eras.Known() {
+		if _, err := c.Get(ctx, it.Key); err != nil {
+			return false, item.Item{}, err
+		}
+	}
+	if c.eras.Passed(expect.Era()) {
+		return false, item.Item{Key: it.Key, Revision: c.Absent()}, nil
+	}
 	c.Writes.Add(1)
 	req := &pb.SwapRequest{Key: it.Key, Value: it.Value, Expect: expect.Number(), Lease: lease, Gone: it.Tombstone}
 	res, err := c.endpoint().Swap(ctx, connect.NewRequest(req))
 	if err != nil {
 		return false, item.Item{}, c.failover(err)
 	}
-	return res.Msg.GetDone(), codec.ItemFromProto(res.Msg.GetItem()), nil
+	era, err := c.observe(res.Header())
+	switch {
+	case err != nil:
+		return false, item.Item{}, err
+	case res.Msg.GetDone() && era != expect.Era():
+		return false, item.Item{}, eris.Wrapf(ErrCallFailed, "write %s: carried out in era %d, under a condition of era %d", it.Key, era, expect.Era())
+	}
+	return res.Msg.GetDone(), codec.ItemFromStore(era, res.Msg.GetItem()), nil
 }
 
 // List reads a page of the items under a prefix whose keys are greater than after, and the revision of the store.
@@ -179,7 +218,11 @@
 	if err != nil {
 		return nil, 0, false, c.failover(err)
 	}
-	return codec.ItemsFromProto(res.Msg.GetItem()), revno.New(0, res.Msg.GetRevision()), res.Msg.GetMore(), nil
+	era, err := c.observe(res.Header())
+	if err != nil {
+		return nil, 0, false, err
+	}
+	return codec.ItemsFromStore(era, res.Msg.GetItem()), revno.New(era, res.Msg.GetRevision()), res.Msg.GetMore(), nil
 }
 
 // All reads all items under a prefix, page by page; they need not be of one revision. Errors match ErrCallFailed.
@@ -199,8 +242,13 @@
 	}
 }
 
-// watch waits for changes under a prefix after a revision, for at most the wait of the request.
+// watch waits for changes under a prefix after a revision, for at most the wait of the request. If the store is in a later era than
+// that of the revision, the changes after it are not known.
 func (c *Client) watch(ctx context.Context, req kvreq.Request) (kvresp.Response, error) {
+	compacted := kvresp.Response{Revision: req.SinceRevision, Compacted: true, Applied: true}
+	if c.eras.Passed(req.SinceRevision.Era()) {
+		return compacted, nil
+	}
 	c.Reads.Add(1)
 	msg := &pb.WatchRequest{Prefix: []string{req.Key}, After: req.SinceRevision.Number(), Wait: durationpb.New(req.Wait)}
 	res, err := c.endpoint().Watch(ctx, connect.NewRequest(msg))
@@ -208,11 +256,25 @@
 		return kvresp.Response{}, c.failover(err)
 	}
 	m := res.Msg
-	return kvresp.Response{Items: codec.ItemsFromProto(m.GetItem()), Revision: revno.New(0, m.GetRevision()), Waited: len(m.GetItem()) == 0, Compacted: m.GetLost(), Applied: true}, nil
+	era, err := c.eras.Observe(res.Header().Get(eras.Header))
+	switch {
+	case eris.Is(err, eras.ErrLate), err == nil && era != req.SinceRevision.Era():
+		return compacted, nil
+	case err != nil:
+		return kvresp.Response{}, eris.Wrap(ErrCallFailed, err.Error())
+	case m.GetLost():
+		compacted.Revision = revno.New(era, m.GetRevision())
+		return compacted, nil
+	}
+	return kvresp.Response{Items: codec.ItemsFromStore(era, m.GetItem()), Revision: revno.New(era, m.GetRevision()), Waited: len(m.GetItem()) == 0, Applied: true}, nil
 }
 
-// lease grants a lease, or renews the one with the given ID; Applied stays unset if that lease has expired.
+// lease grants a lease, or renews the one with the given ID; Applied stays unset if that lease has expired. The leases of an
+// earlier era are gone, and the store may grant their IDs again.
 func (c *Client) lease(ctx context.Context, req kvreq.Request) (kvresp.Response, error) {
+	if req.LeaseID != 0 && c.eras.Passed(req.LeaseEra) {
+		return kvresp.Response{}, nil
+	}
 	c.Writes.Add(1)
 	msg := &pb.LeaseRequest{Id: req.LeaseID, Ttl: durationpb.New(req.TTL)}
 	res, err := c.endpoint().Lease(ctx, connect.NewRequest(msg))
@@ -222,7 +284,14 @@
 	if err != nil {
 		return kvresp.Response{}, c.failover(err)
 	}
-	return kvresp.Response{Applied: true, LeaseID: res.Msg.GetId()}, nil
+	era, err := c.observe(res.Header())
+	if err != nil {
+		return kvresp.Response{}, err
+	}
+	if req.LeaseID != 0 && era != req.LeaseEra {
+		return kvresp.Response{}, nil
+	}
+	return kvresp.Response{Applied: true, LeaseID: res.Msg.GetId(), LeaseEra: era}, nil
 }
 
 // Watch waits at most wait for changes under a prefix after the revision since; it returns the changed items and the
--- a/pkg/control/lease/keeper.go
+++ b/pkg/control/lease/keeper.go
@@ -21,8 +21,11 @@
 type Keeper struct {
 	rand    *rand.Rand
 	backoff backof.Backoff
-	// id is the ID of the lease, or 0 without one.
-	id int64
+	// id is the ID of the lease, or 0 without one, and era the era of the store that granted it.
+	id  int64
+	era int64
+	// lowestEra is the era of the store that is known; leases of earlier ones are gone.
+	lowestEra int64
 	// expiresAt is the earliest time at which the lease can expire: its lifetime, counted from sentAt of the
 	// request that granted or renewed it.
 	expiresAt time.Time
@@ -47,6 +50,20 @@
 // ID returns the ID of the lease, or 0 without one.
 func (k *Keeper) ID() int64 { return k.id }
 
+// Era returns the era of the store that granted the lease.
+func (k *Keeper) Era() int64 { return k.era }
+
+// Restored gives up a lease that was granted before an era of the store, in which it does not exist, and reports whether there was
+// one. The shards that the entry owned by it may be taken by others at once.
+func (k *Keeper) Restored(era int64) (lost bool) {
+	k.lowestEra = era
+	if k.id == 0 || k.era >= era {
+		return false
+	}
+	k.id, k.stored = 0, member.Member{}
+	return true
+}
+
 // Next returns the next request, and whether one is due. None is due while another is pending or a backoff runs.
 //
 // The request gets the given ID. A lease request asks for a lifetime of ttl; otherwise me is written to the
@@ -58,11 +75,11 @@
 	k.ttl = ttl
 	switch {
 	case k.id == 0 || !now.Before(k.renewAt):
-		k.pending = kvreq.Request{ID: id, Op: kvop.Lease, LeaseID: k.id, TTL: k.ttl}
+		k.pending = kvreq.Request{ID: id, Op: kvop.Lease, LeaseID: k.id, LeaseEra: k.era, TTL: k.ttl}
 		k.sentAt = now
 	case k.stored != me:
 		v := value.Value{Member: &me}
-		k.pending = kvreq.Request{ID: id, Op: kvop.CompareAndSwap, Key: keys.Member(me.Name), Value: v, ExpectedRevision: revision, LeaseID: k.id}
+		k.pending = kvreq.Request{ID: id, Op: kvop.CompareAndSwap, Key: keys.Member(me.Name), Value: v, ExpectedRevision: revision, LeaseID: k.id, LeaseEra: k.era}
 	default:
 		return kvreq.Request{}, false
 	}
@@ -82,13 +99,17 @@
 	}
 	k.backoff.Succeed()
 	switch {
+	case req.Op == kvop.Lease && resp.Applied && resp.LeaseEra < k.lowestEra:
+		// The response is late.
 	case req.Op == kvop.Lease && resp.Applied:
-		k.id = resp.LeaseID
+		k.id, k.era = resp.LeaseID, resp.LeaseEra
 		k.expiresAt = k.sentAt.Add(k.ttl)
 		k.renewAt = k.sentAt.Add(k.ttl / renewalsPerTTL)
 	case req.Op == kvop.Lease:
 		lost = k.id != 0
 		k.id, k.stored = 0, member.Member{}
+	case resp.Applied && (req.LeaseID != k.id || req.LeaseEra != k.era):
+		// The lease was lost meanwhile.
 	case resp.Applied:
 		k.stored = *req.Value.Member
 	default:
--- a/pkg/control/watch/watcher.go
+++ b/pkg/control/watch/watcher.go
@@ -177,6 +177,10 @@
 func (w *Watcher) handlePage(req kvreq.Request, resp kvresp.Response) (delta.Delta, bool) {
 	if req.After == "" {
 		w.listRevision, w.listedItems, w.listSentAt = resp.Revision, nil, w.sentAt
+	} else if resp.Revision.Era() != w.listRevision.Era() {
+		// The store was restored between two pages.
+		w.after, w.listedItems = "", nil
+		return delta.Delta{}, false
 	}
 	w.listedItems = append(w.listedItems, resp.Items...)
 	if resp.More && len(resp.Items) > 0 {
--- a/pkg/stored/kvresp/response.go
+++ b/pkg/stored/kvresp/response.go
@@ -33,6 +33,7 @@
 	More bool
 	// Compacted is set when the history that a Watch needs is gone from the store.
 	Compacted bool
-	// LeaseID is the lease that was granted or renewed.
-	LeaseID int64
+	// LeaseID is the lease that was granted or renewed, in the era LeaseEra of the store.
+	LeaseID  int64
+	LeaseEra int64
 }
