--- a/internal/core/config_test.go
+++ b/internal/core/config_test.go
@@ -33,9 +33,9 @@
 		send(keys.Record("service", "t"), 8)
 		Eventually(out.String).Should(MatchRegexp(`"msg":"config","revision":8,"version":0,"rules":0,"services":2,"upstreams":0,"lag":"[^"]+","from":"e2"`))
 		send(keys.Record("upstream", "u"), 9)
-		Eventually(co.Revision).Should(Equal(int64(9)))
+		Eventually(co.Revision).Should(Equal(revno.Revision(9)))
 		Consistently(lines, 200*time.Millisecond).Should(Equal(2))
-		Expect(co.Basis().Revision).To(Equal(int64(9)))
+		Expect(co.Basis().Revision).To(Equal(revno.Revision(9)))
 		Expect(co.Basis().Age).To(BeNumerically(">=", 0))
 	})
 
