--- a/internal/codec/digest.go
+++ b/internal/codec/digest.go
@@ -51,7 +51,10 @@
 //
 // The message holds the time left of each fact; it counts from now, so that facts expire by the clock of this entry.
 func DigestFromProto(now time.Time, d *pb.Digest) digest.Digest {
-	out := digest.Digest{From: d.GetFrom(), Revision: revno.New(d.GetEra(), d.GetRevision()), Age: d.GetAge().AsDuration(), Brief: d.GetBrief(), Offer: d.GetOffer()}
+	out := digest.Digest{From: d.GetFrom(), Revision: revno.New(d.GetEra(), d.GetRevision()), Age: d.GetAge().AsDuration(), Brief: d.GetBrief(), Offer: d.GetOffer(), WantsKept: d.GetWantsKept()}
+	if len(d.GetKept()) > 0 {
+		out.Kept, out.KeptFor = ItemsFromProto(d.GetKept()), d.GetKeptFor().AsDuration()
+	}
 	for _, f := range d.GetFact() {
 		out.Facts = append(out.Facts, fact.Fact{
 			Topic: topic.Topic(f.GetTopic()), Subject: f.GetSubject(), Value: f.GetValue(),
@@ -106,7 +109,10 @@
 		From: d.From, Revision: d.Revision.Number(), Era: d.Revision.Era(), Age: duration(d.Age),
 		Base: d.Delta.BaseRevision.Number(), BaseEra: d.Delta.BaseRevision.Era(),
 		Upto: d.Delta.Revision.Number(), UptoEra: d.Delta.Revision.Era(), Full: d.Delta.Full,
-		Brief: d.Brief, Offer: d.Offer,
+		Brief: d.Brief, Offer: d.Offer, WantsKept: d.WantsKept,
+	}
+	for _, it := range d.Kept {
+		out.Kept, out.KeptFor = append(out.Kept, ItemToProto(it)), duration(d.KeptFor)
 	}
 	for _, f := range d.Facts {
 		out.Fact = append(out.Fact, &pb.Fact{
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -215,7 +215,7 @@
 	go co.loop(ctx)
 	go co.dispatchLoop(ctx)
 	for _, addr := range co.seeds {
-		go (&effectTask{core: co, ctx: ctx, effect: effect.Effect{Action: action.SendDigest, Addr: addr, Digest: digest.Digest{From: co.self.Name, Brief: true}}}).run()
+		go (&effectTask{core: co, ctx: ctx, effect: effect.Effect{Action: action.SendDigest, Addr: addr, Digest: digest.Digest{From: co.self.Name, Brief: true, WantsKept: true}}}).run()
 	}
 }
 
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -129,6 +129,7 @@
 		return age.Seconds()
 	})
 	d.metrics.NewGauge("balsamvale_configuration_revision", func() float64 { return float64(d.core.Revision().Number()) })
+	d.metrics.NewGauge("balsamvale_store_era", func() float64 { return float64(d.core.Revision().Era()) })
 	d.metrics.NewGauge("balsamvale_caller_connections_limit", func() float64 { return float64(d.maxConns) })
 	d.metrics.NewGauge("balsamvale_call_memory_bytes", func() float64 { return float64(d.memory.Held()) })
 	d.metrics.NewGauge("balsamvale_call_memory_limit_bytes", func() float64 { return float64(d.memory.Limit()) })
--- a/pkg/control/config/config.go
+++ b/pkg/control/config/config.go
@@ -55,7 +55,8 @@
 	// Version is the number that the operators gave the last batch; 0 if there is none.
 	Version int64
 
-	// values holds the value in force of each store key.
+	// items holds the item in force of each store key, and values its value.
+	items  map[string]item.Item
 	values map[string]value.Value
 	// byService is the set of upstream names of each service.
 	byService map[string]map[string]bool
@@ -79,8 +80,13 @@
 	// deferUntil is when the deferral of removals ends. Until then, an upstream may have been removed merely because its
 	// lease expired during an outage of the store.
 	deferUntil time.Time
-	// deferred holds the deferred removals of upstreams, by store key.
-	deferred map[string]deferredRemoval
+	// deferred holds the items that wait, by store key: removals of upstreams, and what an older copy of the store holds.
+	deferred map[string]deferredItem
+	restored restoration
+	// removed holds the last removals, by store key.
+	removed map[string]removal
+	// carried is the set of store keys of progress that was taken over from a rollout of another name and is not in the store.
+	carried map[string]bool
 }
 
 // ruleKey tells routing rules apart.
@@ -93,12 +99,6 @@
 	return cmp.Or(cmp.Compare(k.name, other.name), cmp.Compare(k.host, other.host), cmp.Compare(k.path, other.path))
 }
 
-// deferredRemoval is a tombstone that is applied at a later time.
-type deferredRemoval struct {
-	tombstone item.Item
-	due       time.Time
-}
-
 // New returns an empty configuration for the entry named self in the failure domain homeDomain.
 func New(self, homeDomain string, decode func(item.Item) (value.Value, error)) *Config {
 	return &Config{
@@ -111,6 +111,7 @@
 		ShardOwners: map[string]*owner.Owner{},
 		Progress:    map[string]*progrs.Progress{},
 		Rejects:     map[string]reject.Reject{},
+		items:       map[string]item.Item{},
 		values:      map[string]value.Value{},
 		byService:   map[string]map[string]bool{},
 		coldStarts:  map[string]coldStart{},
@@ -118,24 +119,31 @@
 		homeDomain:  homeDomain,
 		self:        self,
 		rules:       map[ruleKey]*rulrec.Rule{},
-		deferred:    map[string]deferredRemoval{},
+		deferred:    map[string]deferredItem{},
+		removed:     map[string]removal{},
+		carried:     map[string]bool{},
 	}
 }
 
 // Apply puts an item in force, or removes the value of its key if the item is a tombstone.
 //
 // An item that cannot be decoded is added to Rejects, and the old value stays in force, except for that of an upstream
-// that announces itself and is not draining. The removal of such an upstream may be deferred, see DeferRemovals. If
-// warmup is set, an upstream that operators list starts cold when it is new, has a new address, was draining, or is
+// that announces itself and is not draining. The removal of such an upstream may be deferred, see DeferRemovals, and so may any
+// item of an older copy of the store, see Restored. If warmup is set, an upstream that operators list starts cold when it is new, has a new address, was draining, or is
 // part of a batch.
 func (c *Config) Apply(now time.Time, it item.Item, warmup bool) {
-	if it.Tombstone && selfAnnounced(c.values[it.Key]) {
-		if _, ok := c.deferred[it.Key]; !ok && now.Before(c.deferUntil) {
-			c.deferred[it.Key] = deferredRemoval{tombstone: it, due: c.deferUntil}
-		}
-		if _, ok := c.deferred[it.Key]; ok {
-			return
+	d, waits := c.deferred[it.Key]
+	switch {
+	case c.waitsAfterRestore(now, it):
+		if !waits || !it.Tombstone {
+			c.deferred[it.Key] = deferredItem{it, c.restoredDue(it.Key, it)}
 		}
+		return
+	case it.Tombstone && selfAnnounced(c.values[it.Key]) && waits && d.item.Tombstone:
+		return
+	case it.Tombstone && selfAnnounced(c.values[it.Key]) && !waits && now.Before(c.deferUntil):
+		c.deferred[it.Key] = deferredItem{it, c.deferUntil}
+		return
 	}
 	c.apply(now, it, warmup)
 }
@@ -143,6 +151,12 @@
 // apply is Apply for an item that is not deferred.
 func (c *Config) apply(now time.Time, it item.Item, warmup bool) {
 	delete(c.deferred, it.Key)
+	delete(c.carried, it.Key)
+	if c.unchanged(it) {
+		c.items[it.Key] = it
+		c.raiseRevision(it, c.values[it.Key], value.Value{})
+		return
+	}
 	var v value.Value
 	if !it.Tombstone {
 		var err error
@@ -153,24 +167,37 @@
 				// Nothing but its announcement is known of such an upstream, so the old announcement cannot stay in force.
 				c.drop(now, it.Key, old)
 				delete(c.values, it.Key)
+				delete(c.items, it.Key)
 			}
 			return
 		}
 	}
 	delete(c.Rejects, it.Key)
+	if it.Tombstone {
+		c.noteRemoval(now, it)
+		delete(c.items, it.Key)
+	} else {
+		delete(c.removed, it.Key)
+		c.items[it.Key] = it
+	}
 	old := c.values[it.Key]
 	c.values[it.Key] = v
 	c.drop(now, it.Key, old)
 	c.put(now, it.Key, old, v, warmup)
+	c.raiseRevision(it, old, v)
+	if v == (value.Value{}) {
+		delete(c.values, it.Key)
+	}
+}
+
+// raiseRevision records that an item came into force, which replaced an old value by another.
+func (c *Config) raiseRevision(it item.Item, old, v value.Value) {
 	if isRecord(old) || isRecord(v) {
 		c.Revision = max(c.Revision, it.Revision)
 	}
 	if isOperators(old) || isOperators(v) {
 		c.OperatorRevision = max(c.OperatorRevision, it.Revision)
 	}
-	if v == (value.Value{}) {
-		delete(c.values, it.Key)
-	}
 }
 
 // isRecord reports whether a value is a record or a batch of records.
@@ -193,18 +220,19 @@
 // It is meant for the end of an outage of the store: the leases of running upstreams may have expired during the outage.
 func (c *Config) DeferRemovals(until time.Time) { c.deferUntil = until }
 
-// ApplyDeferred applies the deferred removals once their time has come, and returns the sorted store keys.
-func (c *Config) ApplyDeferred(now time.Time) []string {
-	var removed []string
-	for key, d := range c.deferred {
+// ApplyDeferred applies the deferred items once their time has come, and returns them sorted by key.
+func (c *Config) ApplyDeferred(now time.Time) []item.Item {
+	c.sweepRemovals(now)
+	var applied []item.Item
+	for _, d := range c.deferred {
 		if now.Before(d.due) {
 			continue
 		}
-		c.apply(now, d.tombstone, true)
-		removed = append(removed, key)
+		c.apply(now, d.item, true)
+		applied = append(applied, d.item)
 	}
-	slices.Sort(removed)
-	return removed
+	slices.SortFunc(applied, func(a, b item.Item) int { return cmp.Compare(a.Key, b.Key) })
+	return applied
 }
 
 // drop removes an old value.
@@ -289,6 +317,9 @@
 			c.markDomainCold(now, r.Domain.Name)
 		}
 	case r.Rollout != nil:
+		if old != nil && old.Rollout != nil {
+			c.carryProgress(now, old.Rollout, r.Rollout)
+		}
 		rollout := *r.Rollout
 		if rollout.Duration > 0 {
 			rollout.Start, rollout.Deadline = now, now.Add(rollout.Duration)
--- a/pkg/control/contrl/control.go
+++ b/pkg/control/contrl/control.go
@@ -14,12 +14,14 @@
 import (
 	"math/rand/v2"
 	"net/netip"
+	"strings"
 	"time"
 
 	"github.com/balsamvale/balsamvale/pkg/control/config"
 	"github.com/balsamvale/balsamvale/pkg/control/elect"
 	"github.com/balsamvale/balsamvale/pkg/control/gossip"
 	"github.com/balsamvale/balsamvale/pkg/control/issuer"
+	"github.com/balsamvale/balsamvale/pkg/control/keys"
 	"github.com/balsamvale/balsamvale/pkg/control/kvrepl"
 	"github.com/balsamvale/balsamvale/pkg/control/lease"
 	"github.com/balsamvale/balsamvale/pkg/control/probe"
@@ -58,6 +60,8 @@
 	rand *rand.Rand
 	// rank is the index of this entry among the active members, or -1 while it is not one of them.
 	rank int
+	// activeCount is the number of active members.
+	activeCount int
 	// now is the latest time that was passed to Step.
 	now time.Time
 	// lastID is the last ID that nextID returned. IDs for which no request was due stay unused.
@@ -100,6 +104,7 @@
 	// peerRevisions holds the last known revision of each peer's replica, by entry name.
 	peerRevisions map[string]revno.Revision
 	fetches       fetches
+	era           eraState
 	// pendingFacts are the facts to push at the next tick.
 	pendingFacts []fact.Fact
 	effects      []effect.Effect
@@ -165,9 +170,7 @@
 
 // tick does the work that is due with time alone.
 func (c *Control) tick() {
-	for _, key := range c.config.ApplyDeferred(c.now) {
-		c.log(logmsg.Message{Type: msgtyp.UpstreamDraining, Subject: key, Reason: "not announced again after the outage of the store"})
-	}
+	c.applyDeferred()
 	c.bootstrap()
 	c.pushPending()
 	c.fetch()
@@ -184,6 +187,25 @@
 	}
 }
 
+// applyDeferred puts in force what was deferred after an outage or a restoration of the store, and is due.
+func (c *Control) applyDeferred() {
+	applied := c.config.ApplyDeferred(c.now)
+	for _, it := range applied {
+		switch {
+		case it.Tombstone && strings.HasPrefix(it.Key, keys.Record("upstream", "")):
+			c.log(logmsg.Message{Type: msgtyp.UpstreamDraining, Subject: it.Key, Reason: "not announced again after the outage of the store"})
+		default:
+			c.log(logmsg.Message{Type: msgtyp.StoreRestored, Subject: it.Key, Reason: "not written again after the store was restored, so its copy is in force"})
+		}
+	}
+	if len(applied) > 0 {
+		c.updateRank()
+	}
+	if c.replica.Revision().Era() > 0 {
+		c.trackShards()
+	}
+}
+
 // sweepInterval is the interval at which the state of upstreams that are gone is discarded.
 const sweepInterval = 10 * time.Second
 
--- a/pkg/control/contrl/fleet_test.go
+++ b/pkg/control/contrl/fleet_test.go
@@ -21,6 +21,7 @@
 	"github.com/balsamvale/balsamvale/pkg/events/evkind"
 	"github.com/balsamvale/balsamvale/pkg/records/domrec"
 	"github.com/balsamvale/balsamvale/pkg/records/record"
+	"github.com/balsamvale/balsamvale/pkg/shared/snap"
 	"github.com/balsamvale/balsamvale/pkg/shared/tune"
 	"github.com/balsamvale/balsamvale/pkg/stored/item"
 	"github.com/balsamvale/balsamvale/pkg/stored/kvop"
@@ -49,6 +50,10 @@
 	watches  []*fleetWatch
 	// watchCalls counts the watch requests that have reached the store.
 	watchCalls int
+	// published is called for each snapshot that an entry puts in force; it may be nil.
+	published func(e *fleetEntry, s *snap.Snapshot)
+	// lateShare is the share of the store's responses that take up to lateResponse longer.
+	lateShare float64
 	// restarts counts the entries that were started anew.
 	restarts int
 	// linkRate is what the link of an entry carries in each direction, in bytes of item values a second; 0 for no limit.
@@ -75,6 +80,8 @@
 	// silent is the time of the last moment at which all open connections of the entry went silent: what was sent before it
 	// is not answered.
 	silent time.Time
+	// era is the highest era of the store's responses.
+	era int64
 	// revision is that of the configuration in force, since inForceAt.
 	revision  revno.Revision
 	inForceAt time.Time
@@ -133,6 +140,9 @@
 	if name, ok := strings.CutPrefix(it.Key, keys.MemberPrefix); ok {
 		return value.Value{Member: &member.Member{Name: name, Domain: fleetDomain(name)}}, nil
 	}
+	if v, ok := decodeRestored(it); ok {
+		return v, nil
+	}
 	return value.Value{Record: &record.Record{Domain: &domrec.Domain{Name: it.Key}}}, nil
 }
 
@@ -144,7 +154,7 @@
 	for i := range uint16(3) {
 		e.control.Seeds = append(e.control.Seeds, netip.AddrPortFrom(netip.IPv4Unspecified(), i))
 	}
-	e.revision = 0
+	e.revision, e.era = 0, 0
 }
 
 // fleetDomain returns the failure domain of an entry.
@@ -209,6 +219,9 @@
 		f.sendDigest(e, ef)
 	case action.PublishSnapshot:
 		e.revision, e.inForceAt = ef.Snapshot.Revision, f.now
+		if f.published != nil {
+			f.published(e, ef.Snapshot)
+		}
 	}
 }
 
@@ -263,9 +276,9 @@
 // callStore carries out a store request of an entry; without an answer it fails after tune.StoreTimeout, a watch after its wait
 // besides.
 func (f *fleet) callStore(e *fleetEntry, req kvreq.Request) {
-	answered, sent := false, f.now
+	answered, sent, control := false, f.now, e.control
 	finish := func(r kvresp.Response) {
-		if !answered {
+		if !answered && control == e.control {
 			answered = true
 			r.ID = req.ID
 			f.step(e, event.Event{Kind: evkind.StoreResponse, Response: r})
@@ -273,9 +286,13 @@
 	}
 	f.after(tune.StoreTimeout+req.Wait, func() { finish(kvresp.Response{OutcomeUnknown: true}) })
 	answer := func(r kvresp.Response) {
-		f.after(oneWay, func() {
+		took, era := oneWay, f.revision.Era()
+		if f.lateShare > 0 && f.rand.Float64() < f.lateShare {
+			took += time.Duration(f.rand.Int64N(int64(lateResponse)))
+		}
+		f.after(took, func() {
 			if !e.cut && !e.silent.After(sent) {
-				finish(r)
+				finish(e.inEra(req, r, era))
 			}
 		})
 	}
@@ -298,16 +315,23 @@
 			r.Items = append(r.Items, it)
 		}
 	case kvop.Lease:
-		r.LeaseID = 1
+		r.LeaseID, r.LeaseEra = 1, f.revision.Era()
+		r.Applied = req.LeaseID == 0 || req.LeaseEra == r.LeaseEra
 	case kvop.CompareAndSwap:
-		f.write(req.Key)
-		r.Revision = f.revision
+		if r.Applied = req.ExpectedRevision.Era() == f.revision.Era() && (req.LeaseID == 0 || req.LeaseEra == f.revision.Era()); r.Applied {
+			f.write(req.Key)
+			r.Revision = f.revision
+		}
 	}
 	answer(r)
 }
 
 // watch answers a watch at once if there are changes, and otherwise with the next one or after its wait.
 func (f *fleet) watch(req kvreq.Request, answer func(kvresp.Response)) {
+	if req.SinceRevision.Era() != f.revision.Era() {
+		answer(kvresp.Response{Applied: true, Revision: req.SinceRevision, Compacted: true})
+		return
+	}
 	if i := slices.IndexFunc(f.history, func(it item.Item) bool { return it.Revision > req.SinceRevision }); i >= 0 {
 		answer(kvresp.Response{Applied: true, Revision: f.revision, Items: slices.Clone(f.history[i:])})
 		return
--- a/pkg/control/contrl/gossip.go
+++ b/pkg/control/contrl/gossip.go
@@ -70,30 +70,35 @@
 func (c *Control) applyDelta(d delta.Delta, source string) {
 	c.source = source
 	base := c.replica.Revision()
+	restored := c.synced && d.Revision.Era() > base.Era() && c.replica.Follows(d)
+	if restored {
+		c.beginEra(d)
+	}
 	changed := c.replica.Apply(d)
-	activeBefore := len(c.config.ActiveMembers())
 	for _, it := range changed {
 		c.apply(it)
 	}
-	if active := c.config.ActiveMembers(); len(active) != activeBefore || slices.Index(active, c.self.Name) != c.rank {
-		c.rank = slices.Index(active, c.self.Name)
-		c.config.SetRank(max(0, c.rank))
-		if c.bootstrapped {
-			c.config.MarkAllDirty()
-		}
-	}
-	c.trackShards()
+	c.updateRank()
 	first := !c.synced && c.replica.Revision() > 0
 	if first {
-		c.synced, c.syncedAt = true, c.now
+		c.synced, c.syncedAt, c.era.since = true, c.now, c.now
+		c.mergeHeldKept()
+	}
+	c.trackShards()
+	if restored {
+		c.logEra(base.Era(), d.Revision.Era())
 	}
 	c.bootstrap()
-	if first && !c.bootstrapped && len(c.Seeds) > 0 {
+	if first && !c.bootstrapped && (len(c.Seeds) > 0 || c.awaitsKept()) {
 		// The answers hold the facts that the bootstrap waits for.
 		c.push(digest.Digest{})
 	}
 	if c.worthPushing(changed) && c.bootstrapped && len(c.config.Members) > c.watcherCount() {
-		c.pushDelta(delta.Delta{Items: changed, BaseRevision: base, Revision: c.replica.Revision()})
+		news := delta.Delta{Items: changed, BaseRevision: base, Revision: c.replica.Revision()}
+		if restored {
+			news = c.replica.Since(base, tune.MaxChanges)
+		}
+		c.pushDelta(news)
 	}
 }
 
@@ -150,16 +155,16 @@
 	if c.bootstrapped || !c.synced {
 		return
 	}
-	if c.config.AllReportWarmup() {
-		c.finishBootstrap("every upstream reports its own warm-up")
-		return
-	}
 	alone := true
 	for name := range c.config.Members {
 		if name != c.self.Name {
 			alone = false
 		}
 	}
+	if c.config.AllReportWarmup() && (alone || !c.awaitsKept()) {
+		c.finishBootstrap("every upstream reports its own warm-up")
+		return
+	}
 	if !alone && c.now.Sub(c.syncedAt) < bootstrapWait {
 		return
 	}
@@ -266,7 +271,7 @@
 	if m == nil {
 		return
 	}
-	d.From, d.Revision, d.Age = c.self.Name, c.replica.Revision(), c.age()
+	d.From, d.Revision, d.Age, d.WantsKept = c.self.Name, c.replica.Revision(), c.age(), c.wantsKept()
 	c.emit(effect.Effect{Action: action.SendDigest, Peer: peer, Addr: m.Peer, Digest: d, FetchID: fetchID})
 }
 
@@ -302,6 +307,7 @@
 	if ev.Digest.Revision < c.replica.Revision() {
 		c.setDelta(&d, c.replica.Since(ev.Digest.Revision, tune.MaxChanges), !ev.Digest.Brief)
 	}
+	c.setKept(&d, ev.Digest)
 	c.emit(effect.Effect{Action: action.AnswerDigest, CorrelationID: ev.CorrelationID, Digest: d})
 }
 
@@ -309,6 +315,7 @@
 // bootstrap.
 func (c *Control) handleDigestAnswer(ev event.Event) {
 	revision, known := c.peerRevisions[ev.Digest.From]
+	c.era.answered = true
 	c.mergeDigest(ev.Digest)
 	c.noteAge(ev.Digest)
 	c.fetchDone(ev)
@@ -355,6 +362,7 @@
 	default:
 		c.applyDelta(d.Delta, d.From)
 	}
+	c.mergeKept(d)
 }
 
 // noteAge takes over the age in a peer's answer, which includes the time since this entry asked. How long a digest that a peer sent
@@ -362,7 +370,7 @@
 func (c *Control) noteAge(d digest.Digest) {
 	// The sender's replica matched the store d.Age ago. Its revision is not above that of this entry's replica, so this
 	// one is at least as fresh.
-	if at := c.now.Add(-d.Age); c.synced && d.Revision <= c.replica.Revision() && at.After(c.peersFreshAt) && d.Revision > 0 {
+	if at := c.now.Add(-d.Age); c.synced && d.Revision.Era() == c.replica.Revision().Era() && d.Revision <= c.replica.Revision() && at.After(c.peersFreshAt) && d.Revision > 0 {
 		c.peersFreshAt = at
 	}
 }
--- a/pkg/control/contrl/rollout.go
+++ b/pkg/control/contrl/rollout.go
@@ -91,6 +91,10 @@
 	if known := c.config.Progress[r.Name]; known != nil {
 		current = *known
 	}
+	if c.config.IsKept(keys.Rollout(r.Name)) {
+		// The store was restored without this step.
+		return current, true
+	}
 	if current.Phase == phase.Done || current.Phase == phase.RolledBack || c.now.Before(r.Start) {
 		return current, false
 	}
--- a/pkg/control/contrl/shards.go
+++ b/pkg/control/contrl/shards.go
@@ -23,7 +23,7 @@
 // trackShards passes the owners of all shards in the replica to the elector, and logs those that this entry took or lost.
 func (c *Control) trackShards() {
 	for s := range shard.Shard(tune.ShardCount) {
-		o := c.config.ShardOwners[keys.Owner(s)]
+		o := c.ownerInForce(s)
 		mine := o != nil && o.Entry == c.self.Name && o.Incarnation == c.self.Incarnation
 		taken, lost := c.elector.Observe(c.now, s, o != nil, mine)
 		if taken {
@@ -47,7 +47,7 @@
 	it, _ := c.replica.Get(keys.Owner(s))
 	req := kvreq.Request{ID: c.nextID(), Op: kvop.CompareAndSwap, Key: keys.Owner(s), ExpectedRevision: it.Revision, Delete: !take}
 	if take {
-		req.LeaseID = c.keeper.ID()
+		req.LeaseID, req.LeaseEra = c.keeper.ID(), c.keeper.Era()
 		req.Value = value.Value{Owner: &owner.Owner{Entry: c.self.Name, Incarnation: c.self.Incarnation}}
 	}
 	c.elector.SetPending(req)
--- a/pkg/control/keys/keys.go
+++ b/pkg/control/keys/keys.go
@@ -36,6 +36,9 @@
 	return kind != "upstream" && kind != "domain" && kind != "move"
 }
 
+// IsOwner reports whether a key names the owner of a shard.
+func IsOwner(key string) bool { return strings.HasPrefix(key, OwnerPrefix) }
+
 // Member returns the member key of an entry.
 func Member(name string) string { return MemberPrefix + name }
 
--- a/pkg/control/kvrepl/replica.go
+++ b/pkg/control/kvrepl/replica.go
@@ -38,11 +38,12 @@
 // Revision returns the revision up to which the replica is complete.
 func (r *Replica) Revision() revno.Revision { return r.revision }
 
-// Get returns the item of a key, and whether the key exists. The item of a removed key has revision 0, as in the store.
+// Get returns the item of a key, and whether the key exists. The revision of a key that does not exist has number 0, as in the store,
+// and the era of the replica.
 func (r *Replica) Get(key string) (item.Item, bool) {
 	it, ok := r.items[key]
 	if !ok || it.Tombstone {
-		return item.Item{Key: key}, false
+		return item.Item{Key: key, Revision: r.revision.Absent()}, false
 	}
 	return it, true
 }
@@ -53,10 +54,10 @@
 // Apply applies a delta and returns the items that changed the replica, by ascending revision.
 //
 // It ignores a delta that ends at or before the revision of the replica, because it is stale, and one that starts
-// after that revision, because changes in between would be missed. A full delta may start anywhere; the keys that it
-// does not list are removed.
+// after that revision or in another era of the store, because changes in between would be missed. A full delta may start
+// anywhere; the keys that it does not list are removed.
 func (r *Replica) Apply(d delta.Delta) []item.Item {
-	if d.Revision <= r.revision || (!d.Full && d.BaseRevision > r.revision) {
+	if !r.Follows(d) {
 		return nil
 	}
 	items := d.Items
@@ -75,6 +76,14 @@
 	return changed
 }
 
+// Follows reports whether Apply does not ignore a delta.
+func (r *Replica) Follows(d delta.Delta) bool {
+	if d.Revision <= r.revision {
+		return false
+	}
+	return d.Full || d.BaseRevision <= r.revision && d.Revision.Era() == r.revision.Era()
+}
+
 // missing returns tombstones for the keys that are in the replica, but not in a full delta.
 func (r *Replica) missing(full delta.Delta) []item.Item {
 	listed := make(map[string]bool, len(full.Items))
@@ -118,15 +127,15 @@
 
 // Since returns the changes after a revision.
 //
-// Once it has limit changes, it stops at the next revision, so that the changes of one revision stay together. For revision 0,
-// and if tombstones after the given revision have been discarded, it returns all keys instead: a part of them lacks the keys
-// that were written last.
+// Once it has limit changes, it stops at the next revision, so that the changes of one revision stay together. For revision 0, one
+// of an earlier era of the store, and if tombstones after the given revision have been discarded, it returns all keys instead: a part
+// of them lacks the keys that were written last.
 func (r *Replica) Since(revision revno.Revision, limit int) delta.Delta {
 	d := delta.Delta{BaseRevision: revision, Revision: r.revision}
 	if revision >= r.revision {
 		return d
 	}
-	if revision == 0 || revision < r.compacted {
+	if revision == 0 || revision.Era() != r.revision.Era() || revision < r.compacted {
 		return r.all()
 	}
 	i := sort.Search(len(r.log), func(i int) bool { return r.log[i].revision > revision })
--- a/pkg/control/kvrepl/replica_test.go
+++ b/pkg/control/kvrepl/replica_test.go
@@ -30,6 +30,9 @@
 		{"ignores a stale list", delta.Delta{Full: true, Revision: 4, Items: []item.Item{newItem("a", 2)}}, 5, 3, 0},
 		{"keeps its own write if the one in a list is older", delta.Delta{Full: true, Revision: 9, Items: []item.Item{newItem("a", 2)}}, 9, 3, 0},
 		{"removes the keys that a list no longer has", delta.Delta{Full: true, Revision: 9}, 9, 0, 1},
+		{"replaces all by a list of a later era, whatever the numbers", delta.Delta{Full: true, Revision: revno.New(1, 2), Items: []item.Item{newItem("a", revno.New(1, 1))}}, revno.New(1, 2), revno.New(1, 1), 1},
+		{"removes the keys that a list of a later era does not have", delta.Delta{Full: true, Revision: revno.New(1, 2)}, revno.New(1, 2), revno.New(1, 0), 1},
+		{"ignores changes of a later era, as some before them are not known", delta.Delta{BaseRevision: 5, Revision: revno.New(1, 6), Items: []item.Item{newItem("a", revno.New(1, 6))}}, 5, 3, 0},
 	} {
 		It(tc.name, func() {
 			r := kvrepl.New()
@@ -41,6 +44,15 @@
 		})
 	}
 
+	// A peer of the era before must not keep what the store has lost.
+	It("sends all keys to a peer of an earlier era, and takes nothing of it", func() {
+		r := kvrepl.New()
+		r.Apply(delta.Delta{Full: true, Revision: revno.New(1, 5), Items: []item.Item{newItem("a", revno.New(1, 3))}})
+		d := r.Since(9, 1)
+		Expect([]bool{d.Full, len(d.Items) == 1, d.Revision == revno.New(1, 5)}).To(Equal([]bool{true, true, true}))
+		Expect(r.Apply(delta.Delta{Full: true, Revision: 9, Items: []item.Item{newItem("lost", 9)}})).To(BeEmpty())
+	})
+
 	for _, tc := range []struct {
 		name  string
 		limit int
--- a/pkg/events/digest/digest.go
+++ b/pkg/events/digest/digest.go
@@ -5,6 +5,7 @@
 
 	"github.com/balsamvale/balsamvale/pkg/events/fact"
 	"github.com/balsamvale/balsamvale/pkg/stored/delta"
+	"github.com/balsamvale/balsamvale/pkg/stored/item"
 	"github.com/balsamvale/balsamvale/pkg/stored/revno"
 )
 
@@ -23,4 +24,10 @@
 	Brief bool
 	// Offer is set if the receiver lacks changes that are left out because they are large. It gets them if it asks for them.
 	Offer bool
+	// WantsKept is set while the sender may know of the store's era only what an older copy holds.
+	WantsKept bool
+	// Kept holds what the sender keeps in force for KeptFor although the store was restored from an older copy, with revisions of
+	// earlier eras. The value of a tombstone is the one that was removed.
+	Kept    []item.Item
+	KeptFor time.Duration
 }
--- a/pkg/records/upsrec/upstream.go
+++ b/pkg/records/upsrec/upstream.go
@@ -21,6 +21,8 @@
 	Slots int
 	// Incarnation identifies the start of an upstream that announces itself; 0 for one that operators configure.
 	Incarnation uint64
+	// Sequence counts the announcements of one incarnation.
+	Sequence int64
 	// Warmup is how long an upstream that announces itself stays cold, counted from its announcement.
 	Warmup time.Duration
 }
