--- a/internal/claims/client.go
+++ b/internal/claims/client.go
@@ -9,6 +9,7 @@
 	"github.com/balsamvale/balsamvale/internal/codec"
 	"github.com/balsamvale/balsamvale/pkg/calls/claim"
 	"github.com/balsamvale/balsamvale/pkg/calls/dedup"
+	"github.com/balsamvale/balsamvale/pkg/calls/ledger"
 	"github.com/balsamvale/balsamvale/pkg/control/keys"
 	"github.com/balsamvale/balsamvale/pkg/shared/clock"
 	"github.com/balsamvale/balsamvale/pkg/shared/tune"
@@ -38,6 +39,10 @@
 	workers map[string]*worker
 	// reservedUntil is the time up to which the rate of writes is used up; waitForWrite moves it forward.
 	reservedUntil time.Time
+	// eraMu guards era, the highest era of the store that the client has heard of, and eraAt, when it did first.
+	eraMu sync.Mutex
+	era   int64
+	eraAt time.Time
 }
 
 // New returns a client for one start of an entry; owner identifies that start and is stored with its claims.
@@ -116,11 +121,22 @@
 	w := c.workers[storeKey]
 	if w == nil {
 		w = &worker{client: c, key: storeKey, bucket: idkey.New(c.owner), wakeCh: make(chan struct{}, 1)}
+		w.bucket.EraSince = c.eraSince
 		c.workers[storeKey] = w
 	}
 	return w
 }
 
+// eraSince returns when the client first heard of an era of the store.
+func (c *Client) eraSince(now time.Time, era int64) time.Time {
+	c.eraMu.Lock()
+	defer c.eraMu.Unlock()
+	if c.eraAt.IsZero() || era > c.era {
+		c.era, c.eraAt = era, now
+	}
+	return c.eraAt
+}
+
 // wake starts the worker, or interrupts its sleep if it runs already.
 func (w *worker) wake() {
 	w.mu.Lock()
@@ -228,7 +244,7 @@
 }
 
 // callStore makes one planned store call and reports whether the bucket made progress by it.
-func (w *worker) callStore(op kvop.Op, value []claim.Claim, expect revno.Revision) bool {
+func (w *worker) callStore(op kvop.Op, value ledger.Ledger, expect revno.Revision) bool {
 	ctx, cancel := context.WithTimeout(context.Background(), tune.StoreTimeout)
 	defer cancel()
 	if op == kvop.Get {
@@ -264,5 +280,5 @@
 	}
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	return w.bucket.GetDone(it.Revision, value)
+	return w.bucket.GetDone(w.client.clock.Now(), it.Revision, value)
 }
--- a/internal/codec/claims_test.go
+++ b/internal/codec/claims_test.go
@@ -15,6 +15,7 @@
 	"github.com/balsamvale/balsamvale/pkg/calls/answer"
 	"github.com/balsamvale/balsamvale/pkg/calls/bind"
 	"github.com/balsamvale/balsamvale/pkg/calls/claim"
+	"github.com/balsamvale/balsamvale/pkg/calls/ledger"
 	"github.com/balsamvale/balsamvale/pkg/calls/state"
 )
 
@@ -50,16 +51,16 @@
 		Expect(err).NotTo(HaveOccurred())
 		want := current
 		want.Binding = bind.Binding{}
-		Expect(got).To(Equal([]claim.Claim{want}))
-		Expect(got[0].Binding.Bound()).To(BeFalse())
-		header, trailer, err := codec.DecodeHead(&got[0].Answer)
+		Expect(got.Claims).To(Equal([]claim.Claim{want}))
+		Expect(got.Claims[0].Binding.Bound()).To(BeFalse())
+		header, trailer, err := codec.DecodeHead(&got.Claims[0].Answer)
 		Expect(err).NotTo(HaveOccurred())
 		Expect(header).To(Equal(http.Header{"Content-Type": {"text/plain"}}))
 		Expect(trailer).To(BeEmpty())
 	})
 
 	It("is the same for the version before bindings, apart from what it does not know", func() {
-		data, err := codec.EncodeClaims([]claim.Claim{current})
+		data, err := codec.EncodeClaims(ledger.Ledger{Claims: []claim.Claim{current}})
 		Expect(err).NotTo(HaveOccurred())
 		before, err := proto.Marshal(&pb.Claims{Claim: []*pb.Claim{older}})
 		Expect(err).NotTo(HaveOccurred())
@@ -73,13 +74,13 @@
 		head, err := codec.EncodeHead(header, trailer)
 		Expect(err).NotTo(HaveOccurred())
 		c.Answer.Head, c.Answer.Type = head, "text/plain; name=caf\xe9"
-		data, err := codec.EncodeClaims([]claim.Claim{c})
+		data, err := codec.EncodeClaims(ledger.Ledger{Claims: []claim.Claim{c}, Era: 3, DoubtUntil: until})
 		Expect(err).NotTo(HaveOccurred())
 		got, err := codec.DecodeClaims(data)
 		Expect(err).NotTo(HaveOccurred())
 		c.Answer.Type = "text/plain; name=caf"
-		Expect(got).To(Equal([]claim.Claim{c}))
-		gotHeader, gotTrailer, err := codec.DecodeHead(&got[0].Answer)
+		Expect(got).To(Equal(ledger.Ledger{Claims: []claim.Claim{c}, Era: 3, DoubtUntil: until}))
+		gotHeader, gotTrailer, err := codec.DecodeHead(&got.Claims[0].Answer)
 		Expect(err).NotTo(HaveOccurred())
 		Expect(gotHeader).To(Equal(header))
 		Expect(gotTrailer).To(Equal(trailer))
--- a/internal/codec/value.go
+++ b/internal/codec/value.go
@@ -16,6 +16,7 @@
 	"github.com/balsamvale/balsamvale/pkg/calls/answer"
 	"github.com/balsamvale/balsamvale/pkg/calls/bind"
 	"github.com/balsamvale/balsamvale/pkg/calls/claim"
+	"github.com/balsamvale/balsamvale/pkg/calls/ledger"
 	"github.com/balsamvale/balsamvale/pkg/calls/state"
 	"github.com/balsamvale/balsamvale/pkg/control/keys"
 	"github.com/balsamvale/balsamvale/pkg/stored/item"
@@ -127,14 +128,17 @@
 }
 
 // DecodeClaims decodes a bucket of claims; errors match ErrInvalidValue.
-func DecodeClaims(data []byte) ([]claim.Claim, error) {
+func DecodeClaims(data []byte) (ledger.Ledger, error) {
 	var cs pb.Claims
 	if err := proto.Unmarshal(data, &cs); err != nil {
-		return nil, eris.Wrap(ErrInvalidValue, err.Error())
+		return ledger.Ledger{}, eris.Wrap(ErrInvalidValue, err.Error())
+	}
+	out := ledger.Ledger{Claims: make([]claim.Claim, 0, len(cs.GetClaim())), Era: cs.GetEra()}
+	if cs.GetDoubt() != nil {
+		out.DoubtUntil = cs.GetDoubt().AsTime()
 	}
-	out := make([]claim.Claim, 0, len(cs.GetClaim()))
 	for _, c := range cs.GetClaim() {
-		out = append(out, claim.Claim{
+		out.Claims = append(out.Claims, claim.Claim{
 			Key: c.GetKey(), Owner: c.GetOwner(), Attempt: c.GetAttempt(),
 			Binding: bind.Binding{Account: c.GetAccount(), Method: c.GetMethod(), URI: c.GetUri(), Body: c.GetHash()},
 			State:   state.State(c.GetState()), Until: c.GetUntil().AsTime(),
@@ -190,9 +194,12 @@
 }
 
 // EncodeClaims encodes a bucket of claims; errors match ErrInvalidValue.
-func EncodeClaims(cs []claim.Claim) ([]byte, error) {
-	m := &pb.Claims{Claim: make([]*pb.Claim, 0, len(cs))}
-	for _, c := range cs {
+func EncodeClaims(l ledger.Ledger) ([]byte, error) {
+	m := &pb.Claims{Claim: make([]*pb.Claim, 0, len(l.Claims)), Era: l.Era}
+	if !l.DoubtUntil.IsZero() {
+		m.Doubt = timestampProto(l.DoubtUntil)
+	}
+	for _, c := range l.Claims {
 		m.Claim = append(m.Claim, &pb.Claim{
 			Key: c.Key, Owner: c.Owner, Attempt: c.Attempt, State: pb.Claim_State(c.State),
 			Until: timestampProto(c.Until), Status: uint32(c.Answer.Status), Body: c.Answer.Body,
--- a/internal/replay/claims.go
+++ b/internal/replay/claims.go
@@ -69,7 +69,7 @@
 		return
 	}
 	claims, err := codec.DecodeClaims(r.Items[0].Value)
-	if err != nil || !w.bucket.GetDone(r.Revision, claims) {
+	if err != nil || !w.bucket.GetDone(w.entry.now(), r.Revision, claims) {
 		w.retry()
 		return
 	}
--- a/pkg/traffic/idkey/bucket.go
+++ b/pkg/traffic/idkey/bucket.go
@@ -7,6 +7,7 @@
 
 	"github.com/balsamvale/balsamvale/pkg/calls/claim"
 	"github.com/balsamvale/balsamvale/pkg/calls/dedup"
+	"github.com/balsamvale/balsamvale/pkg/calls/ledger"
 	"github.com/balsamvale/balsamvale/pkg/calls/state"
 	"github.com/balsamvale/balsamvale/pkg/shared/tune"
 	"github.com/balsamvale/balsamvale/pkg/stored/kvop"
@@ -18,7 +19,13 @@
 // The value in the store decides who holds an idempotency key. The bucket keeps the last value that it has seen, adds its
 // own claims and writes the result with a compare-and-swap. When the swap fails or its response is lost, the bucket reads
 // the value again and starts over; it recognizes its own claims by owner and attempt.
+//
+// A store that came back from an older copy may have lost claims whose calls have run. Until they would have expired, a key without a
+// claim is in doubt: nothing runs for it, and its claim ends as unknown.
 type Bucket struct {
+	// EraSince returns when the entry first heard of an era of the store; nil stands for the first read in it.
+	EraSince func(now time.Time, era int64) time.Time
+
 	owner string
 	// loaded is cleared when the store has to be read before the next write.
 	loaded   bool
@@ -26,12 +33,20 @@
 	// claims holds the claims in the last value seen.
 	claims  map[slot]claim.Claim
 	pending []*pendingClaim
+	// doubtUntil is until when claims that the store has lost may count.
+	doubtUntil time.Time
+	// eraAt is when the entry first heard of the era of the last value, and lost holds the claims that it knew before, until a value
+	// with them is written.
+	eraAt time.Time
+	lost  map[slot]claim.Claim
+	// unmarked is set if the last value was written before the store was restored, or lacks claims that are known.
+	unmarked bool
 	// completions are the ended calls that the store does not know of yet.
 	completions []claim.Claim
 	// completeBy is when the completions have to be written; it is set when the first is added.
 	completeBy time.Time
 	// swapValue is the value of the last planned swap, which contains the first swapCompletions completions.
-	swapValue       []claim.Claim
+	swapValue       ledger.Ledger
 	swapCompletions int
 }
 
@@ -111,34 +126,42 @@
 // Plan returns the next store operation: a Get, or a CompareAndSwap with its value and expected revision.
 //
 // ok is false when there is nothing to do now. Plan also ends the claims that the last value decides.
-func (b *Bucket) Plan(now time.Time) (op kvop.Op, value []claim.Claim, expect revno.Revision, ok bool) {
+func (b *Bucket) Plan(now time.Time) (op kvop.Op, value ledger.Ledger, expect revno.Revision, ok bool) {
 	if at, ok := b.NextPlanAt(now); !ok || now.Before(at) {
-		return 0, nil, 0, false
+		return 0, ledger.Ledger{}, 0, false
 	}
 	if !b.loaded {
-		return kvop.Get, nil, 0, true
+		return kvop.Get, ledger.Ledger{}, 0, true
 	}
 	changed, stale := b.resolve(now)
 	if stale {
 		b.loaded = false
-		return kvop.Get, nil, 0, true
+		return kvop.Get, ledger.Ledger{}, 0, true
 	}
-	if !changed {
-		return 0, nil, 0, false
+	if !changed && !b.unmarked {
+		return 0, ledger.Ledger{}, 0, false
 	}
-	b.swapValue = b.merged(now)
+	b.swapValue = ledger.Ledger{Claims: b.merged(now), Era: b.revision.Era(), DoubtUntil: b.doubtUntil}
 	b.swapCompletions = len(b.completions)
 	return kvop.CompareAndSwap, b.swapValue, b.revision, true
 }
 
 // GetDone applies the result of a Get; it ignores a value older than the last one, and then returns false.
 //
-// A missing key has revision 0.
-func (b *Bucket) GetDone(revision revno.Revision, value []claim.Claim) bool {
+// The revision of a missing key has number 0.
+func (b *Bucket) GetDone(now time.Time, revision revno.Revision, value ledger.Ledger) bool {
 	if revision < b.revision {
 		return false
 	}
-	b.set(revision, value)
+	if revision.Era() > b.revision.Era() {
+		b.lost, b.eraAt = b.claims, now
+		if b.EraSince != nil {
+			b.eraAt = b.EraSince(now, revision.Era())
+		}
+	}
+	b.set(revision, value.Claims)
+	b.setDoubt(value)
+	b.carry(now)
 	for _, p := range b.pending {
 		p.readSince = true
 	}
@@ -147,7 +170,8 @@
 
 // SwapDone applies the success of a swap: the store holds the value of the last Plan at the given revision.
 func (b *Bucket) SwapDone(revision revno.Revision) {
-	b.set(revision, b.swapValue)
+	b.set(revision, b.swapValue.Claims)
+	b.lost, b.unmarked = nil, false
 	b.completions = b.completions[b.swapCompletions:]
 	var rest []*pendingClaim
 	for _, p := range b.pending {
@@ -182,6 +206,9 @@
 		held, ok := find(b.claims, p.claim, now)
 		_, known := b.claims[slotOf(p.claim)]
 		switch {
+		case now.Before(b.doubtUntil) && (!ok || b.holds(p.claim)):
+			// A write of this claim may have replaced one that was lost.
+			p.done(dedup.Unknown, claim.Claim{})
 		case !ok && !known && len(b.claims) >= tune.MaxBucketClaims && b.full(now):
 			p.done(dedup.Unavailable, claim.Claim{})
 		case !ok:
@@ -277,6 +304,30 @@
 // sameCall reports whether two claims are of the same call.
 func sameCall(x, y claim.Claim) bool { return x.Owner == y.Owner && x.Attempt == y.Attempt }
 
+// setDoubt sets until when lost claims may count, from the last value.
+func (b *Bucket) setDoubt(value ledger.Ledger) {
+	era := b.revision.Era()
+	b.doubtUntil, b.unmarked = time.Time{}, era > 0 && value.Era != era
+	if era == 0 {
+		return
+	}
+	b.doubtUntil = b.eraAt.Add(tune.ClaimTTL)
+	if !b.unmarked && value.DoubtUntil.Before(b.doubtUntil) {
+		b.doubtUntil = value.DoubtUntil
+	}
+}
+
+// carry adds the claims that were known before the store was restored to those of the last value, so that their calls can complete
+// and their duplicates are told. That a call has not run does not count: its key may have been claimed again.
+func (b *Bucket) carry(now time.Time) {
+	for s, c := range b.lost {
+		held, ok := b.claims[s]
+		if c.State != state.NotRun && now.Before(c.Until) && (!ok || sameCall(held, c) || held.State == state.NotRun) {
+			b.claims[s], b.unmarked = c, true
+		}
+	}
+}
+
 // set replaces the last value seen.
 func (b *Bucket) set(revision revno.Revision, value []claim.Claim) {
 	b.loaded, b.revision = true, revision
