--- a/pkg/control/kvrepl/replica.go
+++ b/pkg/control/kvrepl/replica.go
@@ -1,32 +1,34 @@
 package kvrepl
 
 import (
+	"cmp"
 	"slices"
 	"sort"
 
 	"github.com/balsamvale/balsamvale/pkg/shared/tune"
 	"github.com/balsamvale/balsamvale/pkg/stored/delta"
 	"github.com/balsamvale/balsamvale/pkg/stored/item"
+	"github.com/balsamvale/balsamvale/pkg/stored/revno"
 )
 
 // Replica is the state of the control keys at one revision of the store, with the writes that led to it.
 //
 // It is not safe for concurrent use.
 type Replica struct {
-	revision int64
+	revision revno.Revision
 	// items holds the newest item of each key, tombstones included.
 	items map[string]item.Item
 	// log lists writes by ascending revision. A compaction removes those that a later write of the key supersedes.
 	log []write
 	// compacted is the highest revision of the tombstones that have been discarded.
-	compacted int64
+	compacted revno.Revision
 	// tombstones is the number of tombstones in items.
 	tombstones int
 }
 
 // write refers to the write of a key at a revision.
 type write struct {
-	revision int64
+	revision revno.Revision
 	key      string
 }
 
@@ -34,13 +36,14 @@
 func New() *Replica { return &Replica{items: map[string]item.Item{}} }
 
 // Revision returns the revision up to which the replica is complete.
-func (r *Replica) Revision() int64 { return r.revision }
+func (r *Replica) Revision() revno.Revision { return r.revision }
 
-// Get returns the item of a key, and whether the key exists. The item of a removed key has revision 0, as in the store.
+// Get returns the item of a key, and whether the key exists. The revision of a key that does not exist has number 0, as in the store,
+// and the era of the replica.
 func (r *Replica) Get(key string) (item.Item, bool) {
 	it, ok := r.items[key]
 	if !ok || it.Tombstone {
-		return item.Item{Key: key}, false
+		return item.Item{Key: key, Revision: r.revision.Absent()}, false
 	}
 	return it, true
 }
@@ -51,17 +54,17 @@
 // Apply applies a delta and returns the items that changed the replica, by ascending revision.
 //
 // It ignores a delta that ends at or before the revision of the replica, because it is stale, and one that starts
-// after that revision, because changes in between would be missed. A full delta may start anywhere; the keys that it
-// does not list are removed.
+// after that revision or in another era of the store, because changes in between would be missed. A full delta may start
+// anywhere; the keys that it does not list are removed.
 func (r *Replica) Apply(d delta.Delta) []item.Item {
-	if d.Revision <= r.revision || (!d.Full && d.BaseRevision > r.revision) {
+	if !r.Follows(d) {
 		return nil
 	}
 	items := d.Items
 	if d.Full {
 		items = append(r.missing(d), items...)
 	}
-	slices.SortStableFunc(items, func(a, b item.Item) int { return int(a.Revision - b.Revision) })
+	slices.SortStableFunc(items, func(a, b item.Item) int { return cmp.Compare(a.Revision, b.Revision) })
 	var changed []item.Item
 	for _, it := range items {
 		if r.put(it) {
@@ -73,6 +76,14 @@
 	return changed
 }
 
+// Follows reports whether Apply does not ignore a delta.
+func (r *Replica) Follows(d delta.Delta) bool {
+	if d.Revision <= r.revision {
+		return false
+	}
+	return d.Full || d.BaseRevision <= r.revision && d.Revision.Era() == r.revision.Era()
+}
+
 // missing returns tombstones for the keys that are in the replica, but not in a full delta.
 func (r *Replica) missing(full delta.Delta) []item.Item {
 	listed := make(map[string]bool, len(full.Items))
@@ -116,15 +127,15 @@
 
 // Since returns the changes after a revision.
 //
-// Once it has limit changes, it stops at the next revision, so that the changes of one revision stay together. For revision 0,
-// and if tombstones after the given revision have been discarded, it returns all keys instead: a part of them lacks the keys
-// that were written last.
-func (r *Replica) Since(revision int64, limit int) delta.Delta {
+// Once it has limit changes, it stops at the next revision, so that the changes of one revision stay together. For revision 0, one
+// of an earlier era of the store, and if tombstones after the given revision have been discarded, it returns all keys instead: a part
+// of them lacks the keys that were written last.
+func (r *Replica) Since(revision revno.Revision, limit int) delta.Delta {
 	d := delta.Delta{BaseRevision: revision, Revision: r.revision}
 	if revision >= r.revision {
 		return d
 	}
-	if revision == 0 || revision < r.compacted {
+	if revision == 0 || revision.Era() != r.revision.Era() || revision < r.compacted {
 		return r.all()
 	}
 	i := sort.Search(len(r.log), func(i int) bool { return r.log[i].revision > revision })
--- a/pkg/control/kvrepl/replica_test.go
+++ b/pkg/control/kvrepl/replica_test.go
@@ -9,9 +9,10 @@
 	"github.com/balsamvale/balsamvale/pkg/control/kvrepl"
 	"github.com/balsamvale/balsamvale/pkg/stored/delta"
 	"github.com/balsamvale/balsamvale/pkg/stored/item"
+	"github.com/balsamvale/balsamvale/pkg/stored/revno"
 )
 
-func newItem(key string, rev int64) item.Item {
+func newItem(key string, rev revno.Revision) item.Item {
 	return item.Item{Key: key, Revision: rev, Value: []byte(fmt.Sprint(rev))}
 }
 
@@ -19,8 +20,8 @@
 	for _, tc := range []struct {
 		name     string
 		next     delta.Delta
-		revision int64
-		a        int64
+		revision revno.Revision
+		a        revno.Revision
 		changed  int
 	}{
 		{"applies a delta from its own revision", delta.Delta{BaseRevision: 5, Revision: 7, Items: []item.Item{newItem("a", 7)}}, 7, 7, 1},
@@ -29,6 +30,9 @@
 		{"ignores a stale list", delta.Delta{Full: true, Revision: 4, Items: []item.Item{newItem("a", 2)}}, 5, 3, 0},
 		{"keeps its own write if the one in a list is older", delta.Delta{Full: true, Revision: 9, Items: []item.Item{newItem("a", 2)}}, 9, 3, 0},
 		{"removes the keys that a list no longer has", delta.Delta{Full: true, Revision: 9}, 9, 0, 1},
+		{"replaces all by a list of a later era, whatever the numbers", delta.Delta{Full: true, Revision: revno.New(1, 2), Items: []item.Item{newItem("a", revno.New(1, 1))}}, revno.New(1, 2), revno.New(1, 1), 1},
+		{"removes the keys that a list of a later era does not have", delta.Delta{Full: true, Revision: revno.New(1, 2)}, revno.New(1, 2), revno.New(1, 0), 1},
+		{"ignores changes of a later era, as some before them are not known", delta.Delta{BaseRevision: 5, Revision: revno.New(1, 6), Items: []item.Item{newItem("a", revno.New(1, 6))}}, 5, 3, 0},
 	} {
 		It(tc.name, func() {
 			r := kvrepl.New()
@@ -40,13 +44,22 @@
 		})
 	}
 
+	// A peer of the era before must not keep what the store has lost.
+	It("sends all keys to a peer of an earlier era, and takes nothing of it", func() {
+		r := kvrepl.New()
+		r.Apply(delta.Delta{Full: true, Revision: revno.New(1, 5), Items: []item.Item{newItem("a", revno.New(1, 3))}})
+		d := r.Since(9, 1)
+		Expect([]bool{d.Full, len(d.Items) == 1, d.Revision == revno.New(1, 5)}).To(Equal([]bool{true, true, true}))
+		Expect(r.Apply(delta.Delta{Full: true, Revision: 9, Items: []item.Item{newItem("lost", 9)}})).To(BeEmpty())
+	})
+
 	for _, tc := range []struct {
 		name  string
 		limit int
 	}{{"one change at a time", 1}, {"three", 3}, {"all at once", 1000}} {
 		It("sends a history of writes and removals to a peer, "+tc.name, func() {
 			from, to := kvrepl.New(), kvrepl.New()
-			for rev := int64(1); rev <= 9000; rev++ {
+			for rev := revno.Revision(1); rev <= 9000; rev++ {
 				w := newItem(fmt.Sprintf("k%d", rev%5000), rev)
 				w.Tombstone = rev%3 == 0
 				from.Apply(delta.Delta{BaseRevision: rev - 1, Revision: rev, Items: []item.Item{w}})
