--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -60,12 +60,12 @@
 type Core struct {
 	// CallStore carries out a request to the store.
 	CallStore func(ctx context.Context, req kvreq.Request) kvresp.Response
-	// SendDigest sends a digest to a peer and returns the peer's answer.
-	SendDigest func(ctx context.Context, addr netip.AddrPort, d digest.Digest) (digest.Digest, error)
+	// SendDigest sends the digest of an effect to its peer and returns the peer's answer.
+	SendDigest func(ctx context.Context, e *effect.Effect) (digest.Digest, error)
 	// Probe asks an upstream for its load report, which it serves at path.
 	Probe func(ctx context.Context, name string, addr netip.AddrPort, path string) result.Result
-	// RequestCredits asks a peer for credits of a cold upstream.
-	RequestCredits func(ctx context.Context, addr netip.AddrPort, d demand.Demand) ([]credit.Credit, error)
+	// RequestCredits makes the request of an effect for credits of a cold upstream.
+	RequestCredits func(ctx context.Context, e *effect.Effect) ([]credit.Credit, error)
 
 	clock  clock.Clock
 	log    *logs.Log
--- a/internal/core/panic_test.go
+++ b/internal/core/panic_test.go
@@ -17,10 +17,10 @@
 	"github.com/balsamvale/balsamvale/internal/core"
 	"github.com/balsamvale/balsamvale/internal/logs"
 	"github.com/balsamvale/balsamvale/pkg/calls/credit"
-	"github.com/balsamvale/balsamvale/pkg/calls/demand"
 	"github.com/balsamvale/balsamvale/pkg/calls/result"
 	"github.com/balsamvale/balsamvale/pkg/control/keys"
 	"github.com/balsamvale/balsamvale/pkg/events/digest"
+	"github.com/balsamvale/balsamvale/pkg/events/effect"
 	"github.com/balsamvale/balsamvale/pkg/events/event"
 	"github.com/balsamvale/balsamvale/pkg/events/evkind"
 	"github.com/balsamvale/balsamvale/pkg/records/record"
@@ -99,12 +99,12 @@
 		}
 		return kvresp.Response{ID: req.ID, Applied: true, Revision: 7, Items: []item.Item{{Key: keys.Record("service", "s"), Revision: 7}}}
 	}
-	co.SendDigest = func(context.Context, netip.AddrPort, digest.Digest) (digest.Digest, error) {
+	co.SendDigest = func(context.Context, *effect.Effect) (digest.Digest, error) {
 		explode("digest")
 		return digest.Digest{}, core.ErrStopped
 	}
 	co.Probe = func(context.Context, string, netip.AddrPort, string) result.Result { return result.Result{} }
-	co.RequestCredits = func(context.Context, netip.AddrPort, demand.Demand) ([]credit.Credit, error) { return nil, nil }
+	co.RequestCredits = func(context.Context, *effect.Effect) ([]credit.Credit, error) { return nil, nil }
 	ctx, cancel := context.WithCancel(context.Background())
 	DeferCleanup(cancel)
 	co.Start(ctx)
--- a/internal/core/seeds_test.go
+++ b/internal/core/seeds_test.go
@@ -14,6 +14,7 @@
 	"github.com/balsamvale/balsamvale/internal/logs"
 	"github.com/balsamvale/balsamvale/pkg/control/keys"
 	"github.com/balsamvale/balsamvale/pkg/events/digest"
+	"github.com/balsamvale/balsamvale/pkg/events/effect"
 	"github.com/balsamvale/balsamvale/pkg/records/record"
 	"github.com/balsamvale/balsamvale/pkg/records/svcrec"
 	"github.com/balsamvale/balsamvale/pkg/shared/clock"
@@ -60,7 +61,8 @@
 				return kvresp.Response{ID: req.ID, Applied: true, Revision: 7, Items: items}
 			}
 			var copies atomic.Int64
-			co.SendDigest = func(_ context.Context, addr netip.AddrPort, d digest.Digest) (digest.Digest, error) {
+			co.SendDigest = func(_ context.Context, e *effect.Effect) (digest.Digest, error) {
+				addr, d := e.Addr, e.Digest
 				answer := digest.Digest{From: addr.String(), Revision: 7, Offer: true}
 				if !d.Brief {
 					copies.Add(1)
--- a/internal/core/task.go
+++ b/internal/core/task.go
@@ -27,7 +27,7 @@
 	case action.SendDigest:
 		t.sendDigest()
 	case action.RequestCredits:
-		if credits, err := t.core.RequestCredits(t.ctx, e.Addr, e.Demand); err == nil && len(credits) > 0 {
+		if credits, err := t.core.RequestCredits(t.ctx, e); err == nil && len(credits) > 0 {
 			t.core.deliverCredits(e.Demand, credits)
 		}
 	case action.ProbeUpstream:
@@ -60,7 +60,7 @@
 
 // sendDigest exchanges digests with a peer and passes the answer, or that there was none, to control.
 func (t *effectTask) sendDigest() {
-	d, err := t.core.SendDigest(t.ctx, t.effect.Addr, t.effect.Digest)
+	d, err := t.core.SendDigest(t.ctx, &t.effect)
 	if err != nil {
 		t.core.postOrDrop(event.Event{Kind: evkind.PeerUnreachable, Peer: t.effect.Peer, FetchID: t.effect.FetchID})
 		return
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -25,6 +25,7 @@
 	pb "github.com/balsamvale/balsamvale/internal/gen/balsamvale/v1"
 	"github.com/balsamvale/balsamvale/internal/logs"
 	"github.com/balsamvale/balsamvale/internal/memory"
+	"github.com/balsamvale/balsamvale/internal/meter"
 	"github.com/balsamvale/balsamvale/internal/option"
 	"github.com/balsamvale/balsamvale/internal/peers"
 	"github.com/balsamvale/balsamvale/internal/proxy"
@@ -46,11 +47,13 @@
 	// Build describes the program and its process; New sets it to that of the running process.
 	Build *build.Build
 
-	options        *option.Options
-	clock          clock.Clock
-	log            *logs.Log
-	core           *core.Core
-	peers          *peers.Service
+	options *option.Options
+	clock   clock.Clock
+	log     *logs.Log
+	core    *core.Core
+	peers   *peers.Service
+	// peerBytes counts the bytes of connections with peers.
+	peerBytes      *meter.Meter
 	metrics        *metrics.Set
 	seams          *seams.Seams
 	inFlight       *flight.Table
@@ -85,7 +88,11 @@
 	d := &Daemon{options: o, clock: c, log: log, seams: s, metrics: metrics.NewSet(), inFlight: flight.New(), stopping: make(chan struct{}), errs: make(chan error, serverCount)}
 	self := member.Member{Name: o.Name, Domain: o.Domain, Peer: o.Peer, Incarnation: incarnation}
 	d.core = core.New(c, log, self, o.Seeds, incarnation, s.Decode)
-	d.peers = peers.New(c, &http.Client{Transport: redial.New(tune.PeerConnIdle)})
+	d.peerBytes = meter.New(d.metrics)
+	transport := redial.New(tune.PeerConnIdle)
+	transport.Dial = d.peerBytes.Dialer(transport.Dial)
+	d.peers = peers.New(c, &http.Client{Transport: transport})
+	d.peers.Meter = d.peerBytes
 	d.core.CallStore = s.CallStore
 	d.core.SendDigest = d.peers.SendDigest
 	d.core.RequestCredits = d.peers.RequestCredits
@@ -159,7 +166,7 @@
 func (d *Daemon) initPeerServer() {
 	mux := http.NewServeMux()
 	mux.Handle(d.peers.Handler())
-	d.peerServer = &http.Server{Handler: mux, ReadHeaderTimeout: d.options.ReadHeaderTimeout, ReadTimeout: peerReadTimeout, IdleTimeout: peerIdleTimeout}
+	d.peerServer = &http.Server{Handler: mux, ReadHeaderTimeout: d.options.ReadHeaderTimeout, ReadTimeout: peerReadTimeout, IdleTimeout: peerIdleTimeout, ConnContext: d.peerBytes.ConnContext}
 }
 
 // initAdminServer builds the server for metrics, health checks and profiles.
@@ -201,12 +208,15 @@
 	}
 }
 
-// listen binds an address and serves it in the background; errors match ErrListen.
-func (d *Daemon) listen(s *http.Server, addr netip.AddrPort) error {
+// listen binds an address and serves it in the background, through wrap if that is set; errors match ErrListen.
+func (d *Daemon) listen(s *http.Server, addr netip.AddrPort, wrap func(net.Listener) net.Listener) error {
 	ln, err := net.Listen("tcp", addr.String())
 	if err != nil {
 		return eris.Wrap(ErrListen, err.Error())
 	}
+	if wrap != nil {
+		ln = wrap(ln)
+	}
 	go (&serverRunner{func() error { return s.Serve(ln) }, d.errs}).run()
 	return nil
 }
@@ -239,10 +249,10 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	d.log.Info("starting", append([]zap.Field{zap.String("name", d.options.Name)}, d.buildFields()...)...)
-	if err := d.listen(d.adminServer, d.options.Admin); err != nil {
+	if err := d.listen(d.adminServer, d.options.Admin, nil); err != nil {
 		return err
 	}
-	if err := d.listen(d.peerServer, d.options.Peer); err != nil {
+	if err := d.listen(d.peerServer, d.options.Peer, d.peerBytes.Listener); err != nil {
 		return err
 	}
 	d.core.Start(ctx)
--- a/internal/peers/age_test.go
+++ b/internal/peers/age_test.go
@@ -59,7 +59,7 @@
 			srv.Start()
 			DeferCleanup(srv.Close)
 			addr := netip.MustParseAddrPort(strings.TrimPrefix(srv.URL, "http://"))
-			got, err := s.SendDigest(context.Background(), addr, digest.Digest{From: "e", Age: age, Delta: tc.sent})
+			got, err := s.SendDigest(context.Background(), &effect.Effect{Addr: addr, Digest: digest.Digest{From: "e", Age: age, Delta: tc.sent}})
 			Expect(err).NotTo(HaveOccurred())
 			if !tc.answered {
 				got = received
--- a/internal/peers/compress_test.go
+++ b/internal/peers/compress_test.go
@@ -121,7 +121,7 @@
 			url := serve(path, h)
 			wire := &countingTransport{base: http.DefaultTransport}
 			s := peers.New(clock.Wall(), &http.Client{Transport: wire})
-			got, err := s.SendDigest(context.Background(), netip.MustParseAddrPort(strings.TrimPrefix(url, "http://")), digest.Digest{From: "me"})
+			got, err := s.SendDigest(context.Background(), &effect.Effect{Addr: netip.MustParseAddrPort(strings.TrimPrefix(url, "http://")), Digest: digest.Digest{From: "me"}})
 			Expect(err).NotTo(HaveOccurred())
 			Expect(got.Delta.Items).To(Equal(answer(value).Delta.Items))
 			share := float64(wire.bytes.Load()) / float64(len(value))
@@ -153,7 +153,7 @@
 			value := configuration(1400)
 			url := serve(rpc.NewPeerHandler(&uncompressedHandler{answer: answer(value)}, tc.options...))
 			s := peers.New(clock.Wall(), &http.Client{})
-			got, err := s.SendDigest(context.Background(), netip.MustParseAddrPort(strings.TrimPrefix(url, "http://")), digest.Digest{From: "me"})
+			got, err := s.SendDigest(context.Background(), &effect.Effect{Addr: netip.MustParseAddrPort(strings.TrimPrefix(url, "http://")), Digest: digest.Digest{From: "me"}})
 			Expect(err).NotTo(HaveOccurred())
 			Expect(got.Delta.Items).To(Equal(answer(value).Delta.Items))
 		})
@@ -175,7 +175,7 @@
 			addr := netip.MustParseAddrPort(strings.TrimPrefix(srv.URL, "http://"))
 			calls := 0
 			for b.Loop() {
-				if _, err := s.SendDigest(context.Background(), addr, digest.Digest{From: "me"}); err != nil {
+				if _, err := s.SendDigest(context.Background(), &effect.Effect{Addr: addr, Digest: digest.Digest{From: "me"}}); err != nil {
 					b.Fatal(err)
 				}
 				calls++
--- a/internal/peers/endless_test.go
+++ b/internal/peers/endless_test.go
@@ -15,7 +15,6 @@
 	. "github.com/onsi/gomega"
 
 	"github.com/balsamvale/balsamvale/internal/peers"
-	"github.com/balsamvale/balsamvale/pkg/calls/demand"
 	"github.com/balsamvale/balsamvale/pkg/events/digest"
 	"github.com/balsamvale/balsamvale/pkg/events/effect"
 	"github.com/balsamvale/balsamvale/pkg/events/event"
@@ -89,9 +88,9 @@
 		DeferCleanup(srv.Close)
 		s := peers.New(clock.Wall(), &http.Client{})
 		addr := netip.MustParseAddrPort(strings.TrimPrefix(srv.URL, "http://"))
-		_, err := s.SendDigest(context.Background(), addr, digest.Digest{From: "e"})
+		_, err := s.SendDigest(context.Background(), &effect.Effect{Addr: addr, Digest: digest.Digest{From: "e"}})
 		Expect(err).To(MatchError(peers.ErrPeer))
-		_, err = s.RequestCredits(context.Background(), addr, demand.Demand{})
+		_, err = s.RequestCredits(context.Background(), &effect.Effect{Addr: addr})
 		Expect(err).To(MatchError(peers.ErrPeer))
 		Expect(written.Load()).To(BeNumerically("<", 2*maxRead))
 	})
--- a/internal/peers/service.go
+++ b/internal/peers/service.go
@@ -14,6 +14,7 @@
 	"github.com/balsamvale/balsamvale/internal/codec"
 	pb "github.com/balsamvale/balsamvale/internal/gen/balsamvale/v1"
 	rpc "github.com/balsamvale/balsamvale/internal/gen/balsamvale/v1/balsamvalev1connect"
+	"github.com/balsamvale/balsamvale/internal/meter"
 	"github.com/balsamvale/balsamvale/internal/stall"
 	"github.com/balsamvale/balsamvale/pkg/calls/credit"
 	"github.com/balsamvale/balsamvale/pkg/calls/demand"
@@ -21,6 +22,7 @@
 	"github.com/balsamvale/balsamvale/pkg/events/effect"
 	"github.com/balsamvale/balsamvale/pkg/events/event"
 	"github.com/balsamvale/balsamvale/pkg/events/evkind"
+	"github.com/balsamvale/balsamvale/pkg/events/xkind"
 	"github.com/balsamvale/balsamvale/pkg/shared/clock"
 	"github.com/balsamvale/balsamvale/pkg/shared/tune"
 )
@@ -35,6 +37,9 @@
 	// LocalStatus returns the state of this entry and what it has in force.
 	LocalStatus func(ctx context.Context) (*pb.StatusResponse, error)
 
+	// Meter counts the bytes exchanged with peers; it may be nil.
+	Meter *meter.Meter
+
 	clock clock.Clock
 	http  *http.Client
 }
@@ -70,6 +75,7 @@
 	if err != nil {
 		return nil, connect.NewError(connect.CodeUnavailable, err)
 	}
+	s.received(ctx, xkind.Of(ev.Digest), e.Remote)
 	return connect.NewResponse(codec.DigestToProto(s.clock.Now(), e.Digest)), nil
 }
 
@@ -83,6 +89,7 @@
 	if err != nil {
 		return nil, connect.NewError(connect.CodeUnavailable, err)
 	}
+	s.received(ctx, xkind.Credits, e.Remote)
 	res := &pb.CreditResponse{Ttl: durationpb.New(e.TTL)}
 	for _, c := range e.Credits {
 		res.Grant = append(res.Grant, c.ID)
@@ -92,6 +99,7 @@
 
 // Status returns the state of this entry and what it has in force.
 func (s *Service) Status(ctx context.Context, _ *connect.Request[pb.StatusRequest]) (*connect.Response[pb.StatusResponse], error) {
+	s.received(ctx, xkind.Status, false)
 	res, err := s.LocalStatus(ctx)
 	if err != nil {
 		return nil, connect.NewError(connect.CodeUnavailable, err)
@@ -99,23 +107,38 @@
 	return connect.NewResponse(res), nil
 }
 
+// received counts a request of a peer as of a kind.
+func (s *Service) received(ctx context.Context, kind xkind.Kind, fromRemote bool) {
+	if s.Meter != nil {
+		s.Meter.Received(ctx, kind, fromRemote)
+	}
+}
+
+// begin returns the context for a request to a peer that counts as of a kind.
+func (s *Service) begin(ctx context.Context, kind xkind.Kind, toRemote bool) context.Context {
+	if s.Meter == nil {
+		return ctx
+	}
+	return s.Meter.Begin(ctx, kind, toRemote)
+}
+
 // client returns an RPC client for the peer at addr.
 func (s *Service) client(addr netip.AddrPort) rpc.PeerClient {
 	return rpc.NewPeerClient(s.http, "http://"+addr.String(), connect.WithReadMaxBytes(tune.MaxMessageBytes))
 }
 
-// SendDigest sends a digest to a peer and returns its answer; errors match ErrPeer.
+// SendDigest sends the digest of an effect to its peer and returns the answer; errors match ErrPeer.
 //
 // Both may hold the whole configuration, so the exchange may take tune.TransferTimeout while it makes progress. The age in the
 // answer includes the time that the exchange took.
-func (s *Service) SendDigest(ctx context.Context, addr netip.AddrPort, d digest.Digest) (digest.Digest, error) {
+func (s *Service) SendDigest(ctx context.Context, e *effect.Effect) (digest.Digest, error) {
 	call := &stall.Call{Clock: s.clock, Silence: tune.PeerTimeout, Total: tune.TransferTimeout}
-	ctx = call.Begin(ctx)
+	ctx = call.Begin(s.begin(ctx, xkind.Of(e.Digest), e.Remote))
 	defer call.End()
 	sent := s.clock.Now()
-	res, err := s.client(addr).Exchange(ctx, connect.NewRequest(codec.DigestToProto(s.clock.Now(), d)))
+	res, err := s.client(e.Addr).Exchange(ctx, connect.NewRequest(codec.DigestToProto(s.clock.Now(), e.Digest)))
 	if err != nil {
-		return digest.Digest{}, eris.Wrapf(ErrPeer, "sending a digest to %s: %v", addr, err)
+		return digest.Digest{}, eris.Wrapf(ErrPeer, "sending a digest to %s: %v", e.Addr, err)
 	}
 	now := s.clock.Now()
 	answer := codec.DigestFromProto(now, res.Msg)
@@ -123,18 +146,18 @@
 	return answer, nil
 }
 
-// RequestCredits asks a peer for credits of a cold upstream; errors match ErrPeer.
+// RequestCredits asks the peer of an effect for credits of a cold upstream; errors match ErrPeer.
 //
 // The lifetime of the credits counts from before the request was sent, so that none is used longer than it was granted.
-func (s *Service) RequestCredits(ctx context.Context, addr netip.AddrPort, d demand.Demand) ([]credit.Credit, error) {
-	ctx, cancel := context.WithTimeout(ctx, tune.PeerTimeout)
+func (s *Service) RequestCredits(ctx context.Context, e *effect.Effect) ([]credit.Credit, error) {
+	ctx, cancel := context.WithTimeout(s.begin(ctx, xkind.Credits, e.Remote), tune.PeerTimeout)
 	defer cancel()
-	sent := s.clock.Now()
-	res, err := s.client(addr).Credit(ctx, connect.NewRequest(&pb.CreditRequest{
+	sent, d := s.clock.Now(), e.Demand
+	res, err := s.client(e.Addr).Credit(ctx, connect.NewRequest(&pb.CreditRequest{
 		From: d.From, Upstream: d.Upstream, Boot: d.Incarnation, Want: uint32(d.Want), Back: d.Returned,
 	}))
 	if err != nil {
-		return nil, eris.Wrapf(ErrPeer, "requesting credits of upstream %q from %s: %v", d.Upstream, addr, err)
+		return nil, eris.Wrapf(ErrPeer, "requesting credits of upstream %q from %s: %v", d.Upstream, e.Addr, err)
 	}
 	until := sent.Add(res.Msg.GetTtl().AsDuration())
 	var credits []credit.Credit
@@ -146,7 +169,7 @@
 
 // FetchStatus asks an entry for its status; errors match ErrPeer.
 func (s *Service) FetchStatus(ctx context.Context, addr netip.AddrPort) (*pb.StatusResponse, error) {
-	ctx, cancel := context.WithTimeout(ctx, tune.PeerTimeout)
+	ctx, cancel := context.WithTimeout(s.begin(ctx, xkind.Status, false), tune.PeerTimeout)
 	defer cancel()
 	res, err := s.client(addr).Status(ctx, connect.NewRequest(&pb.StatusRequest{}))
 	if err != nil {
--- a/internal/peers/slow_test.go
+++ b/internal/peers/slow_test.go
@@ -138,7 +138,7 @@
 			addr := netip.MustParseAddrPort(strings.TrimPrefix(srv.URL, "http://"))
 
 			begin := time.Now()
-			d, err := s.SendDigest(context.Background(), addr, digest.Digest{From: "e", Delta: tc.sent})
+			d, err := s.SendDigest(context.Background(), &effect.Effect{Addr: addr, Digest: digest.Digest{From: "e", Delta: tc.sent}})
 			took := time.Since(begin)
 			if tc.err == "" {
 				Expect(err).NotTo(HaveOccurred())
--- a/internal/redial/transport.go
+++ b/internal/redial/transport.go
@@ -1,6 +1,7 @@
 package redial
 
 import (
+	"context"
 	"net"
 	"net/http"
 	"time"
@@ -13,6 +14,9 @@
 //
 // It is safe for concurrent use.
 type Transport struct {
+	// Dial opens the connections. It may be replaced before the first request.
+	Dial func(ctx context.Context, network, addr string) (net.Conn, error)
+
 	base *http.Transport
 }
 
@@ -23,7 +27,13 @@
 		// Keep-alive probes detect a connection that has gone silent while a watch waits on it.
 		KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: tune.KeepAliveIdle, Interval: tune.KeepAliveInterval, Count: tune.KeepAliveCount},
 	}
-	return &Transport{base: &http.Transport{DialContext: d.DialContext, MaxIdleConns: maxIdleConns, MaxIdleConnsPerHost: maxIdlePerHost, IdleConnTimeout: idle, MaxResponseHeaderBytes: maxHeadBytes}}
+	t := &Transport{Dial: d.DialContext}
+	t.base = &http.Transport{DialContext: t.dial, MaxIdleConns: maxIdleConns, MaxIdleConnsPerHost: maxIdlePerHost, IdleConnTimeout: idle, MaxResponseHeaderBytes: maxHeadBytes}
+	return t
+}
+
+func (t *Transport) dial(ctx context.Context, network, addr string) (net.Conn, error) {
+	return t.Dial(ctx, network, addr)
 }
 
 const (
--- a/pkg/control/contrl/gossip.go
+++ b/pkg/control/contrl/gossip.go
@@ -267,7 +267,13 @@
 		return
 	}
 	d.From, d.Revision, d.Age = c.self.Name, c.replica.Revision(), c.age()
-	c.emit(effect.Effect{Action: action.SendDigest, Peer: peer, Addr: m.Peer, Digest: d, FetchID: fetchID})
+	c.emit(effect.Effect{Action: action.SendDigest, Peer: peer, Remote: c.isRemote(peer), Addr: m.Peer, Digest: d, FetchID: fetchID})
+}
+
+// isRemote reports whether a peer is known to be in another failure domain.
+func (c *Control) isRemote(peer string) bool {
+	m := c.config.Members[peer]
+	return m != nil && m.Domain != c.self.Domain
 }
 
 // randomPeers returns the names of the other members in random order.
@@ -302,7 +308,7 @@
 	if ev.Digest.Revision < c.replica.Revision() {
 		c.setDelta(&d, c.replica.Since(ev.Digest.Revision, tune.MaxChanges), !ev.Digest.Brief)
 	}
-	c.emit(effect.Effect{Action: action.AnswerDigest, CorrelationID: ev.CorrelationID, Digest: d})
+	c.emit(effect.Effect{Action: action.AnswerDigest, CorrelationID: ev.CorrelationID, Remote: c.isRemote(ev.Digest.From), Digest: d})
 }
 
 // handleDigestAnswer merges a peer's answer to a digest. The first answer after which the entry is synced ends the
--- a/pkg/control/contrl/shards.go
+++ b/pkg/control/contrl/shards.go
@@ -63,7 +63,7 @@
 func (c *Control) handleCreditRequest(ev event.Event) {
 	d := ev.Demand
 	c.issuer.Return(d.Upstream, d.Returned)
-	e := effect.Effect{Action: action.GrantCredits, CorrelationID: ev.CorrelationID, TTL: tune.CreditTTL}
+	e := effect.Effect{Action: action.GrantCredits, CorrelationID: ev.CorrelationID, Remote: c.isRemote(ev.Demand.From), TTL: tune.CreditTTL}
 	u := c.config.Upstreams[d.Upstream]
 	if u != nil && d.Want > 0 && c.ownsShardOf(d.Upstream, tune.CreditTTL) {
 		e.Credits = c.grant(u, d.Incarnation, d.Want)
@@ -98,7 +98,7 @@
 		return
 	}
 	if m := c.config.Members[ownerName]; m != nil {
-		c.emit(effect.Effect{Action: action.RequestCredits, Peer: ownerName, Addr: m.Peer, Demand: d})
+		c.emit(effect.Effect{Action: action.RequestCredits, Peer: ownerName, Remote: c.isRemote(ownerName), Addr: m.Peer, Demand: d})
 	}
 }
 
--- a/pkg/events/effect/effect.go
+++ b/pkg/events/effect/effect.go
@@ -23,6 +23,8 @@
 	Digest digest.Digest
 	// Peer is the name of the entry that SendDigest and RequestCredits go to.
 	Peer string
+	// Remote is set if Peer, or the peer that AnswerDigest and GrantCredits go to, is in another failure domain.
+	Remote bool
 	// Addr is the address of Peer, or that of the upstream for ProbeUpstream.
 	Addr netip.AddrPort
 	// CorrelationID is that of the event which AnswerDigest and GrantCredits answer.
--- /dev/null
+++ b/pkg/events/xkind/doc.go
@@ -0,0 +1,2 @@
+// Package xkind defines what messages between entries are about.
+package xkind
