--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -28,8 +28,8 @@
 	"github.com/balsamvale/balsamvale/internal/meter"
 	"github.com/balsamvale/balsamvale/internal/option"
 	"github.com/balsamvale/balsamvale/internal/peers"
+	"github.com/balsamvale/balsamvale/internal/prior"
 	"github.com/balsamvale/balsamvale/internal/proxy"
-	"github.com/balsamvale/balsamvale/internal/redial"
 	"github.com/balsamvale/balsamvale/internal/seams"
 	"github.com/balsamvale/balsamvale/internal/sender"
 	"github.com/balsamvale/balsamvale/pkg/calls/call"
@@ -89,7 +89,7 @@
 	self := member.Member{Name: o.Name, Domain: o.Domain, Peer: o.Peer, Incarnation: incarnation}
 	d.core = core.New(c, log, self, o.Seeds, incarnation, s.Decode)
 	d.peerBytes = meter.New(d.metrics)
-	transport := redial.New(tune.PeerConnIdle)
+	transport := prior.New(c, tune.PeerConnIdle)
 	transport.Dial = d.peerBytes.Dialer(transport.Dial)
 	d.peers = peers.New(c, &http.Client{Transport: transport})
 	d.peers.Meter = d.peerBytes
@@ -147,7 +147,7 @@
 	d.callerServer = &http.Server{Handler: handler, ReadHeaderTimeout: o.ReadHeaderTimeout, IdleTimeout: tune.CallerIdleTimeout, MaxHeaderBytes: tune.ServerHeadBytes, Protocols: protocols()}
 }
 
-// protocols returns the protocols that callers may use: HTTP/1 and HTTP/2 without TLS.
+// protocols returns the protocols that callers and peers may use: HTTP/1 and HTTP/2 without TLS.
 func protocols() *http.Protocols {
 	p := &http.Protocols{}
 	p.SetHTTP1(true)
@@ -160,13 +160,18 @@
 	peerReadTimeout = tune.TransferTimeout
 	// peerIdleTimeout is longer than net/http keeps an idle connection as a client, so that no request meets a closing one.
 	peerIdleTimeout = 2 * time.Minute
+	// peerStreamBuffer and peerConnBuffer bound the bytes of requests that a peer has on their way, so that a small one is not late
+	// behind a large one on a slow link.
+	peerStreamBuffer = 256 << 10
+	peerConnBuffer   = 512 << 10
 )
 
 // initPeerServer builds the server for gossip, credit and status requests of other entries.
 func (d *Daemon) initPeerServer() {
 	mux := http.NewServeMux()
 	mux.Handle(d.peers.Handler())
-	d.peerServer = &http.Server{Handler: mux, ReadHeaderTimeout: d.options.ReadHeaderTimeout, ReadTimeout: peerReadTimeout, IdleTimeout: peerIdleTimeout, ConnContext: d.peerBytes.ConnContext}
+	d.peerServer = &http.Server{Handler: mux, ReadHeaderTimeout: d.options.ReadHeaderTimeout, ReadTimeout: peerReadTimeout, IdleTimeout: peerIdleTimeout, ConnContext: d.peerBytes.ConnContext,
+		Protocols: protocols(), HTTP2: &http.HTTP2Config{MaxReceiveBufferPerStream: peerStreamBuffer, MaxReceiveBufferPerConnection: peerConnBuffer}}
 }
 
 // initAdminServer builds the server for metrics, health checks and profiles.
--- a/internal/daemon/silence_test.go
+++ b/internal/daemon/silence_test.go
@@ -41,8 +41,8 @@
 	open map[net.Conn]http.ConnState
 }
 
-// newSilentPeer starts the server of a peer.
-func newSilentPeer(name string) *silentPeer {
+// newSilentPeer starts the server of a peer. One of an older build speaks HTTP/1.1 only.
+func newSilentPeer(name string, http2 bool) *silentPeer {
 	p := &silentPeer{name: name, ended: make(chan struct{}), open: map[net.Conn]http.ConnState{}}
 	s := peers.New(clock.Wall(), &http.Client{})
 	s.Submit = p.submit
@@ -50,6 +50,9 @@
 	mux.Handle(s.Handler())
 	srv := httptest.NewUnstartedServer(mux)
 	srv.Config.ConnState = p.track
+	srv.Config.Protocols = &http.Protocols{}
+	srv.Config.Protocols.SetHTTP1(true)
+	srv.Config.Protocols.SetUnencryptedHTTP2(http2)
 	srv.Start()
 	DeferCleanup(func() {
 		close(p.ended)
@@ -91,35 +94,40 @@
 // Guards against exchanges with peers that time out one after the other once all open connections between entries are
 // silent: the news of each peer is late by the timeout of an exchange.
 var _ = Describe("An entry whose connections to peers went silent", func() {
-	It("closes its idle connections to all peers after one exchange without an answer", func() {
-		up := httptest.NewServer(&pathLog{})
-		DeferCleanup(up.Close)
-		var all []*silentPeer
-		o := &option.Options{ShutdownDelay: time.Millisecond, DrainTimeout: time.Second, HandoverTimeout: time.Millisecond}
-		for i := range 4 {
-			p := newSilentPeer(fmt.Sprintf("p%d", i))
-			all, o.Seeds = append(all, p), append(o.Seeds, p.addr)
-		}
-		stop, done := startDaemon(up, o)
-		DeferCleanup(func() {
-			stop()
-			Eventually(done, "5s").Should(Receive())
-		})
-		for _, p := range all {
-			Eventually(p.idle, "2s").Should(Equal(1), "an entry contacts its seeds when it starts")
-		}
+	for _, tc := range []struct {
+		name  string
+		http2 bool
+	}{{"HTTP/1.1", false}, {"HTTP/2", true}} {
+		It("closes its idle connections to all peers after one exchange without an answer, over "+tc.name, func() {
+			up := httptest.NewServer(&pathLog{})
+			DeferCleanup(up.Close)
+			var all []*silentPeer
+			o := &option.Options{ShutdownDelay: time.Millisecond, DrainTimeout: time.Second, HandoverTimeout: time.Millisecond}
+			for i := range 4 {
+				p := newSilentPeer(fmt.Sprintf("p%d", i), tc.http2)
+				all, o.Seeds = append(all, p), append(o.Seeds, p.addr)
+			}
+			stop, done := startDaemon(up, o)
+			DeferCleanup(func() {
+				stop()
+				Eventually(done, "5s").Should(Receive())
+			})
+			for _, p := range all {
+				Eventually(p.idle, "2s").Should(Equal(1), "an entry contacts its seeds when it starts")
+			}
 
-		for _, p := range all {
-			p.silent.Store(true)
-		}
-		By("making one of them a member, with which the entry exchanges digests")
-		call := store.New(clock.Wall(), &http.Client{}, o.Store).Seams().CallStore
-		ctx := context.Background()
-		lease := call(ctx, kvreq.Request{Op: kvop.Lease, TTL: time.Minute}).LeaseID
-		m := &member.Member{Name: all[0].name, Domain: "zone-1", Peer: all[0].addr, Incarnation: 1}
-		Expect(call(ctx, kvreq.Request{Op: kvop.CompareAndSwap, Key: keys.Member(m.Name), Value: value.Value{Member: m}, LeaseID: lease}).Applied).To(BeTrue())
-		for _, p := range all {
-			Eventually(p.idle, 4*tune.PeerTimeout).Should(BeZero())
-		}
-	})
+			for _, p := range all {
+				p.silent.Store(true)
+			}
+			By("making one of them a member, with which the entry exchanges digests")
+			call := store.New(clock.Wall(), &http.Client{}, o.Store).Seams().CallStore
+			ctx := context.Background()
+			lease := call(ctx, kvreq.Request{Op: kvop.Lease, TTL: time.Minute}).LeaseID
+			m := &member.Member{Name: all[0].name, Domain: "zone-1", Peer: all[0].addr, Incarnation: 1}
+			Expect(call(ctx, kvreq.Request{Op: kvop.CompareAndSwap, Key: keys.Member(m.Name), Value: value.Value{Member: m}, LeaseID: lease}).Applied).To(BeTrue())
+			for _, p := range all {
+				Eventually(p.idle, 4*tune.PeerTimeout).Should(BeZero())
+			}
+		})
+	}
 })
--- a/internal/meter/meter.go
+++ b/internal/meter/meter.go
@@ -72,7 +72,7 @@
 // then on.
 func (m *Meter) Begin(ctx context.Context, kind xkind.Kind, toRemote bool) context.Context {
 	return httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
-		if c, ok := info.Conn.(*conn); ok {
+		if c := find(info.Conn); c != nil {
 			c.assign(kind, toRemote)
 		}
 	}})
@@ -126,6 +126,20 @@
 	unassigned atomic.Int64
 }
 
+// find returns the connection that c is or wraps, or nil. A wrapper has the method NetConn, as that of crypto/tls.
+func find(c net.Conn) *conn {
+	for {
+		switch wrapper := c.(type) {
+		case *conn:
+			return wrapper
+		case interface{ NetConn() net.Conn }:
+			c = wrapper.NetConn()
+		default:
+			return nil
+		}
+	}
+}
+
 // assign sets the kind of what the connection carries from now on, and of what it has received since the previous request.
 func (c *conn) assign(kind xkind.Kind, toRemote bool) {
 	c.mu.Lock()
--- a/internal/redial/transport.go
+++ b/internal/redial/transport.go
@@ -32,6 +32,15 @@
 	return t
 }
 
+// NewHTTP2 returns a transport like New that speaks HTTP/2 without TLS only. Requests to a host share a connection.
+func NewHTTP2(idle time.Duration) *Transport {
+	t := New(idle)
+	t.base.Protocols = &http.Protocols{}
+	t.base.Protocols.SetUnencryptedHTTP2(true)
+	t.base.HTTP2 = &http.HTTP2Config{MaxReceiveBufferPerStream: streamBuffer, MaxReceiveBufferPerConnection: connBuffer}
+	return t
+}
+
 func (t *Transport) dial(ctx context.Context, network, addr string) (net.Conn, error) {
 	return t.Dial(ctx, network, addr)
 }
@@ -44,6 +53,10 @@
 	maxIdlePerHost = 2
 	// maxHeadBytes is the maximum size of the head of a response in bytes. Without it, net/http reads 10 MiB of a head that does not end.
 	maxHeadBytes = 64 << 10
+	// streamBuffer and connBuffer bound the bytes of responses that are on their way. A small response behind a large one of the
+	// same connection would otherwise come later than the time limit of its request, on a slow link.
+	streamBuffer = 256 << 10
+	connBuffer   = 512 << 10
 )
 
 // RoundTrip makes a request; errors are those of http.Transport.
