--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -25,10 +25,11 @@
 	pb "github.com/balsamvale/balsamvale/internal/gen/balsamvale/v1"
 	"github.com/balsamvale/balsamvale/internal/logs"
 	"github.com/balsamvale/balsamvale/internal/memory"
+	"github.com/balsamvale/balsamvale/internal/meter"
 	"github.com/balsamvale/balsamvale/internal/option"
 	"github.com/balsamvale/balsamvale/internal/peers"
+	"github.com/balsamvale/balsamvale/internal/prior"
 	"github.com/balsamvale/balsamvale/internal/proxy"
-	"github.com/balsamvale/balsamvale/internal/redial"
 	"github.com/balsamvale/balsamvale/internal/seams"
 	"github.com/balsamvale/balsamvale/internal/sender"
 	"github.com/balsamvale/balsamvale/pkg/calls/call"
@@ -46,11 +47,13 @@
 	// Build describes the program and its process; New sets it to that of the running process.
 	Build *build.Build
 
-	options        *option.Options
-	clock          clock.Clock
-	log            *logs.Log
-	core           *core.Core
-	peers          *peers.Service
+	options *option.Options
+	clock   clock.Clock
+	log     *logs.Log
+	core    *core.Core
+	peers   *peers.Service
+	// peerBytes counts the bytes of connections with peers.
+	peerBytes      *meter.Meter
 	metrics        *metrics.Set
 	seams          *seams.Seams
 	inFlight       *flight.Table
@@ -85,7 +88,11 @@
 	d := &Daemon{options: o, clock: c, log: log, seams: s, metrics: metrics.NewSet(), inFlight: flight.New(), stopping: make(chan struct{}), errs: make(chan error, serverCount)}
 	self := member.Member{Name: o.Name, Domain: o.Domain, Peer: o.Peer, Incarnation: incarnation}
 	d.core = core.New(c, log, self, o.Seeds, incarnation, s.Decode)
-	d.peers = peers.New(c, &http.Client{Transport: redial.New(tune.PeerConnIdle)})
+	d.peerBytes = meter.New(d.metrics)
+	transport := prior.New(c, tune.PeerConnIdle)
+	transport.Dial = d.peerBytes.Dialer(transport.Dial)
+	d.peers = peers.New(c, &http.Client{Transport: transport})
+	d.peers.Meter = d.peerBytes
 	d.core.CallStore = s.CallStore
 	d.core.SendDigest = d.peers.SendDigest
 	d.core.RequestCredits = d.peers.RequestCredits
@@ -141,7 +148,7 @@
 	d.callerServer = &http.Server{Handler: handler, ReadHeaderTimeout: o.ReadHeaderTimeout, IdleTimeout: tune.CallerIdleTimeout, MaxHeaderBytes: tune.ServerHeadBytes, Protocols: protocols()}
 }
 
-// protocols returns the protocols that callers may use: HTTP/1 and HTTP/2 without TLS.
+// protocols returns the protocols that callers and peers may use: HTTP/1 and HTTP/2 without TLS.
 func protocols() *http.Protocols {
 	p := &http.Protocols{}
 	p.SetHTTP1(true)
@@ -154,13 +161,18 @@
 	peerReadTimeout = tune.TransferTimeout
 	// peerIdleTimeout is longer than net/http keeps an idle connection as a client, so that no request meets a closing one.
 	peerIdleTimeout = 2 * time.Minute
+	// peerStreamBuffer and peerConnBuffer bound the bytes of requests that a peer has on their way, so that a small one is not late
+	// behind a large one on a slow link.
+	peerStreamBuffer = 256 << 10
+	peerConnBuffer   = 512 << 10
 )
 
 // initPeerServer builds the server for gossip, credit and status requests of other entries.
 func (d *Daemon) initPeerServer() {
 	mux := http.NewServeMux()
 	mux.Handle(d.peers.Handler())
-	d.peerServer = &http.Server{Handler: mux, ReadHeaderTimeout: d.options.ReadHeaderTimeout, ReadTimeout: peerReadTimeout, IdleTimeout: peerIdleTimeout}
+	d.peerServer = &http.Server{Handler: mux, ReadHeaderTimeout: d.options.ReadHeaderTimeout, ReadTimeout: peerReadTimeout, IdleTimeout: peerIdleTimeout, ConnContext: d.peerBytes.ConnContext,
+		Protocols: protocols(), HTTP2: &http.HTTP2Config{MaxReceiveBufferPerStream: peerStreamBuffer, MaxReceiveBufferPerConnection: peerConnBuffer}}
 }
 
 // initAdminServer builds the server for metrics, health checks and profiles.
@@ -202,12 +214,15 @@
 	}
 }
 
-// listen binds an address and serves it in the background; errors match ErrListen.
-func (d *Daemon) listen(s *http.Server, addr netip.AddrPort) error {
+// listen binds an address and serves it in the background, through wrap if that is set; errors match ErrListen.
+func (d *Daemon) listen(s *http.Server, addr netip.AddrPort, wrap func(net.Listener) net.Listener) error {
 	ln, err := net.Listen("tcp", addr.String())
 	if err != nil {
 		return eris.Wrap(ErrListen, err.Error())
 	}
+	if wrap != nil {
+		ln = wrap(ln)
+	}
 	go (&serverRunner{func() error { return s.Serve(ln) }, d.errs}).run()
 	return nil
 }
@@ -240,10 +255,10 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	d.log.Info("starting", append([]zap.Field{zap.String("name", d.options.Name)}, d.buildFields()...)...)
-	if err := d.listen(d.adminServer, d.options.Admin); err != nil {
+	if err := d.listen(d.adminServer, d.options.Admin, nil); err != nil {
 		return err
 	}
-	if err := d.listen(d.peerServer, d.options.Peer); err != nil {
+	if err := d.listen(d.peerServer, d.options.Peer, d.peerBytes.Listener); err != nil {
 		return err
 	}
 	d.core.Start(ctx)
--- a/internal/redial/transport.go
+++ b/internal/redial/transport.go
@@ -1,6 +1,7 @@
 package redial
 
 import (
+	"context"
 	"net"
 	"net/http"
 	"time"
@@ -13,6 +14,9 @@
 //
 // It is safe for concurrent use.
 type Transport struct {
+	// Dial opens the connections. It may be replaced before the first request.
+	Dial func(ctx context.Context, network, addr string) (net.Conn, error)
+
 	base *http.Transport
 }
 
@@ -23,7 +27,22 @@
 		// Keep-alive probes detect a connection that has gone silent while a watch waits on it.
 		KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: tune.KeepAliveIdle, Interval: tune.KeepAliveInterval, Count: tune.KeepAliveCount},
 	}
-	return &Transport{base: &http.Transport{DialContext: d.DialContext, MaxIdleConns: maxIdleConns, MaxIdleConnsPerHost: maxIdlePerHost, IdleConnTimeout: idle, MaxResponseHeaderBytes: maxHeadBytes}}
+	t := &Transport{Dial: d.DialContext}
+	t.base = &http.Transport{DialContext: t.dial, MaxIdleConns: maxIdleConns, MaxIdleConnsPerHost: maxIdlePerHost, IdleConnTimeout: idle, MaxResponseHeaderBytes: maxHeadBytes}
+	return t
+}
+
+// NewHTTP2 returns a transport like New that speaks HTTP/2 without TLS only. Requests to a host share a connection.
+func NewHTTP2(idle time.Duration) *Transport {
+	t := New(idle)
+	t.base.Protocols = &http.Protocols{}
+	t.base.Protocols.SetUnencryptedHTTP2(true)
+	t.base.HTTP2 = &http.HTTP2Config{MaxReceiveBufferPerStream: streamBuffer, MaxReceiveBufferPerConnection: connBuffer}
+	return t
+}
+
+func (t *Transport) dial(ctx context.Context, network, addr string) (net.Conn, error) {
+	return t.Dial(ctx, network, addr)
 }
 
 const (
@@ -34,6 +53,10 @@
 	maxIdlePerHost = 2
 	// maxHeadBytes is the maximum size of the head of a response in bytes. Without it, net/http reads 10 MiB of a head that does not end.
 	maxHeadBytes = 64 << 10
+	// streamBuffer and connBuffer bound the bytes of responses that are on their way. A small response behind a large one of the
+	// same connection would otherwise come later than the time limit of its request, on a slow link.
+	streamBuffer = 256 << 10
+	connBuffer   = 512 << 10
 )
 
 // RoundTrip makes a request; errors are those of http.Transport.
