accounts: calls carry keys of client accounts, which are refused in time once removed

A configuration may hold client accounts with keys (tenants on the platform, records of the kind account in TOML). A call needs a key unless its rule is public: 401 without one, 503 while the configuration may lack it. The upstream is told the name of the account and never gets the key, also not in a trailer. The account sets the share and the priority of the call.

The proof of age is that of 404; it now counts what either clock says, and a peer's answer from its arrival, so that neither a suspended host nor a process that is paused before control reads the answer makes a configuration newer.

Ruled out: refusing a configuration for a mistake in one account, which would keep removals of other keys from coming into force; a pushed list of removed keys, which proves nothing to an entry that is cut off.

--- a/internal/codec/check.go
+++ b/internal/codec/check.go
@@ -12,7 +12,7 @@
 )
 
 // CheckRecords checks new records against each other and against those in the store: the records that they refer to
-// must exist, and rollouts of one service must not overlap.
+// must exist, rollouts of one service must not overlap, and no two client accounts may have a key in common.
 //
 // Stored records that cannot be read are ignored. Without stored records, recs must hold all that they refer to.
 // Errors about references and rollouts match tomlpb.ErrInvalid; errors about a record that cannot be converted match
@@ -46,7 +46,7 @@
 
 // checkRefs checks that the records that rec refers to are in all, which is keyed by kind and name joined by a slash.
 //
-// For a rollout it also checks that no other rollout of the service overlaps.
+// For a rollout it also checks that no other rollout of the service overlaps, and for a client account that no other one has its keys.
 func checkRefs(rec *record.Record, all map[string]*record.Record) error {
 	switch {
 	case rec.Upstream != nil:
@@ -62,6 +62,8 @@
 				return eris.Errorf("service %q does not exist", p.Service)
 			}
 		}
+	case rec.Account != nil:
+		return checkKeys(rec.Account, all)
 	case rec.Rollout != nil:
 		if all["service/"+rec.Rollout.Service] == nil {
 			return eris.Errorf("service %q does not exist", rec.Rollout.Service)
--- a/internal/codec/record.go
+++ b/internal/codec/record.go
@@ -28,8 +28,9 @@
 
 // Kinds returns the kinds of records in the order in which they are written to the store.
 //
-// Moves come before upstreams, so that a new version gets no calls before its rollout is known.
-func Kinds() []string { return []string{"domain", "service", "move", "upstream", "rule"} }
+// Moves come before upstreams, so that a new version gets no calls before its rollout is known, and accounts before rules, so that
+// no call for a new rule is served without a key.
+func Kinds() []string { return []string{"domain", "service", "move", "upstream", "account", "rule"} }
 
 // newMessage returns an empty message for a kind and schema version, or nil if there is none.
 func newMessage(kind string, schema int64) proto.Message {
@@ -46,6 +47,8 @@
 		return &pb.Move{}
 	case kind == "rule" && schema == 1:
 		return &pb.Rule{}
+	case kind == "account" && schema == 1:
+		return &pb.Account{}
 	}
 	return nil
 }
@@ -140,6 +143,8 @@
 		return rolloutRecord(m)
 	case *pb.Rule:
 		return ruleRecord(m)
+	case *pb.Account:
+		return accountRecord(m)
 	}
 	return nil, eris.Wrapf(ErrInvalidRecord, "unknown kind %q", r.GetKind())
 }
@@ -172,7 +177,7 @@
 	out := &rulrec.Rule{
 		Name: r.GetName(), Host: r.GetHost(), Path: r.GetPath(), Retry: retry.Policy(r.GetRepeat()),
 		Timeout: r.GetTimeout().AsDuration(), TargetLatency: r.GetGoal().AsDuration(),
-		MaxAttempts: int(r.GetAttempts()), Priority: int(r.GetRank()),
+		MaxAttempts: int(r.GetAttempts()), Priority: int(r.GetRank()), Public: r.GetPublic(),
 	}
 	for _, p := range r.GetPart() {
 		out.Splits = append(out.Splits, split.Split{Service: p.GetService(), Weight: int(p.GetWeight())})
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -24,6 +24,7 @@
 	"github.com/balsamvale/balsamvale/pkg/calls/demand"
 	"github.com/balsamvale/balsamvale/pkg/calls/policy"
 	"github.com/balsamvale/balsamvale/pkg/calls/result"
+	"github.com/balsamvale/balsamvale/pkg/control/accts"
 	"github.com/balsamvale/balsamvale/pkg/control/contrl"
 	"github.com/balsamvale/balsamvale/pkg/events/action"
 	"github.com/balsamvale/balsamvale/pkg/events/digest"
@@ -178,6 +179,19 @@
 	return co.clock.Now().Sub(*at), true
 }
 
+// AccountsAge returns the time since the client accounts were last known to match the store, in which a pause of the host and a
+// change of its clock count; negative until control has received a configuration.
+func (co *Core) AccountsAge() time.Duration {
+	at := co.freshAt.Load()
+	if at == nil || at.IsZero() {
+		return -1
+	}
+	return clock.Elapsed(co.clock.Now(), *at)
+}
+
+// Accounts returns the table of the client accounts, or nil if there are none.
+func (co *Core) Accounts() *accts.Table { return co.view.Load().snapshot.Accounts }
+
 // Revision returns the revision of the configuration in force, or 0 while there is none.
 func (co *Core) Revision() int64 { return co.view.Load().snapshot.Revision }
 
@@ -205,7 +219,7 @@
 // Ready reports whether the entry should get calls: it has a configuration and is not stopping.
 func (co *Core) Ready() bool { return co.ready.Load() && !co.stopping.Load() }
 
-// Configured reports whether the operators' configuration is in force: a service, a routing rule or limits. Without one, what the
+// Configured reports whether the operators' configuration is in force: a service, a routing rule, limits or a client account. Without one, what the
 // entry does not know may exist.
 func (co *Core) Configured() bool { return co.view.Load().snapshot.OperatorRevision > 0 }
 
--- a/internal/core/decode.go
+++ b/internal/core/decode.go
@@ -18,7 +18,7 @@
 	log    *logs.Log
 }
 
-// decodeItem decodes an item and logs its warnings; errors are those of decode, or match errDecodePanic.
+// decodeItem decodes an item and logs its warnings and the errors in its client accounts; errors are those of decode, or match errDecodePanic.
 func (d *safeDecoder) decodeItem(it item.Item) (v value.Value, err error) {
 	defer func() {
 		if p := recover(); p != nil {
@@ -31,6 +31,9 @@
 		for _, text := range v.Batch.Warnings {
 			d.log.Warn("limit", zap.String("key", it.Key), zap.Int64("revision", it.Revision), zap.String("text", text))
 		}
+		for _, text := range v.Batch.AccountErrors {
+			d.log.Warn("account", zap.String("key", it.Key), zap.Int64("revision", it.Revision), zap.String("text", text))
+		}
 	}
 	return v, err
 }
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -117,7 +117,9 @@
 		Service: d.core.Service, Send: d.upstreams.Send, Probe: d.upstreams.Probe, Claim: claimClient.Claim, CompleteClaim: claimClient.Complete,
 		Clock: d.clock, Log: d.log, Poison: d.core.Poison(), InFlight: d.inFlight, Admits: d.admits, Name: o.Name, Incarnation: incarnation, MaxBodyBytes: o.MaxBodyBytes, MaxHeaderBytes: o.MaxHeaderBytes, MaxConfigAge: cmp.Or(o.MaxConfigAge, tune.MaxConfigAge), Memory: d.memory, Stopping: d.stopping,
 	}
+	handler.Accounts, handler.AccountsAge, handler.MaxKeyAge = d.core.Accounts, d.core.AccountsAge, o.MaxKeyAge
 	handler.SetMetrics(d.metrics)
+	d.initAccountMetrics()
 	d.onServerAnswer, d.refuseHead = handler.RecordServerAnswer, handler.RefuseHead
 	d.metrics.NewGauge("balsamvale_store_reads_total", func() float64 { return float64(d.seams.StoreReads()) })
 	d.metrics.NewGauge("balsamvale_store_writes_total", func() float64 { return float64(d.seams.StoreWrites()) })
--- a/internal/header/codec.go
+++ b/internal/header/codec.go
@@ -32,11 +32,13 @@
 	// Account returns what identifies the client account of the caller. Calls of different accounts with the same idempotency key
 	// have nothing to do with each other.
 	Account func(r *http.Request) string
+	// AccountKey returns the key of a client account that a call carries, or "" if it has none or more than one.
+	AccountKey func(h http.Header) string
 	// Depth returns the number of services above the call in its chain of calls.
 	Depth func(h http.Header) int
 	// AttemptNumber returns the attempt number that the calling service gave the call; 0 for a first attempt.
 	AttemptNumber func(h http.Header) int
-	// StripRequest removes hop-by-hop headers and headers that callers may not set.
+	// StripRequest removes hop-by-hop headers, the key of a client account, and headers that callers may not set.
 	StripRequest func(h http.Header)
 	// PrepareAttempt sets the headers of an attempt and returns the ID that the upstream may echo. The entryID is
 	// unique to this incarnation of the entry; timeLeft is 0 if the attempt has no time limit.
@@ -56,7 +58,7 @@
 // Default returns the Codec for the Balsamvale headers of package wire.
 func Default() *Codec {
 	return &Codec{
-		RemainingTime: remainingTime, RequestID: idempotencyKey, IdempotencyKey: idempotencyKey, Caller: caller, Account: account, Depth: depth, AttemptNumber: attemptNumber,
+		RemainingTime: remainingTime, RequestID: idempotencyKey, IdempotencyKey: idempotencyKey, Caller: caller, Account: account, AccountKey: accountKey, Depth: depth, AttemptNumber: attemptNumber,
 		StripRequest: wire.Strip, PrepareAttempt: prepareAttempt, ClassifyResponse: classifyResponse, ClassifyProbe: classifyProbe,
 		PrepareResponse: prepareResponse, PrepareRefusal: prepareRefusal, SetOutcome: setOutcome,
 	}
@@ -93,6 +95,16 @@
 	return "address " + caller(r)
 }
 
+func accountKey(h http.Header) string { return Only(h, wire.AccountKey) }
+
+// Only returns the value of a header that must be there once, or "" if it is not.
+func Only(h http.Header, name string) string {
+	if values := h.Values(name); len(values) == 1 {
+		return values[0]
+	}
+	return ""
+}
+
 // RemoteAddr returns the remote address of the connection of a request, without its port.
 func RemoteAddr(r *http.Request) string {
 	host, _, err := net.SplitHostPort(r.RemoteAddr)
@@ -106,6 +118,9 @@
 	if timeLeft > 0 {
 		h.Set(wire.Deadline, timeLeft.Round(time.Microsecond).String())
 	}
+	if c.Account != "" {
+		h.Set(wire.Account, c.Account)
+	}
 	h.Set(wire.Depth, strconv.Itoa(c.Depth+1))
 	h.Set(wire.AttemptNumber, strconv.Itoa(c.Attempt+s.Attempt))
 	id := fmt.Sprintf("%s.%d.%d", entryID, c.ID, s.Attempt)
--- a/internal/logs/log.go
+++ b/internal/logs/log.go
@@ -111,7 +111,7 @@
 		upstream, domain, version = choice.Target.Name, choice.Target.Domain, choice.Target.Version
 	}
 	return []zap.Field{
-		zap.Uint64("call", c.ID), zap.String("mark", cut(c.RequestID)), zap.String("service", c.Service), zap.String("route", c.Route),
+		zap.Uint64("call", c.ID), zap.String("mark", cut(c.RequestID)), zap.String("service", c.Service), zap.String("route", c.Route), zap.String("account", c.Account),
 		zap.Stringer("step", s.Stage), zap.Stringer("reason", s.Reason), zap.Int("attempt", s.Attempt),
 		zap.String("upstream", upstream), zap.String("domain", domain), zap.String("version", version),
 		zap.Duration("wait", choice.PredictedWait), zap.Float64("load", choice.Load), zap.Float64("pace", choice.Slowdown), zap.Duration("age", choice.ReportAge),
@@ -185,7 +185,8 @@
 		upstreams += len(cfg.Targets)
 	}
 	ce.Write(zap.Int64("revision", s.Revision), zap.Int64("version", s.Version), zap.Int("rules", rules),
-		zap.Int("services", len(s.Services)), zap.Int("upstreams", upstreams), zap.Duration("lag", age), zap.String("from", s.Source))
+		zap.Int("services", len(s.Services)), zap.Int("upstreams", upstreams), zap.Duration("lag", age), zap.String("from", s.Source),
+		zap.Int("accounts", s.Accounts.Accounts()), zap.Int("keys", s.Accounts.Keys()))
 }
 
 // Panic logs a recovered panic with its value and the stack of the goroutine; requestID is that of the call it ended, if any.
--- a/internal/option/options.go
+++ b/internal/option/options.go
@@ -55,6 +55,8 @@
 	MemoryLimitBytes int64
 	// MaxConfigAge is the time within which operators expect a change of the configuration to be in force; 0 for the default.
 	MaxConfigAge time.Duration
+	// MaxKeyAge is the age of the configuration up to which calls with keys of client accounts are served; 0 for no limit.
+	MaxKeyAge time.Duration
 	// MaxFiles is the number of descriptors that the process may have; 0 if only the system's limit is known.
 	MaxFiles int
 }
@@ -82,6 +84,7 @@
 		{"stop.wait", o.DrainTimeout},
 		{"stop.handover", o.HandoverTimeout},
 		{"config.age", o.MaxConfigAge},
+		{"keys.age", o.MaxKeyAge},
 		{"limits.memory", o.MemoryLimitBytes},
 		{"limits.files", o.MaxFiles},
 	} {
@@ -133,6 +136,7 @@
 		MaxHeaderBytes:    int(s.GetBounds().GetHeader()),
 		MaxBodyBytes:      s.GetBounds().GetBody(),
 		ReadHeaderTimeout: s.GetBounds().GetRead().AsDuration(),
+		MaxKeyAge:         s.GetBounds().GetKeys().AsDuration(),
 		ShutdownDelay:     s.GetStop().GetLag().AsDuration(),
 		DrainTimeout:      s.GetStop().GetWait().AsDuration(),
 		HandoverTimeout:   defaultHandoverTimeout,
--- a/internal/peers/service.go
+++ b/internal/peers/service.go
@@ -64,7 +64,7 @@
 	now := s.clock.Now()
 	ev := event.Event{Kind: evkind.DigestReceived, Digest: codec.DigestFromProto(now, req.Msg)}
 	if at, ok := ctx.Value(arrivalKey{}).(time.Time); ok {
-		ev.Digest.Age += now.Sub(at)
+		ev.Digest.Age += clock.Elapsed(now, at)
 	}
 	e, err := s.Submit(ctx, ev)
 	if err != nil {
@@ -119,7 +119,8 @@
 	}
 	now := s.clock.Now()
 	answer := codec.DigestFromProto(now, res.Msg)
-	answer.Age += now.Sub(sent)
+	answer.Age += clock.Elapsed(now, sent)
+	answer.MatchedAt = now.Add(-answer.Age)
 	return answer, nil
 }
 
--- a/internal/proxy/body.go
+++ b/internal/proxy/body.go
@@ -167,7 +167,7 @@
 
 // streamBody makes body the request body of the only attempt.
 func (d *callDriver) streamBody(body io.ReadCloser) {
-	d.stream = &stream{ReadCloser: body}
+	d.stream = &stream{ReadCloser: body, onEOF: d.stripTrailer}
 	// HTTP/2 is always full duplex and does not need this call.
 	_ = http.NewResponseController(d.w).EnableFullDuplex()
 }
--- a/internal/proxy/claims.go
+++ b/internal/proxy/claims.go
@@ -44,7 +44,11 @@
 // binding returns what the claim of the idempotency key is bound to.
 func (d *callDriver) binding() bind.Binding {
 	headers := d.handler.Headers
-	return bind.New(headers.Account(d.r), headers.IdempotencyKey(d.r.Header), d.r.Method, d.r.URL.RequestURI(), d.body, d.buffered)
+	account := headers.Account(d.r)
+	if d.call.Account != "" {
+		account = accountPrefix + d.call.Account
+	}
+	return bind.New(account, headers.IdempotencyKey(d.r.Header), d.r.Method, d.r.URL.RequestURI(), d.body, d.buffered)
 }
 
 // endClaim records the state and the answer with which a call that holds a claim ended.
--- a/internal/proxy/driver.go
+++ b/internal/proxy/driver.go
@@ -124,6 +124,10 @@
 			s = d.probeCandidates(s)
 			continue
 		case stage.Send:
+			if why := d.handler.recheck(&d.match.identity); why != reason.None {
+				s = d.flow.Withhold(d.now(), s.Attempt, why)
+				continue
+			}
 			d.handler.Log.RouteDecision(d.call, &s)
 			d.startAttempt(s)
 		case stage.Deliver:
@@ -242,6 +246,7 @@
 	if d.buffered {
 		req.Body, req.Buffered, req.Chunked = d.body, true, d.chunked
 	} else {
+		d.stripTrailer()
 		req.Stream, req.StreamLength, req.Trailer = d.stream, d.r.ContentLength, d.r.Trailer
 		req.BodyFailed = func() bool { return d.stream.readErr() != nil }
 	}
@@ -317,6 +322,8 @@
 	switch {
 	case s.Reason == reason.KeyReused:
 		text += "; the idempotency key was used for a request with " + d.held.Binding.Differences(d.claim.Binding) + "; choose another key"
+	case s.Reason == reason.UnknownKey && status == http.StatusUnauthorized:
+		h.Set("WWW-Authenticate", challenge)
 	case s.Outcome == outcom.NotRun:
 		retryAfter = d.retryAfter(s.Choice.PredictedWait)
 	}
@@ -338,6 +345,8 @@
 		return http.StatusConflict
 	case s.Reason == reason.KeyReused:
 		return http.StatusUnprocessableEntity
+	case s.Outcome == outcom.NotRun && s.Reason == reason.UnknownKey:
+		return http.StatusUnauthorized
 	case s.Outcome == outcom.NotRun || s.Reason == reason.ClaimFailed:
 		return http.StatusServiceUnavailable
 	case s.Reason == reason.Deadline:
--- a/internal/proxy/handler.go
+++ b/internal/proxy/handler.go
@@ -28,6 +28,7 @@
 	"github.com/balsamvale/balsamvale/pkg/calls/reason"
 	"github.com/balsamvale/balsamvale/pkg/calls/result"
 	"github.com/balsamvale/balsamvale/pkg/calls/step"
+	"github.com/balsamvale/balsamvale/pkg/control/accts"
 	"github.com/balsamvale/balsamvale/pkg/records/bounds"
 	"github.com/balsamvale/balsamvale/pkg/records/retry"
 	"github.com/balsamvale/balsamvale/pkg/records/rulrec"
@@ -86,6 +87,14 @@
 	// MaxHeaderBytes is the maximum size of a request head in bytes while Bounds has none; 0 for no limit.
 	MaxHeaderBytes int
 
+	// Accounts returns the client accounts, or nil if calls need no key; it may be nil.
+	Accounts func() *accts.Table
+	// AccountsAge returns the time since Accounts was last known to match the store; negative if it never was. What is looked up in
+	// Accounts later is of that age or newer.
+	AccountsAge func() time.Duration
+	// MaxKeyAge is the age of the accounts up to which keys are accepted; 0 for no limit.
+	MaxKeyAge time.Duration
+
 	// MaxConfigAge is the age of the configuration up to which it tells that a route or service does not exist; 0 for no limit.
 	MaxConfigAge time.Duration
 
@@ -201,6 +210,9 @@
 		h.refuseUnserved(w, r, b, reason.Unconfigured, "no configuration is in force yet")
 		return routeMatch{}, false
 	}
+	if !h.identifyOrRefuse(w, r, b, &m) {
+		return routeMatch{}, false
+	}
 	if limit := h.headLimit(); limit > 0 && headSize(r) > limit {
 		h.refuseTooLarge(w, r, b, http.StatusRequestHeaderFieldsTooLarge, reason.HeaderTooLarge, "the header is too large")
 		return routeMatch{}, false
@@ -279,6 +291,7 @@
 			c.SoftDeadline = arrived.Add(m.rule.TargetLatency)
 		}
 	}
+	m.identity.apply(c)
 	key := h.Headers.IdempotencyKey(r.Header)
 	c.Fingerprint = fingerprint(svc.Name, r, key, body)
 	if key != "" && !c.Idempotent {
--- a/internal/proxy/match.go
+++ b/internal/proxy/match.go
@@ -23,8 +23,9 @@
 	rule    *rulrec.Rule
 	service *svcrec.Service
 	// pool is nil if the service of the matching rule is not known.
-	pool  *pool.Pool
-	route route.Route
+	pool     *pool.Pool
+	route    route.Route
+	identity identity
 	// requestURI is the escaped path with the query, as sent to the upstream.
 	requestURI string
 	// timeout limits the time that an interactive call may take.
--- a/internal/proxy/stream.go
+++ b/internal/proxy/stream.go
@@ -12,6 +12,8 @@
 // stream is a request body that records why reading it failed, and that can be stopped when the call ends.
 type stream struct {
 	io.ReadCloser
+	// onEOF is called when the body has been read to its end, by the goroutine that reads it; it may be nil.
+	onEOF func()
 	// mu guards err.
 	mu sync.Mutex
 	// err is the last error of a read other than io.EOF.
@@ -49,6 +51,9 @@
 	}
 	n, err := s.ReadCloser.Read(p)
 	if errors.Is(err, io.EOF) {
+		if s.onEOF != nil {
+			s.onEOF()
+		}
 		s.eof.Store(true)
 	}
 	if err != nil && !errors.Is(err, io.EOF) {
--- a/internal/wire/header.go
+++ b/internal/wire/header.go
@@ -32,6 +32,10 @@
 	Load = Prefix + "Load"
 	// Executed is set to ExecutedNone on the response of an upstream that did not run the call.
 	Executed = Prefix + "Run"
+	// AccountKey holds the key of a client account, and nothing else.
+	AccountKey = Prefix + "Key"
+	// Account holds the name of the client account of a call, for its upstream.
+	Account = Prefix + "Account"
 	// IdempotencyKey holds the idempotency key that the caller chose.
 	IdempotencyKey = "Idempotency-Key"
 )
--- a/pkg/calls/call/call.go
+++ b/pkg/calls/call/call.go
@@ -15,9 +15,11 @@
 	Service   string
 	// Route is the path prefix of the route that matched the call.
 	Route string
-	// Caller is the address of the caller.
+	// Caller identifies the caller among those that share a service: the client account, or else the address.
 	Caller string
-	Class  class.Class
+	// Account is the name of the client account; empty for a call that needs no key.
+	Account string
+	Class   class.Class
 	// Idempotent is set when the call may run more than once.
 	Idempotent bool
 	// Buffered is set when the whole request body is in memory, so that it can be sent again.
--- a/pkg/calls/reason/reason.go
+++ b/pkg/calls/reason/reason.go
@@ -75,4 +75,6 @@
 	Panicked // panic
 	// ServerOptions means that the request was an OPTIONS request for the server itself.
 	ServerOptions // options
+	// UnknownKey means that the call has no key of a client account, or that its key was removed while it waited.
+	UnknownKey // unknownkey
 )
--- /dev/null
+++ b/pkg/control/accts/doc.go
@@ -0,0 +1,2 @@
+// Package accts finds the client account of a call by its key.
+package accts
--- a/pkg/control/config/config.go
+++ b/pkg/control/config/config.go
@@ -6,8 +6,10 @@
 	"slices"
 	"time"
 
+	"github.com/balsamvale/balsamvale/pkg/control/accts"
 	"github.com/balsamvale/balsamvale/pkg/control/rules"
 	"github.com/balsamvale/balsamvale/pkg/control/shard"
+	"github.com/balsamvale/balsamvale/pkg/records/accrec"
 	"github.com/balsamvale/balsamvale/pkg/records/bounds"
 	"github.com/balsamvale/balsamvale/pkg/records/domrec"
 	"github.com/balsamvale/balsamvale/pkg/records/record"
@@ -49,7 +51,7 @@
 
 	// Revision is the highest revision at which a record was put in force or removed.
 	Revision int64
-	// OperatorRevision is the highest revision at which a service, a routing rule or Bounds was put in force or removed.
+	// OperatorRevision is the highest revision at which a service, a routing rule, Bounds or a client account was put in force or removed.
 	OperatorRevision int64
 	// Version is the number that the operators gave the last batch; 0 if there is none.
 	Version int64
@@ -75,6 +77,10 @@
 	rules map[ruleKey]*rulrec.Rule
 	// ruleTable is built from rules on demand, and nil after a change.
 	ruleTable *rules.Rules
+	// accounts holds the client accounts by name.
+	accounts map[string]*accrec.Account
+	// accountTable is built from accounts on demand, and nil after a change.
+	accountTable *accts.Table
 	// deferUntil is when the deferral of removals ends. Until then, an upstream may have been removed merely because its
 	// lease expired during an outage of the store.
 	deferUntil time.Time
@@ -117,6 +123,7 @@
 		homeDomain:  homeDomain,
 		self:        self,
 		rules:       map[ruleKey]*rulrec.Rule{},
+		accounts:    map[string]*accrec.Account{},
 		deferred:    map[string]deferredRemoval{},
 	}
 }
@@ -175,10 +182,10 @@
 // isRecord reports whether a value is a record or a batch of records.
 func isRecord(v value.Value) bool { return v.Record != nil || v.Batch != nil }
 
-// isOperators reports whether a value is a batch, or the record of a service, a routing rule or limits.
+// isOperators reports whether a value is a batch, or the record of a service, a routing rule, limits or a client account.
 func isOperators(v value.Value) bool {
 	r := v.Record
-	return v.Batch != nil || r != nil && (r.Service != nil || r.Rule != nil || r.Bounds != nil)
+	return v.Batch != nil || r != nil && (r.Service != nil || r.Rule != nil || r.Bounds != nil || r.Account != nil)
 }
 
 // selfAnnounced reports whether a value is an upstream that announces itself and is not draining.
@@ -250,6 +257,9 @@
 		c.ruleTable = nil
 	case r.Bounds != nil:
 		c.Bounds = nil
+	case r.Account != nil:
+		delete(c.accounts, r.Account.Name)
+		c.accountTable = nil
 	}
 }
 
@@ -300,6 +310,9 @@
 		c.ruleTable = nil
 	case r.Bounds != nil:
 		c.Bounds = r.Bounds
+	case r.Account != nil:
+		c.accounts[r.Account.Name] = r.Account
+		c.accountTable = nil
 	}
 }
 
@@ -336,6 +349,18 @@
 	return c.ruleTable
 }
 
+// Accounts returns the table of the client accounts, or nil when there are none.
+func (c *Config) Accounts() *accts.Table {
+	if c.accountTable == nil && len(c.accounts) > 0 {
+		list := make([]*accrec.Account, 0, len(c.accounts))
+		for _, name := range slices.Sorted(maps.Keys(c.accounts)) {
+			list = append(list, c.accounts[name])
+		}
+		c.accountTable = accts.New(list)
+	}
+	return c.accountTable
+}
+
 // NeedsShardOwners reports whether any service needs shard owners, to issue credits or to probe its upstreams.
 func (c *Config) NeedsShardOwners() bool {
 	for _, s := range c.Services {
--- a/pkg/control/contrl/control.go
+++ b/pkg/control/contrl/control.go
@@ -274,7 +274,7 @@
 		return
 	}
 	next := &snap.Snapshot{
-		Revision: c.config.Revision, Rules: c.config.Rules(), Bounds: c.config.Bounds, Services: make(map[string]*svcfg.Config, len(c.snapshot.Services)),
+		Revision: c.config.Revision, Rules: c.config.Rules(), Bounds: c.config.Bounds, Accounts: c.config.Accounts(), Services: make(map[string]*svcfg.Config, len(c.snapshot.Services)),
 		OperatorRevision: c.config.OperatorRevision, Version: c.config.Version, Source: c.source,
 	}
 	for name, cfg := range c.snapshot.Services {
--- a/pkg/control/contrl/gossip.go
+++ b/pkg/control/contrl/gossip.go
@@ -13,6 +13,7 @@
 	"github.com/balsamvale/balsamvale/pkg/events/event"
 	"github.com/balsamvale/balsamvale/pkg/events/logmsg"
 	"github.com/balsamvale/balsamvale/pkg/events/msgtyp"
+	"github.com/balsamvale/balsamvale/pkg/shared/clock"
 	"github.com/balsamvale/balsamvale/pkg/shared/tune"
 	"github.com/balsamvale/balsamvale/pkg/stored/delta"
 	"github.com/balsamvale/balsamvale/pkg/stored/item"
@@ -362,7 +363,11 @@
 func (c *Control) noteAge(d digest.Digest) {
 	// The sender's replica matched the store d.Age ago. Its revision is not above that of this entry's replica, so this
 	// one is at least as fresh.
-	if at := c.now.Add(-d.Age); c.synced && d.Revision <= c.replica.Revision() && at.After(c.peersFreshAt) && d.Revision > 0 {
+	at := d.MatchedAt
+	if at.IsZero() {
+		at = c.now.Add(-d.Age)
+	}
+	if c.synced && d.Revision <= c.replica.Revision() && at.After(c.peersFreshAt) && d.Revision > 0 {
 		c.peersFreshAt = at
 	}
 }
@@ -376,4 +381,4 @@
 }
 
 // age returns how long ago this entry's replica is last known to have matched the store.
-func (c *Control) age() time.Duration { return c.now.Sub(c.freshAt()) }
+func (c *Control) age() time.Duration { return clock.Elapsed(c.now, c.freshAt()) }
--- a/pkg/control/keys/keys.go
+++ b/pkg/control/keys/keys.go
@@ -26,7 +26,7 @@
 // Record returns the key of a record of a kind, such as "service".
 func Record(kind, name string) string { return RecordPrefix + kind + "/" + name }
 
-// IsOperators reports whether a key is that of a batch, or the record of a service, a routing rule or limits.
+// IsOperators reports whether a key is that of a batch, or the record of a service, a routing rule, limits or a client account.
 func IsOperators(key string) bool {
 	rest, ok := strings.CutPrefix(key, RecordPrefix)
 	if !ok {
--- a/pkg/events/digest/digest.go
+++ b/pkg/events/digest/digest.go
@@ -15,9 +15,12 @@
 	// Revision is the store revision up to which the sender's replica is complete.
 	Revision int64
 	// Age is the time since the sender's replica was last known to match the store.
-	Age   time.Duration
-	Facts []fact.Fact
-	Delta delta.Delta
+	Age time.Duration
+	// MatchedAt is that time by the clock of the receiver, as of the arrival of an answer; zero if it is not known. The time for which
+	// an answer waits in the receiver, for instance because its process is paused, does not make it newer.
+	MatchedAt time.Time
+	Facts     []fact.Fact
+	Delta     delta.Delta
 	// Brief is set if the sender does not ask for large changes: the receiver only offers them in its answer.
 	Brief bool
 	// Offer is set if the receiver lacks changes that are left out because they are large. It gets them if it asks for them.
--- /dev/null
+++ b/pkg/records/accrec/doc.go
@@ -0,0 +1,2 @@
+// Package accrec defines the configuration record of a client account.
+package accrec
--- a/pkg/records/record/record.go
+++ b/pkg/records/record/record.go
@@ -1,6 +1,7 @@
 package record
 
 import (
+	"github.com/balsamvale/balsamvale/pkg/records/accrec"
 	"github.com/balsamvale/balsamvale/pkg/records/bounds"
 	"github.com/balsamvale/balsamvale/pkg/records/domrec"
 	"github.com/balsamvale/balsamvale/pkg/records/rolrec"
@@ -9,7 +10,7 @@
 	"github.com/balsamvale/balsamvale/pkg/records/upsrec"
 )
 
-// Record is a service, an upstream, a failure domain, a rollout, a rule or bounds; exactly one pointer is set.
+// Record is a service, an upstream, a failure domain, a rollout, a rule, bounds or a client account; exactly one pointer is set.
 type Record struct {
 	Service  *svcrec.Service
 	Upstream *upsrec.Upstream
@@ -17,4 +18,5 @@
 	Rollout  *rolrec.Rollout
 	Rule     *rulrec.Rule
 	Bounds   *bounds.Bounds
+	Account  *accrec.Account
 }
--- a/pkg/records/rulrec/rule.go
+++ b/pkg/records/rulrec/rule.go
@@ -26,4 +26,6 @@
 	Priority int
 	// Splits lists the services that share the calls.
 	Splits []split.Split
+	// Public is set if the calls need no key of a client account.
+	Public bool
 }
--- a/pkg/shared/clock/clock.go
+++ b/pkg/shared/clock/clock.go
@@ -10,6 +10,10 @@
 	Timer(d time.Duration) (<-chan time.Time, func())
 }
 
+// Elapsed returns the time from at to now for a bound that must hold although a clock fails: the longer of what the monotonic clock
+// and the wall clock say. The monotonic clock may not count the time for which a host was suspended, and the wall clock may be set.
+func Elapsed(now, at time.Time) time.Duration { return max(now.Sub(at), now.Round(0).Sub(at.Round(0))) }
+
 type wall struct{}
 
 // Wall returns the system clock.
--- a/pkg/shared/snap/snapshot.go
+++ b/pkg/shared/snap/snapshot.go
@@ -1,6 +1,7 @@
 package snap
 
 import (
+	"github.com/balsamvale/balsamvale/pkg/control/accts"
 	"github.com/balsamvale/balsamvale/pkg/control/rules"
 	"github.com/balsamvale/balsamvale/pkg/records/bounds"
 	"github.com/balsamvale/balsamvale/pkg/shared/svcfg"
@@ -16,7 +17,9 @@
 	Rules *rules.Rules
 	// Bounds limits what callers may send; nil applies the limits of the settings.
 	Bounds *bounds.Bounds
-	// OperatorRevision is the highest store revision at which a service, a routing rule or the limits changed; 0 if there was none.
+	// Accounts finds the client account of a call; when it is nil, calls need no key.
+	Accounts *accts.Table
+	// OperatorRevision is the highest store revision at which a service, a routing rule, the limits or a client account changed; 0 if there was none.
 	OperatorRevision int64
 	// Version is the number that the operators gave their configuration; 0 if it has none.
 	Version int64
--- a/pkg/stored/batch/batch.go
+++ b/pkg/stored/batch/batch.go
@@ -9,4 +9,6 @@
 	Version int64
 	// Warnings says what of the set applies only in part.
 	Warnings []string
+	// AccountErrors says what of the client accounts of the set is invalid and left out. No text contains a key.
+	AccountErrors []string
 }
