--- a/internal/replay/call.go
+++ b/internal/replay/call.go
@@ -39,6 +39,8 @@
 	// latency is the time from createdAt to the first answer.
 	latency  time.Duration
 	answered bool
+	// unheard is set once an attempt was lost because its upstream had no room.
+	unheard bool
 	// resends counts how often the caller has sent a poison call again.
 	resends int
 	// abandoned is set once the caller has given up waiting.
@@ -308,6 +310,9 @@
 func (req *simRequest) sendAttempt(s step.Step) {
 	e, u := req.entry, req.entry.sim.byName[s.Choice.Target.Name]
 	e.sim.counters.attempts++
+	if e.domain != u.domain {
+		e.sim.counters.remoteAttempts++
+	}
 	e.sim.countDuringFault(u)
 	e.sim.log("%s send call %d attempt %d to %s (%v)", e.name, req.call.id, s.Attempt, u.name, s.Reason)
 	a := &simAttempt{call: req.call, id: s.Attempt, sentAt: e.now(), entry: e}
--- a/internal/replay/faults.go
+++ b/internal/replay/faults.go
@@ -79,6 +79,8 @@
 		s.forEachEntry(f, func(e *entry) { e.killed = true })
 	case pb.Fault_PAUSE:
 		s.forEachEntry(f, func(e *entry) { e.pausedUntil = s.events.now.Add(f.GetLast().AsDuration()) })
+	case pb.Fault_THROTTLE:
+		s.forEachEntry(f, func(e *entry) { s.throttle(e, f, s.events.now.Add(f.GetLast().AsDuration())) })
 	case pb.Fault_STORE:
 		s.storage.down = true
 	case pb.Fault_LOST:
@@ -149,6 +151,22 @@
 	s.events.after(f.GetEvery().AsDuration(), func() { s.applyNoise(f, until) })
 }
 
+// throttle lets the entry stand still for a part of each period of the fault, until a time. The periods of the entries begin at
+// different times.
+func (s *Sim) throttle(e *entry, f *pb.Fault, until time.Time) {
+	period := f.GetEvery().AsDuration()
+	stall := time.Duration(percentFactor(f) * float64(period))
+	var repeat func()
+	repeat = func() {
+		if s.events.now.After(until) || e.killed {
+			return
+		}
+		e.pausedUntil = s.events.now.Add(stall)
+		s.events.after(period, repeat)
+	}
+	s.events.after(time.Duration(s.rand.Int64N(int64(period))), repeat)
+}
+
 // noisyPercent is the probability that an upstream has a noisy neighbour, in percent.
 const noisyPercent = 15
 
--- a/internal/replay/figures.go
+++ b/internal/replay/figures.go
@@ -18,6 +18,8 @@
 type counters struct {
 	// attempts counts the attempts that entries have sent.
 	attempts int
+	// remoteAttempts counts those that went to another failure domain.
+	remoteAttempts int
 	// runs counts the attempts that upstreams began to run.
 	runs          int
 	crashes       int
@@ -95,9 +97,46 @@
 	s.addLatencyFigures(out)
 	s.addCallFigures(out)
 	s.addRolloutFigures(out)
+	s.addSpreadFigures(out)
 	return out
 }
 
+// addSpreadFigures adds the figures of how the attempts are spread over upstreams and failure domains, and of those lost at
+// full upstreams. They cover the whole trace.
+func (s *Sim) addSpreadFigures(out map[pb.Bound_Figure]float64) {
+	unheard := 0
+	for _, c := range s.calls {
+		if c.unheard {
+			unheard++
+		}
+	}
+	out[pb.Bound_UNHEARD] = float64(unheard) / float64(max(1, len(s.calls)))
+	out[pb.Bound_REMOTE] = float64(s.counters.remoteAttempts) / float64(max(1, s.counters.attempts))
+	for from := s.trace.GetSkip().AsDuration(); from+spreadWindow <= s.trace.GetLength().AsDuration(); from += spreadWindow {
+		busiest, total := 0, 0
+		for _, u := range s.upstreams {
+			n := u.startsWithin(s.callsStart.Add(from), s.callsStart.Add(from+spreadWindow))
+			busiest, total = max(busiest, n), total+n
+		}
+		mean := float64(total) / float64(len(s.upstreams))
+		out[pb.Bound_SPREAD] = max(out[pb.Bound_SPREAD], float64(busiest)/max(mean, 1))
+	}
+}
+
+// spreadWindow is the length of the windows of SPREAD.
+const spreadWindow = 5 * time.Second
+
+// startsWithin counts the attempts that began to run from one time until another.
+func (u *upstream) startsWithin(from, to time.Time) int {
+	n := 0
+	for _, at := range u.starts {
+		if !at.Before(from) && at.Before(to) {
+			n++
+		}
+	}
+	return n
+}
+
 // addRolloutFigures adds the figures of the trace's rollout.
 func (s *Sim) addRolloutFigures(out map[pb.Bound_Figure]float64) {
 	if len(s.calls) > 0 {
--- a/internal/replay/trace.go
+++ b/internal/replay/trace.go
@@ -31,8 +31,8 @@
 		return nil, eris.Wrapf(tomlpb.ErrInvalid, "%s: a trace needs at least one [[bound]]", name)
 	}
 	for i, fault := range t.GetFault() {
-		if fault.GetKind() == pb.Fault_NOISE && fault.GetEvery().AsDuration() <= 0 {
-			return nil, eris.Wrapf(tomlpb.ErrInvalid, "%s: fault %d: noise needs every, the time between two draws", name, i+1)
+		if (fault.GetKind() == pb.Fault_NOISE || fault.GetKind() == pb.Fault_THROTTLE) && fault.GetEvery().AsDuration() <= 0 {
+			return nil, eris.Wrapf(tomlpb.ErrInvalid, "%s: fault %d: %s needs every, the time between its repetitions", name, i+1, strings.ToLower(fault.GetKind().String()))
 		}
 	}
 	return t, nil
--- a/internal/replay/upstream.go
+++ b/internal/replay/upstream.go
@@ -42,6 +42,8 @@
 	// from the record that restored its failure domain.
 	coldKnownAt [2]time.Time
 	probes      []time.Time
+	// starts are the times at which attempts began to run.
+	starts []time.Time
 	// coldInFlight counts the attempts in flight that were sent after the cold start could be known.
 	coldInFlight int
 }
@@ -104,8 +106,8 @@
 
 // accept queues an attempt or ends it at once.
 //
-// It sheds the attempt when the upstream is draining, has a full queue or is subject to the shed fault. It fails the attempt
-// or crashes when another fault requires that.
+// It sheds the attempt when the upstream is draining or is subject to the shed fault, and treats it as the trace says when
+// the queue is full. It fails the attempt or crashes when another fault requires that.
 func (u *upstream) accept(a *simAttempt) {
 	if u.down {
 		a.fail(cause.Unsent)
@@ -115,9 +117,12 @@
 	u.checkColdLimit(a)
 	u.checkDrained(a)
 	switch {
-	case u.draining || (u.running >= u.slots() && len(u.queue) >= int(u.sim.trace.GetFleet().GetBacklog())):
+	case u.draining:
 		u.releaseCold(a)
 		u.respond(a, result.Result{Cause: cause.Shed, Status: 503})
+	case u.running >= u.slots() && len(u.queue) >= int(u.sim.trace.GetFleet().GetBacklog()):
+		u.releaseCold(a)
+		u.rejectFull(a)
 	case u.sim.shedFraction > 0 && u.sim.rand.Float64() < u.sim.shedFraction:
 		u.releaseCold(a)
 		u.respond(a, result.Result{Cause: cause.Shed, Status: 503})
@@ -136,6 +141,20 @@
 	}
 }
 
+// rejectFull treats an attempt that finds the queue full as the trace says: it sheds it, never answers it or resets its
+// connection.
+func (u *upstream) rejectFull(a *simAttempt) {
+	switch u.sim.trace.GetFleet().GetFull() {
+	case pb.Fleet_MUTE:
+		a.call.unheard = true
+	case pb.Fleet_RESETS:
+		a.call.unheard = true
+		a.fail(cause.ConnBroken)
+	default:
+		u.respond(a, result.Result{Cause: cause.Shed, Status: 503})
+	}
+}
+
 // slots returns the number of calls that the upstream runs at a time.
 func (u *upstream) slots() int { return int(u.sim.trace.GetFleet().GetSlots()) }
 
@@ -224,6 +243,7 @@
 func (u *upstream) countRun(a *simAttempt) {
 	a.call.runs++
 	u.sim.counters.runs++
+	u.starts = append(u.starts, u.sim.events.now)
 	if u.onBadVersion(a) {
 		u.sim.counters.badVersionRuns++
 		u.sim.counters.lastBadRun = u.sim.events.now
