--- a/pkg/shared/tune/constants.go
+++ b/pkg/shared/tune/constants.go
@@ -77,6 +77,19 @@
 	MaxCallGap = 100 * time.Millisecond
 )
 
+// Order and refusal of the calls that wait for admission.
+const (
+	// MaxWorkRules bounds the routing rules of a service whose run times an entry keeps apart.
+	MaxWorkRules = 64
+	// MinWorkSamples is the number of calls from which the run time of a routing rule is used. An entry of a large fleet gets
+	// about one call of a kind in a second.
+	MinWorkSamples = 5
+	// WorkFactor is the ratio of two mean run times from which calls of a service differ in work.
+	WorkFactor = 1.5
+	// WorkDeviations is the number of standard deviations by which the means must differ besides.
+	WorkDeviations = 4
+)
+
 // Attempts, retries and queueing of a call.
 const (
 	// MaxAttempts is the number of attempts, each at another upstream, after which a call is not retried.
--- a/pkg/traffic/admit/limiter.go
+++ b/pkg/traffic/admit/limiter.go
@@ -22,6 +22,10 @@
 // Limiter admits calls up to a limit that follows the load of the upstreams. It is not safe for concurrent use: its
 // owner must lock it.
 type Limiter[T any] struct {
+	// RunTime returns the expected run time of a call of a routing rule, where mean is that of all calls of the service; nil
+	// returns the mean.
+	RunTime func(rule string, mean time.Duration) time.Duration
+
 	// limit is the admission limit; its fraction is progress towards the next whole number.
 	limit float64
 	// inFlight is the number of admitted calls that were not released yet.
@@ -51,15 +55,16 @@
 // Acquire admits a call (stage.Probe), lets it wait (stage.Wait) or refuses it (stage.Refuse). wait is the predicted time
 // until there is room for it.
 //
-// runTime is the expected time that a call takes once it is admitted, maxQueue is the number of calls that may wait, and value
+// mean is the expected time that a call of the service takes once it is admitted, maxQueue is the number of calls that may wait, and value
 // is what AdmitNext returns for the call if it waits.
-func (l *Limiter[T]) Acquire(now time.Time, c *call.Call, runTime time.Duration, maxQueue int, value T) (s stage.Stage, wait time.Duration) {
+func (l *Limiter[T]) Acquire(now time.Time, c *call.Call, mean time.Duration, maxQueue int, value T) (s stage.Stage, wait time.Duration) {
 	if l.inFlight < l.Limit() && len(l.queue) == 0 {
 		l.inFlight++
 		return stage.Probe, 0
 	}
-	wait = l.wait(c, now, runTime)
-	if len(l.queue) >= maxQueue || wait+runTime > c.TimeLeft(now, wait+runTime) {
+	wait = l.wait(c, now, mean)
+	took := wait + l.runTime(c, mean)
+	if len(l.queue) >= maxQueue || took > c.TimeLeft(now, took) {
 		return stage.Refuse, wait
 	}
 	l.queue = append(l.queue, waiter[T]{c, value})
@@ -67,14 +72,24 @@
 }
 
 // wait predicts how long a call waits behind the waiting calls that go before it.
-func (l *Limiter[T]) wait(c *call.Call, now time.Time, runTime time.Duration) time.Duration {
-	ahead := 1
+//
+// Each takes the average time between two releases, times the ratio of its run time to the mean.
+func (l *Limiter[T]) wait(c *call.Call, now time.Time, mean time.Duration) time.Duration {
+	ahead := 1.0
 	for i := range l.queue {
-		if compare(now, runTime, l.queue[i].call, c) <= 0 {
-			ahead++
+		if l.compare(now, mean, l.queue[i].call, c) <= 0 {
+			ahead += float64(l.runTime(l.queue[i].call, mean)) / float64(max(1, mean))
 		}
 	}
-	return time.Duration(ahead) * l.avgReleaseGap
+	return time.Duration(ahead * float64(l.avgReleaseGap))
+}
+
+// runTime returns the expected time that a call takes once it is admitted.
+func (l *Limiter[T]) runTime(c *call.Call, mean time.Duration) time.Duration {
+	if l.RunTime == nil {
+		return mean
+	}
+	return l.RunTime(c.Route, mean)
 }
 
 // Release frees the place of an admitted call, and updates the average time between two releases.
@@ -96,10 +111,10 @@
 }
 
 // AdmitNext removes the waiting calls that can no longer end before their deadline, returned as expired, and then admits
-// waiting calls while there is room. runTime is the expected time that a call takes once it is admitted.
-func (l *Limiter[T]) AdmitNext(now time.Time, runTime time.Duration) (admitted, expired []T) {
+// waiting calls while there is room. mean is the expected time that a call of the service takes once it is admitted.
+func (l *Limiter[T]) AdmitNext(now time.Time, mean time.Duration) (admitted, expired []T) {
 	l.queue = slices.DeleteFunc(l.queue, func(w waiter[T]) bool {
-		if runTime < w.call.TimeLeft(now, runTime+1) {
+		if run := l.runTime(w.call, mean); run < w.call.TimeLeft(now, run+1) {
 			return false
 		}
 		expired = append(expired, w.value)
@@ -108,7 +123,7 @@
 	for l.inFlight < l.Limit() && len(l.queue) > 0 {
 		best := 0
 		for i := range l.queue {
-			if compare(now, runTime, l.queue[i].call, l.queue[best].call) < 0 {
+			if l.compare(now, mean, l.queue[i].call, l.queue[best].call) < 0 {
 				best = i
 			}
 		}
@@ -140,8 +155,8 @@
 
 // compare orders waiting calls: first those that can still meet their soft deadline, then by priority, then the newest, which
 // has the most time left.
-func compare(now time.Time, runTime time.Duration, a, b *call.Call) int {
-	lateA, lateB := missesSoftDeadline(now, runTime, a), missesSoftDeadline(now, runTime, b)
+func (l *Limiter[T]) compare(now time.Time, mean time.Duration, a, b *call.Call) int {
+	lateA, lateB := missesSoftDeadline(now, l.runTime(a, mean), a), missesSoftDeadline(now, l.runTime(b, mean), b)
 	switch {
 	case lateA != lateB && lateA:
 		return 1
--- a/pkg/traffic/admit/limiter_test.go
+++ b/pkg/traffic/admit/limiter_test.go
@@ -128,6 +128,34 @@
 		})
 	}
 
+	// With one run time of 232 ms for the service, calls of 64 ms with a target of 200 ms counted as late from the start.
+	for _, tc := range []struct {
+		rule string
+		left time.Duration
+		want stage.Stage
+	}{
+		{"short", 100 * time.Millisecond, stage.Wait},
+		{"long", 100 * time.Millisecond, stage.Refuse},
+		{"long", 500 * time.Millisecond, stage.Wait},
+	} {
+		It("takes the run time of the routing rule for a call, "+tc.rule+" with "+tc.left.String()+" left", func() {
+			l := fullLimiter()
+			l.RunTime = func(rule string, _ time.Duration) time.Duration {
+				return map[string]time.Duration{"short": 64 * time.Millisecond, "long": 400 * time.Millisecond}[rule]
+			}
+			long, c := arrival{"long", 0, 0, time.Second, time.Second}.call(), arrival{"c", time.Millisecond, 0, 200 * time.Millisecond, tc.left}.call()
+			long.Route, c.Route = "long", tc.rule
+			_, _ = l.Acquire(start, long, 232*time.Millisecond, 10, "long")
+			s, _ := l.Acquire(start, c, 232*time.Millisecond, 10, "c")
+			Expect(s).To(Equal(tc.want))
+			if tc.want == stage.Wait && tc.rule == "short" {
+				l.Release(start)
+				admitted, _ := l.AdmitNext(start.Add(10*time.Millisecond), 232*time.Millisecond)
+				Expect(admitted).To(Equal([]string{"c"}), "the call of 64 ms is not late")
+			}
+		})
+	}
+
 	It("removes a waiting call", func() {
 		l := fullLimiter()
 		c := arrival{"a", 0, 0, time.Second, time.Second}.call()
--- a/pkg/traffic/pool/admission.go
+++ b/pkg/traffic/pool/admission.go
@@ -29,7 +29,7 @@
 		return choice.Choice{Stage: stage.Probe, At: now}
 	}
 	ch := choice.Choice{At: now, AdmitLimit: p.limiter.Limit(), AdmitWaiting: p.limiter.Len()}
-	ch.Stage, ch.PredictedWait = p.limiter.Acquire(now, c, p.typicalRunTime(), p.config.Service.Queue, &waiter{call: c, wake: wake})
+	ch.Stage, ch.PredictedWait = p.limiter.Acquire(now, c, p.avgRunTime, p.config.Service.Queue, &waiter{call: c, wake: wake})
 	switch ch.Stage {
 	case stage.Wait:
 		ch.Reason = reason.AtCapacity
@@ -81,7 +81,7 @@
 
 // admitNext admits waiting calls up to the limit and refuses those that can no longer meet their deadline; unlock wakes both.
 func (p *Pool) admitNext(now time.Time) {
-	admitted, expired := p.limiter.AdmitNext(now, p.typicalRunTime())
+	admitted, expired := p.limiter.AdmitNext(now, p.avgRunTime)
 	for _, w := range admitted {
 		w.decision = choice.Choice{Stage: stage.Probe, At: now}
 	}
@@ -92,9 +92,6 @@
 	p.toWake = append(append(p.toWake, admitted...), expired...)
 }
 
-// typicalRunTime returns the expected run time of a call at an upstream that is not slowed down.
-func (p *Pool) typicalRunTime() time.Duration { return p.avgRunTime }
-
 // adaptLimit adapts the admission limit to the load that the result of an attempt shows at its upstream. A report above
 // tune.KneeUtilization lowers the limit, and any other report raises it. Without a report, a shed call lowers it and an
 // answer that is not a failure raises it.
--- a/pkg/traffic/pool/pool.go
+++ b/pkg/traffic/pool/pool.go
@@ -23,6 +23,7 @@
 	"github.com/balsamvale/balsamvale/pkg/traffic/budget"
 	"github.com/balsamvale/balsamvale/pkg/traffic/canary"
 	"github.com/balsamvale/balsamvale/pkg/traffic/queue"
+	"github.com/balsamvale/balsamvale/pkg/traffic/work"
 )
 
 // Pool is the traffic state of one service in one entry; it is safe for concurrent use.
@@ -59,6 +60,9 @@
 	// avgRunTime is the average run time of the calls of the service, and runTimeSamples the number of run times behind it.
 	avgRunTime     time.Duration
 	runTimeSamples int
+	// work holds the run times by routing rule. Only admission uses them: they make the choice of an upstream worse
+	// (docs/DESIGN.md, "Run times by route").
+	work work.Estimator
 	// avgSlowdown is the average slowdown that upstreams report, and slowdownSamples the number of reports behind it.
 	avgSlowdown     float64
 	slowdownSamples int
@@ -105,7 +109,7 @@
 
 // New returns a pool without upstreams.
 func New(rnd *rand.Rand, p policy.Policy) *Pool {
-	return &Pool{
+	pl := &Pool{
 		rand:        rnd,
 		policy:      p,
 		byName:      map[string]*upstreamState{},
@@ -115,6 +119,8 @@
 		avgRunTime:  tune.InitialRunTime,
 		avgSlowdown: 1,
 	}
+	pl.limiter.RunTime = pl.work.RunTime
+	return pl
 }
 
 // Install applies a new configuration of the service and keeps what is known about upstreams whose name and address stay.
--- a/pkg/traffic/pool/upstream.go
+++ b/pkg/traffic/pool/upstream.go
@@ -283,7 +283,7 @@
 		s.markRecovered(p, now)
 		s.failureRate -= tune.FailureRateWeight * s.failureRate
 		if !ch.Bulk && !ch.At.Before(p.resumedAt) {
-			s.observeRunTime(p, now, r.Latency)
+			p.work.Observe(ch.Route, s.observeRunTime(p, now, r.Latency))
 		}
 	default:
 		s.breaker.Fail(now)
@@ -305,19 +305,20 @@
 }
 
 // observeCanceled takes the time that a canceled call was given as a run time if that, less the round trip, exceeds the
-// average of the upstream, since the call would have taken longer still.
+// average of the upstream, since the call would have taken longer still. It is no run time of its routing rule, whose calls may
+// all take longer than the average.
 func (s *upstreamState) observeCanceled(p *Pool, now time.Time, ch *choice.Choice) {
 	took := now.Sub(ch.At)
 	if !ch.Bulk && !ch.At.Before(p.resumedAt) && took-2*s.target.Delay > s.avgRunTime {
-		s.observeRunTime(p, now, took)
+		_ = s.observeRunTime(p, now, took)
 	}
 }
 
-// observeRunTime adds the time that one call took to the average run times.
+// observeRunTime adds the time that one call took to the average run times, and returns what it took as the run time.
 //
 // The round trip is subtracted first. If a load report came with the answer, the time is then divided by the slowdown, and
 // by the load relative to the slots where that exceeds 1.
-func (s *upstreamState) observeRunTime(p *Pool, now time.Time, took time.Duration) {
+func (s *upstreamState) observeRunTime(p *Pool, now time.Time, took time.Duration) time.Duration {
 	run := max(0, took-2*s.target.Delay)
 	if s.slowdown > 0 && s.reportAt.Equal(now) {
 		run = time.Duration(float64(run) / s.slowdown)
@@ -332,6 +333,7 @@
 	s.runTimeAt = now
 	p.runTimeSamples++
 	p.avgRunTime += time.Duration(meanWeight(p.runTimeSamples) * float64(run-p.avgRunTime))
+	return run
 }
 
 // recordReport updates the state of the upstream from a load report, unless that is nil or of an earlier incarnation.
