--- a/pkg/shared/tune/constants.go
+++ b/pkg/shared/tune/constants.go
@@ -88,6 +88,17 @@
 	WorkFactor = 1.5
 	// WorkDeviations is the number of standard deviations by which the means must differ besides.
 	WorkDeviations = 4
+	// MaxKinds bounds the kinds of calls of a service, by routing rule and priority, that an entry counts.
+	MaxKinds = 64
+	// KindDecay is the time in which the weight of an arrival or admission falls to 1/e.
+	KindDecay = 2 * time.Second
+	// KindMemory is the time since the last call of a kind after which the kind no longer counts as present.
+	KindMemory = 5 * time.Second
+	// StarvedPart is the part of the share of all calls that are served below which a kind starves. It is above a quarter,
+	// which is the promise, as a kind is noticed only once it is below.
+	StarvedPart = 0.3
+	// MinFreeShare is the smallest share of the limit that predictions leave to the calls of a low priority.
+	MinFreeShare = 0.1
 )
 
 // Attempts, retries and queueing of a call.
--- a/pkg/traffic/admit/limiter.go
+++ b/pkg/traffic/admit/limiter.go
@@ -2,7 +2,7 @@
 
 /*
 Acquire admits a call while fewer than the limit are in flight, and lets it wait otherwise. Release frees the place of
-an admitted call, and AdmitNext admits the next waiting calls, by soft deadline and priority. Adapt changes the limit
+an admitted call, and AdmitNext admits the next waiting calls, in the order of sched.Scheduler. Adapt changes the limit
 with the load of the upstreams: it grows by one over about as many good answers as the limit, and shrinks by a part of
 itself after each answer that shows high load.
 
@@ -17,6 +17,7 @@
 	"github.com/balsamvale/balsamvale/pkg/calls/call"
 	"github.com/balsamvale/balsamvale/pkg/calls/stage"
 	"github.com/balsamvale/balsamvale/pkg/shared/tune"
+	"github.com/balsamvale/balsamvale/pkg/traffic/sched"
 )
 
 // Limiter admits calls up to a limit that follows the load of the upstreams. It is not safe for concurrent use: its
@@ -29,8 +30,9 @@
 	// limit is the admission limit; its fraction is progress towards the next whole number.
 	limit float64
 	// inFlight is the number of admitted calls that were not released yet.
-	inFlight int
-	queue    []waiter[T]
+	inFlight  int
+	queue     []waiter[T]
+	scheduler sched.Scheduler
 	// avgReleaseGap is the average time between two releases, where a gap counts at most tune.MaxCallGap, and lastRelease the
 	// time of the last release.
 	avgReleaseGap time.Duration
@@ -55,25 +57,62 @@
 // Acquire admits a call (stage.Probe), lets it wait (stage.Wait) or refuses it (stage.Refuse). wait is the predicted time
 // until there is room for it.
 //
-// mean is the expected time that a call of the service takes once it is admitted, maxQueue is the number of calls that may wait, and value
-// is what AdmitNext returns for the call if it waits.
+// mean is the expected time that a call of the service takes once it is admitted, maxQueue is the number of calls that may
+// wait, and value is what AdmitNext returns for the call if it waits.
 func (l *Limiter[T]) Acquire(now time.Time, c *call.Call, mean time.Duration, maxQueue int, value T) (s stage.Stage, wait time.Duration) {
-	if l.inFlight < l.Limit() && len(l.queue) == 0 {
-		l.inFlight++
+	run := l.runTime(c, mean)
+	l.scheduler.Arrive(now, c, run)
+	l.scheduler.Advance(now)
+	if l.inFlight < l.Limit() && (len(l.queue) == 0 || l.scheduler.Mixed() && !l.waitsBehind(now, c, mean)) {
+		l.admit(c)
 		return stage.Probe, 0
 	}
 	wait = l.wait(c, now, mean)
-	took := wait + l.runTime(c, mean)
-	if len(l.queue) >= maxQueue || took > c.TimeLeft(now, took) {
+	if len(l.queue) >= maxQueue || wait+run > c.TimeLeft(now, wait+run) {
+		l.scheduler.Refuse(c)
 		return stage.Refuse, wait
 	}
 	l.queue = append(l.queue, waiter[T]{c, value})
 	return stage.Wait, wait
 }
 
+// Displace removes the waiting call that goes last, to make room for a call that arrives, and reports whether it did: where
+// calls have several priorities, if the queue is full and the call ranks higher.
+func (l *Limiter[T]) Displace(now time.Time, c *call.Call, mean time.Duration, maxQueue int) (value T, ok bool) {
+	l.scheduler.Advance(now)
+	if !l.scheduler.Mixed() || len(l.queue) < maxQueue || len(l.queue) == 0 {
+		return value, false
+	}
+	last := 0
+	for i := range l.queue {
+		if l.compare(now, mean, l.queue[i].call, l.queue[last].call) > 0 {
+			last = i
+		}
+	}
+	w := l.queue[last]
+	if l.scheduler.Rank(now, c, w.call, l.runTime(c, mean), l.runTime(w.call, mean)) >= 0 {
+		return value, false
+	}
+	l.scheduler.Refuse(w.call)
+	l.queue = slices.Delete(l.queue, last, last+1)
+	return w.value, true
+}
+
+// waitsBehind reports whether a waiting call goes before a call.
+func (l *Limiter[T]) waitsBehind(now time.Time, c *call.Call, mean time.Duration) bool {
+	return slices.ContainsFunc(l.queue, func(w waiter[T]) bool { return l.compare(now, mean, w.call, c) < 0 })
+}
+
+// admit counts a call as in flight.
+func (l *Limiter[T]) admit(c *call.Call) {
+	l.inFlight++
+	l.scheduler.Admit(c)
+}
+
 // wait predicts how long a call waits behind the waiting calls that go before it.
 //
-// Each takes the average time between two releases, times the ratio of its run time to the mean.
+// Each takes the average time between two releases, times the ratio of its run time to the mean, and longer by what calls of
+// higher priority that arrive meanwhile take.
 func (l *Limiter[T]) wait(c *call.Call, now time.Time, mean time.Duration) time.Duration {
 	ahead := 1.0
 	for i := range l.queue {
@@ -81,7 +120,12 @@
 			ahead += float64(l.runTime(l.queue[i].call, mean)) / float64(max(1, mean))
 		}
 	}
-	return time.Duration(ahead * float64(l.avgReleaseGap))
+	return time.Duration(ahead * float64(l.avgReleaseGap) / l.scheduler.FreeShare(c, l.Limit()))
+}
+
+// compare orders two waiting calls.
+func (l *Limiter[T]) compare(now time.Time, mean time.Duration, a, b *call.Call) int {
+	return l.scheduler.Compare(now, a, b, l.runTime(a, mean), l.runTime(b, mean))
 }
 
 // runTime returns the expected time that a call takes once it is admitted.
@@ -117,9 +161,11 @@
 		if run := l.runTime(w.call, mean); run < w.call.TimeLeft(now, run+1) {
 			return false
 		}
+		l.scheduler.Refuse(w.call)
 		expired = append(expired, w.value)
 		return true
 	})
+	l.scheduler.Advance(now)
 	for l.inFlight < l.Limit() && len(l.queue) > 0 {
 		best := 0
 		for i := range l.queue {
@@ -127,9 +173,9 @@
 				best = i
 			}
 		}
+		l.admit(l.queue[best].call)
 		admitted = append(admitted, l.queue[best].value)
 		l.queue = slices.Delete(l.queue, best, best+1)
-		l.inFlight++
 	}
 	return admitted, expired
 }
@@ -152,23 +198,3 @@
 	l.queue = nil
 	return values
 }
-
-// compare orders waiting calls: first those that can still meet their soft deadline, then by priority, then the newest, which
-// has the most time left.
-func (l *Limiter[T]) compare(now time.Time, mean time.Duration, a, b *call.Call) int {
-	lateA, lateB := missesSoftDeadline(now, l.runTime(a, mean), a), missesSoftDeadline(now, l.runTime(b, mean), b)
-	switch {
-	case lateA != lateB && lateA:
-		return 1
-	case lateA != lateB:
-		return -1
-	case a.Priority != b.Priority:
-		return a.Priority - b.Priority
-	}
-	return b.Arrived.Compare(a.Arrived)
-}
-
-// missesSoftDeadline reports whether a call would end after its soft deadline if it were admitted now.
-func missesSoftDeadline(now time.Time, runTime time.Duration, c *call.Call) bool {
-	return !c.SoftDeadline.IsZero() && now.Add(runTime).After(c.SoftDeadline)
-}
--- a/pkg/traffic/pool/admission.go
+++ b/pkg/traffic/pool/admission.go
@@ -28,6 +28,9 @@
 	if !p.usesAdmission() {
 		return choice.Choice{Stage: stage.Probe, At: now}
 	}
+	if w, ok := p.limiter.Displace(now, c, p.avgRunTime, p.config.Service.Queue); ok {
+		p.refuseAdmission(now, w, reason.AdmissionLimit)
+	}
 	ch := choice.Choice{At: now, AdmitLimit: p.limiter.Limit(), AdmitWaiting: p.limiter.Len()}
 	ch.Stage, ch.PredictedWait = p.limiter.Acquire(now, c, p.avgRunTime, p.config.Service.Queue, &waiter{call: c, wake: wake})
 	switch ch.Stage {
@@ -85,11 +88,17 @@
 	for _, w := range admitted {
 		w.decision = choice.Choice{Stage: stage.Probe, At: now}
 	}
+	p.toWake = append(p.toWake, admitted...)
 	for _, w := range expired {
-		w.decision = refusal(now, reason.Deadline)
-		w.decision.AdmitLimit, w.decision.AdmitWaiting = p.limiter.Limit(), p.limiter.Len()
+		p.refuseAdmission(now, w, reason.Deadline)
 	}
-	p.toWake = append(append(p.toWake, admitted...), expired...)
+}
+
+// refuseAdmission refuses a call that has waited for admission; unlock wakes it.
+func (p *Pool) refuseAdmission(now time.Time, w *waiter, why reason.Reason) {
+	w.decision = refusal(now, why)
+	w.decision.AdmitLimit, w.decision.AdmitWaiting = p.limiter.Limit(), p.limiter.Len()
+	p.toWake = append(p.toWake, w)
 }
 
 // adaptLimit adapts the admission limit to the load that the result of an attempt shows at its upstream. A report above
--- /dev/null
+++ b/pkg/traffic/sched/doc.go
@@ -0,0 +1,2 @@
+// Package sched orders the calls of one service that wait for admission, by what their delay or refusal costs callers.
+package sched
--- /dev/null
+++ b/pkg/traffic/sched/scheduler_test.go
@@ -0,0 +1,63 @@
+package sched_test
+
+import (
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/balsamvale/balsamvale/pkg/calls/call"
+	"github.com/balsamvale/balsamvale/pkg/traffic/sched"
+)
+
+var start = time.Unix(1000, 0)
+
+const runTime = 100 * time.Millisecond
+
+// newCall returns a call that arrived at a time after start and has a target latency.
+func newCall(priority, attempt int, at, target time.Duration) *call.Call {
+	arrived := start.Add(at)
+	return &call.Call{Route: "/r", Priority: priority, Attempt: attempt, Arrived: arrived, SoftDeadline: arrived.Add(target)}
+}
+
+var _ = Describe("Scheduler", func() {
+	for _, tc := range []struct {
+		name string
+		// admitted and refused are the calls of each priority that were decided on before.
+		admitted, refused []int
+		first, second     *call.Call
+	}{
+		{"takes the newest first where all calls have one priority, whatever their soft deadline", []int{10}, []int{0},
+			newCall(0, 0, 2*time.Millisecond, time.Second), newCall(0, 0, time.Millisecond, 500*time.Millisecond)},
+		{"does not look at repeats where all calls have one priority", []int{10}, []int{0},
+			newCall(0, 0, 2*time.Millisecond, time.Second), newCall(0, 1, time.Millisecond, time.Second)},
+		{"takes the earlier soft deadline among calls of one of several priorities", []int{10, 10}, []int{0, 0},
+			newCall(0, 0, time.Millisecond, 500*time.Millisecond), newCall(0, 0, 2*time.Millisecond, time.Second)},
+		{"takes a call without a soft deadline last among them", []int{10, 10}, []int{0, 0},
+			newCall(0, 0, time.Millisecond, time.Second), &call.Call{Route: "/r", Arrived: start}},
+		{"takes a repeat before a first call of several priorities", []int{10, 10}, []int{0, 0},
+			newCall(1, 1, 2*time.Millisecond, time.Second), newCall(1, 0, time.Millisecond, time.Second)},
+		{"takes the higher priority first", []int{10, 3}, []int{0, 7}, newCall(0, 0, 0, time.Second), newCall(1, 0, 0, 200*time.Millisecond)},
+		{"takes a kind first that is served less than a quarter as often as all, so that priority starves none", []int{20, 1}, []int{0, 19},
+			newCall(1, 0, 0, time.Second), newCall(0, 0, 0, 200*time.Millisecond)},
+	} {
+		It(tc.name, func() {
+			s := &sched.Scheduler{}
+			for priority := range tc.admitted {
+				for i := range tc.admitted[priority] + tc.refused[priority] {
+					c := newCall(priority, 0, 0, time.Second)
+					s.Arrive(start, c, runTime)
+					if i < tc.admitted[priority] {
+						s.Admit(c)
+					} else {
+						s.Refuse(c)
+					}
+				}
+			}
+			now := start.Add(10 * time.Millisecond)
+			s.Advance(now)
+			Expect(s.Compare(now, tc.first, tc.second, runTime, runTime)).To(BeNumerically("<", 0))
+			Expect(s.Compare(now, tc.second, tc.first, runTime, runTime)).To(BeNumerically(">", 0))
+		})
+	}
+})
