--- a/pkg/shared/tune/constants.go
+++ b/pkg/shared/tune/constants.go
@@ -97,6 +97,8 @@
 	// StarvedPart is the part of the share of all calls that are served below which a kind starves. It is above a quarter,
 	// which is the promise, as a kind is noticed only once it is below.
 	StarvedPart = 0.3
+	// MinReserveRate is the number of calls in a second below which no place is reserved for a kind: one call counts for 3 s.
+	MinReserveRate = 0.1
 	// MinFreeShare is the smallest share of the limit that predictions leave to the calls of a low priority.
 	MinFreeShare = 0.1
 )
--- a/pkg/traffic/admit/limiter.go
+++ b/pkg/traffic/admit/limiter.go
@@ -29,10 +29,11 @@
 
 	// limit is the admission limit; its fraction is progress towards the next whole number.
 	limit float64
-	// inFlight is the number of admitted calls that were not released yet.
-	inFlight  int
-	queue     []waiter[T]
-	scheduler sched.Scheduler
+	// inFlight is the number of admitted calls that were not released yet, and inFlightBy that number by priority.
+	inFlight   int
+	inFlightBy map[int]int
+	queue      []waiter[T]
+	scheduler  sched.Scheduler
 	// avgReleaseGap is the average time between two releases, where a gap counts at most tune.MaxCallGap, and lastRelease the
 	// time of the last release.
 	avgReleaseGap time.Duration
@@ -46,7 +47,9 @@
 }
 
 // New returns a limiter with the limit tune.AdmitLimitInitial.
-func New[T any]() *Limiter[T] { return &Limiter[T]{limit: tune.AdmitLimitInitial} }
+func New[T any]() *Limiter[T] {
+	return &Limiter[T]{limit: tune.AdmitLimitInitial, inFlightBy: map[int]int{}}
+}
 
 // Len returns the number of calls that wait for admission.
 func (l *Limiter[T]) Len() int { return len(l.queue) }
@@ -63,7 +66,7 @@
 	run := l.runTime(c, mean)
 	l.scheduler.Arrive(now, c, run)
 	l.scheduler.Advance(now)
-	if l.inFlight < l.Limit() && (len(l.queue) == 0 || l.scheduler.Mixed() && !l.waitsBehind(now, c, mean)) {
+	if l.hasRoom(c) && (len(l.queue) == 0 || l.scheduler.Mixed() && !l.waitsBehind(now, c, mean)) {
 		l.admit(c)
 		return stage.Probe, 0
 	}
@@ -80,7 +83,7 @@
 // calls have several priorities, if the queue is full and the call ranks higher.
 func (l *Limiter[T]) Displace(now time.Time, c *call.Call, mean time.Duration, maxQueue int) (value T, ok bool) {
 	l.scheduler.Advance(now)
-	if !l.scheduler.Mixed() || len(l.queue) < maxQueue || len(l.queue) == 0 {
+	if !l.scheduler.Mixed() || len(l.queue) < maxQueue || len(l.queue) == 0 || l.hasRoom(c) {
 		return value, false
 	}
 	last := 0
@@ -98,14 +101,34 @@
 	return w.value, true
 }
 
-// waitsBehind reports whether a waiting call goes before a call.
+// hasRoom reports whether a call may be admitted: fewer calls than the limit are in flight, and those of its priority and lower
+// ones leave the places that are reserved for higher ones.
+func (l *Limiter[T]) hasRoom(c *call.Call) bool {
+	if l.inFlight >= l.Limit() {
+		return false
+	}
+	reserved := l.scheduler.Reserved(c, l.Limit())
+	if reserved == 0 {
+		return true
+	}
+	n := 0
+	for priority, inFlight := range l.inFlightBy {
+		if priority >= c.Priority {
+			n += inFlight
+		}
+	}
+	return n < l.Limit()-reserved
+}
+
+// waitsBehind reports whether a waiting call for which there is room goes before a call.
 func (l *Limiter[T]) waitsBehind(now time.Time, c *call.Call, mean time.Duration) bool {
-	return slices.ContainsFunc(l.queue, func(w waiter[T]) bool { return l.compare(now, mean, w.call, c) < 0 })
+	return slices.ContainsFunc(l.queue, func(w waiter[T]) bool { return l.compare(now, mean, w.call, c) < 0 && l.hasRoom(w.call) })
 }
 
 // admit counts a call as in flight.
 func (l *Limiter[T]) admit(c *call.Call) {
 	l.inFlight++
+	l.inFlightBy[c.Priority]++
 	l.scheduler.Admit(c)
 }
 
@@ -137,8 +160,11 @@
 }
 
 // Release frees the place of an admitted call, and updates the average time between two releases.
-func (l *Limiter[T]) Release(now time.Time) {
+func (l *Limiter[T]) Release(now time.Time, c *call.Call) {
 	l.inFlight = max(0, l.inFlight-1)
+	if l.inFlightBy[c.Priority]--; l.inFlightBy[c.Priority] <= 0 {
+		delete(l.inFlightBy, c.Priority)
+	}
 	if gap := now.Sub(l.lastRelease); !l.lastRelease.IsZero() && gap >= 0 {
 		l.avgReleaseGap += time.Duration(tune.AverageWeight * float64(min(gap, tune.MaxCallGap)-l.avgReleaseGap))
 	}
@@ -166,20 +192,29 @@
 		return true
 	})
 	l.scheduler.Advance(now)
-	for l.inFlight < l.Limit() && len(l.queue) > 0 {
-		best := 0
-		for i := range l.queue {
-			if l.compare(now, mean, l.queue[i].call, l.queue[best].call) < 0 {
-				best = i
-			}
+	for l.inFlight < l.Limit() {
+		i := l.next(now, mean)
+		if i < 0 {
+			break
 		}
-		l.admit(l.queue[best].call)
-		admitted = append(admitted, l.queue[best].value)
-		l.queue = slices.Delete(l.queue, best, best+1)
+		l.admit(l.queue[i].call)
+		admitted = append(admitted, l.queue[i].value)
+		l.queue = slices.Delete(l.queue, i, i+1)
 	}
 	return admitted, expired
 }
 
+// next returns the index of the first waiting call in the order for which there is room, or -1.
+func (l *Limiter[T]) next(now time.Time, mean time.Duration) int {
+	best := -1
+	for i := range l.queue {
+		if (best < 0 || l.compare(now, mean, l.queue[i].call, l.queue[best].call) < 0) && l.hasRoom(l.queue[i].call) {
+			best = i
+		}
+	}
+	return best
+}
+
 // Remove removes a waiting call and reports whether it was waiting.
 func (l *Limiter[T]) Remove(c *call.Call) bool {
 	i := slices.IndexFunc(l.queue, func(w waiter[T]) bool { return w.call == c })
--- a/pkg/traffic/admit/limiter_test.go
+++ b/pkg/traffic/admit/limiter_test.go
@@ -80,7 +80,7 @@
 			_, expired := l.AdmitNext(now, runTime)
 			Expect(expired).To(Equal(tc.expired))
 			for _, want := range tc.admitted {
-				l.Release(now)
+				l.Release(now, tc.arrivals[0].call())
 				admitted, _ := l.AdmitNext(now, runTime)
 				Expect(admitted).To(Equal([]string{want}))
 			}
@@ -149,7 +149,7 @@
 			s, _ := l.Acquire(start, c, 232*time.Millisecond, 10, "c")
 			Expect(s).To(Equal(tc.want))
 			if tc.want == stage.Wait && tc.rule == "short" {
-				l.Release(start)
+				l.Release(start, c)
 				admitted, _ := l.AdmitNext(start.Add(10*time.Millisecond), 232*time.Millisecond)
 				Expect(admitted).To(Equal([]string{"c"}), "the call of 64 ms is not late")
 			}
--- a/pkg/traffic/admit/load_test.go
+++ b/pkg/traffic/admit/load_test.go
@@ -124,6 +124,9 @@
 	for l.Limit() < m.slots {
 		l.Adapt(false)
 	}
+	for l.Limit() > m.slots {
+		l.Adapt(true)
+	}
 	l.RunTime = func(rule string, _ time.Duration) time.Duration {
 		return kinds[slices.IndexFunc(kinds, func(k kind) bool { return k.rule == rule })].run
 	}
@@ -134,7 +137,7 @@
 		}
 		return l.Acquire(now, j.Call, meanRun, queueSize, j)
 	}
-	m.leave = func(now time.Time, _ *job) { l.Release(now) }
+	m.leave = func(now time.Time, j *job) { l.Release(now, j.Call) }
 	m.next = func(now time.Time) (begin, refused []*job) {
 		begin, refused = l.AdmitNext(now, meanRun)
 		refused, displaced = append(refused, displaced...), nil
@@ -221,7 +224,9 @@
 	for _, tc := range []struct {
 		slots int
 		load  float64
-	}{{8, 1.3}, {8, 2}, {24, 1.3}, {24, 2}} {
+		// urgent is the least part of the urgent calls that end in time.
+		urgent float64
+	}{{3, 1.3, 0.95}, {3, 2, 0.95}, {8, 1.3, 0.98}, {8, 2, 0.98}, {24, 1.3, 0.98}, {24, 2, 0.98}} {
 		It(fmt.Sprintf("loses less than with one order for all at %d slots and a load of %v, and starves none", tc.slots, tc.load), func() {
 			sum := func(use func(m *model)) (loss float64, inTime, answered [2]float64) {
 				var all model
@@ -247,6 +252,8 @@
 					Expect(loss).To(BeNumerically("<", 0.5*l))
 				}
 			}
+			Expect(inTime[0]).To(BeNumerically(">=", tc.urgent))
+			Expect(answered[0]).To(BeNumerically(">=", answered[1]-0.05), "a higher priority is not served less often")
 			Expect(answered[1]).To(BeNumerically(">=", 0.25), "at least a quarter as often as all")
 		})
 	}
--- a/pkg/traffic/flow/flow.go
+++ b/pkg/traffic/flow/flow.go
@@ -272,7 +272,7 @@
 	case stage.Send:
 		f.pool.Release(now, &ch)
 	case stage.Probe:
-		f.pool.ReleaseAdmission(now)
+		f.pool.ReleaseAdmission(now, f.call)
 	}
 }
 
@@ -283,7 +283,7 @@
 func (f *Flow) CloseOthers(now time.Time, winner int) {
 	if f.admitted {
 		f.admitted = false
-		f.pool.ReleaseAdmission(now)
+		f.pool.ReleaseAdmission(now, f.call)
 	}
 	for id := range f.attempts {
 		if id == winner || !f.attempts[id].open {
--- a/pkg/traffic/pool/admission.go
+++ b/pkg/traffic/pool/admission.go
@@ -65,14 +65,14 @@
 
 // ReleaseAdmission frees the place of an admitted call, which has ended or whose response is about to be delivered, and
 // admits waiting calls.
-func (p *Pool) ReleaseAdmission(now time.Time) {
+func (p *Pool) ReleaseAdmission(now time.Time, c *call.Call) {
 	p.mu.Lock()
 	defer p.unlock()
 	if !p.usesAdmission() {
 		return
 	}
 	now = p.advanceTime(now)
-	p.limiter.Release(now)
+	p.limiter.Release(now, c)
 	p.admitNext(now)
 }
 
--- a/pkg/traffic/sched/scheduler.go
+++ b/pkg/traffic/sched/scheduler.go
@@ -6,6 +6,9 @@
 newest goes first, which has the most time left. Where it has several, those of one priority go by soft deadline, and a kind
 of call (a routing rule and a priority) that is served far less often than all calls goes before the others until it is not,
 so that the order starves none.
+
+Long calls that hold all places keep an urgent call waiting longer than its target latency, in whatever order it waits. A part
+of the places is therefore kept from lower priorities, by the places that calls of higher priority have taken lately.
 */
 
 import (
@@ -134,6 +137,16 @@
 	return 1
 }
 
+// Reserved returns how many of the places of an admission limit a call must leave to the calls of higher priority that arrive:
+// those that they take on average and one standard deviation more, but not all places. It is 0 for a kind that starves.
+func (s *Scheduler) Reserved(c *call.Call, limit int) int {
+	if !s.mixed || s.starved(c) {
+		return 0
+	}
+	demand := s.demand(c)
+	return max(0, min(limit-1, int(math.Ceil(demand+math.Sqrt(demand)))))
+}
+
 // FreeShare returns the share of the limit that the calls of higher priority leave to a call, at least tune.MinFreeShare.
 func (s *Scheduler) FreeShare(c *call.Call, limit int) float64 {
 	if !s.mixed || s.starved(c) {
@@ -147,7 +160,9 @@
 	n := 0.0
 	for i := range s.kinds {
 		if k := &s.kinds[i]; k.priority < c.Priority {
-			n += k.arrived * float64(k.run) / float64(tune.KindDecay)
+			if rate := k.arrived / tune.KindDecay.Seconds(); rate >= tune.MinReserveRate {
+				n += rate * k.run.Seconds()
+			}
 		}
 	}
 	return n
