--- a/internal/proxy/driver.go
+++ b/internal/proxy/driver.go
@@ -318,19 +318,13 @@
 	case s.Reason == reason.KeyReused:
 		text += "; the idempotency key was used for a request with " + d.held.Binding.Differences(d.claim.Binding) + "; choose another key"
 	case s.Outcome == outcom.NotRun:
-		retryAfter = d.retryAfter(s.Choice.PredictedWait)
+		retryAfter = s.Choice.RetryDelay()
 	}
 	d.handler.Headers.PrepareRefusal(h, &s, retryAfter)
 	d.closeUnlessBodyRead()
 	http.Error(d.w, text, status)
 }
 
-// retryAfter returns the time after which a refused caller may find capacity: the predicted wait, but at least
-// tune.MinRetryAfter.
-func (d *callDriver) retryAfter(wait time.Duration) time.Duration {
-	return max(tune.MinRetryAfter, wait)
-}
-
 // refusalStatus returns the HTTP status of a refusal.
 func refusalStatus(s step.Step) int {
 	switch {
--- a/internal/replay/call.go
+++ b/internal/replay/call.go
@@ -409,7 +409,7 @@
 		return
 	}
 	req.call.retriedAfterRefusal = true
-	delay := max(tune.MinRetryAfter, refusal.Choice.PredictedWait)
+	delay := refusal.Choice.RetryDelay()
 	if s.chance(load.GetRash()) {
 		delay = 0
 	}
--- a/pkg/calls/choice/choice.go
+++ b/pkg/calls/choice/choice.go
@@ -1,11 +1,13 @@
 package choice
 
 import (
+	"cmp"
 	"time"
 
 	"github.com/balsamvale/balsamvale/pkg/calls/reason"
 	"github.com/balsamvale/balsamvale/pkg/calls/stage"
 	"github.com/balsamvale/balsamvale/pkg/shared/target"
+	"github.com/balsamvale/balsamvale/pkg/shared/tune"
 )
 
 // Choice is the decision to send, admit, queue or refuse a call.
@@ -19,6 +21,8 @@
 	At time.Time
 	// PredictedWait is the expected time until the response.
 	PredictedWait time.Duration
+	// RetryAfter is when the caller of a refused call may come back; 0 for the predicted wait.
+	RetryAfter time.Duration
 	// Load is the predicted number of calls at the target; Slowdown is how much longer than usual work takes there, as a
 	// factor.
 	Load, Slowdown float64
@@ -40,3 +44,9 @@
 	// The Skipped fields count the upstreams that were ruled out, by the first reason that applied.
 	SkippedUnavailable, SkippedDraining, SkippedCold, SkippedCircuitOpen, SkippedConnLimit, SkippedBusy, SkippedLimited, SkippedPaused, SkippedTried int
 }
+
+// RetryDelay returns the time after which the caller of a refused call may find capacity: RetryAfter or the predicted wait, but
+// at least tune.MinRetryAfter.
+func (c *Choice) RetryDelay() time.Duration {
+	return max(tune.MinRetryAfter, cmp.Or(c.RetryAfter, c.PredictedWait))
+}
--- a/pkg/shared/tune/constants.go
+++ b/pkg/shared/tune/constants.go
@@ -99,6 +99,11 @@
 	StarvedPart = 0.3
 	// MinReserveRate is the number of calls in a second below which no place is reserved for a kind: one call counts for 3 s.
 	MinReserveRate = 0.1
+	// HopelessInterval is the time between two searches for waiting calls whose deadline will pass, which sort the calls.
+	HopelessInterval = 20 * time.Millisecond
+	// HopelessFactor is how much faster than lately waiting calls may be admitted before one counts as hopeless. With 1, calls
+	// were refused that the end of a burst would have let through.
+	HopelessFactor = 2
 	// MinFreeShare is the smallest share of the limit that predictions leave to the calls of a low priority.
 	MinFreeShare = 0.1
 )
--- a/pkg/traffic/admit/limiter.go
+++ b/pkg/traffic/admit/limiter.go
@@ -38,6 +38,8 @@
 	// time of the last release.
 	avgReleaseGap time.Duration
 	lastRelease   time.Time
+	// checkedAt is when the waiting calls were last searched for hopeless ones.
+	checkedAt time.Time
 }
 
 // waiter is a call that waits for admission, with the value that its owner passed to Acquire.
@@ -180,8 +182,18 @@
 	l.limit = min(tune.AdmitLimitMax, l.limit+1/l.limit)
 }
 
+// RetryAfter returns when the caller of a call that is refused may come back, or 0 where calls have one priority: it may then
+// come back after the predicted wait. random returns numbers from 0 to 1.
+func (l *Limiter[T]) RetryAfter(now time.Time, c *call.Call, mean time.Duration, random func() float64) time.Duration {
+	if !l.scheduler.Mixed() {
+		return 0
+	}
+	return l.scheduler.RetryAfter(l.wait(c, now, mean), l.runTime(c, mean), c.TimeLeft(now, 0), random)
+}
+
 // AdmitNext removes the waiting calls that can no longer end before their deadline, returned as expired, and then admits
-// waiting calls while there is room. mean is the expected time that a call of the service takes once it is admitted.
+// waiting calls while there is room. Where calls have several priorities, it also removes those that would wait too long
+// behind the calls that go before them. mean is the expected time that a call of the service takes once it is admitted.
 func (l *Limiter[T]) AdmitNext(now time.Time, mean time.Duration) (admitted, expired []T) {
 	l.queue = slices.DeleteFunc(l.queue, func(w waiter[T]) bool {
 		if run := l.runTime(w.call, mean); run < w.call.TimeLeft(now, run+1) {
@@ -201,9 +213,32 @@
 		admitted = append(admitted, l.queue[i].value)
 		l.queue = slices.Delete(l.queue, i, i+1)
 	}
+	if l.scheduler.Mixed() && now.Sub(l.checkedAt) >= tune.HopelessInterval {
+		l.checkedAt = now
+		expired = append(expired, l.removeHopeless(now, mean)...)
+	}
 	return admitted, expired
 }
 
+// removeHopeless removes and returns the waiting calls whose deadline passes while the calls that wait before them are admitted,
+// even if they are admitted tune.HopelessFactor times as fast as lately.
+func (l *Limiter[T]) removeHopeless(now time.Time, mean time.Duration) (removed []T) {
+	slices.SortStableFunc(l.queue, func(a, b waiter[T]) int { return l.compare(now, mean, a.call, b.call) })
+	ahead := 1.0
+	l.queue = slices.DeleteFunc(l.queue, func(w waiter[T]) bool {
+		run := l.runTime(w.call, mean)
+		took := time.Duration(ahead*float64(l.avgReleaseGap)/tune.HopelessFactor) + run
+		if took > w.call.TimeLeft(now, took) {
+			l.scheduler.Refuse(w.call)
+			removed = append(removed, w.value)
+			return true
+		}
+		ahead += float64(run) / float64(max(1, mean))
+		return false
+	})
+	return removed
+}
+
 // next returns the index of the first waiting call in the order for which there is room, or -1.
 func (l *Limiter[T]) next(now time.Time, mean time.Duration) int {
 	best := -1
--- a/pkg/traffic/admit/limiter_test.go
+++ b/pkg/traffic/admit/limiter_test.go
@@ -31,8 +31,10 @@
 }
 
 // fullLimiter returns a limiter that has admitted as many calls as its limit.
-func fullLimiter() *admit.Limiter[string] {
-	l := admit.New[string]()
+func fullLimiter() *admit.Limiter[string] { return refill(admit.New[string]()) }
+
+// refill lets a limiter without calls admit as many as its limit.
+func refill(l *admit.Limiter[string]) *admit.Limiter[string] {
 	for range tune.AdmitLimitInitial {
 		s, _ := l.Acquire(start, arrival{deadline: time.Second}.call(), runTime, 10, "")
 		Expect(s).To(Equal(stage.Probe))
@@ -104,6 +106,34 @@
 		})
 	}
 
+	// Calls of a low priority were held until their deadline behind those of a higher one.
+	for _, tc := range []struct {
+		name     string
+		priority int
+		ahead    int
+		hopeless []string
+	}{
+		{"keeps a call that waits behind few of a higher priority", 1, 3, nil},
+		{"refuses a call at once that waits behind too many of a higher priority", 1, 30, []string{"low"}},
+		{"keeps calls of one priority until their deadline", 0, 30, nil},
+	} {
+		It(tc.name, func() {
+			l := fullLimiter()
+			for i := range 100 {
+				l.Release(start.Add(time.Duration(i)*50*time.Millisecond-5*time.Second), arrival{}.call())
+			}
+			l = refill(l)
+			low := arrival{"low", 0, tc.priority, 400 * time.Millisecond, 600 * time.Millisecond}
+			s, _ := l.Acquire(start, low.call(), runTime, 64, low.name)
+			Expect(s).To(Equal(stage.Wait))
+			for range tc.ahead {
+				_, _ = l.Acquire(start, arrival{"high", time.Millisecond, 0, 2 * time.Second, 2 * time.Second}.call(), runTime, 64, "high")
+			}
+			_, expired := l.AdmitNext(start.Add(2*time.Millisecond), runTime)
+			Expect(expired).To(Equal(tc.hopeless))
+		})
+	}
+
 	for _, tc := range []struct {
 		name       string
 		overloaded int
--- a/pkg/traffic/admit/load_test.go
+++ b/pkg/traffic/admit/load_test.go
@@ -48,9 +48,11 @@
 	rand  *rand.Rand
 	slots int
 	// enter passes an arrival to the queue, leave the end of a call; next returns the calls that begin and those that are refused.
-	enter                     func(now time.Time, j *job) (s stage.Stage, wait time.Duration)
-	leave                     func(now time.Time, j *job)
-	next                      func(now time.Time) (begin, refused []*job)
+	enter func(now time.Time, j *job) (s stage.Stage, wait time.Duration)
+	leave func(now time.Time, j *job)
+	next  func(now time.Time) (begin, refused []*job)
+	// retryAfter is what a call is told that is refused after it has waited.
+	retryAfter                func(now time.Time, j *job) time.Duration
 	running                   []*job
 	returns                   map[time.Time][]*job
 	arrived, inTime, answered [2]float64
@@ -81,7 +83,7 @@
 			m.begin(now, j)
 		}
 		for _, j := range refused {
-			m.refuse(now, j, 0)
+			m.refuse(now, j, m.retryAfter(now, j))
 		}
 	}
 }
@@ -130,13 +132,16 @@
 	l.RunTime = func(rule string, _ time.Duration) time.Duration {
 		return kinds[slices.IndexFunc(kinds, func(k kind) bool { return k.rule == rule })].run
 	}
+	back := rand.New(rand.NewPCG(1, 1))
 	var displaced []*job
 	m.enter = func(now time.Time, j *job) (stage.Stage, time.Duration) {
 		if d, ok := l.Displace(now, j.Call, meanRun, queueSize); ok {
 			displaced = append(displaced, d)
 		}
-		return l.Acquire(now, j.Call, meanRun, queueSize, j)
+		s, wait := l.Acquire(now, j.Call, meanRun, queueSize, j)
+		return s, cmp.Or(m.retryAfter(now, j), wait)
 	}
+	m.retryAfter = func(now time.Time, j *job) time.Duration { return l.RetryAfter(now, j.Call, meanRun, back.Float64) }
 	m.leave = func(now time.Time, j *job) { l.Release(now, j.Call) }
 	m.next = func(now time.Time) (begin, refused []*job) {
 		begin, refused = l.AdmitNext(now, meanRun)
@@ -150,6 +155,7 @@
 	var queue []*job
 	var gap time.Duration
 	last := start
+	m.retryAfter = func(time.Time, *job) time.Duration { return 0 }
 	m.enter = func(now time.Time, j *job) (stage.Stage, time.Duration) {
 		if len(m.running) < m.slots && len(queue) == 0 {
 			return stage.Probe, 0
--- a/pkg/traffic/pool/admission.go
+++ b/pkg/traffic/pool/admission.go
@@ -39,6 +39,7 @@
 		p.notifyWaiting()
 	case stage.Refuse:
 		ch.Reason = reason.AdmissionLimit
+		ch.RetryAfter = p.limiter.RetryAfter(now, c, p.avgRunTime, p.rand.Float64)
 	}
 	return ch
 }
@@ -98,6 +99,7 @@
 func (p *Pool) refuseAdmission(now time.Time, w *waiter, why reason.Reason) {
 	w.decision = refusal(now, why)
 	w.decision.AdmitLimit, w.decision.AdmitWaiting = p.limiter.Limit(), p.limiter.Len()
+	w.decision.RetryAfter = p.limiter.RetryAfter(now, w.call, p.avgRunTime, p.rand.Float64)
 	p.toWake = append(p.toWake, w)
 }
 
--- a/pkg/traffic/sched/scheduler.go
+++ b/pkg/traffic/sched/scheduler.go
@@ -155,6 +155,25 @@
 	return max(tune.MinFreeShare, 1-s.demand(c)/float64(max(1, limit)))
 }
 
+// RetryAfter returns when the caller of a refused call may come back: after the predicted wait, at a random time up to twice as
+// long, so that those who are refused together do not return together. left is the time until the deadline, 0 for none.
+//
+// Callers that are told more than a third of the time that they have left do not come back. It keeps to that third where the
+// call could still end in time after it, and returns more than that otherwise.
+func (s *Scheduler) RetryAfter(wait, run, left time.Duration, random func() float64) time.Duration {
+	wait = max(wait, tune.MinRetryAfter)
+	third := left / 3
+	switch {
+	case left != 0 && wait+run > left:
+		return max(wait, third+1)
+	case left == 0 || 2*wait <= third:
+		return wait + time.Duration(random()*float64(wait))
+	}
+	// Where the predicted wait exceeds the third, other entries may have room before.
+	earliest := min(wait, third*3/4)
+	return earliest + time.Duration(random()*float64(third-earliest))
+}
+
 // demand returns the mean number of places that the calls of a higher priority than c need.
 func (s *Scheduler) demand(c *call.Call) float64 {
 	n := 0.0
--- a/pkg/traffic/sched/scheduler_test.go
+++ b/pkg/traffic/sched/scheduler_test.go
@@ -60,4 +60,30 @@
 			Expect(s.Compare(now, tc.second, tc.first, runTime, runTime)).To(BeNumerically(">", 0))
 		})
 	}
+
+	// Callers that were refused together came back together, or too late, or although nothing could be done for them.
+	for _, tc := range []struct {
+		name                  string
+		wait, run, left       time.Duration
+		earliest, latestBound time.Duration
+	}{
+		{"spreads returns over the wait and as long again", 100 * time.Millisecond, runTime, 2 * time.Second, 100 * time.Millisecond, 200 * time.Millisecond},
+		{"asks for the shortest time at least", 0, runTime, 2 * time.Second, 50 * time.Millisecond, 100 * time.Millisecond},
+		{"keeps to a third of the time left", 500 * time.Millisecond, runTime, 1800 * time.Millisecond, 450 * time.Millisecond, 600 * time.Millisecond},
+		{"keeps to a third if the wait is longer but the call could still end in time", time.Second, runTime, 1800 * time.Millisecond, 450 * time.Millisecond, 600 * time.Millisecond},
+		{"tells a hopeless caller the truth", 2 * time.Second, runTime, 1800 * time.Millisecond, 2 * time.Second, 2 * time.Second},
+		{"tells a caller without time for the call more than a third", 50 * time.Millisecond, 400 * time.Millisecond, 300 * time.Millisecond, 100 * time.Millisecond, 101 * time.Millisecond},
+		{"spreads returns of calls without a deadline", 100 * time.Millisecond, runTime, 0, 100 * time.Millisecond, 200 * time.Millisecond},
+	} {
+		It("when it tells refused callers to come back, "+tc.name, func() {
+			at := func(random float64) time.Duration {
+				return (&sched.Scheduler{}).RetryAfter(tc.wait, tc.run, tc.left, func() float64 { return random })
+			}
+			Expect(at(0)).To(BeNumerically(">=", tc.earliest))
+			Expect(at(1)).To(BeNumerically("<=", tc.latestBound))
+			if tc.latestBound-tc.earliest > time.Millisecond {
+				Expect(at(1) - at(0)).To(BeNumerically(">=", 50*time.Millisecond))
+			}
+		})
+	}
 })
