--- a/pkg/shared/tune/constants.go
+++ b/pkg/shared/tune/constants.go
@@ -80,6 +80,39 @@
 	MaxCallGap = 100 * time.Millisecond
 )
 
+// Order and refusal of the calls that wait for admission.
+const (
+	// MaxWorkRules bounds the routing rules of a service whose run times an entry keeps apart.
+	MaxWorkRules = 64
+	// MinWorkSamples is the number of calls from which the run time of a routing rule is used. An entry of a large fleet gets
+	// about one call of a kind in a second.
+	MinWorkSamples = 5
+	// WorkFactor is the ratio of two mean run times from which calls of a service differ in work.
+	WorkFactor = 1.5
+	// WorkDeviations is the number of standard deviations by which the means must differ besides.
+	WorkDeviations = 4
+	// MaxKinds bounds the kinds of calls of a service, by routing rule and priority, that an entry counts.
+	MaxKinds = 64
+	// KindDecay is the time in which the weight of an arrival or admission falls to 1/e.
+	KindDecay = 2 * time.Second
+	// KindMemory is the time since the last call of a kind after which the kind no longer counts as present.
+	KindMemory = 5 * time.Second
+	// StarvedPart is the part of the share of all calls that are served below which a kind starves. It is above a quarter,
+	// which is the promise, as a kind is noticed only once it is below.
+	StarvedPart = 0.3
+	// PriorityMargin is by how much a kind of a lower priority may be served more often than one of a higher priority.
+	PriorityMargin = 0.05
+	// MinReserveRate is the number of calls in a second below which no place is reserved for a kind: one call counts for 3 s.
+	MinReserveRate = 0.1
+	// HopelessInterval is the time between two searches for waiting calls whose deadline will pass, which sort the calls.
+	HopelessInterval = 20 * time.Millisecond
+	// HopelessFactor is how much faster than lately waiting calls may be admitted before one counts as hopeless. With 1, calls
+	// were refused that the end of a burst would have let through.
+	HopelessFactor = 2
+	// MinFreeShare is the smallest share of the limit that predictions leave to the calls of a low priority.
+	MinFreeShare = 0.1
+)
+
 // Attempts, retries and queueing of a call.
 const (
 	// MaxAttempts is the number of attempts, each at another upstream, after which a call is not retried.
--- a/pkg/traffic/admit/limit.go
+++ b/pkg/traffic/admit/limit.go
@@ -4,7 +4,7 @@
 
 // New returns a limiter that starts with a limit.
 func New[T any](initial int) *Limiter[T] {
-	return &Limiter[T]{limit: float64(initial), initial: initial}
+	return &Limiter[T]{limit: float64(initial), initial: initial, inFlightBy: map[int]int{}}
 }
 
 // SetInitial changes the initial limit, which follows the number of entries and upstreams.
--- a/pkg/traffic/admit/limiter_test.go
+++ b/pkg/traffic/admit/limiter_test.go
@@ -31,8 +31,10 @@
 }
 
 // fullLimiter returns a limiter that has admitted as many calls as its limit.
-func fullLimiter() *admit.Limiter[string] {
-	l := admit.New[string](tune.AdmitLimitInitial)
+func fullLimiter() *admit.Limiter[string] { return refill(admit.New[string](tune.AdmitLimitInitial)) }
+
+// refill lets a limiter without calls admit as many as its limit.
+func refill(l *admit.Limiter[string]) *admit.Limiter[string] {
 	for range tune.AdmitLimitInitial {
 		s, _ := l.Acquire(start, arrival{deadline: time.Second}.call(), runTime, 10, "")
 		Expect(s).To(Equal(stage.Probe))
@@ -80,7 +82,7 @@
 			_, expired := l.AdmitNext(now, runTime)
 			Expect(expired).To(Equal(tc.expired))
 			for _, want := range tc.admitted {
-				l.Release(now)
+				l.Release(now, tc.arrivals[0].call())
 				admitted, _ := l.AdmitNext(now, runTime)
 				Expect(admitted).To(Equal([]string{want}))
 			}
@@ -104,6 +106,34 @@
 		})
 	}
 
+	// Calls of a low priority were held until their deadline behind those of a higher one.
+	for _, tc := range []struct {
+		name     string
+		priority int
+		ahead    int
+		hopeless []string
+	}{
+		{"keeps a call that waits behind few of a higher priority", 1, 3, nil},
+		{"refuses a call at once that waits behind too many of a higher priority", 1, 30, []string{"low"}},
+		{"keeps calls of one priority until their deadline", 0, 30, nil},
+	} {
+		It(tc.name, func() {
+			l := fullLimiter()
+			for i := range 100 {
+				l.Release(start.Add(time.Duration(i)*50*time.Millisecond-5*time.Second), arrival{}.call())
+			}
+			l = refill(l)
+			low := arrival{"low", 0, tc.priority, 400 * time.Millisecond, 600 * time.Millisecond}
+			s, _ := l.Acquire(start, low.call(), runTime, 64, low.name)
+			Expect(s).To(Equal(stage.Wait))
+			for range tc.ahead {
+				_, _ = l.Acquire(start, arrival{"high", time.Millisecond, 0, 2 * time.Second, 2 * time.Second}.call(), runTime, 64, "high")
+			}
+			_, expired := l.AdmitNext(start.Add(2*time.Millisecond), runTime)
+			Expect(expired).To(Equal(tc.hopeless))
+		})
+	}
+
 	for _, tc := range []struct {
 		name       string
 		overloaded int
@@ -128,6 +158,34 @@
 		})
 	}
 
+	// With one run time of 232 ms for the service, calls of 64 ms with a target of 200 ms counted as late from the start.
+	for _, tc := range []struct {
+		rule string
+		left time.Duration
+		want stage.Stage
+	}{
+		{"short", 100 * time.Millisecond, stage.Wait},
+		{"long", 100 * time.Millisecond, stage.Refuse},
+		{"long", 500 * time.Millisecond, stage.Wait},
+	} {
+		It("takes the run time of the routing rule for a call, "+tc.rule+" with "+tc.left.String()+" left", func() {
+			l := fullLimiter()
+			l.RunTime = func(rule string, _ time.Duration) time.Duration {
+				return map[string]time.Duration{"short": 64 * time.Millisecond, "long": 400 * time.Millisecond}[rule]
+			}
+			long, c := arrival{"long", 0, 0, time.Second, time.Second}.call(), arrival{"c", time.Millisecond, 0, 200 * time.Millisecond, tc.left}.call()
+			long.Route, c.Route = "long", tc.rule
+			_, _ = l.Acquire(start, long, 232*time.Millisecond, 10, "long")
+			s, _ := l.Acquire(start, c, 232*time.Millisecond, 10, "c")
+			Expect(s).To(Equal(tc.want))
+			if tc.want == stage.Wait && tc.rule == "short" {
+				l.Release(start, c)
+				admitted, _ := l.AdmitNext(start.Add(10*time.Millisecond), 232*time.Millisecond)
+				Expect(admitted).To(Equal([]string{"c"}), "the call of 64 ms is not late")
+			}
+		})
+	}
+
 	It("removes a waiting call", func() {
 		l := fullLimiter()
 		c := arrival{"a", 0, 0, time.Second, time.Second}.call()
--- a/pkg/traffic/pool/admission.go
+++ b/pkg/traffic/pool/admission.go
@@ -28,14 +28,18 @@
 	if !p.usesAdmission() {
 		return choice.Choice{Stage: stage.Probe, At: now}
 	}
+	if w, ok := p.limiter.Displace(now, c, p.avgRunTime, p.config.Service.Queue); ok {
+		p.refuseAdmission(now, w, reason.AdmissionLimit)
+	}
 	ch := choice.Choice{At: now, AdmitLimit: p.limiter.Limit(), AdmitWaiting: p.limiter.Len()}
-	ch.Stage, ch.PredictedWait = p.limiter.Acquire(now, c, p.typicalRunTime(), p.config.Service.Queue, &waiter{call: c, wake: wake})
+	ch.Stage, ch.PredictedWait = p.limiter.Acquire(now, c, p.avgRunTime, p.config.Service.Queue, &waiter{call: c, wake: wake})
 	switch ch.Stage {
 	case stage.Wait:
 		ch.Reason = reason.AtCapacity
 		p.notifyWaiting()
 	case stage.Refuse:
 		ch.Reason = reason.AdmissionLimit
+		ch.RetryAfter = p.limiter.RetryAfter(now, c, p.avgRunTime, p.rand.Float64)
 	}
 	return ch
 }
@@ -62,14 +66,14 @@
 
 // ReleaseAdmission frees the place of an admitted call, which has ended or whose response is about to be delivered, and
 // admits waiting calls.
-func (p *Pool) ReleaseAdmission(now time.Time) {
+func (p *Pool) ReleaseAdmission(now time.Time, c *call.Call) {
 	p.mu.Lock()
 	defer p.unlock()
 	if !p.usesAdmission() {
 		return
 	}
 	now = p.advanceTime(now)
-	p.limiter.Release(now)
+	p.limiter.Release(now, c)
 	p.admitNext(now)
 }
 
@@ -81,19 +85,23 @@
 
 // admitNext admits waiting calls up to the limit and refuses those that can no longer meet their deadline; unlock wakes both.
 func (p *Pool) admitNext(now time.Time) {
-	admitted, expired := p.limiter.AdmitNext(now, p.typicalRunTime())
+	admitted, expired := p.limiter.AdmitNext(now, p.avgRunTime)
 	for _, w := range admitted {
 		w.decision = choice.Choice{Stage: stage.Probe, At: now}
 	}
+	p.toWake = append(p.toWake, admitted...)
 	for _, w := range expired {
-		w.decision = refusal(now, reason.Deadline)
-		w.decision.AdmitLimit, w.decision.AdmitWaiting = p.limiter.Limit(), p.limiter.Len()
+		p.refuseAdmission(now, w, reason.Deadline)
 	}
-	p.toWake = append(append(p.toWake, admitted...), expired...)
 }
 
-// typicalRunTime returns the expected run time of a call at an upstream that is not slowed down.
-func (p *Pool) typicalRunTime() time.Duration { return p.avgRunTime }
+// refuseAdmission refuses a call that has waited for admission; unlock wakes it.
+func (p *Pool) refuseAdmission(now time.Time, w *waiter, why reason.Reason) {
+	w.decision = refusal(now, why)
+	w.decision.AdmitLimit, w.decision.AdmitWaiting = p.limiter.Limit(), p.limiter.Len()
+	w.decision.RetryAfter = p.limiter.RetryAfter(now, w.call, p.avgRunTime, p.rand.Float64)
+	p.toWake = append(p.toWake, w)
+}
 
 // adaptLimit adapts the admission limit to the load that the result of an attempt shows at its upstream. A report above
 // tune.KneeUtilization lowers the limit, and any other report raises it. Without a report, a shed call lowers it and an
