--- a/pkg/control/config/config.go
+++ b/pkg/control/config/config.go
@@ -150,6 +150,10 @@
 
 // apply is Apply for an item that is not deferred.
 func (c *Config) apply(now time.Time, it item.Item, warmup bool) {
+	if _, waits := c.deferred[it.Key]; waits && it.Tombstone {
+		// A removal of what was kept out changes nothing more, but is in force.
+		c.raiseRevision(it, c.removed[it.Key].value, value.Value{})
+	}
 	delete(c.deferred, it.Key)
 	delete(c.carried, it.Key)
 	if c.unchanged(it) {
--- a/pkg/control/config/restore.go
+++ b/pkg/control/config/restore.go
@@ -20,6 +20,10 @@
 type restoration struct {
 	// revision is that of the first list of the era. What is written later is not part of the copy.
 	revision revno.Revision
+	// before is the same of the era before, and 0 if none is known.
+	before revno.Revision
+	// copied is the highest number of an item in the list that was known before, so that the copy is no older.
+	copied int64
 	// until is when the transition ends, and lapse when upstreams that announce themselves have to be back.
 	until, lapse time.Time
 }
@@ -37,13 +41,18 @@
 	at    time.Time
 }
 
-// Restored begins the transition to a later era of the store, whose first list is at a revision.
+// Restored begins the transition to a later era of the store, whose first list is at a revision and holds the given items.
 //
 // Operators and upstreams write again what the store has lost. So that nothing steps back to the copy and forward again, an item of
 // the new era waits for tune.RestoreGrace at most if it is older than the one in force or than a removal that is known, or if its
 // key is missing. Upstreams that announce themselves wait for tune.RestoreReannounce.
-func (c *Config) Restored(now time.Time, revision revno.Revision) {
-	c.restored = restoration{revision, now.Add(tune.RestoreGrace), now.Add(tune.RestoreReannounce)}
+func (c *Config) Restored(now time.Time, revision revno.Revision, list []item.Item) {
+	c.restored = restoration{revision: revision, before: c.restored.revision, until: now.Add(tune.RestoreGrace), lapse: now.Add(tune.RestoreReannounce)}
+	for _, it := range list {
+		if held, ok := c.items[it.Key]; ok && held.Revision.Number() == it.Revision.Number() && bytes.Equal(held.Value, it.Value) {
+			c.restored.copied = max(c.restored.copied, it.Revision.Number())
+		}
+	}
 	for key, d := range c.deferred {
 		d.due = c.restoredDue(key, d.item)
 		c.deferred[key] = d
@@ -71,7 +80,7 @@
 			return false
 		case it.Tombstone:
 			// The key was missing in the list, unless the store has held it in this era.
-			return !waits || d.item.Tombstone
+			return waits && d.item.Tombstone || !waits && !c.knownRemoved(held)
 		}
 		return c.older(it, held, c.values[it.Key])
 	}
@@ -79,6 +88,18 @@
 	return ok && r.item.Revision.Era() < era && !it.Tombstone && c.older(it, r.item, r.value)
 }
 
+// knownRemoved reports whether a record that is missing in the list was removed before the copy was made, or in the new era: the copy
+// is of a time after its last write. It does not say so of keys under leases, which are gone with them, nor of what was written in the
+// era before, if the store may have come back from a copy of an earlier one.
+func (c *Config) knownRemoved(held item.Item) bool {
+	v := c.values[held.Key]
+	if !isRecord(v) || v.Record != nil && v.Record.Upstream != nil && v.Record.Upstream.Incarnation != 0 {
+		return false
+	}
+	native := c.restored.before != 0 && held.Revision > c.restored.before
+	return !native && held.Revision.Number() <= c.restored.copied
+}
+
 // older reports whether an item of the store is older than one of an earlier era with a value, by their own order if they have one.
 // Otherwise it is older if it may be part of the copy, and its number is lower: what was lost has higher numbers than the copy.
 func (c *Config) older(it, earlier item.Item, v value.Value) bool {
@@ -143,7 +164,7 @@
 // alone. The revision is that of the entry's replica.
 func (c *Config) Keep(now, until time.Time, revision revno.Revision, kept []item.Item) {
 	until = earlier(until, now.Add(tune.RestoreGrace))
-	c.restored = restoration{revision, until, earlier(until, now.Add(tune.RestoreReannounce))}
+	c.restored = restoration{revision: revision, until: until, lapse: earlier(until, now.Add(tune.RestoreReannounce))}
 	for _, k := range kept {
 		if k.Revision.Era() >= revision.Era() || keys.IsOwner(k.Key) {
 			continue
--- a/pkg/control/config/restore_test.go
+++ b/pkg/control/config/restore_test.go
@@ -125,6 +125,11 @@
 			"version 0, upstream u drained false", "version 0"},
 		{"keeps a failure domain drained that the copy does not know as drained",
 			[]item.Item{stored(1, 60, "rec/domain/z", "drained")}, []item.Item{stored(2, list, "rec/domain/z", "")}, nil, "version 0, domain z drained true", "version 0"},
+		{"does not keep a failure domain drained that was in use again before the copy",
+			[]item.Item{stored(1, 30, "rec/domain/z", "drained"), stored(1, 40, "rec/set/", "7")}, []item.Item{stored(2, 40, "rec/set/", "7"), stored(2, list, "rec/domain/z", "")}, nil, "version 7", ""},
+		{"keeps upstreams that the copy lacks since their leases are gone",
+			[]item.Item{stored(1, 30, "rec/upstream/u", "5 6 false"), stored(1, 40, "rec/set/", "7")}, []item.Item{stored(2, 40, "rec/set/", "7"), stored(2, list, "rec/upstream/u", "")}, nil,
+			"version 7, upstream u drained false", "version 7"},
 		{"keeps a failure domain in use that the copy has drained",
 			[]item.Item{stored(1, 40, "rec/domain/z", "drained"), stored(1, 60, "rec/domain/z", "")}, []item.Item{stored(2, 40, "rec/domain/z", "drained")}, nil,
 			"version 0", "version 0, domain z drained true"},
@@ -145,12 +150,15 @@
 			for _, it := range tc.before {
 				c.Apply(start, it, true)
 			}
-			c.Restored(start, revno.New(2, list))
+			c.Restored(start, revno.New(2, list), tc.copied)
 			for _, it := range slices.Concat(tc.copied, tc.news) {
 				c.Apply(start.Add(time.Second), it, true)
 			}
 			c.ApplyDeferred(start.Add(2 * time.Second))
 			Expect(inForce(c)).To(Equal(tc.want))
+			if n := len(tc.news); n > 0 && strings.HasPrefix(tc.news[n-1].Key, keys.RecordPrefix) && tc.late == "" {
+				Expect(c.Revision).To(Equal(tc.news[n-1].Revision), "what is in force")
+			}
 			c.ApplyDeferred(start.Add(tune.RestoreGrace))
 			if tc.late == "" {
 				tc.late = tc.want
@@ -169,7 +177,7 @@
 		for _, it := range before {
 			peer.Apply(start, it, true)
 		}
-		peer.Restored(start, revno.New(2, list))
+		peer.Restored(start, revno.New(2, list), copied)
 		for _, it := range slices.Concat(copied, []item.Item{stored(2, list, "rec/upstream/new", "")}) {
 			peer.Apply(start, it, true)
 		}
--- a/pkg/control/contrl/restore.go
+++ b/pkg/control/contrl/restore.go
@@ -36,7 +36,7 @@
 // beginEra prepares for a full list of a later era than that of the replica.
 func (c *Control) beginEra(d delta.Delta) {
 	c.era = eraState{since: c.now, first: d.Revision, owners: maps.Clone(c.config.ShardOwners), answered: true}
-	c.config.Restored(c.now, d.Revision)
+	c.config.Restored(c.now, d.Revision, d.Items)
 	if c.keeper.Restored(d.Revision.Era()) {
 		c.log(logmsg.Message{Type: msgtyp.LeaseLost, Subject: c.self.Name, Reason: "the store was restored without it"})
 	}
