--- a/pkg/calls/dedup/result.go
+++ b/pkg/calls/dedup/result.go
@@ -13,7 +13,8 @@
 	Answered // answered
 	// Unknown means that an earlier call with the key may have run or may still be running.
 	Unknown // unknown
-	// Unavailable means that the claim failed, for example because the store is unreachable.
+	// Unavailable means that the claim failed, for example because the store is unreachable, or has lost claims. An earlier call with
+	// the key may have run.
 	Unavailable // unavailable
 	// Mismatch means that the same client account used the key for another request.
 	Mismatch // mismatch
--- a/pkg/traffic/idkey/bucket.go
+++ b/pkg/traffic/idkey/bucket.go
@@ -21,7 +21,7 @@
 // the value again and starts over; it recognizes its own claims by owner and attempt.
 //
 // A store that came back from an older copy may have lost claims whose calls have run. Until they would have expired, a key without a
-// claim is in doubt: nothing runs for it, and its claim ends as unknown.
+// claim is in doubt: nothing runs for it, and its claim fails, so that the outcome of the call is unknown.
 type Bucket struct {
 	// EraSince returns when the entry first heard of an era of the store; nil stands for the first read in it.
 	EraSince func(now time.Time, era int64) time.Time
@@ -208,7 +208,7 @@
 		switch {
 		case now.Before(b.doubtUntil) && (!ok || b.holds(p.claim)):
 			// A write of this claim may have replaced one that was lost.
-			p.done(dedup.Unknown, claim.Claim{})
+			p.done(dedup.Unavailable, claim.Claim{})
 		case !ok && !known && len(b.claims) >= tune.MaxBucketClaims && b.full(now):
 			p.done(dedup.Unavailable, claim.Claim{})
 		case !ok:
--- a/pkg/traffic/idkey/restore_test.go
+++ b/pkg/traffic/idkey/restore_test.go
@@ -40,11 +40,11 @@
 		wait time.Duration
 		want dedup.Result
 	}{
-		{"is unknown to an entry that starts afterwards", false, "new", time.Second, dedup.Unknown},
-		{"is unknown to an entry that knew the bucket before it was made", false, "other", time.Second, dedup.Unknown},
+		{"fails at an entry that starts afterwards", false, "new", time.Second, dedup.Unavailable},
+		{"fails at an entry that knew the bucket before it was made", false, "other", time.Second, dedup.Unavailable},
 		{"does not let its own entry run the call again", false, "owner", time.Second, waits},
 		{"tells the response of its call once that has completed", true, "new", time.Second, dedup.Answered},
-		{"is unknown until it would have expired", false, "new", tune.ClaimTTL - time.Second, dedup.Unknown},
+		{"fails until it would have expired", false, "new", tune.ClaimTTL - time.Second, dedup.Unavailable},
 		{"does not count for longer", false, "new", tune.ClaimTTL + time.Second, dedup.Acquired},
 	} {
 		It(tc.name, func() {
@@ -58,7 +58,7 @@
 			s.restore(copied)
 			// Another call lets all of them hear of the era.
 			marked := idkey.New("d")
-			marked.Claim(c(9, 3), func(r dedup.Result, _ claim.Claim) { Expect(r).To(Equal(dedup.Unknown)) })
+			marked.Claim(c(9, 3), func(r dedup.Result, _ claim.Claim) { Expect(r).To(Equal(dedup.Unavailable)) })
 			s.settle(marked, start)
 			Expect(s.value.Era).To(Equal(int64(1)))
 			if tc.complete {
