--- a/internal/kvsim/server.go
+++ b/internal/kvsim/server.go
@@ -40,7 +40,7 @@
 	// Rewrite returns the value to store for one that Swap is to write; it may be nil.
 	Rewrite func(key string, value []byte) []byte
 	// Written is called for each change, in their order, before any call returns it; it may be nil.
-	Written func(it *pb.Item)
+	Written func(era int64, it *pb.Item)
 
 	clock clock.Clock
 
@@ -52,13 +52,15 @@
 	era int64
 	// restoredRevision is the revision of the copy that was restored last; no history before it is kept.
 	restoredRevision int64
-	items            map[string]*pb.Item
+	// written is the last write of each key, removals included, whatever was restored since.
+	written map[string]*pb.Item
+	items   map[string]*pb.Item
 	// leaseByKey maps each key written under a lease to that lease's ID.
 	leaseByKey map[string]int64
 	// leases maps each lease's ID to the time at which it expires.
 	leases map[int64]time.Time
-	// lost is the set of leases of a restored copy, which cannot be renewed or written under.
-	lost map[int64]bool
+	// lapsed is the set of leases of a restored copy, which cannot be renewed or written under.
+	lapsed map[int64]bool
 	// history lists the last changes by revision, removed keys included.
 	history []*pb.Item
 	// lastLeaseID is the ID of the lease granted last.
@@ -88,6 +90,7 @@
 		clock:      c,
 		rand:       rand.New(rand.NewPCG(seed, seed)),
 		items:      map[string]*pb.Item{},
+		written:    map[string]*pb.Item{},
 		leaseByKey: map[string]int64{},
 		leases:     map[int64]time.Time{},
 		changed:    make(chan struct{}),
@@ -134,15 +137,27 @@
 		s.revision, s.restoredRevision, s.lastLeaseID = c.revision, c.revision, c.lastLeaseID
 		s.items, s.leaseByKey = maps.Clone(c.items), map[string]int64{}
 		s.history, s.leases = nil, map[int64]time.Time{}
-		s.lost = map[int64]bool{}
+		s.lapsed = map[int64]bool{}
 		for key, id := range c.leaseByKey {
-			s.leaseByKey[key], s.lost[id] = id, true
+			s.leaseByKey[key], s.lapsed[id] = id, true
 			s.leases[id] = s.clock.Now().Add(leaseLeft)
 		}
 		s.notifyWatchers()
 	})
 }
 
+// WriteAgain writes again what the store has lost under a prefix, removals included, as its writers would.
+func (s *Server) WriteAgain(prefix string) {
+	s.withLock(func() {
+		for _, key := range slices.Sorted(maps.Keys(s.written)) {
+			last, held := s.written[key], s.items[key]
+			if strings.HasPrefix(key, prefix) && last != held && (held != nil || !last.GetGone()) {
+				s.write(&pb.Item{Key: key, Value: last.GetValue(), Gone: last.GetGone()}, 0)
+			}
+		}
+	})
+}
+
 // Era returns the number of times that the store was restored.
 func (s *Server) Era() (era int64) {
 	s.withLock(func() { era = s.era })
@@ -249,12 +264,13 @@
 	} else {
 		s.items[it.GetKey()] = it
 	}
+	s.written[it.GetKey()] = it
 	delete(s.leaseByKey, it.GetKey())
 	if lease != 0 {
 		s.leaseByKey[it.GetKey()] = lease
 	}
 	if s.Written != nil {
-		s.Written(it)
+		s.Written(s.era, it)
 	}
 	s.history = append(s.history, it)
 	if len(s.history) > maxHistory {
@@ -307,7 +323,7 @@
 		return &pb.SwapResponse{Item: current}, s.era
 	}
 	if m.GetLease() != 0 {
-		if _, ok := s.leases[m.GetLease()]; !ok || s.lost[m.GetLease()] {
+		if _, ok := s.leases[m.GetLease()]; !ok || s.lapsed[m.GetLease()] {
 			return &pb.SwapResponse{Item: current}, s.era
 		}
 	}
@@ -429,7 +445,7 @@
 	if id == 0 {
 		s.lastLeaseID++
 		id = s.lastLeaseID
-	} else if _, ok := s.leases[id]; !ok || s.lost[id] {
+	} else if _, ok := s.leases[id]; !ok || s.lapsed[id] {
 		return 0, s.era, false
 	}
 	s.leases[id] = s.clock.Now().Add(ttl)
--- a/internal/kvsim/server_test.go
+++ b/internal/kvsim/server_test.go
@@ -56,7 +56,7 @@
 	BeforeEach(func() {
 		written = nil
 		s = kvsim.New(clock.Wall(), 1)
-		s.Written = func(it *pb.Item) { written = append(written, it.GetKey()) }
+		s.Written = func(_ int64, it *pb.Item) { written = append(written, it.GetKey()) }
 	})
 
 	It("writes many keys at once, and tells of each change in order", func() {
--- a/internal/soak/check/config.go
+++ b/internal/soak/check/config.go
@@ -124,7 +124,7 @@
 			late[v.Entry] = true
 			started, changed := v.At.Sub(l.Begin), v.At.Sub(due.At)
 			out = append(out, Broken{Promise: InForce, At: v.At, Late: min(started, changed), Text: fmt.Sprintf("%s has revision %d in force, and not %d of %s, %v after its start and %v after the change",
-				v.Entry, v.Revision, due.Revision, due.Record, started.Round(time.Millisecond), changed.Round(time.Millisecond))})
+				v.Entry, v.Revision.Number(), due.Revision.Number(), due.Record, started.Round(time.Millisecond), changed.Round(time.Millisecond))})
 		}
 	}
 	return out
--- a/internal/soak/check/config_test.go
+++ b/internal/soak/check/config_test.go
@@ -11,6 +11,7 @@
 	"github.com/balsamvale/balsamvale/internal/soak/check"
 	"github.com/balsamvale/balsamvale/internal/soak/trail"
 	"github.com/balsamvale/balsamvale/pkg/shared/tune"
+	"github.com/balsamvale/balsamvale/pkg/stored/revno"
 )
 
 // refused is a request to lookup, sent at 6 s, that its entry refused with a status, and the changes of records until then.
@@ -26,7 +27,7 @@
 
 // written is a change of a record at some milliseconds, with that revision.
 func written(record string, millis int) trail.Change {
-	return trail.Change{Record: record, Revision: int64(millis), At: at(millis)}
+	return trail.Change{Record: record, Revision: revno.Revision(millis), At: at(millis)}
 }
 
 // removed is a removal of a record.
@@ -55,7 +56,7 @@
 }
 
 // viewed is a process that starts at a time in milliseconds and has revisions in force at others, with a change at 1 s.
-func viewed(start int, revisions map[int]int64, changes ...trail.Change) *trail.Trail {
+func viewed(start int, revisions map[int]revno.Revision, changes ...trail.Change) *trail.Trail {
 	t := &trail.Trail{Begin: begin, Changes: append([]trail.Change{written("service/lookup", 1000)}, changes...)}
 	t.Lives = []*trail.Life{{Entry: "entry-1/1", Begin: at(start), Ready: at(start)}}
 	for millis, revision := range revisions {
@@ -134,21 +135,21 @@
 var behind = []check.Promise{check.InForce}
 
 var inForceRows = []row{
-	{"a change in force", viewed(0, map[int]int64{9000: 1000}), nil},
-	{"a change that is not in force after the bound", viewed(0, map[int]int64{9000: 999}), behind},
-	{"a change that is not in force within the bound", viewed(0, map[int]int64{8999: 0}), nil},
-	{"a process without configuration after the bound", viewed(3000, map[int]int64{11000: 0}), behind},
-	{"a process without configuration within the bound", viewed(3000, map[int]int64{10999: 0}), nil},
-	{"a process that stays behind", viewed(0, map[int]int64{9000: 0, 10000: 0, 11000: 0}), behind},
-	{"a process that is behind a later change within the bound", viewed(0, map[int]int64{9999: 1000}, written("upstream/lookup-1", 2000)), nil},
-	{"a process that is behind a removal", viewed(0, map[int]int64{10000: 1000}, removed("upstream/lookup-1", 2000)), behind},
-	{"a process that stops", with(viewed(0, map[int]int64{9000: 0}), exited(8999)), nil},
-	{"a process that was paused", with(viewed(0, map[int]int64{9000: 0}), fault("entry-1", 1000, 2000)), nil},
-	{"a process that was paused long before", with(viewed(0, map[int]int64{13000: 0}), fault("entry-1", 1000, 1999)), behind},
-	{"a process that started after a fault of the one before it", with(viewed(3000, map[int]int64{11000: 0}), fault("entry-1", 1000, 2500)), behind},
-	{"a process on another entry than a fault", with(viewed(0, map[int]int64{9000: 0}), fault("entry-2", 1000, 2000)), behind},
-	{"an outage of the store", with(viewed(0, map[int]int64{9000: 0}), fault("store", 1000, 2000)), nil},
-	{"a planned disturbance", with(with(viewed(0, map[int]int64{9000: 0}), fault("entry-1", 1000, 9000)), func(t *trail.Trail) { t.Faults[0].Planned = true }), behind},
+	{"a change in force", viewed(0, map[int]revno.Revision{9000: 1000}), nil},
+	{"a change that is not in force after the bound", viewed(0, map[int]revno.Revision{9000: 999}), behind},
+	{"a change that is not in force within the bound", viewed(0, map[int]revno.Revision{8999: 0}), nil},
+	{"a process without configuration after the bound", viewed(3000, map[int]revno.Revision{11000: 0}), behind},
+	{"a process without configuration within the bound", viewed(3000, map[int]revno.Revision{10999: 0}), nil},
+	{"a process that stays behind", viewed(0, map[int]revno.Revision{9000: 0, 10000: 0, 11000: 0}), behind},
+	{"a process that is behind a later change within the bound", viewed(0, map[int]revno.Revision{9999: 1000}, written("upstream/lookup-1", 2000)), nil},
+	{"a process that is behind a removal", viewed(0, map[int]revno.Revision{10000: 1000}, removed("upstream/lookup-1", 2000)), behind},
+	{"a process that stops", with(viewed(0, map[int]revno.Revision{9000: 0}), exited(8999)), nil},
+	{"a process that was paused", with(viewed(0, map[int]revno.Revision{9000: 0}), fault("entry-1", 1000, 2000)), nil},
+	{"a process that was paused long before", with(viewed(0, map[int]revno.Revision{13000: 0}), fault("entry-1", 1000, 1999)), behind},
+	{"a process that started after a fault of the one before it", with(viewed(3000, map[int]revno.Revision{11000: 0}), fault("entry-1", 1000, 2500)), behind},
+	{"a process on another entry than a fault", with(viewed(0, map[int]revno.Revision{9000: 0}), fault("entry-2", 1000, 2000)), behind},
+	{"an outage of the store", with(viewed(0, map[int]revno.Revision{9000: 0}), fault("store", 1000, 2000)), nil},
+	{"a planned disturbance", with(with(viewed(0, map[int]revno.Revision{9000: 0}), fault("entry-1", 1000, 9000)), func(t *trail.Trail) { t.Faults[0].Planned = true }), behind},
 	{"a late readiness before the first service", with(viewed(-5000, nil), func(t *trail.Trail) {
 		t.Lives[0].Ready = at(15999)
 	}), nil},
--- a/internal/soak/fleet/entry.go
+++ b/internal/soak/fleet/entry.go
@@ -21,6 +21,7 @@
 	"github.com/balsamvale/balsamvale/internal/soak/caller"
 	"github.com/balsamvale/balsamvale/internal/soak/plan"
 	"github.com/balsamvale/balsamvale/internal/soak/trail"
+	"github.com/balsamvale/balsamvale/pkg/stored/revno"
 )
 
 // Times of entries.
@@ -299,6 +300,7 @@
 		return
 	}
 	s := trail.Sample{Entry: life.Entry, At: e.fleet.Clock.Now(), Idle: idle}
+	var era, number int64
 	for line := range strings.Lines(string(body)) {
 		var name string
 		var value float64
@@ -313,9 +315,12 @@
 		case "process_resident_memory_bytes":
 			s.MemoryBytes = int64(value)
 		case "balsamvale_configuration_revision":
-			v.Revision = int64(value)
+			number = int64(value)
+		case "balsamvale_store_era":
+			era = int64(value)
 		}
 	}
+	v.Revision = revno.New(era, number)
 	e.fleet.Trail.Update(func() {
 		e.fleet.Trail.Views = append(e.fleet.Trail.Views, v)
 		if ready {
--- a/internal/soak/fleet/fleet.go
+++ b/internal/soak/fleet/fleet.go
@@ -27,6 +27,7 @@
 	"github.com/balsamvale/balsamvale/internal/store"
 	"github.com/balsamvale/balsamvale/pkg/control/keys"
 	"github.com/balsamvale/balsamvale/pkg/shared/clock"
+	"github.com/balsamvale/balsamvale/pkg/stored/revno"
 )
 
 // ErrFleet is matched by the errors of a fleet that could not be started.
@@ -187,9 +188,9 @@
 }
 
 // recordChange records a change of an operator's record.
-func (f *Fleet) recordChange(it *pb.Item) {
+func (f *Fleet) recordChange(era int64, it *pb.Item) {
 	if record, ok := strings.CutPrefix(it.GetKey(), keys.RecordPrefix); ok {
-		c := trail.Change{Record: record, Gone: it.GetGone(), Revision: it.GetRevision(), At: f.Clock.Now()}
+		c := trail.Change{Record: record, Gone: it.GetGone(), Revision: revno.New(era, it.GetRevision()), At: f.Clock.Now()}
 		f.Trail.Update(func() { f.Trail.Changes = append(f.Trail.Changes, c) })
 	}
 }
--- a/internal/soak/fleet/inject.go
+++ b/internal/soak/fleet/inject.go
@@ -13,6 +13,7 @@
 	"github.com/balsamvale/balsamvale/internal/soak/plan"
 	"github.com/balsamvale/balsamvale/internal/soak/trail"
 	"github.com/balsamvale/balsamvale/internal/upsim"
+	"github.com/balsamvale/balsamvale/pkg/control/keys"
 )
 
 // injection is one fault of the plan; its run method is a goroutine.
@@ -232,6 +233,13 @@
 		return func() { kv.SetReplyLoss(0) }
 	case plan.StoreForget:
 		kv.ForgetHistory()
+	case plan.StoreRestore:
+		copied := kv.Copy()
+		return func() {
+			kv.Restore(copied, lapseTime)
+			i.fleet.sleep(writeAgainTime)
+			kv.WriteAgain(keys.RecordPrefix)
+		}
 	case plan.StoreMute:
 		kv.SetMuted(true)
 		return func() {
@@ -242,6 +250,12 @@
 	return nothing
 }
 
+// After the store was restored, operators write again what was lost, and the keys of leases that are gone with it lapse.
+const (
+	writeAgainTime = 1500 * time.Millisecond
+	lapseTime      = 3 * time.Second
+)
+
 // hitRecords applies the fault to the records.
 func (i *injection) hitRecords() func() {
 	switch i.fault.Kind {
--- a/internal/soak/plan/kind.go
+++ b/internal/soak/plan/kind.go
@@ -76,6 +76,8 @@
 	LimitPeers // limit-peers
 	// StoreMute keeps watches from a response, and drops the history at its end.
 	StoreMute // store-mute
+	// StoreRestore brings the store back at its end as it was at its begin, in a new era. Operators write again what was lost.
+	StoreRestore // store-restore
 	kindCount
 
 	// mixedKinds is the number of kinds that the episodes of each seed draw from.
@@ -129,6 +131,7 @@
 	LateRecords: {records, true, true, nil}, GrowRecords: {records, false, true, nil}, SwellRecords: {records, false, true, nil},
 	AddEntries: {records, true, true, nil}, RemoveEntry: {entries, false, true, nil},
 	LimitStore: {entries, false, true, nil}, LimitPeers: {entries, false, true, nil}, StoreMute: {kvStore, true, false, nil},
+	StoreRestore: {kvStore, true, true, nil},
 }
 
 // Shares of connections, delays in seconds, and shares of answers.
@@ -154,7 +157,7 @@
 func (k Kind) Planned() bool { return specs[k].planned }
 
 // Grows reports whether the fault is one of a growing fleet or configuration.
-func (k Kind) Grows() bool { return k >= mixedKinds }
+func (k Kind) Grows() bool { return k >= mixedKinds && k <= StoreMute }
 
 // Lasting reports whether the fault lasts for the connections that are open when it begins.
 func (k Kind) Lasting() bool {
--- a/internal/soak/plan/kind_string.go
+++ b/internal/soak/plan/kind_string.go
@@ -50,12 +50,13 @@
 	_ = x[LimitStore-39]
 	_ = x[LimitPeers-40]
 	_ = x[StoreMute-41]
-	_ = x[kindCount-42]
+	_ = x[StoreRestore-42]
+	_ = x[kindCount-43]
 }
 
-const _Kind_name = "stopkillpausereloadsilent-callerssilent-storesilent-upstreamreset-callersreset-storereset-upstreamslow-callersslow-storeslow-upstreamoneway-storeoneway-upstreamstore-downstore-stallstore-lossstore-forgetremoveleavedrain-domaindrop-servicerolloutcrashlose-answerscut-answersdouble-answersgarble-answersfail-answersslow-answersidle-callersfew-filesshared-keyslate-recordsgrow-recordsswell-recordsadd-entriesremove-entrylimit-storelimit-peersstore-mutekindCount"
+const _Kind_name = "stopkillpausereloadsilent-callerssilent-storesilent-upstreamreset-callersreset-storereset-upstreamslow-callersslow-storeslow-upstreamoneway-storeoneway-upstreamstore-downstore-stallstore-lossstore-forgetremoveleavedrain-domaindrop-servicerolloutcrashlose-answerscut-answersdouble-answersgarble-answersfail-answersslow-answersidle-callersfew-filesshared-keyslate-recordsgrow-recordsswell-recordsadd-entriesremove-entrylimit-storelimit-peersstore-mutestore-restorekindCount"
 
-var _Kind_index = [...]uint16{0, 4, 8, 13, 19, 33, 45, 60, 73, 84, 98, 110, 120, 133, 145, 160, 170, 181, 191, 203, 209, 214, 226, 238, 245, 250, 262, 273, 287, 301, 313, 325, 337, 346, 357, 369, 381, 394, 405, 417, 428, 439, 449, 458}
+var _Kind_index = [...]uint16{0, 4, 8, 13, 19, 33, 45, 60, 73, 84, 98, 110, 120, 133, 145, 160, 170, 181, 191, 203, 209, 214, 226, 238, 245, 250, 262, 273, 287, 301, 313, 325, 337, 346, 357, 369, 381, 394, 405, 417, 428, 439, 449, 462, 471}
 
 func (i Kind) String() string {
 	idx := int(i) - 0
--- a/internal/soak/plan/plan.go
+++ b/internal/soak/plan/plan.go
@@ -110,13 +110,16 @@
 //
 // A plan has episodes: a series of faults of one kind, at one target after the other, at several at once, or at one failure
 // domain. Every second seed has a loss of contact with the store and a failure of all upstreams besides. From FirstGrowing on, seeds
-// have a growing fleet, of which half have no more than that.
+// have a growing fleet, and from FirstRestoring on a store that comes back from an older copy, of which half have no more than that.
 func Draw(seed uint64, size int, length time.Duration) *Plan {
 	p := &Plan{Seed: seed, Size: size, Length: Duration(length)}
 	if seed < FirstGrowing || seed%4 < 2 {
 		p.drawMix()
 	}
-	if seed >= FirstGrowing {
+	switch {
+	case seed >= FirstRestoring:
+		p.Fault = append(p.Fault, restorations(rand.New(rand.NewPCG(seed, 7)), size, length)...)
+	case seed >= FirstGrowing:
 		p.Fault = append(p.Fault, growth(rand.New(rand.NewPCG(seed, 6)), size, length)...)
 	}
 	slices.SortStableFunc(p.Fault, func(a, b Fault) int { return cmp.Compare(a.At, b.At) })
--- a/internal/soak/plan/plan_test.go
+++ b/internal/soak/plan/plan_test.go
@@ -95,6 +95,28 @@
 		}
 	})
 
+	It("is a store that comes back from an older copy in each seed from the first of those on, with each of its crossings", func() {
+		drawn, twice := map[string]bool{}, 0
+		for seed := range uint64(50) {
+			restored := 0
+			for _, f := range plan.Draw(plan.FirstRestoring+seed, 3, length).Fault {
+				drawn[f.Kind.String()] = true
+				Expect(time.Duration(f.At)).To(BeNumerically("<", length))
+				if f.Kind == plan.StoreRestore {
+					restored++
+				}
+			}
+			Expect(restored).To(BeNumerically(">", 0))
+			if restored > 1 {
+				twice++
+			}
+		}
+		Expect(twice).To(BeNumerically(">", 5))
+		for _, k := range []plan.Kind{plan.Remove, plan.StoreDown, plan.Kill, plan.Stop, plan.OneWayStore, plan.ResetStore} {
+			Expect(drawn).To(HaveKey(k.String()))
+		}
+	})
+
 	// An entry with a limited link can have a change in force in time only if the link carries the whole configuration in less.
 	It("grows by what limited links carry within 3 s", func() {
 		for seed := range uint64(200) {
--- a/internal/soak/trail/trail.go
+++ b/internal/soak/trail/trail.go
@@ -3,6 +3,8 @@
 import (
 	"sync"
 	"time"
+
+	"github.com/balsamvale/balsamvale/pkg/stored/revno"
 )
 
 //go:generate go tool -modfile=../../../tools/go.mod stringer -type Kind,Ending -linecomment
@@ -136,7 +138,7 @@
 	Record string
 	// Gone reports whether the record was removed.
 	Gone     bool
-	Revision int64
+	Revision revno.Revision
 	At       time.Time
 }
 
@@ -145,7 +147,7 @@
 	Entry string
 	At    time.Time
 	// Revision is 0 while there is none.
-	Revision int64
+	Revision revno.Revision
 }
 
 // Sample is what a process used at one time.
