--- a/internal/codec/digest.go
+++ b/internal/codec/digest.go
@@ -51,7 +51,7 @@
 //
 // The message holds the time left of each fact; it counts from now, so that facts expire by the clock of this entry.
 func DigestFromProto(now time.Time, d *pb.Digest) digest.Digest {
-	out := digest.Digest{From: d.GetFrom(), Revision: revno.New(d.GetEra(), d.GetRevision()), Age: d.GetAge().AsDuration(), Brief: d.GetBrief(), Offer: d.GetOffer(), WantsKept: d.GetWantsKept()}
+	out := digest.Digest{From: d.GetFrom(), Revision: revno.New(d.GetEra(), d.GetRevision()), Age: d.GetAge().AsDuration(), Brief: d.GetBrief(), Offer: d.GetOffer(), WantsKept: d.GetWantsKept(), NoEras: !d.GetEras()}
 	if len(d.GetKept()) > 0 {
 		out.Kept, out.KeptFor = ItemsFromProto(d.GetKept()), d.GetKeptFor().AsDuration()
 	}
@@ -109,7 +109,7 @@
 		From: d.From, Revision: d.Revision.Number(), Era: d.Revision.Era(), Age: duration(d.Age),
 		Base: d.Delta.BaseRevision.Number(), BaseEra: d.Delta.BaseRevision.Era(),
 		Upto: d.Delta.Revision.Number(), UptoEra: d.Delta.Revision.Era(), Full: d.Delta.Full,
-		Brief: d.Brief, Offer: d.Offer, WantsKept: d.WantsKept,
+		Brief: d.Brief, Offer: d.Offer, WantsKept: d.WantsKept, Eras: !d.NoEras,
 	}
 	for _, it := range d.Kept {
 		out.Kept, out.KeptFor = append(out.Kept, ItemToProto(it)), duration(d.KeptFor)
--- a/pkg/control/contrl/gossip.go
+++ b/pkg/control/contrl/gossip.go
@@ -302,6 +302,7 @@
 
 // handleDigest merges a peer's digest, and answers with this entry's facts and the changes that the peer lacks.
 func (c *Control) handleDigest(ev event.Event) {
+	ev.Digest = c.withEra(ev.Digest)
 	c.mergeDigest(ev.Digest)
 	d := digest.Digest{From: c.self.Name, Revision: c.replica.Revision(), Age: c.age(), Facts: c.facts.Live(c.now, tune.MaxFacts)}
 	if ev.Digest.Revision < c.replica.Revision() {
@@ -314,6 +315,7 @@
 // handleDigestAnswer merges a peer's answer to a digest. The first answer after which the entry is synced ends the
 // bootstrap.
 func (c *Control) handleDigestAnswer(ev event.Event) {
+	ev.Digest = c.withEra(ev.Digest)
 	revision, known := c.peerRevisions[ev.Digest.From]
 	c.era.answered = true
 	c.mergeDigest(ev.Digest)
@@ -370,7 +372,8 @@
 func (c *Control) noteAge(d digest.Digest) {
 	// The sender's replica matched the store d.Age ago. Its revision is not above that of this entry's replica, so this
 	// one is at least as fresh.
-	if at := c.now.Add(-d.Age); c.synced && d.Revision.Era() == c.replica.Revision().Era() && d.Revision <= c.replica.Revision() && at.After(c.peersFreshAt) && d.Revision > 0 {
+	sameEra := d.Revision.Era() == c.replica.Revision().Era() && (!d.NoEras || d.Revision.Era() == 0)
+	if at := c.now.Add(-d.Age); c.synced && sameEra && d.Revision <= c.replica.Revision() && at.After(c.peersFreshAt) && d.Revision > 0 {
 		c.peersFreshAt = at
 	}
 }
--- a/pkg/control/contrl/restore.go
+++ b/pkg/control/contrl/restore.go
@@ -125,6 +125,15 @@
 	}
 }
 
+// withEra returns a digest in which the revision of a build that does not know eras counts as one of the era of this entry, so that the
+// peer gets changes as before instead of all keys each time. Its own changes may be of an era before, and are left out.
+func (c *Control) withEra(d digest.Digest) digest.Digest {
+	if era := c.replica.Revision().Era(); d.NoEras && era > 0 {
+		d.Revision, d.Delta, d.Offer = revno.New(era, d.Revision.Number()), delta.Delta{}, false
+	}
+	return d
+}
+
 // updateRank takes the rank of this entry among the active members over from the configuration.
 func (c *Control) updateRank() {
 	active := c.config.ActiveMembers()
--- a/pkg/control/contrl/restore_test.go
+++ b/pkg/control/contrl/restore_test.go
@@ -13,12 +13,17 @@
 	. "github.com/onsi/gomega"
 
 	"github.com/balsamvale/balsamvale/pkg/control/keys"
+	"github.com/balsamvale/balsamvale/pkg/events/action"
+	"github.com/balsamvale/balsamvale/pkg/events/digest"
+	"github.com/balsamvale/balsamvale/pkg/events/event"
+	"github.com/balsamvale/balsamvale/pkg/events/evkind"
 	"github.com/balsamvale/balsamvale/pkg/records/record"
 	"github.com/balsamvale/balsamvale/pkg/records/svcrec"
 	"github.com/balsamvale/balsamvale/pkg/records/upsrec"
 	"github.com/balsamvale/balsamvale/pkg/shared/snap"
 	"github.com/balsamvale/balsamvale/pkg/shared/tune"
 	"github.com/balsamvale/balsamvale/pkg/stored/batch"
+	"github.com/balsamvale/balsamvale/pkg/stored/delta"
 	"github.com/balsamvale/balsamvale/pkg/stored/item"
 	"github.com/balsamvale/balsamvale/pkg/stored/kvop"
 	"github.com/balsamvale/balsamvale/pkg/stored/kvreq"
@@ -302,6 +307,33 @@
 		Expect(last.Services["s"].Targets).To(HaveLen(6))
 	})
 
+	// In a fleet of two builds, the older one says and reads plain numbers.
+	It("gives peers of older builds the changes after their number, and takes none of theirs", func() {
+		f := newRestartFixture()
+		items := itemsWith("a", "b")
+		for i := range items {
+			items[i].Revision = revno.New(2, items[i].Revision.Number())
+		}
+		f.step(event.Event{Kind: evkind.StoreResponse, Response: kvresp.Response{ID: f.listID, Applied: true, Revision: revno.New(2, 9), Items: items}})
+		d := digest.Digest{From: "older", Revision: 12, NoEras: true, Delta: delta.Delta{Items: itemsWith("a"), Revision: 12, Full: true}}
+		answer := func() (got digest.Digest) {
+			for _, e := range f.control.Step(f.now, event.Event{Kind: evkind.DigestReceived, Digest: d}) {
+				if e.Action == action.AnswerDigest {
+					got = e.Digest
+				}
+			}
+			return got
+		}
+		Expect(answer().Delta.Items).To(BeEmpty())
+		f.now = f.now.Add(tune.PeerTimeout)
+		f.step(event.Event{Kind: evkind.Tick})
+		Expect(f.targets).To(Equal([]string{"a", "b"}))
+		d.Revision = 1
+		got := answer().Delta
+		Expect(got.Full).To(BeFalse())
+		Expect(got.Items).To(HaveLen(2))
+	})
+
 	// Draws restorations, restarts of entries, late responses and writes.
 	It("holds over drawn histories", func() {
 		for seed := range uint64(12) {
--- a/pkg/events/digest/digest.go
+++ b/pkg/events/digest/digest.go
@@ -24,6 +24,8 @@
 	Brief bool
 	// Offer is set if the receiver lacks changes that are left out because they are large. It gets them if it asks for them.
 	Offer bool
+	// NoEras is set if the sender is of a build that does not know eras, whose revisions are plain numbers of any era.
+	NoEras bool
 	// WantsKept is set while the sender may know of the store's era only what an older copy holds.
 	WantsKept bool
 	// Kept holds what the sender keeps in force for KeptFor although the store was restored from an older copy, with revisions of
