--- a/pkg/control/config/restore.go
+++ b/pkg/control/config/restore.go
@@ -53,9 +53,24 @@
 			c.restored.copied = max(c.restored.copied, it.Revision.Number())
 		}
 	}
+	c.extendDeferred()
+}
+
+// ExtendTransition begins the times of a transition anew. It is meant for an entry that is out of touch with the store, which cannot
+// know what was written again.
+func (c *Config) ExtendTransition(now time.Time) {
+	if now.Before(c.restored.until) {
+		c.restored.until, c.restored.lapse = now.Add(tune.RestoreGrace), now.Add(tune.RestoreReannounce)
+		c.extendDeferred()
+	}
+}
+
+// extendDeferred makes the items that wait because of the transition due at its end.
+func (c *Config) extendDeferred() {
 	for key, d := range c.deferred {
-		d.due = c.restoredDue(key, d.item)
-		c.deferred[key] = d
+		if held, ok := c.items[key]; !ok || held.Revision.Era() < c.restored.revision.Era() {
+			c.deferred[key] = deferredItem{d.item, c.restoredDue(key, d.item)}
+		}
 	}
 }
 
--- a/pkg/control/contrl/control.go
+++ b/pkg/control/contrl/control.go
@@ -189,6 +189,9 @@
 
 // applyDeferred puts in force what was deferred after an outage or a restoration of the store, and is due.
 func (c *Control) applyDeferred() {
+	if c.age() > tune.MaxConfigAge {
+		c.config.ExtendTransition(c.now)
+	}
 	applied := c.config.ApplyDeferred(c.now)
 	for _, it := range applied {
 		switch {
--- a/pkg/control/contrl/restore_test.go
+++ b/pkg/control/contrl/restore_test.go
@@ -271,6 +271,31 @@
 		})
 	}
 
+	// The store may become unavailable again before anybody has written what it lost.
+	It("makes nothing step back while it is out of touch", func() {
+		for seed := range uint64(4) {
+			w := newWorld(6, seed)
+			copied := w.copyStore()
+			w.configure()
+			w.leave("u1")
+			w.announce("new")
+			w.run(3 * time.Second)
+			w.restoreStore(copied, seed%2 == 0)
+			w.run(300 * time.Millisecond)
+			for _, e := range w.entries {
+				e.cut = true
+			}
+			w.run(3 * tune.RestoreGrace)
+			for _, e := range w.entries {
+				e.cut = false
+			}
+			w.rewrite(upstreams/2, operators)
+			w.run(2 * tune.RestoreGrace)
+			Expect(w.broken).To(BeEmpty(), fmt.Sprint("seed ", seed))
+			Expect(w.differences()).To(BeEmpty(), fmt.Sprint("seed ", seed))
+		}
+	})
+
 	It("does not delay what is written anew", func() {
 		const bound = 2500 * time.Millisecond
 		for seed := range uint64(4) {
