--- a/pkg/control/watch/watcher.go
+++ b/pkg/control/watch/watcher.go
@@ -52,6 +52,8 @@
 	// nextWatchAt delays the watch that follows a response with changes, so that one watch returns all changes
 	// made within the delay.
 	nextWatchAt time.Time
+	// compactions counts the watches in a row whose history was gone.
+	compactions int
 	// failures counts the requests in a row whose outcome is unknown or whose response was out of date.
 	failures int
 	// interrupted is set from a failure until changes are returned again, and recovered if the last response returned the
@@ -112,13 +114,18 @@
 	w.failures = 0
 	w.backoff.Succeed()
 	if resp.Compacted {
-		// The store answers, but no longer holds the changes since the revision of this entry.
+		// The store answers, but no longer holds the changes since the revision of this entry. A second time in a row, as from servers of
+		// the store that are of different eras, must not become a loop.
 		w.relist = true
+		if w.compactions++; w.compactions > 1 {
+			w.backoff.Fail(now, w.rand)
+		}
 		return delta.Delta{}, false
 	}
 	if req.Op == kvop.List {
 		return w.handlePage(req, resp)
 	}
+	w.compactions = 0
 	respondedAt, waited := now, w.sentAt.Add(req.Wait)
 	if !resp.RespondedAt.IsZero() {
 		respondedAt = earlier(now, resp.RespondedAt)
