--- a/internal/replay/faults.go
+++ b/internal/replay/faults.go
@@ -82,6 +82,8 @@
 		s.forEachEntry(f, func(e *entry) { e.pausedUntil = s.events.now.Add(f.GetLast().AsDuration()) })
 	case pb.Fault_STORE:
 		s.storage.down = true
+	case pb.Fault_RESTORE:
+		s.storage.copyStorage()
 	case pb.Fault_LOST:
 		s.storage.loseReplies = true
 	case pb.Fault_SPLIT:
@@ -114,6 +116,8 @@
 		s.forEachEntry(f, func(e *entry) { s.startEntry(e.index) })
 	case pb.Fault_STORE:
 		s.storage.down = false
+	case pb.Fault_RESTORE:
+		s.storage.restore()
 	case pb.Fault_LOST:
 		s.storage.loseReplies = false
 	case pb.Fault_SPLIT:
--- a/internal/replay/storage.go
+++ b/internal/replay/storage.go
@@ -28,7 +28,12 @@
 	leases      map[int64]time.Time
 	lastLeaseID int64
 	watchers    []*watcher
-	down        bool
+	// copied is the copy that the next restore brings back, written the last write of each key, whatever was restored since, and lapsed
+	// the set of leases that a restore has ended.
+	copied  *storageCopy
+	written map[string]item.Item
+	lapsed  map[int64]bool
+	down    bool
 	// loseReplies makes a fraction of the responses get lost.
 	loseReplies bool
 	// reads and writes count the requests that have reached the store.
@@ -47,7 +52,7 @@
 
 // newStorage returns an empty store.
 func newStorage(s *Sim) *storage {
-	return &storage{sim: s, items: map[string]item.Item{}, keyLeases: map[string]int64{}, leases: map[int64]time.Time{}}
+	return &storage{sim: s, items: map[string]item.Item{}, keyLeases: map[string]int64{}, leases: map[int64]time.Time{}, written: map[string]item.Item{}}
 }
 
 // submit carries out a request and calls done with the response.
@@ -64,6 +69,10 @@
 			st.sim.events.after(tune.StoreTimeout, fail)
 			return
 		}
+		if r, refused := st.refuse(req); refused {
+			st.sim.events.after(storeDelay/2, func() { done(r) })
+			return
+		}
 		if req.Op == kvop.Watch {
 			st.reads++
 			st.watch(req, unreachable, done)
@@ -89,7 +98,7 @@
 	case kvop.Get:
 		st.reads++
 		it := st.items[req.Key]
-		return kvresp.Response{Applied: true, Items: []item.Item{it}, Revision: it.Revision}
+		return kvresp.Response{Applied: true, Items: []item.Item{it}, Revision: st.revisionOf(req.Key)}
 	case kvop.List:
 		st.reads++
 		return st.list(req)
@@ -107,10 +116,10 @@
 
 // compareAndSwap writes an item if its key is at the expected revision and the lease, if not 0, is alive.
 func (st *storage) compareAndSwap(it item.Item, expected revno.Revision, lease int64) kvresp.Response {
-	if st.items[it.Key].Revision != expected {
-		return kvresp.Response{Revision: st.items[it.Key].Revision}
+	if st.revisionOf(it.Key) != expected {
+		return kvresp.Response{Revision: st.revisionOf(it.Key)}
 	}
-	if _, ok := st.leases[lease]; lease != 0 && !ok {
+	if _, ok := st.leases[lease]; lease != 0 && (!ok || st.lapsed[lease]) {
 		return kvresp.Response{}
 	}
 	st.put(it, lease)
@@ -129,6 +138,7 @@
 	if lease != 0 {
 		st.keyLeases[it.Key] = lease
 	}
+	st.written[it.Key] = it
 	st.history = append(st.history, it)
 	st.notify()
 }
@@ -151,11 +161,11 @@
 	if id == 0 {
 		st.lastLeaseID++
 		id = st.lastLeaseID
-	} else if _, ok := st.leases[id]; !ok {
+	} else if _, ok := st.leases[id]; !ok || st.lapsed[id] {
 		return kvresp.Response{}
 	}
 	st.leases[id] = st.sim.events.now.Add(req.TTL)
-	return kvresp.Response{Applied: true, LeaseID: id}
+	return kvresp.Response{Applied: true, LeaseID: id, LeaseEra: st.revision.Era()}
 }
 
 // expire removes the keys of leases that have expired, in the order of the keys.
