--- a/pkg/control/contrl/restore.go
+++ b/pkg/control/contrl/restore.go
@@ -43,7 +43,7 @@
 }
 
 // logEra logs the begin of an era, with what stays in force although the store holds an older copy.
-func (c *Control) logEra(before, now int64) {
+func (c *Control) logEra(before, era int64) {
 	kept, _ := c.config.Kept(c.now)
 	removed := 0
 	for _, it := range kept {
@@ -52,12 +52,12 @@
 		}
 	}
 	c.log(logmsg.Message{Type: msgtyp.StoreRestored, Subject: storeSource, Reason: fmt.Sprintf(
-		"store restored: era %d after %d; kept %d newer values and %d removals until %v", now, before, len(kept)-removed, removed, tune.RestoreGrace)})
+		"store restored: era %d after %d; kept %d newer values and %d removals until %v", era, before, len(kept)-removed, removed, tune.RestoreGrace)})
 }
 
 // ownerInForce returns the owner of a shard on which this entry can rely, or nil. In a new era of the store, the owners in the copy
 // hold no lease. Those of the era before may not know of the new one yet, and act as owners until their leases expire, so no other
-// entry takes their shards meanwhile.
+// entry takes their shards meanwhile. An empty owner stands for one that this entry cannot know.
 func (c *Control) ownerInForce(s shard.Shard) *owner.Owner {
 	key := keys.Owner(s)
 	stored, ok := c.replica.Get(key)
