--- a/internal/replay/faults.go
+++ b/internal/replay/faults.go
@@ -84,6 +84,8 @@
 		s.forEachEntry(f, func(e *entry) { s.throttle(e, f, s.events.now.Add(f.GetLast().AsDuration())) })
 	case pb.Fault_STORE:
 		s.storage.down = true
+	case pb.Fault_RESTORE:
+		s.storage.copyStorage()
 	case pb.Fault_LOST:
 		s.storage.loseReplies = true
 	case pb.Fault_SPLIT:
@@ -116,6 +118,8 @@
 		s.forEachEntry(f, func(e *entry) { s.startEntry(e.index) })
 	case pb.Fault_STORE:
 		s.storage.down = false
+	case pb.Fault_RESTORE:
+		s.storage.restore()
 	case pb.Fault_LOST:
 		s.storage.loseReplies = false
 	case pb.Fault_SPLIT:
--- a/pkg/control/contrl/restore.go
+++ b/pkg/control/contrl/restore.go
@@ -36,14 +36,14 @@
 // beginEra prepares for a full list of a later era than that of the replica.
 func (c *Control) beginEra(d delta.Delta) {
 	c.era = eraState{since: c.now, first: d.Revision, owners: maps.Clone(c.config.ShardOwners), answered: true}
-	c.config.Restored(c.now, d.Revision)
+	c.config.Restored(c.now, d.Revision, d.Items)
 	if c.keeper.Restored(d.Revision.Era()) {
 		c.log(logmsg.Message{Type: msgtyp.LeaseLost, Subject: c.self.Name, Reason: "the store was restored without it"})
 	}
 }
 
 // logEra logs the begin of an era, with what stays in force although the store holds an older copy.
-func (c *Control) logEra(before, now int64) {
+func (c *Control) logEra(before, era int64) {
 	kept, _ := c.config.Kept(c.now)
 	removed := 0
 	for _, it := range kept {
@@ -52,12 +52,12 @@
 		}
 	}
 	c.log(logmsg.Message{Type: msgtyp.StoreRestored, Subject: storeSource, Reason: fmt.Sprintf(
-		"store restored: era %d after %d; kept %d newer values and %d removals until %v", now, before, len(kept)-removed, removed, tune.RestoreGrace)})
+		"store restored: era %d after %d; kept %d newer values and %d removals until %v", era, before, len(kept)-removed, removed, tune.RestoreGrace)})
 }
 
 // ownerInForce returns the owner of a shard on which this entry can rely, or nil. In a new era of the store, the owners in the copy
 // hold no lease. Those of the era before may not know of the new one yet, and act as owners until their leases expire, so no other
-// entry takes their shards meanwhile.
+// entry takes their shards meanwhile. An empty owner stands for one that this entry cannot know.
 func (c *Control) ownerInForce(s shard.Shard) *owner.Owner {
 	key := keys.Owner(s)
 	stored, ok := c.replica.Get(key)
@@ -125,6 +125,15 @@
 	}
 }
 
+// withEra returns a digest in which the revision of a build that does not know eras counts as one of the era of this entry, so that the
+// peer gets changes as before instead of all keys each time. Its own changes may be of an era before, and are left out.
+func (c *Control) withEra(d digest.Digest) digest.Digest {
+	if era := c.replica.Revision().Era(); d.NoEras && era > 0 {
+		d.Revision, d.Delta, d.Offer = revno.New(era, d.Revision.Number()), delta.Delta{}, false
+	}
+	return d
+}
+
 // updateRank takes the rank of this entry among the active members over from the configuration.
 func (c *Control) updateRank() {
 	active := c.config.ActiveMembers()
