--- a/internal/daemon/peerbytes_test.go
+++ b/internal/daemon/peerbytes_test.go
@@ -98,7 +98,7 @@
 	It("takes few bytes of each entry", func() {
 		const settle, measured = 6 * time.Second, 6 * time.Second
 		// maxBytes and maxRemote are in bytes a second for each entry, sent and received.
-		const maxBytes, maxRemote = 1800, 1400
+		const maxBytes, maxRemote = 1500, 700
 		entries := fleetSize()
 		admins := startFleet(entries, 4)
 		time.Sleep(settle)
--- a/pkg/control/contrl/control.go
+++ b/pkg/control/contrl/control.go
@@ -23,6 +23,7 @@
 	"github.com/balsamvale/balsamvale/pkg/control/kvrepl"
 	"github.com/balsamvale/balsamvale/pkg/control/lease"
 	"github.com/balsamvale/balsamvale/pkg/control/probe"
+	"github.com/balsamvale/balsamvale/pkg/control/spread"
 	"github.com/balsamvale/balsamvale/pkg/control/watch"
 	"github.com/balsamvale/balsamvale/pkg/events/action"
 	"github.com/balsamvale/balsamvale/pkg/events/effect"
@@ -99,6 +100,10 @@
 	// peerRevisions holds the last known revision of each peer's replica, by entry name.
 	peerRevisions map[string]int64
 	fetches       fetches
+	// plan says with whom this entry exchanges, or is nil if the fleet does not exchange by failure domain.
+	plan *spread.Plan
+	// exchanges counts the regular exchanges by the plan.
+	exchanges int
 	// pendingFacts are the facts to push at the next tick.
 	pendingFacts []fact.Fact
 	effects      []effect.Effect
@@ -143,6 +148,9 @@
 		c.handleDigestAnswer(ev)
 	case evkind.PeerUnreachable:
 		delete(c.peerRevisions, ev.Peer)
+		if c.plan != nil {
+			c.plan.Avoid(ev.Peer, c.now.Add(tune.AvoidTime))
+		}
 		c.fetchDone(ev)
 	case evkind.FactReported:
 		c.addFact(ev.Fact)
--- a/pkg/control/contrl/facts.go
+++ b/pkg/control/contrl/facts.go
@@ -72,7 +72,7 @@
 func (c *Control) gossipFact(f fact.Fact) {
 	switch {
 	case f.Topic == topic.RolledBack:
-		c.push(digest.Digest{Facts: []fact.Fact{f}})
+		c.pushFacts([]fact.Fact{f})
 	case f.Topic == topic.Poison && f.Value < tune.MaxCrashes:
 	default:
 		c.pendingFacts = append(c.pendingFacts, f)
@@ -85,7 +85,7 @@
 		return
 	}
 	n := min(len(c.pendingFacts), tune.MaxFacts)
-	c.push(digest.Digest{Facts: c.pendingFacts[:n]})
+	c.pushFacts(c.pendingFacts[:n])
 	c.pendingFacts = append([]fact.Fact(nil), c.pendingFacts[n:]...)
 }
 
--- a/pkg/control/contrl/fleet_test.go
+++ b/pkg/control/contrl/fleet_test.go
@@ -1,7 +1,6 @@
 package contrl_test
 
 import (
-	"cmp"
 	"container/heap"
 	"fmt"
 	"math/rand/v2"
@@ -14,6 +13,7 @@
 	"github.com/balsamvale/balsamvale/pkg/control/contrl"
 	"github.com/balsamvale/balsamvale/pkg/control/keys"
 	"github.com/balsamvale/balsamvale/pkg/control/shard"
+	"github.com/balsamvale/balsamvale/pkg/control/spread"
 	"github.com/balsamvale/balsamvale/pkg/events/action"
 	"github.com/balsamvale/balsamvale/pkg/events/digest"
 	"github.com/balsamvale/balsamvale/pkg/events/effect"
@@ -48,6 +48,10 @@
 	watches  []*fleetWatch
 	// watchCalls counts the watch requests that have reached the store.
 	watchCalls int
+	// storeCalls counts all requests that have reached the store.
+	storeCalls int
+	// exchanges counts the digests that entries have sent to each other, and remoteExchanges those between failure domains.
+	exchanges, remoteExchanges int
 	// restarts counts the entries that were started anew.
 	restarts int
 	// linkRate is what the link of an entry carries in each direction, in bytes of item values a second; 0 for no limit.
@@ -175,15 +179,21 @@
 	}
 }
 
-// watchers returns the entries that watch the store for the fleet, in the order of their rank.
+// watchers returns the entries that watch the store for the fleet.
 func (f *fleet) watchers() []*fleetEntry {
 	var names []string
+	members := map[string]*member.Member{}
 	for _, e := range f.entries {
 		names = append(names, e.name)
+		members[e.name] = &member.Member{Name: e.name, Domain: fleetDomain(e.name)}
 	}
-	rank := func(e *fleetEntry) int { return shard.Shard(0).Rank(names, e.name) }
-	sorted := slices.SortedFunc(slices.Values(f.entries), func(a, b *fleetEntry) int { return cmp.Compare(rank(a), rank(b)) })
-	return sorted[:tune.MinWatchers+len(names)/tune.EntriesPerWatcher]
+	watches := func(name string) bool {
+		return shard.Shard(0).Rank(names, name) < tune.MinWatchers+len(names)/tune.EntriesPerWatcher
+	}
+	if p := spread.New(*members[names[0]], members); p != nil {
+		watches = p.Watches
+	}
+	return slices.DeleteFunc(slices.Clone(f.entries), func(e *fleetEntry) bool { return !watches(e.name) })
 }
 
 // tick passes a tick to an entry, and schedules the next one.
@@ -218,6 +228,10 @@
 		i = int(ef.Addr.Port()) // a seed
 	}
 	to, sent := f.entries[i], f.now
+	f.exchanges++
+	if fleetDomain(from.name) != fleetDomain(to.name) {
+		f.remoteExchanges++
+	}
 	f.after(f.transfer(from, to, ef.Digest), func() {
 		for _, out := range to.control.Step(f.now, event.Event{Kind: evkind.DigestReceived, Digest: ef.Digest}) {
 			if out.Action != action.AnswerDigest {
@@ -287,6 +301,7 @@
 // serve carries out a request in the store.
 func (f *fleet) serve(req kvreq.Request, answer func(kvresp.Response)) {
 	r := kvresp.Response{Applied: true, Revision: f.revision}
+	f.storeCalls++
 	switch req.Op {
 	case kvop.Watch:
 		f.watchCalls++
--- a/pkg/control/contrl/gossip.go
+++ b/pkg/control/contrl/gossip.go
@@ -7,10 +7,12 @@
 
 	"github.com/balsamvale/balsamvale/pkg/control/keys"
 	"github.com/balsamvale/balsamvale/pkg/control/shard"
+	"github.com/balsamvale/balsamvale/pkg/control/spread"
 	"github.com/balsamvale/balsamvale/pkg/events/action"
 	"github.com/balsamvale/balsamvale/pkg/events/digest"
 	"github.com/balsamvale/balsamvale/pkg/events/effect"
 	"github.com/balsamvale/balsamvale/pkg/events/event"
+	"github.com/balsamvale/balsamvale/pkg/events/fact"
 	"github.com/balsamvale/balsamvale/pkg/events/logmsg"
 	"github.com/balsamvale/balsamvale/pkg/events/msgtyp"
 	"github.com/balsamvale/balsamvale/pkg/shared/tune"
@@ -22,16 +24,20 @@
 
 // watchesStore reports whether this entry watches the store itself, rather than receiving changes from its peers.
 //
-// Besides the chosen watchers, an entry does so before its first sync, while it needs a full list, and while its replica
+// Besides the chosen watchers (see package spread for fleets that exchange by failure domain), an entry does so before its first sync, while it needs a full list, and while its replica
 // is older than tune.MaxPeerStaleness.
 func (c *Control) watchesStore() bool {
 	if !c.synced || c.watcher.NeedsList() || c.age() > tune.MaxPeerStaleness {
 		return true
 	}
+	if c.plan != nil {
+		return c.plan.Watches(c.self.Name)
+	}
 	return shard.Shard(0).Rank(c.config.ActiveMembers(), c.self.Name) < c.watcherCount()
 }
 
-// watcherCount returns the number of entries that watch the store. The others receive the changes from them.
+// watcherCount returns the number of entries that watch the store if the fleet does not exchange by failure domain. The others receive
+// the changes from them.
 func (c *Control) watcherCount() int {
 	return tune.MinWatchers + len(c.config.Members)/tune.EntriesPerWatcher
 }
@@ -43,14 +49,28 @@
 }
 
 // watchWait returns how long a watch waits for a change. It grows with the number of watchers, so that all of them together
-// confirm the state of the store to the others equally often.
+// confirm the state of the store to the others equally often. In a fleet that exchanges by failure domain, the first watcher of each
+// domain confirms it to its domain, and the others are there in case it fails.
 func (c *Control) watchWait() time.Duration {
+	if c.plan != nil {
+		if c.plan.FirstWatcher() {
+			return tune.WatchTimeout
+		}
+		return tune.MaxWatchTimeout
+	}
 	return min(tune.MaxWatchTimeout, tune.WatchTimeout*time.Duration(c.watcherCount())/tune.MinWatchers)
 }
 
 // watchRenew returns the age of the replica at which a watch after changes ends. Only tune.MinWatchers entries end it, so that their
-// calls do not grow with the fleet; the others wait as long as always.
+// calls do not grow with the fleet; the others wait as long as always. In a fleet that exchanges by failure domain, they are the first
+// watchers of the domains.
 func (c *Control) watchRenew() time.Duration {
+	if c.plan != nil {
+		if c.plan.FirstWatcher() {
+			return tune.FirstWatchRenew
+		}
+		return 0
+	}
 	if shard.Shard(0).Rank(c.config.ActiveMembers(), c.self.Name) < tune.MinWatchers {
 		return tune.WatchTimeout
 	}
@@ -75,6 +95,9 @@
 	for _, it := range changed {
 		c.apply(it)
 	}
+	if slices.ContainsFunc(changed, isMember) {
+		c.plan = spread.New(c.self, c.config.Members)
+	}
 	if active := c.config.ActiveMembers(); len(active) != activeBefore || slices.Index(active, c.self.Name) != c.rank {
 		c.rank = slices.Index(active, c.self.Name)
 		c.config.SetRank(max(0, c.rank))
@@ -97,16 +120,19 @@
 	}
 }
 
-// worthPushing reports whether changes have to reach the other entries before their next exchanges. If all entries of a large
-// fleet pushed each entry that joins or leaves, a restart of the fleet would cost a number of messages that grows with the
-// square of its size.
+// worthPushing reports whether changes have to reach the other entries before their next exchanges. If all entries of a large fleet
+// pushed each entry that joins or leaves, a restart of the fleet would cost a number of messages that grows with the square of its
+// size.
 func (c *Control) worthPushing(changed []item.Item) bool {
-	if !c.largeFleet() {
+	if c.plan == nil && len(c.config.Members) < tune.LargeFleetEntries {
 		return len(changed) > 0
 	}
-	return slices.ContainsFunc(changed, func(it item.Item) bool { return !strings.HasPrefix(it.Key, keys.MemberPrefix) })
+	return slices.ContainsFunc(changed, func(it item.Item) bool { return !isMember(it) })
 }
 
+// isMember reports whether an item is the key of a member.
+func isMember(it item.Item) bool { return strings.HasPrefix(it.Key, keys.MemberPrefix) }
+
 // apply puts one item in force, and logs what it changes.
 func (c *Control) apply(it item.Item) {
 	before := c.messageFor(it.Key)
@@ -179,7 +205,11 @@
 
 // gossip sends digests to the peers of one exchange, and sets the time of the next.
 func (c *Control) gossip() {
-	c.gossipAt = c.now.Add(tune.GossipInterval/2 + time.Duration(c.rand.Int64N(int64(tune.GossipInterval))))
+	interval := tune.GossipInterval
+	if c.plan != nil && c.age() > tune.AskWatcherAge {
+		interval /= 2
+	}
+	c.gossipAt = c.now.Add(interval/2 + time.Duration(c.rand.Int64N(int64(interval))))
 	for _, peer := range c.gossipPeers() {
 		d := digest.Digest{Facts: c.facts.Live(c.now, tune.MaxFacts)}
 		if rev, ok := c.peerRevisions[peer]; ok && rev < c.replica.Revision() {
@@ -189,24 +219,41 @@
 	}
 }
 
-// largeFleet reports whether the fleet is so large that bytes between failure domains are saved. In a small one, the entries of
-// a failure domain are too few to pass news on to each other quickly.
-func (c *Control) largeFleet() bool { return len(c.config.Members) >= tune.LargeFleetEntries }
-
-// gossipPeers returns the peers of one exchange: a random one, and, unless this entry watches the store, one that
-// does. In a large fleet both are of this entry's failure domain if it has any, but for one in tune.RemoteExchanges.
+// gossipPeers returns the peers of one exchange.
+//
+// In a fleet that exchanges by failure domain these are a partner or, at every second exchange, one of the domain's entries that
+// watch the store, and for a relay a relay of another domain. In other fleets they are a random peer, and, unless this entry
+// watches the store, one that does. An entry whose configuration gets old asks a random peer in any case.
 func (c *Control) gossipPeers() []string {
 	all := c.randomPeers()
 	if len(all) == 0 {
 		return nil
 	}
-	if c.largeFleet() {
-		local, remote := c.splitByDomain(all)
-		all = append(local, remote...)
-		if c.rand.IntN(tune.RemoteExchanges) == 0 {
-			all = append(remote, local...)
-		}
+	if c.plan == nil {
+		return c.anyPeers(all)
+	}
+	c.exchanges++
+	var out []string
+	aged := c.age() > tune.AskWatcherAge
+	if watchers := c.plan.LocalWatchers(c.now); len(watchers) > 0 && (aged || c.exchanges%2 == 0 && !c.plan.Watches(c.self.Name)) {
+		out = append(out, c.oneOf(watchers))
+	} else if partners := c.plan.Partners(c.now); len(partners) > 0 {
+		out = append(out, c.oneOf(partners))
+	}
+	if remote := c.plan.Remote(c.now); c.plan.Relays() && len(remote) > 0 {
+		out = append(out, c.oneOf(remote[c.rand.IntN(len(remote))]))
 	}
+	if (!c.synced || c.age() > tune.FallbackStaleness) && !slices.Contains(out, all[0]) {
+		out = append(out, all[0])
+	}
+	return out
+}
+
+// oneOf returns one of some names.
+func (c *Control) oneOf(names []string) string { return names[c.rand.IntN(len(names))] }
+
+// anyPeers returns the peers of one exchange from all others, which are in random order.
+func (c *Control) anyPeers(all []string) []string {
 	out := all[:1:1]
 	if c.watchesStore() {
 		return out
@@ -223,32 +270,49 @@
 	return out
 }
 
-// push sends a digest to a few random peers at once.
+// push sends a digest to a few peers at once: random ones, or partners of this entry's failure domain if the fleet exchanges by
+// domain.
 func (c *Control) push(d digest.Digest) {
 	all := c.randomPeers()
+	if c.plan != nil {
+		if partners := slices.Clone(c.plan.Partners(c.now)); len(partners) > 0 {
+			c.rand.Shuffle(len(partners), func(i, j int) { partners[i], partners[j] = partners[j], partners[i] })
+			all = partners
+		}
+	}
 	for _, peer := range all[:min(tune.Fanout, len(all))] {
 		c.send(peer, d)
 	}
 }
 
+// pushFacts sends facts to a few peers at once, and those that this entry passes on to other failure domains to one relay of each.
+func (c *Control) pushFacts(facts []fact.Fact) {
+	c.push(digest.Digest{Facts: facts})
+	if c.plan == nil {
+		return
+	}
+	var crossing []fact.Fact
+	for _, f := range facts {
+		if c.plan.Crosses(f.Origin) {
+			crossing = append(crossing, f)
+		}
+	}
+	if len(crossing) == 0 {
+		return
+	}
+	for _, relays := range c.plan.Remote(c.now) {
+		c.send(c.oneOf(relays), digest.Digest{Facts: crossing})
+	}
+}
+
 // pushDelta pushes changes of the store, or offers them if they are large.
 //
-// In a large fleet, all but one of the peers are of this entry's failure domain, since some entry of each domain learns of the
-// changes from elsewhere soon; if there are too few of one kind, others take their place.
+// In a fleet that exchanges by failure domain they stay in the domain: others learn of them from their own entries that watch the
+// store, or from the exchanges of the relays.
 func (c *Control) pushDelta(changes delta.Delta) {
-	all := c.randomPeers()
-	if c.largeFleet() {
-		local, remote := c.splitByDomain(all)
-		if len(remote) > 0 {
-			local = append(slices.Insert(local, min(len(local), tune.Fanout-1), remote[0]), remote[1:]...)
-		}
-		all = local
-	}
 	var d digest.Digest
 	c.setDelta(&d, changes, false)
-	for _, peer := range all[:min(tune.Fanout, len(all))] {
-		c.send(peer, d)
-	}
+	c.push(d)
 }
 
 // send sends a digest to a peer, if that is still a member. The peer only offers large changes in its answer.
@@ -289,18 +353,6 @@
 	return names
 }
 
-// splitByDomain returns the names of the members in this entry's failure domain and those of the others, in the given order.
-func (c *Control) splitByDomain(names []string) (local, remote []string) {
-	for _, name := range names {
-		if c.config.Members[name].Domain == c.self.Domain {
-			local = append(local, name)
-		} else {
-			remote = append(remote, name)
-		}
-	}
-	return local, remote
-}
-
 // handleDigest merges a peer's digest, and answers with this entry's facts and the changes that the peer lacks.
 func (c *Control) handleDigest(ev event.Event) {
 	c.mergeDigest(ev.Digest)
--- a/pkg/control/contrl/staleness_test.go
+++ b/pkg/control/contrl/staleness_test.go
@@ -58,6 +58,27 @@
 		})
 	}
 
+	// Guards against a failure domain that falls behind the fleet when it is cut off from the store, since its entries exchange among
+	// themselves.
+	for _, entries := range []int{24, 41, 96} {
+		It(fmt.Sprintf("is in force in time in a failure domain that is cut off from the store: %d entries", entries), func() {
+			for seed := range uint64(4) {
+				for _, lead := range []time.Duration{0, time.Second, 3 * time.Second} {
+					f := newFleet(entries, seed)
+					for _, e := range f.entries {
+						e.cut = fleetDomain(e.name) == "zone-0"
+					}
+					f.run(lead)
+					f.write(keys.Record("domain", "changed"))
+					f.run(bound)
+					for _, e := range f.entries {
+						Expect(e.revision).To(BeNumerically(">=", f.revision), fmt.Sprintf("seed %d, %v before the change: %s", seed, lead, e.name))
+					}
+				}
+			}
+		})
+	}
+
 	// What the watchers confirm must reach the others before they turn to the store themselves.
 	It("is looked for by the watchers alone while all is well", func() {
 		const seconds, slack = 20, 1.25
--- a/pkg/shared/tune/constants.go
+++ b/pkg/shared/tune/constants.go
@@ -200,10 +200,27 @@
 	Tick = 50 * time.Millisecond
 	// GossipInterval is the average interval between exchanges with a random peer.
 	GossipInterval = 500 * time.Millisecond
-	// LargeFleetEntries is the number of entries from which exchanges keep to the failure domain.
+	// LargeFleetEntries is the number of entries from which those that join and leave are not pushed in any fleet.
 	LargeFleetEntries = 60
-	// RemoteExchanges is the number of regular exchanges of a large fleet of which one goes to another failure domain.
-	RemoteExchanges = 8
+	// DomainFleetEntries is the number of entries from which exchanges keep to the failure domain, if there are several domains and
+	// MinDomainEntries entries for each.
+	DomainFleetEntries = 24
+	// MinDomainEntries is the mean number of entries of a domain from which they can pass news on to each other quickly.
+	MinDomainEntries = 3
+	// DomainRelays is the number of entries of a domain that exchange with other domains; with 2, one may fail.
+	DomainRelays = 2
+	// DomainPartners is the number of entries of its domain that an entry exchanges with, besides those that watch the store. News
+	// reach all entries by way of partners of partners, and a kept connection to each costs memory and keep-alive probes.
+	DomainPartners = 6
+	// AvoidTime is how long an entry prefers other partners to one that did not answer.
+	AvoidTime = 5 * time.Second
+	// AskWatcherAge is the age of the configuration from which an entry asks one that watches the store in each exchange.
+	AskWatcherAge = 600 * time.Millisecond
+	// FirstWatchRenew is the age of the replica at which the first watcher of each failure domain ends a watch after changes.
+	FirstWatchRenew = 800 * time.Millisecond
+	// FallbackStaleness is the age of the configuration from which an entry exchanges with all of the fleet, since its domain may be cut
+	// off from the store. It is below MaxPeerStaleness, from which it asks the store.
+	FallbackStaleness = 1200 * time.Millisecond
 	// Fanout is the number of peers that facts and store changes are pushed to between exchanges.
 	Fanout = 3
 	// MaxPushBytes is the size in bytes of the values in changes up to which peers get them without asking. Larger changes
