--- a/internal/codec/digest.go
+++ b/internal/codec/digest.go
@@ -36,7 +36,8 @@
 //
 // The message holds the time left of each fact; it counts from now, so that facts expire by the clock of this entry.
 func DigestFromProto(now time.Time, d *pb.Digest) digest.Digest {
-	out := digest.Digest{From: d.GetFrom(), Revision: d.GetRevision(), Age: d.GetAge().AsDuration(), Brief: d.GetBrief(), Offer: d.GetOffer()}
+	out := digest.Digest{From: d.GetFrom(), Revision: d.GetRevision(), Age: d.GetAge().AsDuration(), Brief: d.GetBrief(), Offer: d.GetOffer(),
+		FactsSince: d.GetFactSince(), FactsUpto: d.GetFactUpto(), FactsAck: d.GetFactAck()}
 	for _, f := range d.GetFact() {
 		out.Facts = append(out.Facts, fact.Fact{
 			Topic: topic.Topic(f.GetTopic()), Subject: f.GetSubject(), Value: f.GetValue(),
@@ -90,6 +91,7 @@
 		From: d.From, Revision: d.Revision, Age: duration(d.Age),
 		Base: d.Delta.BaseRevision, Upto: d.Delta.Revision, Full: d.Delta.Full,
 		Brief: d.Brief, Offer: d.Offer,
+		FactSince: d.FactsSince, FactUpto: d.FactsUpto, FactAck: d.FactsAck,
 	}
 	for _, f := range d.Facts {
 		out.Fact = append(out.Fact, &pb.Fact{
--- a/internal/codec/digest_test.go
+++ b/internal/codec/digest_test.go
@@ -55,6 +55,7 @@
 		d    digest.Digest
 	}{
 		{"without large changes", digest.Digest{From: "e", Revision: 3, Brief: true}},
+		{"with numbered facts", digest.Digest{From: "e", Revision: 3, FactsSince: 1 << 60, FactsUpto: 1<<60 + 4, FactsAck: 1 << 59}},
 		{"that offers large changes", digest.Digest{From: "e", Revision: 3, Brief: true, Offer: true}},
 		{"that asks for all changes, as those of older builds do", digest.Digest{From: "e", Revision: 3}},
 	} {
--- a/pkg/control/contrl/control.go
+++ b/pkg/control/contrl/control.go
@@ -12,6 +12,7 @@
 */
 
 import (
+	"maps"
 	"math/rand/v2"
 	"net/netip"
 	"time"
@@ -104,6 +105,8 @@
 	plan *spread.Plan
 	// exchanges counts the regular exchanges by the plan.
 	exchanges int
+	// peerFacts says which facts each peer and this entry have of each other, by entry name.
+	peerFacts map[string]peerFacts
 	// pendingFacts are the facts to push at the next tick.
 	pendingFacts []fact.Fact
 	effects      []effect.Effect
@@ -119,11 +122,12 @@
 		watcher:       watch.New(rnd),
 		keeper:        lease.New(rnd),
 		elector:       elect.New(rnd),
-		facts:         gossip.New(),
+		facts:         gossip.New(firstNumber(self.Incarnation)),
 		issuer:        issuer.New(self.Incarnation),
 		scheduler:     probe.New(),
 		snapshot:      &snap.Snapshot{Services: map[string]*svcfg.Config{}},
 		peerRevisions: map[string]int64{},
+		peerFacts:     map[string]peerFacts{},
 		fetches:       fetches{offers: map[string]int64{}},
 		rollouts:      rolloutStates{},
 	}
@@ -187,6 +191,7 @@
 	if !c.now.Before(c.sweepAt) {
 		c.issuer.Sweep(c.now)
 		c.scheduler.Sweep(c.now)
+		maps.DeleteFunc(c.peerFacts, func(peer string, _ peerFacts) bool { return c.config.Members[peer] == nil })
 		c.sweepAt = c.now.Add(sweepInterval)
 	}
 }
--- a/pkg/control/contrl/facts.go
+++ b/pkg/control/contrl/facts.go
@@ -1,6 +1,10 @@
 package contrl
 
 import (
+	"encoding/binary"
+
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/balsamvale/balsamvale/pkg/control/shard"
 	"github.com/balsamvale/balsamvale/pkg/events/action"
 	"github.com/balsamvale/balsamvale/pkg/events/digest"
@@ -13,6 +17,62 @@
 	"github.com/balsamvale/balsamvale/pkg/stored/phase"
 )
 
+// firstNumber returns the number from which an entry numbers its facts. It differs so much between two starts that what a peer says of
+// the facts of the previous one is not taken for the present ones.
+func firstNumber(incarnation uint64) uint64 {
+	return xxhash.Sum64(binary.BigEndian.AppendUint64(nil, incarnation)) / 2
+}
+
+// peerFacts says which facts a peer and this entry have of each other, by the numbers of their tables.
+type peerFacts struct {
+	// ours is the number up to which the peer has the facts of this entry, as it has said last.
+	ours uint64
+	// theirs is the number up to which this entry has the facts of the peer.
+	theirs uint64
+}
+
+// setFacts adds the facts to a digest that the peer is not known to have. In a fleet that does not exchange by failure domain, it adds
+// all that are live.
+func (c *Control) setFacts(d *digest.Digest, peer string) {
+	if c.plan == nil {
+		d.Facts = c.facts.Live(c.now, tune.MaxFacts)
+		return
+	}
+	since := c.peerFacts[peer].ours
+	if d.Facts, d.FactsUpto = c.facts.News(c.now, peer, since, tune.MaxFacts); d.FactsUpto > 0 {
+		d.FactsSince = since
+	}
+}
+
+// mergeFacts adds the facts of a peer, and records which the peer and this entry have of each other by then.
+//
+// What a peer has is known from its own word only: a digest may be lost, and a peer that has started anew has none.
+func (c *Control) mergeFacts(d digest.Digest) {
+	known := c.peerFacts[d.From]
+	if d.FactsAck == 0 || d.FactsAck < known.ours {
+		c.facts.Forget(d.From)
+	}
+	for _, f := range d.Facts {
+		c.addFact(f)
+		c.facts.HeldBy(f, d.From)
+	}
+	if d.From == "" || c.plan == nil {
+		return
+	}
+	known.ours = d.FactsAck
+	if known.ours > c.facts.Last() {
+		known.ours = 0 // of an earlier start of this entry
+	}
+	switch {
+	case d.FactsUpto == 0:
+	case d.FactsSince == 0:
+		known.theirs = d.FactsUpto
+	case d.FactsSince <= known.theirs:
+		known.theirs = max(known.theirs, d.FactsUpto)
+	}
+	c.peerFacts[d.From] = known
+}
+
 // addFact adds a fact. If it is new, it is delivered to the traffic side, logged and passed on to peers. Evidence is not
 // kept, but passed to sendEvidence.
 func (c *Control) addFact(f fact.Fact) {
--- a/pkg/control/contrl/fleet_test.go
+++ b/pkg/control/contrl/fleet_test.go
@@ -52,6 +52,10 @@
 	storeCalls int
 	// exchanges counts the digests that entries have sent to each other, and remoteExchanges those between failure domains.
 	exchanges, remoteExchanges int
+	// factCopies counts the facts in the digests that entries have sent to each other, answers included.
+	factCopies int
+	// dropAnswer reports whether an answer to a digest is lost; nil for none.
+	dropAnswer func() bool
 	// restarts counts the entries that were started anew.
 	restarts int
 	// linkRate is what the link of an entry carries in each direction, in bytes of item values a second; 0 for no limit.
@@ -81,6 +85,8 @@
 	// revision is that of the configuration in force, since inForceAt.
 	revision  int64
 	inForceAt time.Time
+	// facts has the time at which each fact was delivered, by subject.
+	facts map[string]time.Time
 	// sendingUntil and receivingUntil are when the link of the entry has carried what was sent so far.
 	sendingUntil, receivingUntil time.Time
 }
@@ -147,7 +153,7 @@
 	for i := range uint16(3) {
 		e.control.Seeds = append(e.control.Seeds, netip.AddrPortFrom(netip.IPv4Unspecified(), i))
 	}
-	e.revision = 0
+	e.revision, e.facts = 0, nil
 }
 
 // fleetDomain returns the failure domain of an entry.
@@ -218,6 +224,11 @@
 		f.sendDigest(e, ef)
 	case action.PublishSnapshot:
 		e.revision, e.inForceAt = ef.Snapshot.Revision, f.now
+	case action.DeliverFact:
+		if e.facts == nil {
+			e.facts = map[string]time.Time{}
+		}
+		e.facts[ef.Fact.Subject] = f.now
 	}
 }
 
@@ -238,6 +249,12 @@
 				f.perform(to, out)
 				continue
 			}
+			if f.dropAnswer != nil && f.dropAnswer() {
+				f.after(tune.PeerTimeout, func() {
+					f.step(from, event.Event{Kind: evkind.PeerUnreachable, Peer: ef.Peer, FetchID: ef.FetchID})
+				})
+				continue
+			}
 			f.after(f.transfer(to, from, out.Digest), func() {
 				out.Digest.Age += f.now.Sub(sent)
 				f.step(from, event.Event{Kind: evkind.DigestAnswered, Digest: out.Digest, FetchID: ef.FetchID})
@@ -249,6 +266,7 @@
 // transfer returns the time that a digest takes from one entry to another, and records the item values in it.
 func (f *fleet) transfer(from, to *fleetEntry, d digest.Digest) time.Duration {
 	n := 0
+	f.factCopies += len(d.Facts)
 	for _, it := range d.Delta.Items {
 		n += len(it.Value)
 	}
--- a/pkg/control/contrl/gossip.go
+++ b/pkg/control/contrl/gossip.go
@@ -211,7 +211,8 @@
 	}
 	c.gossipAt = c.now.Add(interval/2 + time.Duration(c.rand.Int64N(int64(interval))))
 	for _, peer := range c.gossipPeers() {
-		d := digest.Digest{Facts: c.facts.Live(c.now, tune.MaxFacts)}
+		var d digest.Digest
+		c.setFacts(&d, peer)
 		if rev, ok := c.peerRevisions[peer]; ok && rev < c.replica.Revision() {
 			c.setDelta(&d, c.replica.Since(rev, tune.MaxChanges), false)
 		}
@@ -331,6 +332,7 @@
 		return
 	}
 	d.From, d.Revision, d.Age = c.self.Name, c.replica.Revision(), c.age()
+	d.FactsAck = c.peerFacts[peer].theirs
 	c.emit(effect.Effect{Action: action.SendDigest, Peer: peer, Remote: c.isRemote(peer), Addr: m.Peer, Digest: d, FetchID: fetchID})
 }
 
@@ -356,7 +358,9 @@
 // handleDigest merges a peer's digest, and answers with this entry's facts and the changes that the peer lacks.
 func (c *Control) handleDigest(ev event.Event) {
 	c.mergeDigest(ev.Digest)
-	d := digest.Digest{From: c.self.Name, Revision: c.replica.Revision(), Age: c.age(), Facts: c.facts.Live(c.now, tune.MaxFacts)}
+	d := digest.Digest{From: c.self.Name, Revision: c.replica.Revision(), Age: c.age()}
+	c.setFacts(&d, ev.Digest.From)
+	d.FactsAck = c.peerFacts[ev.Digest.From].theirs
 	if ev.Digest.Revision < c.replica.Revision() {
 		c.setDelta(&d, c.replica.Since(ev.Digest.Revision, tune.MaxChanges), !ev.Digest.Brief)
 	}
@@ -381,7 +385,8 @@
 // sendState sends all of the state to a peer that has had none in two exchanges. Such a peer cannot ask for it, because it knows
 // no addresses but those of its seeds.
 func (c *Control) sendState(peer string) {
-	d := digest.Digest{Facts: c.facts.Live(c.now, tune.MaxFacts)}
+	var d digest.Digest
+	c.setFacts(&d, peer)
 	c.setDelta(&d, c.replica.Since(0, tune.MaxChanges), true)
 	if d.Delta.Revision > 0 {
 		c.send(peer, d)
@@ -394,9 +399,7 @@
 	if d.From != "" {
 		c.peerRevisions[d.From] = d.Revision
 	}
-	for _, f := range d.Facts {
-		c.addFact(f)
-	}
+	c.mergeFacts(d)
 	switch {
 	case d.Offer:
 		c.noteOffer(d)
--- a/pkg/control/contrl/locality_test.go
+++ b/pkg/control/contrl/locality_test.go
@@ -51,6 +51,16 @@
 	return domain
 }
 
+// answerTo returns the answer to a digest of the entry e1@zone-1, which has the facts of the answering entry up to a number.
+func answerTo(c *contrl.Control, now time.Time, revision int64, ack uint64) digest.Digest {
+	for _, e := range c.Step(now, event.Event{Kind: evkind.DigestReceived, Digest: digest.Digest{From: "e1@zone-1", Revision: revision, FactsAck: ack}}) {
+		if e.Action == action.AnswerDigest {
+			return e.Digest
+		}
+	}
+	return digest.Digest{}
+}
+
 // digests counts the digests among effects, and those to other failure domains than zone-0.
 func digests(effects []effect.Effect) (all, remote int) {
 	for _, e := range effects {
--- a/pkg/events/digest/digest.go
+++ b/pkg/events/digest/digest.go
@@ -22,4 +22,9 @@
 	Brief bool
 	// Offer is set if the receiver lacks changes that are left out because they are large. It gets them if it asks for them.
 	Offer bool
+	// FactsUpto is set if the facts are all those that the sender has numbered above FactsSince, up to FactsUpto, but for those that
+	// it knows the receiver to have.
+	FactsSince, FactsUpto uint64
+	// FactsAck is the number up to which the sender has all facts of the receiver; 0 if it has none or does not say.
+	FactsAck uint64
 }
