--- a/pkg/control/contrl/cost_test.go
+++ b/pkg/control/contrl/cost_test.go
@@ -41,10 +41,15 @@
 			f.write(keys.Record("domain", "changed"))
 			changedAt, next = f.now, f.now.Add(every/2+time.Duration(f.rand.Int64N(int64(every))))
 			for _, e := range f.entries {
-				pending[e] = true
+				if !e.dead {
+					pending[e] = true
+				}
 			}
 		}
 		for _, e := range f.entries {
+			if e.dead {
+				continue
+			}
 			samples++
 			age := f.now.Sub(e.control.FreshAt())
 			if age > tune.MaxPeerStaleness {
@@ -100,4 +105,36 @@
 			Expect(c.maxDelay).To(BeNumerically("<", maxDelay))
 		})
 	}
+
+	// A dead entry stays among the members until its lease expires, after 30 s.
+	for _, tc := range []struct {
+		name    string
+		entries int
+		// fail is what happens to failing watchers.
+		fail    func(e *fleetEntry)
+		failing int
+		// watchCalls are those of all entries in a second.
+		watchCalls float64
+	}{
+		{"the watcher of a domain has crashed", 41, func(e *fleetEntry) { e.dead = true }, 1, 10},
+		{"all watchers have crashed", 41, func(e *fleetEntry) { e.dead = true }, 4, 14},
+		{"the watcher of a domain has crashed", 96, func(e *fleetEntry) { e.dead = true }, 1, 12},
+		{"all watchers have crashed", 96, func(e *fleetEntry) { e.dead = true }, 4, 18},
+		{"the watcher of a domain is cut off from the store", 41, func(e *fleetEntry) { e.cut = true }, 1, 9},
+		{"all watchers are cut off from the store", 41, func(e *fleetEntry) { e.cut = true }, 4, 18},
+		{"all watchers are cut off from the store", 96, func(e *fleetEntry) { e.cut = true }, 4, 34},
+	} {
+		It(fmt.Sprintf("costs little and leaves entries fresh while %s: %d entries", tc.name, tc.entries), func() {
+			const maxOld, maxDelay = 0.02, 2 * time.Second
+			f := newFleet(tc.entries, 2)
+			for _, e := range f.watchers()[:tc.failing] {
+				tc.fail(e)
+			}
+			c := measureCost(f, 20, 1500*time.Millisecond)
+			_, _ = fmt.Fprintf(GinkgoWriter, "%d entries, %s: %v\n", tc.entries, tc.name, c)
+			Expect(c.watchCalls).To(BeNumerically("<", tc.watchCalls))
+			Expect(c.old).To(BeNumerically("<", maxOld))
+			Expect(c.maxDelay).To(BeNumerically("<", maxDelay))
+		})
+	}
 })
--- a/pkg/control/contrl/fleet_test.go
+++ b/pkg/control/contrl/fleet_test.go
@@ -79,6 +79,8 @@
 	control *contrl.Control
 	// cut is set while nothing passes between the entry and the store.
 	cut bool
+	// dead is set once the entry has crashed. It stays among the members.
+	dead bool
 	// silent is the time of the last moment at which all open connections of the entry went silent: what was sent before it
 	// is not answered.
 	silent time.Time
@@ -210,6 +212,9 @@
 
 // step passes an event to an entry and carries out the effects.
 func (f *fleet) step(e *fleetEntry, ev event.Event) {
+	if e.dead {
+		return
+	}
 	for _, ef := range e.control.Step(f.now, ev) {
 		f.perform(e, ef)
 	}
@@ -243,6 +248,12 @@
 	if fleetDomain(from.name) != fleetDomain(to.name) {
 		f.remoteExchanges++
 	}
+	if to.dead {
+		f.after(tune.PeerTimeout, func() {
+			f.step(from, event.Event{Kind: evkind.PeerUnreachable, Peer: ef.Peer, FetchID: ef.FetchID})
+		})
+		return
+	}
 	f.after(f.transfer(from, to, ef.Digest), func() {
 		for _, out := range to.control.Step(f.now, event.Event{Kind: evkind.DigestReceived, Digest: ef.Digest}) {
 			if out.Action != action.AnswerDigest {
--- a/pkg/control/contrl/gossip.go
+++ b/pkg/control/contrl/gossip.go
@@ -31,7 +31,7 @@
 		return true
 	}
 	if c.plan != nil {
-		return c.plan.Watches(c.self.Name)
+		return c.plan.WatchesNow(c.now)
 	}
 	return shard.Shard(0).Rank(c.config.ActiveMembers(), c.self.Name) < c.watcherCount()
 }
@@ -53,7 +53,7 @@
 // domain confirms it to its domain, and the others are there in case it fails.
 func (c *Control) watchWait() time.Duration {
 	if c.plan != nil {
-		if c.plan.FirstWatcher() {
+		if c.plan.FirstWatcher(c.now) {
 			return tune.WatchTimeout
 		}
 		return tune.MaxWatchTimeout
@@ -66,7 +66,7 @@
 // watchers of the domains.
 func (c *Control) watchRenew() time.Duration {
 	if c.plan != nil {
-		if c.plan.FirstWatcher() {
+		if c.plan.FirstWatcher(c.now) {
 			return tune.FirstWatchRenew
 		}
 		return 0
@@ -96,7 +96,7 @@
 		c.apply(it)
 	}
 	if slices.ContainsFunc(changed, isMember) {
-		c.plan = spread.New(c.self, c.config.Members)
+		c.updatePlan()
 	}
 	if active := c.config.ActiveMembers(); len(active) != activeBefore || slices.Index(active, c.self.Name) != c.rank {
 		c.rank = slices.Index(active, c.self.Name)
@@ -130,6 +130,15 @@
 	return slices.ContainsFunc(changed, func(it item.Item) bool { return !isMember(it) })
 }
 
+// updatePlan computes the plan anew after members have changed.
+func (c *Control) updatePlan() {
+	next := spread.New(c.self, c.config.Members)
+	if next != nil {
+		next.KeepAvoided(c.plan, c.config.Members)
+	}
+	c.plan = next
+}
+
 // isMember reports whether an item is the key of a member.
 func isMember(it item.Item) bool { return strings.HasPrefix(it.Key, keys.MemberPrefix) }
 
@@ -236,12 +245,12 @@
 	c.exchanges++
 	var out []string
 	aged := c.age() > tune.AskWatcherAge
-	if watchers := c.plan.LocalWatchers(c.now); len(watchers) > 0 && (aged || c.exchanges%2 == 0 && !c.plan.Watches(c.self.Name)) {
+	if watchers := c.plan.LocalWatchers(c.now); len(watchers) > 0 && (aged || c.exchanges%2 == 0 && !c.plan.WatchesNow(c.now)) {
 		out = append(out, c.oneOf(watchers))
 	} else if partners := c.plan.Partners(c.now); len(partners) > 0 {
 		out = append(out, c.oneOf(partners))
 	}
-	if remote := c.plan.Remote(c.now); c.plan.Relays() && len(remote) > 0 {
+	if remote := c.plan.Remote(c.now); c.plan.Relays(c.now) && len(remote) > 0 {
 		out = append(out, c.oneOf(remote[c.rand.IntN(len(remote))]))
 	}
 	if (!c.synced || c.age() > tune.FallbackStaleness) && !slices.Contains(out, all[0]) {
@@ -294,7 +303,7 @@
 	}
 	var crossing []fact.Fact
 	for _, f := range facts {
-		if c.plan.Crosses(f.Origin) {
+		if c.plan.Crosses(c.now, f.Origin) {
 			crossing = append(crossing, f)
 		}
 	}
@@ -373,6 +382,9 @@
 	revision, known := c.peerRevisions[ev.Digest.From]
 	c.mergeDigest(ev.Digest)
 	c.noteAge(ev.Digest)
+	if c.plan != nil && ev.Digest.Age > tune.MaxPeerStaleness {
+		c.plan.AvoidFirst(c.now, ev.Digest.From, c.now.Add(tune.AvoidTime))
+	}
 	c.fetchDone(ev)
 	if known && revision == 0 && ev.Digest.Revision == 0 {
 		c.sendState(ev.Digest.From)
--- a/pkg/control/contrl/locality_test.go
+++ b/pkg/control/contrl/locality_test.go
@@ -142,7 +142,7 @@
 			}
 			self := ""
 			for name, m := range members {
-				if m.Domain == "zone-0" && spread.New(*m, members).Relays() == tc.relay {
+				if m.Domain == "zone-0" && spread.New(*m, members).Relays(now) == tc.relay {
 					self = name
 				}
 			}
--- a/pkg/control/spread/plan.go
+++ b/pkg/control/spread/plan.go
@@ -86,26 +86,51 @@
 	slices.SortFunc(names, func(a, b string) int { return cmp.Or(cmp.Compare(weights[b], weights[a]), cmp.Compare(a, b)) })
 }
 
-// Watches reports whether a member watches the store.
+// Watches reports whether a member watches the store while no other is avoided.
 func (p *Plan) Watches(name string) bool { return p.watchers[name] }
 
+// WatchesNow reports whether the entry watches the store. Besides the chosen ones, it does so while it avoids all before it in the order
+// of its domain: they may have crashed, and stay among the members until their leases expire.
+func (p *Plan) WatchesNow(now time.Time) bool { return p.watchers[p.self] || p.FirstWatcher(now) }
+
 // FirstWatcher reports whether the entry is the first of its domain that watches the store.
-func (p *Plan) FirstWatcher() bool {
-	return len(p.ranked[p.domain]) > 0 && p.ranked[p.domain][0] == p.self
+func (p *Plan) FirstWatcher(now time.Time) bool { return p.first(now) == p.self }
+
+// first returns the first active member of the domain that is not avoided, or "".
+func (p *Plan) first(now time.Time) string {
+	if names := p.prefer(now, p.ranked[p.domain], 1); len(names) > 0 {
+		return names[0]
+	}
+	return ""
 }
 
 // Relays reports whether the entry is a relay of its domain.
-func (p *Plan) Relays() bool { return slices.Contains(p.relays(p.domain), p.self) }
-
-// relays returns the relays of a domain.
-func (p *Plan) relays(domain string) []string {
-	names := p.ranked[domain]
-	return names[:min(tune.DomainRelays, len(names))]
+func (p *Plan) Relays(now time.Time) bool {
+	return slices.Contains(p.prefer(now, p.ranked[p.domain], tune.DomainRelays), p.self)
 }
 
 // Avoid makes the plan prefer other members to one that did not answer, until a time.
 func (p *Plan) Avoid(name string, until time.Time) { p.avoidUntil[name] = until }
 
+// AvoidFirst is Avoid for a member that does not know of the store what its domain expects of it, if it is the first of the domain.
+func (p *Plan) AvoidFirst(now time.Time, name string, until time.Time) {
+	if name == p.first(now) {
+		p.Avoid(name, until)
+	}
+}
+
+// KeepAvoided takes over the members that a previous plan of the same entry avoids; previous may be nil.
+func (p *Plan) KeepAvoided(previous *Plan, members map[string]*member.Member) {
+	if previous == nil {
+		return
+	}
+	for name, until := range previous.avoidUntil {
+		if members[name] != nil {
+			p.avoidUntil[name] = until
+		}
+	}
+}
+
 // Partners returns the members of the domain with which the entry exchanges. Members that are avoided are replaced by the next ones.
 func (p *Plan) Partners(now time.Time) []string {
 	return p.prefer(now, p.partners, tune.DomainPartners)
@@ -127,13 +152,14 @@
 
 // LocalWatchers returns the other members of the domain that watch the store.
 func (p *Plan) LocalWatchers(now time.Time) []string {
+	first := p.first(now)
 	var names []string
 	for _, name := range p.ranked[p.domain] {
-		if p.watchers[name] && name != p.self {
+		if name != p.self && (name == first || p.watchers[name] && !now.Before(p.avoidUntil[name])) {
 			names = append(names, name)
 		}
 	}
-	return p.prefer(now, names, len(names))
+	return names
 }
 
 // Remote returns the relays of each other domain, for those domains that have any.
@@ -149,6 +175,6 @@
 
 // Crosses reports whether the entry passes news of a member on to the other domains: its own news, and, if it is a relay, those of its
 // domain. Two senders besides the origin are there for the case that the origin fails meanwhile.
-func (p *Plan) Crosses(origin string) bool {
-	return origin == p.self || p.Relays() && slices.Contains(p.ranked[p.domain], origin)
+func (p *Plan) Crosses(now time.Time, origin string) bool {
+	return origin == p.self || p.Relays(now) && slices.Contains(p.ranked[p.domain], origin)
 }
--- a/pkg/control/spread/plan_test.go
+++ b/pkg/control/spread/plan_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -57,7 +58,7 @@
 						watched[members[name].Domain] = true
 					}
 				}
-				if p.Relays() {
+				if p.Relays(now) {
 					relays++
 				}
 				Expect(p.Remote(now)).To(HaveLen(len(tc.sizes) - 1))
@@ -90,16 +91,16 @@
 			members := fleet(10, 10, 10)
 			first := ""
 			for name, m := range members {
-				if p := spread.New(*m, members); m.Domain == "zone-1" && p.FirstWatcher() {
+				if p := spread.New(*m, members); m.Domain == "zone-1" && p.FirstWatcher(now) {
 					first = name
 				}
 			}
 			tc.fail(members, first)
 			firsts := 0
 			for name, m := range members {
-				if p := spread.New(*m, members); m.Domain == "zone-1" && p.FirstWatcher() {
+				if p := spread.New(*m, members); m.Domain == "zone-1" && p.FirstWatcher(now) {
 					Expect(name).NotTo(Equal(first))
-					Expect(p.Relays()).To(BeTrue())
+					Expect(p.Relays(now)).To(BeTrue())
 					firsts++
 				}
 			}
@@ -120,4 +121,39 @@
 		}
 		Expect(p.Partners(now)).To(Equal(before))
 	})
+
+	// A dead watcher stays among the members until its lease expires, which takes up to 30 s.
+	It("has the next of the domain watch the store in the place of one that does not answer or knows no more of it", func() {
+		members := fleet(10, 10, 10)
+		byRank := make([]string, 10)
+		for range byRank {
+			for name, m := range members {
+				p := spread.New(*m, members)
+				for _, before := range byRank {
+					p.Avoid(before, now.Add(time.Second))
+				}
+				if m.Domain == "zone-1" && !slices.Contains(byRank, name) && p.FirstWatcher(now) {
+					byRank[slices.Index(byRank, "")] = name
+					break
+				}
+			}
+		}
+		for rank, name := range byRank {
+			p := spread.New(*members[name], members)
+			Expect(p.WatchesNow(now)).To(Equal(p.Watches(name)), "while none is avoided")
+			Expect(p.Relays(now)).To(Equal(rank < tune.DomainRelays))
+			for _, before := range byRank[:rank] {
+				p.AvoidFirst(now, before, now.Add(time.Second))
+			}
+			Expect(p.WatchesNow(now)).To(BeTrue())
+			Expect(p.Relays(now)).To(BeTrue())
+			for _, before := range byRank[:rank] {
+				Expect(p.LocalWatchers(now)).NotTo(ContainElement(before))
+			}
+			next := spread.New(*members[name], members)
+			next.KeepAvoided(p, members)
+			Expect(next.WatchesNow(now)).To(BeTrue(), "after members have changed")
+			Expect(p.WatchesNow(now.Add(time.Second))).To(Equal(p.Watches(name)), "once it is tried again")
+		}
+	})
 })
