--- a/internal/codec/digest.go
+++ b/internal/codec/digest.go
@@ -51,7 +51,8 @@
 //
 // The message holds the time left of each fact; it counts from now, so that facts expire by the clock of this entry.
 func DigestFromProto(now time.Time, d *pb.Digest) digest.Digest {
-	out := digest.Digest{From: d.GetFrom(), Revision: revno.New(d.GetEra(), d.GetRevision()), Age: d.GetAge().AsDuration(), Brief: d.GetBrief(), Offer: d.GetOffer(), WantsKept: d.GetWantsKept(), NoEras: !d.GetEras()}
+	out := digest.Digest{From: d.GetFrom(), Revision: revno.New(d.GetEra(), d.GetRevision()), Age: d.GetAge().AsDuration(), Brief: d.GetBrief(), Offer: d.GetOffer(), WantsKept: d.GetWantsKept(), NoEras: !d.GetEras(),
+		FactsSince: d.GetFactSince(), FactsUpto: d.GetFactUpto(), FactsAck: d.GetFactAck()}
 	if len(d.GetKept()) > 0 {
 		out.Kept, out.KeptFor = ItemsFromProto(d.GetKept()), d.GetKeptFor().AsDuration()
 	}
@@ -110,6 +111,7 @@
 		Base: d.Delta.BaseRevision.Number(), BaseEra: d.Delta.BaseRevision.Era(),
 		Upto: d.Delta.Revision.Number(), UptoEra: d.Delta.Revision.Era(), Full: d.Delta.Full,
 		Brief: d.Brief, Offer: d.Offer, WantsKept: d.WantsKept, Eras: !d.NoEras,
+		FactSince: d.FactsSince, FactUpto: d.FactsUpto, FactAck: d.FactsAck,
 	}
 	for _, it := range d.Kept {
 		out.Kept, out.KeptFor = append(out.Kept, ItemToProto(it)), duration(d.KeptFor)
--- a/pkg/control/contrl/control.go
+++ b/pkg/control/contrl/control.go
@@ -12,6 +12,7 @@
 */
 
 import (
+	"maps"
 	"math/rand/v2"
 	"net/netip"
 	"strings"
@@ -25,6 +26,7 @@
 	"github.com/balsamvale/balsamvale/pkg/control/kvrepl"
 	"github.com/balsamvale/balsamvale/pkg/control/lease"
 	"github.com/balsamvale/balsamvale/pkg/control/probe"
+	"github.com/balsamvale/balsamvale/pkg/control/spread"
 	"github.com/balsamvale/balsamvale/pkg/control/watch"
 	"github.com/balsamvale/balsamvale/pkg/events/action"
 	"github.com/balsamvale/balsamvale/pkg/events/effect"
@@ -105,6 +107,12 @@
 	peerRevisions map[string]revno.Revision
 	fetches       fetches
 	era           eraState
+	// plan says with whom this entry exchanges, or is nil if the fleet does not exchange by failure domain.
+	plan *spread.Plan
+	// exchanges counts the regular exchanges by the plan.
+	exchanges int
+	// peerFacts says which facts each peer and this entry have of each other, by entry name.
+	peerFacts map[string]peerFacts
 	// pendingFacts are the facts to push at the next tick.
 	pendingFacts []fact.Fact
 	effects      []effect.Effect
@@ -120,12 +128,13 @@
 		watcher:       watch.New(rnd),
 		keeper:        lease.New(rnd),
 		elector:       elect.New(rnd),
-		facts:         gossip.New(),
+		facts:         gossip.New(firstNumber(self.Incarnation)),
 		issuer:        issuer.New(self.Incarnation),
 		scheduler:     probe.New(),
 		snapshot:      &snap.Snapshot{Services: map[string]*svcfg.Config{}},
 		peerRevisions: map[string]revno.Revision{},
 		fetches:       fetches{offers: map[string]revno.Revision{}},
+		peerFacts:     map[string]peerFacts{},
 		rollouts:      rolloutStates{},
 	}
 }
@@ -149,6 +158,9 @@
 		c.handleDigestAnswer(ev)
 	case evkind.PeerUnreachable:
 		delete(c.peerRevisions, ev.Peer)
+		if c.plan != nil {
+			c.plan.Avoid(ev.Peer, c.now.Add(tune.AvoidTime))
+		}
 		c.fetchDone(ev)
 	case evkind.FactReported:
 		c.addFact(ev.Fact)
@@ -183,6 +195,7 @@
 	if !c.now.Before(c.sweepAt) {
 		c.issuer.Sweep(c.now)
 		c.scheduler.Sweep(c.now)
+		maps.DeleteFunc(c.peerFacts, func(peer string, _ peerFacts) bool { return c.config.Members[peer] == nil })
 		c.sweepAt = c.now.Add(sweepInterval)
 	}
 }
@@ -202,6 +215,7 @@
 		}
 	}
 	if len(applied) > 0 {
+		c.updatePlan()
 		c.updateRank()
 	}
 	if c.replica.Revision().Era() > 0 {
--- a/pkg/control/contrl/fleet_test.go
+++ b/pkg/control/contrl/fleet_test.go
@@ -1,7 +1,6 @@
 package contrl_test
 
 import (
-	"cmp"
 	"container/heap"
 	"fmt"
 	"math/rand/v2"
@@ -14,6 +13,7 @@
 	"github.com/balsamvale/balsamvale/pkg/control/contrl"
 	"github.com/balsamvale/balsamvale/pkg/control/keys"
 	"github.com/balsamvale/balsamvale/pkg/control/shard"
+	"github.com/balsamvale/balsamvale/pkg/control/spread"
 	"github.com/balsamvale/balsamvale/pkg/events/action"
 	"github.com/balsamvale/balsamvale/pkg/events/digest"
 	"github.com/balsamvale/balsamvale/pkg/events/effect"
@@ -54,6 +54,14 @@
 	published func(e *fleetEntry, s *snap.Snapshot)
 	// lateShare is the share of the store's responses that take up to lateResponse longer.
 	lateShare float64
+	// storeCalls counts all requests that have reached the store.
+	storeCalls int
+	// exchanges counts the digests that entries have sent to each other, and remoteExchanges those between failure domains.
+	exchanges, remoteExchanges int
+	// factCopies counts the facts in the digests that entries have sent to each other, answers included.
+	factCopies int
+	// dropAnswer reports whether an answer to a digest is lost; nil for none.
+	dropAnswer func() bool
 	// restarts counts the entries that were started anew.
 	restarts int
 	// linkRate is what the link of an entry carries in each direction, in bytes of item values a second; 0 for no limit.
@@ -77,6 +85,8 @@
 	control *contrl.Control
 	// cut is set while nothing passes between the entry and the store.
 	cut bool
+	// dead is set once the entry has crashed. It stays among the members.
+	dead bool
 	// silent is the time of the last moment at which all open connections of the entry went silent: what was sent before it
 	// is not answered.
 	silent time.Time
@@ -85,6 +95,8 @@
 	// revision is that of the configuration in force, since inForceAt.
 	revision  revno.Revision
 	inForceAt time.Time
+	// facts has the time at which each fact was delivered, by subject.
+	facts map[string]time.Time
 	// sendingUntil and receivingUntil are when the link of the entry has carried what was sent so far.
 	sendingUntil, receivingUntil time.Time
 }
@@ -154,7 +166,7 @@
 	for i := range uint16(3) {
 		e.control.Seeds = append(e.control.Seeds, netip.AddrPortFrom(netip.IPv4Unspecified(), i))
 	}
-	e.revision, e.era = 0, 0
+	e.revision, e.era, e.facts = 0, 0, nil
 }
 
 // fleetDomain returns the failure domain of an entry.
@@ -186,15 +198,21 @@
 	}
 }
 
-// watchers returns the entries that watch the store for the fleet, in the order of their rank.
+// watchers returns the entries that watch the store for the fleet.
 func (f *fleet) watchers() []*fleetEntry {
 	var names []string
+	members := map[string]*member.Member{}
 	for _, e := range f.entries {
 		names = append(names, e.name)
+		members[e.name] = &member.Member{Name: e.name, Domain: fleetDomain(e.name)}
 	}
-	rank := func(e *fleetEntry) int { return shard.Shard(0).Rank(names, e.name) }
-	sorted := slices.SortedFunc(slices.Values(f.entries), func(a, b *fleetEntry) int { return cmp.Compare(rank(a), rank(b)) })
-	return sorted[:tune.MinWatchers+len(names)/tune.EntriesPerWatcher]
+	watches := func(name string) bool {
+		return shard.Shard(0).Rank(names, name) < tune.MinWatchers+len(names)/tune.EntriesPerWatcher
+	}
+	if p := spread.New(*members[names[0]], members); p != nil {
+		watches = p.Watches
+	}
+	return slices.DeleteFunc(slices.Clone(f.entries), func(e *fleetEntry) bool { return !watches(e.name) })
 }
 
 // tick passes a tick to an entry, and schedules the next one.
@@ -205,6 +223,9 @@
 
 // step passes an event to an entry and carries out the effects.
 func (f *fleet) step(e *fleetEntry, ev event.Event) {
+	if e.dead {
+		return
+	}
 	for _, ef := range e.control.Step(f.now, ev) {
 		f.perform(e, ef)
 	}
@@ -222,6 +243,11 @@
 		if f.published != nil {
 			f.published(e, ef.Snapshot)
 		}
+	case action.DeliverFact:
+		if e.facts == nil {
+			e.facts = map[string]time.Time{}
+		}
+		e.facts[ef.Fact.Subject] = f.now
 	}
 }
 
@@ -232,12 +258,28 @@
 		i = int(ef.Addr.Port()) // a seed
 	}
 	to, sent := f.entries[i], f.now
+	f.exchanges++
+	if fleetDomain(from.name) != fleetDomain(to.name) {
+		f.remoteExchanges++
+	}
+	if to.dead {
+		f.after(tune.PeerTimeout, func() {
+			f.step(from, event.Event{Kind: evkind.PeerUnreachable, Peer: ef.Peer, FetchID: ef.FetchID})
+		})
+		return
+	}
 	f.after(f.transfer(from, to, ef.Digest), func() {
 		for _, out := range to.control.Step(f.now, event.Event{Kind: evkind.DigestReceived, Digest: ef.Digest}) {
 			if out.Action != action.AnswerDigest {
 				f.perform(to, out)
 				continue
 			}
+			if f.dropAnswer != nil && f.dropAnswer() {
+				f.after(tune.PeerTimeout, func() {
+					f.step(from, event.Event{Kind: evkind.PeerUnreachable, Peer: ef.Peer, FetchID: ef.FetchID})
+				})
+				continue
+			}
 			f.after(f.transfer(to, from, out.Digest), func() {
 				out.Digest.Age += f.now.Sub(sent)
 				f.step(from, event.Event{Kind: evkind.DigestAnswered, Digest: out.Digest, FetchID: ef.FetchID})
@@ -249,6 +291,7 @@
 // transfer returns the time that a digest takes from one entry to another, and records the item values in it.
 func (f *fleet) transfer(from, to *fleetEntry, d digest.Digest) time.Duration {
 	n := 0
+	f.factCopies += len(d.Facts)
 	for _, it := range d.Delta.Items {
 		n += len(it.Value)
 	}
@@ -305,6 +348,7 @@
 // serve carries out a request in the store.
 func (f *fleet) serve(req kvreq.Request, answer func(kvresp.Response)) {
 	r := kvresp.Response{Applied: true, Revision: f.revision}
+	f.storeCalls++
 	switch req.Op {
 	case kvop.Watch:
 		f.watchCalls++
--- a/pkg/control/contrl/restore.go
+++ b/pkg/control/contrl/restore.go
@@ -111,6 +111,7 @@
 	}
 	if d.Revision.Era() == c.replica.Revision().Era() {
 		c.config.Keep(c.now, c.now.Add(d.KeptFor), c.replica.Revision(), d.Kept)
+		c.updatePlan()
 		c.updateRank()
 	}
 }
--- a/pkg/events/digest/digest.go
+++ b/pkg/events/digest/digest.go
@@ -35,4 +35,9 @@
 	// earlier eras. The value of a tombstone is the one that was removed.
 	Kept    []item.Item
 	KeptFor time.Duration
+	// FactsUpto is set if the facts are all those that the sender has numbered above FactsSince, up to FactsUpto, but for those that
+	// it knows the receiver to have.
+	FactsSince, FactsUpto uint64
+	// FactsAck is the number up to which the sender has all facts of the receiver; 0 if it has none or does not say.
+	FactsAck uint64
 }
