--- a/internal/logs/log.go
+++ b/internal/logs/log.go
@@ -95,7 +95,9 @@
 // Refusal logs the refusal of a call after a routing decision, with the status that the caller gets.
 func (l *Log) Refusal(c *call.Call, s *step.Step, status int, b basis.Basis) {
 	if ce := l.check("route", false); ce != nil {
-		ce.Write(append(routeFields(c, s), ownFields(status, b)...)...)
+		ch := &s.Choice
+		ce.Write(append(append(routeFields(c, s), ownFields(status, b)...), zap.Int("priority", c.Priority), zap.Duration("work", ch.Work),
+			zap.Float64("value", ch.Value), zap.Int("position", ch.Position), zap.Duration("again", ch.RetryAfter))...)
 	}
 }
 
--- a/internal/proxy/claims.go
+++ b/internal/proxy/claims.go
@@ -82,5 +82,5 @@
 	d.w.WriteHeader(saved.Status)
 	_, _ = d.w.Write(saved.Body)
 	maps.Copy(h, trailer)
-	d.handler.countCall(d.call, outcom.Answered, s.Reason)
+	d.handler.countCall(d.call, outcom.Answered, s.Reason, d.waited)
 }
--- a/internal/proxy/deliver.go
+++ b/internal/proxy/deliver.go
@@ -62,7 +62,7 @@
 	for k, v := range a.res.Trailer {
 		h[k] = v
 	}
-	d.handler.countCall(d.call, outcom.Answered, reason.None)
+	d.handler.countCall(d.call, outcom.Answered, reason.None, d.waited)
 }
 
 // holdUntilTurn waits until the response is due. Meanwhile it reads the body, if that has a known length of up to
--- a/internal/proxy/driver.go
+++ b/internal/proxy/driver.go
@@ -59,6 +59,8 @@
 	claim   claim.Claim
 	// held is the claim of an earlier call with the same idempotency key.
 	held claim.Claim
+	// waited is set once the call has waited in the pool.
+	waited bool
 	// writeFailed is set once the caller can no longer be written to.
 	writeFailed bool
 }
@@ -135,6 +137,8 @@
 		case stage.Refuse:
 			d.refuse(s)
 			return
+		case stage.Wait:
+			d.waited = d.waited || s.Choice.Stage == stage.Wait
 		}
 		s = d.awaitEvent(s.TimerAt)
 	}
@@ -304,7 +308,7 @@
 	if badBody {
 		status, s.Reason = d.badBodyStatus(d.stream.readErr())
 	}
-	d.handler.countCall(d.call, s.Outcome, s.Reason)
+	d.handler.countCall(d.call, s.Outcome, s.Reason, d.waited)
 	d.handler.countOwn(status, s.Reason)
 	d.handler.Log.Refusal(d.call, &s, status, d.basis)
 	if badBody {
--- a/internal/proxy/handler.go
+++ b/internal/proxy/handler.go
@@ -100,13 +100,23 @@
 	h.metrics = set
 }
 
-// countCall counts a call that has ended and records its duration. The label values come from operators' records, which limits
+// countCall counts a call that has ended and records its duration; waited is set if it waited for admission or an upstream. The label values come from operators' records, which limits
 // their number.
-func (h *Handler) countCall(c *call.Call, outcome outcom.Outcome, why reason.Reason) {
+func (h *Handler) countCall(c *call.Call, outcome outcom.Outcome, why reason.Reason, waited bool) {
 	h.metrics.GetOrCreateCounter(fmt.Sprintf(`balsamvale_calls_total{service=%q,route=%q,fate=%q,reason=%q}`,
 		c.Service, c.Route, outcome, why)).Inc()
 	h.metrics.GetOrCreateHistogram(fmt.Sprintf(`balsamvale_call_seconds{service=%q,fate=%q}`, c.Service, outcome)).
 		Update(h.Clock.Now().Sub(c.Arrived).Seconds())
+	h.countFor("balsamvale_calls_late_total", c, outcome == outcom.Answered && !c.SoftDeadline.IsZero() && h.Clock.Now().After(c.SoftDeadline))
+	h.countFor("balsamvale_calls_waited_total", c, waited)
+}
+
+// countFor counts a call in a metric by service and route if counts is set. The metric exists from the first call on.
+func (h *Handler) countFor(metric string, c *call.Call, counts bool) {
+	counter := h.metrics.GetOrCreateCounter(fmt.Sprintf(`%s{service=%q,route=%q}`, metric, c.Service, c.Route))
+	if counts {
+		counter.Inc()
+	}
 }
 
 // countOwn counts an answer that the entry made itself, or with status 0 a connection that it closed without a whole answer.
--- a/pkg/calls/choice/choice.go
+++ b/pkg/calls/choice/choice.go
@@ -31,6 +31,11 @@
 	// AdmitLimit is the number of calls that this entry admits for the service at once; AdmitWaiting is the number of
 	// calls that wait for admission.
 	AdmitLimit, AdmitWaiting int
+	// Work is the expected run time of a call that admission refuses, Value what an answer was worth, from 0 to 1, and Position
+	// the number of waiting calls that went before it.
+	Work     time.Duration
+	Value    float64
+	Position int
 	// HedgeDelay is the time after which a hedge may be sent; 0 for never.
 	HedgeDelay time.Duration
 	// CreditID identifies the credit spent on a cold upstream; 0 for none.
--- a/pkg/traffic/admit/limiter.go
+++ b/pkg/traffic/admit/limiter.go
@@ -15,6 +15,7 @@
 	"time"
 
 	"github.com/balsamvale/balsamvale/pkg/calls/call"
+	"github.com/balsamvale/balsamvale/pkg/calls/choice"
 	"github.com/balsamvale/balsamvale/pkg/calls/stage"
 	"github.com/balsamvale/balsamvale/pkg/shared/tune"
 	"github.com/balsamvale/balsamvale/pkg/traffic/sched"
@@ -182,13 +183,20 @@
 	l.limit = min(tune.AdmitLimitMax, l.limit+1/l.limit)
 }
 
-// RetryAfter returns when the caller of a call that is refused may come back, or 0 where calls have one priority: it may then
-// come back after the predicted wait. random returns numbers from 0 to 1.
-func (l *Limiter[T]) RetryAfter(now time.Time, c *call.Call, mean time.Duration, random func() float64) time.Duration {
-	if !l.scheduler.Mixed() {
-		return 0
+// DescribeRefusal completes the refusal of a call: what it was decided on, and where calls have several priorities, when the
+// caller may come back; otherwise it may after the predicted wait. random returns numbers from 0 to 1.
+func (l *Limiter[T]) DescribeRefusal(now time.Time, c *call.Call, mean time.Duration, random func() float64, ch *choice.Choice) {
+	ch.AdmitLimit, ch.AdmitWaiting = l.Limit(), l.Len()
+	ch.Work = l.runTime(c, mean)
+	ch.Value = l.scheduler.Value(now, c, ch.Work)
+	for i := range l.queue {
+		if l.compare(now, mean, l.queue[i].call, c) <= 0 {
+			ch.Position++
+		}
+	}
+	if l.scheduler.Mixed() {
+		ch.RetryAfter = l.scheduler.RetryAfter(l.wait(c, now, mean), ch.Work, c.TimeLeft(now, 0), random)
 	}
-	return l.scheduler.RetryAfter(l.wait(c, now, mean), l.runTime(c, mean), c.TimeLeft(now, 0), random)
 }
 
 // AdmitNext removes the waiting calls that can no longer end before their deadline, returned as expired, and then admits
--- a/pkg/traffic/pool/admission.go
+++ b/pkg/traffic/pool/admission.go
@@ -39,7 +39,7 @@
 		p.notifyWaiting()
 	case stage.Refuse:
 		ch.Reason = reason.AdmissionLimit
-		ch.RetryAfter = p.limiter.RetryAfter(now, c, p.avgRunTime, p.rand.Float64)
+		p.limiter.DescribeRefusal(now, c, p.avgRunTime, p.rand.Float64, &ch)
 	}
 	return ch
 }
@@ -98,8 +98,7 @@
 // refuseAdmission refuses a call that has waited for admission; unlock wakes it.
 func (p *Pool) refuseAdmission(now time.Time, w *waiter, why reason.Reason) {
 	w.decision = refusal(now, why)
-	w.decision.AdmitLimit, w.decision.AdmitWaiting = p.limiter.Limit(), p.limiter.Len()
-	w.decision.RetryAfter = p.limiter.RetryAfter(now, w.call, p.avgRunTime, p.rand.Float64)
+	p.limiter.DescribeRefusal(now, w.call, p.avgRunTime, p.rand.Float64, &w.decision)
 	p.toWake = append(p.toWake, w)
 }
 
--- a/pkg/traffic/sched/scheduler.go
+++ b/pkg/traffic/sched/scheduler.go
@@ -149,6 +149,15 @@
 	return 0
 }
 
+// Value returns what an answer to a call is worth if the call begins now: its weight, or a tenth of it after the soft deadline.
+func (s *Scheduler) Value(now time.Time, c *call.Call, run time.Duration) float64 {
+	v := math.Ldexp(1, -c.Priority)
+	if missesSoftDeadline(now, run, c) {
+		v /= 10
+	}
+	return v
+}
+
 // costOfDelay returns what the delay of a call costs over the work that it needs. The weight halves with each priority.
 func costOfDelay(priority int, run time.Duration) float64 {
 	return math.Ldexp(1/max(1, float64(run)), -priority)
