--- a/pkg/control/contrl/facts.go
+++ b/pkg/control/contrl/facts.go
@@ -14,7 +14,7 @@
 )
 
 // addFact adds a fact. If it is new, it is delivered to the traffic side, logged and passed on to peers. Evidence is not
-// kept, but passed to sendEvidence.
+// kept, but passed to sendEvidence; pressure is neither logged nor pushed, but part of the next exchanges.
 func (c *Control) addFact(f fact.Fact) {
 	if f.Origin == "" {
 		f.Origin = c.self.Name
@@ -26,6 +26,11 @@
 	if !c.facts.Add(c.now, f) {
 		return
 	}
+	if f.Topic == topic.Pressure {
+		// It is news several times a second, and old by the time that a push would have spread it.
+		c.emit(effect.Effect{Action: action.DeliverFact, Fact: f, Service: f.Subject})
+		return
+	}
 	if f.Topic == topic.ColdStart {
 		c.config.SetColdUntil(f.Subject, f.Value, f.Until)
 	}
--- a/pkg/control/contrl/gossip_test.go
+++ b/pkg/control/contrl/gossip_test.go
@@ -67,6 +67,7 @@
 	}{
 		{"of the first crash of each call on a lost upstream waits for the next exchange", topic.Poison, 1, 0, 0},
 		{"of calls that have crashed several upstreams goes out in one message to a few peers", topic.Poison, tune.MaxCrashes, tune.Fanout, many},
+		{"of calls that an entry lost waits for the next exchange", topic.Pressure, 0, 0, 0},
 		{"of draining upstreams goes out in one message to a few peers", topic.Draining, 0, tune.Fanout, many},
 		{"of a rollback goes out at once", topic.RolledBack, 0, many * tune.Fanout, many},
 	} {
--- a/pkg/control/gossip/table.go
+++ b/pkg/control/gossip/table.go
@@ -7,6 +7,7 @@
 
 	"github.com/balsamvale/balsamvale/pkg/events/fact"
 	"github.com/balsamvale/balsamvale/pkg/events/topic"
+	"github.com/balsamvale/balsamvale/pkg/shared/tune"
 )
 
 // Table is the set of live facts.
@@ -29,7 +30,8 @@
 // Add stores a fact, and reports whether it is new.
 //
 // A fact that has expired is ignored, as is one whose topic, subject and value equal those of a live fact. A poison
-// fact is compared with those of its own origin, and is also ignored if its count of crashes is the lower one.
+// fact is compared with those of its own origin, and is also ignored if its count of crashes is the lower one. A pressure
+// fact takes the place of a live one if it is more urgent, or lasts longer by tune.PressureGap at least.
 func (t *Table) Add(now time.Time, f fact.Fact) bool {
 	if !f.Until.After(now) {
 		return false
@@ -39,6 +41,13 @@
 		key.origin = f.Origin
 	}
 	old, ok := t.facts[key]
+	if f.Topic == topic.Pressure && ok && old.Until.After(now) {
+		if f.Value > old.Value || f.Value == old.Value && f.Until.Sub(old.Until) < tune.PressureGap {
+			return false
+		}
+		t.facts[key] = f
+		return true
+	}
 	if ok && old.Until.After(now) && old.Value == f.Value {
 		return false
 	}
@@ -57,7 +66,7 @@
 
 // Live returns up to limit live facts, and deletes the expired ones.
 //
-// The topics with the most lasting effects come first, and within a topic the facts that expire last.
+// The topics with the most lasting effects come first, and within a topic the facts that expire last. Pressure comes last.
 func (t *Table) Live(now time.Time, limit int) []fact.Fact {
 	var out []fact.Fact
 	for key, f := range t.facts {
@@ -69,7 +78,7 @@
 	}
 	slices.SortFunc(out, func(a, b fact.Fact) int {
 		return cmp.Or(
-			cmp.Compare(b.Topic, a.Topic),
+			cmp.Compare(rank(b.Topic), rank(a.Topic)),
 			b.Until.Compare(a.Until),
 			cmp.Compare(a.Subject, b.Subject),
 			cmp.Compare(a.Origin, b.Origin),
@@ -77,3 +86,11 @@
 	})
 	return out[:min(limit, len(out))]
 }
+
+// rank returns the order of a topic in Live, where the highest comes first.
+func rank(t topic.Topic) int {
+	if t == topic.Pressure {
+		return -1
+	}
+	return int(t)
+}
--- a/pkg/events/fact/fact.go
+++ b/pkg/events/fact/fact.go
@@ -7,13 +7,13 @@
 	"github.com/balsamvale/balsamvale/pkg/events/topic"
 )
 
-// Fact is news about one upstream, fingerprint or rollout that is valid until a given time.
+// Fact is news about one upstream, fingerprint, rollout or service that is valid until a given time.
 type Fact struct {
 	Topic topic.Topic
-	// Subject is the name of the upstream or rollout, or the fingerprint as text.
+	// Subject is the name of the upstream, rollout or service, or the fingerprint as text.
 	Subject string
 	// Value is the upstream's incarnation for ColdStart and, if it is known, for Draining; for Poison it is the number of
-	// crashes.
+	// crashes, and for Pressure the priority.
 	Value uint64
 	// Origin is the name of the entry that first saw it.
 	Origin string
--- a/pkg/events/topic/topic.go
+++ b/pkg/events/topic/topic.go
@@ -17,4 +17,6 @@
 	RolledBack // reverted
 	// Evidence reports how the calls to a rollout's new version ended at one entry.
 	Evidence // evidence
+	// Pressure reports that an entry lost calls of a service, while calls of a lower priority arrived.
+	Pressure // pressure
 )
--- a/pkg/events/topic/topic_string.go
+++ b/pkg/events/topic/topic_string.go
@@ -13,11 +13,12 @@
 	_ = x[Poison-2]
 	_ = x[RolledBack-3]
 	_ = x[Evidence-4]
+	_ = x[Pressure-5]
 }
 
-const _Topic_name = "coldleavingpoisonrevertedevidence"
+const _Topic_name = "coldleavingpoisonrevertedevidencepressure"
 
-var _Topic_index = [...]uint8{0, 4, 11, 17, 25, 33}
+var _Topic_index = [...]uint8{0, 4, 11, 17, 25, 33, 41}
 
 func (i Topic) String() string {
 	idx := int(i) - 0
--- a/pkg/shared/tune/constants.go
+++ b/pkg/shared/tune/constants.go
@@ -99,6 +99,13 @@
 	StarvedPart = 0.3
 	// PriorityMargin is by how much a kind of a lower priority may be served more often than one of a higher priority.
 	PriorityMargin = 0.05
+	// YieldPart is the part of the limit that lower priorities leave free while another entry loses calls of a higher one.
+	YieldPart = 0.25
+	// PressureGap is the shortest time between two reports of an entry that it loses calls, about that of the exchanges that carry
+	// them.
+	PressureGap = 500 * time.Millisecond
+	// PressureTTL is how long such a report holds. The exchanges of 96 entries take an estimated 1.5 s to reach all.
+	PressureTTL = 2 * time.Second
 	// MinReserveRate is the number of calls in a second below which no place is reserved for a kind: one call counts for 3 s.
 	MinReserveRate = 0.1
 	// HopelessInterval is the time between two searches for waiting calls whose deadline will pass, which sort the calls.
--- a/pkg/traffic/admit/limiter.go
+++ b/pkg/traffic/admit/limiter.go
@@ -70,7 +70,7 @@
 	l.scheduler.Arrive(now, c, run)
 	l.scheduler.Advance(now)
 	if l.hasRoom(c, mean) && (len(l.queue) == 0 || l.scheduler.Mixed() && !l.waitsBehind(now, c, mean)) {
-		l.admit(c)
+		l.admit(now, c, run)
 		return stage.Probe, 0
 	}
 	wait = l.wait(c, now, mean)
@@ -129,10 +129,10 @@
 }
 
 // admit counts a call as in flight.
-func (l *Limiter[T]) admit(c *call.Call) {
+func (l *Limiter[T]) admit(now time.Time, c *call.Call, run time.Duration) {
 	l.inFlight++
 	l.inFlightBy[c.Priority]++
-	l.scheduler.Admit(c)
+	l.scheduler.Admit(now, c, run)
 }
 
 // wait predicts how long a call waits behind the waiting calls that go before it.
@@ -183,6 +183,17 @@
 	l.limit = min(tune.AdmitLimitMax, l.limit+1/l.limit)
 }
 
+// TakeLost returns the most urgent priority of the calls that were refused, or admitted too late, since it was last called, if
+// calls of a lower priority arrive.
+func (l *Limiter[T]) TakeLost(now time.Time) (priority int, ok bool) {
+	return l.scheduler.TakeLost(now)
+}
+
+// Press notes that another entry lost calls of a priority, and that lower priorities yield until then.
+func (l *Limiter[T]) Press(now time.Time, priority int, until time.Time) {
+	l.scheduler.Press(now, priority, until)
+}
+
 // DescribeRefusal completes the refusal of a call: what it was decided on, and where calls have several priorities, when the
 // caller may come back; otherwise it may after the predicted wait. random returns numbers from 0 to 1.
 func (l *Limiter[T]) DescribeRefusal(now time.Time, c *call.Call, mean time.Duration, random func() float64, ch *choice.Choice) {
@@ -217,7 +228,7 @@
 		if i < 0 {
 			break
 		}
-		l.admit(l.queue[i].call)
+		l.admit(now, l.queue[i].call, l.runTime(l.queue[i].call, mean))
 		admitted = append(admitted, l.queue[i].value)
 		l.queue = slices.Delete(l.queue, i, i+1)
 	}
--- a/pkg/traffic/pool/admission.go
+++ b/pkg/traffic/pool/admission.go
@@ -1,6 +1,7 @@
 package pool
 
 import (
+	"math"
 	"time"
 
 	"github.com/balsamvale/balsamvale/pkg/calls/call"
@@ -10,6 +11,8 @@
 	"github.com/balsamvale/balsamvale/pkg/calls/reason"
 	"github.com/balsamvale/balsamvale/pkg/calls/result"
 	"github.com/balsamvale/balsamvale/pkg/calls/stage"
+	"github.com/balsamvale/balsamvale/pkg/events/fact"
+	"github.com/balsamvale/balsamvale/pkg/events/topic"
 	"github.com/balsamvale/balsamvale/pkg/shared/tune"
 )
 
@@ -41,6 +44,7 @@
 		ch.Reason = reason.AdmissionLimit
 		p.limiter.DescribeRefusal(now, c, p.avgRunTime, p.rand.Float64, &ch)
 	}
+	p.publishPressure(now)
 	return ch
 }
 
@@ -93,6 +97,27 @@
 	for _, w := range expired {
 		p.refuseAdmission(now, w, reason.Deadline)
 	}
+	p.publishPressure(now)
+}
+
+// publishPressure tells the other entries, every tune.PressureGap at most, that this one refuses calls or admits them too late while
+// calls of a lower priority arrive. They leave places free, so that these do not take the slots that the former wait for.
+func (p *Pool) publishPressure(now time.Time) {
+	if now.Sub(p.pressureSentAt) < tune.PressureGap {
+		return
+	}
+	if priority, ok := p.limiter.TakeLost(now); ok && priority >= 0 {
+		p.pressureSentAt = now
+		p.queueFact(fact.Fact{Topic: topic.Pressure, Subject: p.config.Service.Name, Value: uint64(priority), Until: now.Add(tune.PressureTTL)})
+	}
+}
+
+// mergePressure applies the report of another entry that it loses calls.
+func (p *Pool) mergePressure(now time.Time, f fact.Fact) {
+	if p.config == nil || f.Origin == p.config.Entry || f.Value > math.MaxInt32 {
+		return
+	}
+	p.limiter.Press(now, int(f.Value), f.Until)
 }
 
 // refuseAdmission refuses a call that has waited for admission; unlock wakes it.
--- a/pkg/traffic/pool/pool.go
+++ b/pkg/traffic/pool/pool.go
@@ -78,6 +78,8 @@
 	tallies        []upstreamTally
 	baseline       upstreamTally
 	evidenceSentAt time.Time
+	// pressureSentAt is when this entry last reported that it lost calls.
+	pressureSentAt time.Time
 	// facts and toWake are handed out by unlock, after it has released the lock.
 	facts  []fact.Fact
 	toWake []*waiter
@@ -293,14 +295,18 @@
 // maxGoodSlowdown is the slowdown, a factor, up to which an upstream counts as not slowed down.
 const maxGoodSlowdown = 1.2
 
-// Merge applies a fact that another entry learned about an upstream or about the new version of a rollout.
+// Merge applies a fact that another entry learned about an upstream, the new version of a rollout or the calls of the service.
 func (p *Pool) Merge(now time.Time, f fact.Fact) {
 	p.mu.Lock()
 	defer p.unlock()
 	now = p.advanceTime(now)
-	if f.Topic == topic.Evidence {
+	switch f.Topic {
+	case topic.Evidence:
 		p.mergeEvidence(now, f)
 		return
+	case topic.Pressure:
+		p.mergePressure(now, f)
+		return
 	}
 	if s := p.byName[f.Subject]; s != nil {
 		s.merge(p, now, f)
--- a/pkg/traffic/sched/scheduler.go
+++ b/pkg/traffic/sched/scheduler.go
@@ -30,6 +30,13 @@
 	kinds []kind
 	// mixed is set while calls of several priorities arrive.
 	mixed bool
+	// hasLost is set once a call was refused or admitted too late since TakeLost, and lost is the most urgent priority of these.
+	hasLost bool
+	lost    int
+	// pressed is the most urgent priority of which another entry lost calls lately, until pressedUntil.
+	pressed      int
+	pressedUntil time.Time
+	isPressed    bool
 }
 
 // kind counts the calls of one routing rule and priority. The counts fade with tune.KindDecay.
@@ -60,8 +67,11 @@
 	}
 }
 
-// Admit counts a call that is admitted.
-func (s *Scheduler) Admit(c *call.Call) {
+// Admit counts a call that is admitted; run is its expected run time.
+func (s *Scheduler) Admit(now time.Time, c *call.Call, run time.Duration) {
+	if missesSoftDeadline(now, run, c) {
+		s.lose(c)
+	}
 	if k := s.find(c); k != nil {
 		k.admitted++
 	}
@@ -69,14 +79,37 @@
 
 // Refuse counts a call that is refused, at once or after it has waited.
 func (s *Scheduler) Refuse(c *call.Call) {
+	s.lose(c)
 	if k := s.find(c); k != nil {
 		k.refused++
 	}
 }
 
+// lose notes that a call was refused or admitted too late.
+func (s *Scheduler) lose(c *call.Call) {
+	if !s.hasLost || c.Priority < s.lost {
+		s.hasLost, s.lost = true, c.Priority
+	}
+}
+
+// TakeLost returns the most urgent priority of the calls that were refused, or admitted too late, since it was last called. ok is
+// not set if there are none, or if no calls of a lower priority arrive.
+func (s *Scheduler) TakeLost(now time.Time) (priority int, ok bool) {
+	ok = s.hasLost && slices.ContainsFunc(s.kinds, func(k kind) bool { return k.priority > s.lost && now.Sub(k.seenAt) <= tune.KindMemory })
+	s.hasLost = false
+	return s.lost, ok
+}
+
+// Press notes that another entry lost calls of a priority. Until then, calls of lower priorities leave it a part of the places.
+func (s *Scheduler) Press(now time.Time, priority int, until time.Time) {
+	if !s.pressedUntil.After(now) || priority <= s.pressed {
+		s.pressed, s.pressedUntil = priority, until
+	}
+}
+
 // Advance fades the counts up to a time. The owner calls it before the methods that compare calls.
 func (s *Scheduler) Advance(now time.Time) {
-	s.mixed = false
+	s.mixed, s.isPressed = false, s.pressedUntil.After(now)
 	first := -1
 	var admitted, refused float64
 	for i := range s.kinds {
@@ -177,16 +210,20 @@
 //
 // Kinds that can wait until enough places become free by themselves need none.
 func (s *Scheduler) Reserved(c *call.Call, limit int, run time.Duration) int {
-	if !s.mixed || s.neglected(c) {
+	if s.neglected(c) {
 		return 0
 	}
+	yield := 0
+	if s.isPressed && s.pressed < c.Priority {
+		yield = int(math.Ceil(tune.YieldPart * float64(limit)))
+	}
 	demand := 0.0
 	for i := range s.kinds {
-		if k := &s.kinds[i]; k.priority < c.Priority && k.rate() >= tune.MinReserveRate && k.outruns(float64(limit)/run.Seconds()) {
+		if k := &s.kinds[i]; s.mixed && k.priority < c.Priority && k.rate() >= tune.MinReserveRate && k.outruns(float64(limit)/run.Seconds()) {
 			demand += k.rate() * k.run.Seconds()
 		}
 	}
-	return max(0, min(limit-1, int(math.Ceil(demand+math.Sqrt(demand)))))
+	return max(0, min(limit-1, max(yield, int(math.Ceil(demand+math.Sqrt(demand))))))
 }
 
 // rate returns the arrivals in a second.
--- a/pkg/traffic/sched/scheduler_test.go
+++ b/pkg/traffic/sched/scheduler_test.go
@@ -48,7 +48,7 @@
 					c := newCall(priority, 0, 0, time.Second)
 					s.Arrive(start, c, runTime)
 					if i < tc.admitted[priority] {
-						s.Admit(c)
+						s.Admit(start, c, runTime)
 					} else {
 						s.Refuse(c)
 					}
