--- a/pkg/traffic/sched/scheduler.go
+++ b/pkg/traffic/sched/scheduler.go
@@ -26,7 +26,7 @@
 // Scheduler keeps what is known of the kinds of calls of one service. The zero value knows none. It is not safe for concurrent
 // use: its owner must lock it.
 type Scheduler struct {
-	// kinds holds at most tune.MaxKinds kinds.
+	// kinds holds at most tune.MaxKinds kinds, those of the lowest priority first.
 	kinds []kind
 	// mixed is set while calls of several priorities arrive.
 	mixed bool
@@ -125,19 +125,24 @@
 		s.mixed = s.mixed || first >= 0 && s.kinds[first].priority != k.priority
 		first = i
 	}
+	s.markNeglected(admitted / max(1, admitted+refused))
+}
+
+// markNeglected marks the kinds that are neglected; served is the part of all calls that were admitted, of those that do not wait.
+func (s *Scheduler) markNeglected(served float64) {
+	// best is the highest share of a kind of a lower priority, and next that of the kinds before, which come in that order.
+	best, next, priority := 0.0, 0.0, 0
 	for i := range s.kinds {
 		k := &s.kinds[i]
-		k.neglected = s.mixed && (k.admitted+1 < tune.StarvedPart*(k.admitted+k.refused)*admitted/max(1, admitted+refused) || s.trailsLower(k))
+		if k.priority != priority {
+			best, priority = next, k.priority
+		}
+		starves := k.admitted+1 < tune.StarvedPart*(k.admitted+k.refused)*served
+		k.neglected = s.mixed && (starves || k.servedShare()+tune.PriorityMargin < best)
+		next = max(next, k.servedShare())
 	}
 }
 
-// trailsLower reports whether a kind is served less often than one of a lower priority.
-func (s *Scheduler) trailsLower(k *kind) bool {
-	return slices.ContainsFunc(s.kinds, func(o kind) bool {
-		return o.priority > k.priority && k.servedShare()+tune.PriorityMargin < o.servedShare()
-	})
-}
-
 // servedShare returns the part of the calls of a kind that were admitted, of those that do not wait; 1 without calls.
 func (k *kind) servedShare() float64 { return (k.admitted + 1) / (k.admitted + k.refused + 1) }
 
@@ -287,19 +292,18 @@
 
 // add adds the kind of a call. Beyond the bound, it takes the place of the one that was not seen for longest.
 func (s *Scheduler) add(c *call.Call, now time.Time) *kind {
-	k := kind{rule: c.Route, priority: c.Priority, at: now}
-	if len(s.kinds) < tune.MaxKinds {
-		s.kinds = append(s.kinds, k)
-		return &s.kinds[len(s.kinds)-1]
-	}
-	oldest := 0
-	for i := range s.kinds {
-		if s.kinds[i].seenAt.Before(s.kinds[oldest].seenAt) {
-			oldest = i
+	if len(s.kinds) >= tune.MaxKinds {
+		oldest := 0
+		for i := range s.kinds {
+			if s.kinds[i].seenAt.Before(s.kinds[oldest].seenAt) {
+				oldest = i
+			}
 		}
+		s.kinds = slices.Delete(s.kinds, oldest, oldest+1)
 	}
-	s.kinds[oldest] = k
-	return &s.kinds[oldest]
+	i, _ := slices.BinarySearchFunc(s.kinds, c.Priority, func(k kind, priority int) int { return priority - k.priority })
+	s.kinds = slices.Insert(s.kinds, i, kind{rule: c.Route, priority: c.Priority, at: now})
+	return &s.kinds[i]
 }
 
 // missesSoftDeadline reports whether a call would end after its soft deadline if it were admitted now.
--- a/pkg/traffic/sched/scheduler_test.go
+++ b/pkg/traffic/sched/scheduler_test.go
@@ -1,12 +1,14 @@
 package sched_test
 
 import (
+	"fmt"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
 	"github.com/balsamvale/balsamvale/pkg/calls/call"
+	"github.com/balsamvale/balsamvale/pkg/shared/tune"
 	"github.com/balsamvale/balsamvale/pkg/traffic/sched"
 )
 
@@ -61,6 +63,21 @@
 		})
 	}
 
+	It("keeps a bounded number of kinds, those that were seen last, so that changing rules and accounts do not fill it", func() {
+		s := &sched.Scheduler{}
+		for i := range 10 * tune.MaxKinds {
+			c := newCall(i%7, 0, 0, time.Second)
+			c.Route = fmt.Sprint(i)
+			s.Arrive(start.Add(time.Duration(i)*time.Millisecond), c, runTime)
+		}
+		now := start.Add(time.Second)
+		s.Advance(now)
+		Expect(s.Mixed()).To(BeTrue())
+		Expect(s.FreeShare(newCall(9, 0, 0, time.Second), 1000, runTime)).To(BeNumerically(">", 1-float64(tune.MaxKinds)/1000))
+		s.Advance(now.Add(2 * tune.KindMemory))
+		Expect(s.Mixed()).To(BeFalse(), "no call for a while")
+	})
+
 	// Callers that were refused together came back together, or too late, or although nothing could be done for them.
 	for _, tc := range []struct {
 		name                  string
