--- a/pkg/control/gossip/table.go
+++ b/pkg/control/gossip/table.go
@@ -7,6 +7,7 @@
 
 	"github.com/balsamvale/balsamvale/pkg/events/fact"
 	"github.com/balsamvale/balsamvale/pkg/events/topic"
+	"github.com/balsamvale/balsamvale/pkg/shared/tune"
 )
 
 // Table is the set of live facts. It numbers them in the order in which it learns of them, so that a peer can say up to which number
@@ -52,22 +53,32 @@
 // Add stores a fact, and reports whether it is new.
 //
 // A fact that has expired is ignored, as is one whose topic, subject and value equal those of a live fact. A poison
-// fact is compared with those of its own origin, and is also ignored if its count of crashes is the lower one.
+// fact is compared with those of its own origin, and is also ignored if its count of crashes is the lower one. A pressure
+// fact takes the place of a live one if it is more urgent, or lasts longer by tune.PressureGap at least.
 func (t *Table) Add(now time.Time, f fact.Fact) bool {
 	if !f.Until.After(now) {
 		return false
 	}
 	key := keyOf(f)
-	if e, ok := t.facts[key]; ok && e.fact.Until.After(now) {
-		if e.fact.Value == f.Value || f.Topic == topic.Poison && e.fact.Value > f.Value {
-			return false
-		}
+	if e, ok := t.facts[key]; ok && e.fact.Until.After(now) && !supersedes(f, e.fact) {
+		return false
 	}
 	t.last++
 	t.facts[key] = &entry{fact: f, number: t.last}
 	return true
 }
 
+// supersedes reports whether a fact takes the place of a live one about the same subject.
+func supersedes(f, old fact.Fact) bool {
+	switch f.Topic {
+	case topic.Pressure:
+		return f.Value < old.Value || f.Value == old.Value && f.Until.Sub(old.Until) >= tune.PressureGap
+	case topic.Poison:
+		return f.Value > old.Value
+	}
+	return f.Value != old.Value
+}
+
 // HeldBy records that a peer has sent a fact. It does nothing unless the table has the same fact.
 func (t *Table) HeldBy(f fact.Fact, peer string) {
 	e, ok := t.facts[keyOf(f)]
@@ -120,7 +131,7 @@
 
 // Live returns up to limit live facts, and deletes the expired ones.
 //
-// The topics with the most lasting effects come first, and within a topic the facts that expire last.
+// The topics with the most lasting effects come first, and within a topic the facts that expire last. Pressure comes last.
 func (t *Table) Live(now time.Time, limit int) []fact.Fact {
 	var out []fact.Fact
 	for _, e := range t.live(now) {
@@ -143,7 +154,7 @@
 	}
 	slices.SortFunc(out, func(a, b *entry) int {
 		return cmp.Or(
-			cmp.Compare(b.fact.Topic, a.fact.Topic),
+			cmp.Compare(rank(b.fact.Topic), rank(a.fact.Topic)),
 			b.fact.Until.Compare(a.fact.Until),
 			cmp.Compare(a.fact.Subject, b.fact.Subject),
 			cmp.Compare(a.fact.Origin, b.fact.Origin),
@@ -151,3 +162,11 @@
 	})
 	return out
 }
+
+// rank returns the order of a topic in Live, where the highest comes first.
+func rank(t topic.Topic) int {
+	if t == topic.Pressure {
+		return -1
+	}
+	return int(t)
+}
--- a/pkg/traffic/sched/scheduler.go
+++ b/pkg/traffic/sched/scheduler.go
@@ -26,10 +26,17 @@
 // Scheduler keeps what is known of the kinds of calls of one service. The zero value knows none. It is not safe for concurrent
 // use: its owner must lock it.
 type Scheduler struct {
-	// kinds holds at most tune.MaxKinds kinds.
+	// kinds holds at most tune.MaxKinds kinds, those of the lowest priority first.
 	kinds []kind
 	// mixed is set while calls of several priorities arrive.
 	mixed bool
+	// hasLost is set once a call was refused or admitted too late since TakeLost, and lost is the most urgent priority of these.
+	hasLost bool
+	lost    int
+	// pressed is the most urgent priority of which another entry lost calls lately, until pressedUntil.
+	pressed      int
+	pressedUntil time.Time
+	isPressed    bool
 }
 
 // kind counts the calls of one routing rule and priority. The counts fade with tune.KindDecay.
@@ -60,8 +67,11 @@
 	}
 }
 
-// Admit counts a call that is admitted.
-func (s *Scheduler) Admit(c *call.Call) {
+// Admit counts a call that is admitted; run is its expected run time.
+func (s *Scheduler) Admit(now time.Time, c *call.Call, run time.Duration) {
+	if missesSoftDeadline(now, run, c) {
+		s.lose(c)
+	}
 	if k := s.find(c); k != nil {
 		k.admitted++
 	}
@@ -69,14 +79,37 @@
 
 // Refuse counts a call that is refused, at once or after it has waited.
 func (s *Scheduler) Refuse(c *call.Call) {
+	s.lose(c)
 	if k := s.find(c); k != nil {
 		k.refused++
 	}
 }
 
+// lose notes that a call was refused or admitted too late.
+func (s *Scheduler) lose(c *call.Call) {
+	if !s.hasLost || c.Priority < s.lost {
+		s.hasLost, s.lost = true, c.Priority
+	}
+}
+
+// TakeLost returns the most urgent priority of the calls that were refused, or admitted too late, since it was last called. ok is
+// not set if there are none, or if no calls of a lower priority arrive.
+func (s *Scheduler) TakeLost(now time.Time) (priority int, ok bool) {
+	ok = s.hasLost && slices.ContainsFunc(s.kinds, func(k kind) bool { return k.priority > s.lost && now.Sub(k.seenAt) <= tune.KindMemory })
+	s.hasLost = false
+	return s.lost, ok
+}
+
+// Press notes that another entry lost calls of a priority. Until then, calls of lower priorities leave it a part of the places.
+func (s *Scheduler) Press(now time.Time, priority int, until time.Time) {
+	if !s.pressedUntil.After(now) || priority <= s.pressed {
+		s.pressed, s.pressedUntil = priority, until
+	}
+}
+
 // Advance fades the counts up to a time. The owner calls it before the methods that compare calls.
 func (s *Scheduler) Advance(now time.Time) {
-	s.mixed = false
+	s.mixed, s.isPressed = false, s.pressedUntil.After(now)
 	first := -1
 	var admitted, refused float64
 	for i := range s.kinds {
@@ -92,19 +125,24 @@
 		s.mixed = s.mixed || first >= 0 && s.kinds[first].priority != k.priority
 		first = i
 	}
+	s.markNeglected(admitted / max(1, admitted+refused))
+}
+
+// markNeglected marks the kinds that are neglected; served is the part of all calls that were admitted, of those that do not wait.
+func (s *Scheduler) markNeglected(served float64) {
+	// best is the highest share of a kind of a lower priority, and next that of the kinds before, which come in that order.
+	best, next, priority := 0.0, 0.0, 0
 	for i := range s.kinds {
 		k := &s.kinds[i]
-		k.neglected = s.mixed && (k.admitted+1 < tune.StarvedPart*(k.admitted+k.refused)*admitted/max(1, admitted+refused) || s.trailsLower(k))
+		if k.priority != priority {
+			best, priority = next, k.priority
+		}
+		starves := k.admitted+1 < tune.StarvedPart*(k.admitted+k.refused)*served
+		k.neglected = s.mixed && (starves || k.servedShare()+tune.PriorityMargin < best)
+		next = max(next, k.servedShare())
 	}
 }
 
-// trailsLower reports whether a kind is served less often than one of a lower priority.
-func (s *Scheduler) trailsLower(k *kind) bool {
-	return slices.ContainsFunc(s.kinds, func(o kind) bool {
-		return o.priority > k.priority && k.servedShare()+tune.PriorityMargin < o.servedShare()
-	})
-}
-
 // servedShare returns the part of the calls of a kind that were admitted, of those that do not wait; 1 without calls.
 func (k *kind) servedShare() float64 { return (k.admitted + 1) / (k.admitted + k.refused + 1) }
 
@@ -149,6 +187,15 @@
 	return 0
 }
 
+// Value returns what an answer to a call is worth if the call begins now: its weight, or a tenth of it after the soft deadline.
+func (s *Scheduler) Value(now time.Time, c *call.Call, run time.Duration) float64 {
+	v := math.Ldexp(1, -c.Priority)
+	if missesSoftDeadline(now, run, c) {
+		v /= 10
+	}
+	return v
+}
+
 // costOfDelay returns what the delay of a call costs over the work that it needs. The weight halves with each priority.
 func costOfDelay(priority int, run time.Duration) float64 {
 	return math.Ldexp(1/max(1, float64(run)), -priority)
@@ -168,16 +215,20 @@
 //
 // Kinds that can wait until enough places become free by themselves need none.
 func (s *Scheduler) Reserved(c *call.Call, limit int, run time.Duration) int {
-	if !s.mixed || s.neglected(c) {
+	if s.neglected(c) {
 		return 0
 	}
+	yield := 0
+	if s.isPressed && s.pressed < c.Priority {
+		yield = int(math.Ceil(tune.YieldPart * float64(limit)))
+	}
 	demand := 0.0
 	for i := range s.kinds {
-		if k := &s.kinds[i]; k.priority < c.Priority && k.rate() >= tune.MinReserveRate && k.outruns(float64(limit)/run.Seconds()) {
+		if k := &s.kinds[i]; s.mixed && k.priority < c.Priority && k.rate() >= tune.MinReserveRate && k.outruns(float64(limit)/run.Seconds()) {
 			demand += k.rate() * k.run.Seconds()
 		}
 	}
-	return max(0, min(limit-1, int(math.Ceil(demand+math.Sqrt(demand)))))
+	return max(0, min(limit-1, max(yield, int(math.Ceil(demand+math.Sqrt(demand))))))
 }
 
 // rate returns the arrivals in a second.
@@ -241,19 +292,18 @@
 
 // add adds the kind of a call. Beyond the bound, it takes the place of the one that was not seen for longest.
 func (s *Scheduler) add(c *call.Call, now time.Time) *kind {
-	k := kind{rule: c.Route, priority: c.Priority, at: now}
-	if len(s.kinds) < tune.MaxKinds {
-		s.kinds = append(s.kinds, k)
-		return &s.kinds[len(s.kinds)-1]
-	}
-	oldest := 0
-	for i := range s.kinds {
-		if s.kinds[i].seenAt.Before(s.kinds[oldest].seenAt) {
-			oldest = i
+	if len(s.kinds) >= tune.MaxKinds {
+		oldest := 0
+		for i := range s.kinds {
+			if s.kinds[i].seenAt.Before(s.kinds[oldest].seenAt) {
+				oldest = i
+			}
 		}
+		s.kinds = slices.Delete(s.kinds, oldest, oldest+1)
 	}
-	s.kinds[oldest] = k
-	return &s.kinds[oldest]
+	i, _ := slices.BinarySearchFunc(s.kinds, c.Priority, func(k kind, priority int) int { return priority - k.priority })
+	s.kinds = slices.Insert(s.kinds, i, kind{rule: c.Route, priority: c.Priority, at: now})
+	return &s.kinds[i]
 }
 
 // missesSoftDeadline reports whether a call would end after its soft deadline if it were admitted now.
