duties: one entry at a time reports the usage of client accounts

Settings that name the duty usage_reporting make the entries count the calls of each account that upstreams began to run, by window, and one of them report the sums to the platform. The duty is held under a lease of the store; the fencing token is the revision of the write in which the holder took the duty. A report is decided in the state of the duty by compare-and-swap before it is sent, so that a later holder repeats it exactly. Entries keep their counts until they hear that the window is decided: a holder that dies takes none with it, and none counts twice.

Ruled out: counts that each entry writes to the store (19 writes a second with 96 entries), counts that are acknowledged before the store has them, tokens counted up in the state (given out again after the store comes back from an older copy).

--- a/internal/codec/value.go
+++ b/internal/codec/value.go
@@ -97,7 +97,7 @@
 	}
 }
 
-// Encode encodes a member, a shard owner or the progress of a rollout for the store.
+// Encode encodes a member, the owner of a shard or a duty, the progress of a rollout or the state of a duty for the store.
 //
 // Any other value gives nil. Errors match ErrInvalidValue.
 func Encode(v value.Value) ([]byte, error) {
@@ -109,7 +109,9 @@
 			Boot: v.Member.Incarnation, Leave: v.Member.Draining,
 		}
 	case v.Owner != nil:
-		m = &pb.Duty{Owner: v.Owner.Entry, Boot: v.Owner.Incarnation}
+		m = dutyToProto(v.Owner)
+	case v.Tenure != nil:
+		m = tenureToProto(v.Tenure)
 	case v.Progress != nil:
 		p := v.Progress
 		m = &pb.Progress{
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -216,6 +216,14 @@
 	return 1
 }
 
+// Rank returns the index of this entry among the active ones as far as it knows; it is 0 while no service is known.
+func (co *Core) Rank() int {
+	for _, cfg := range co.view.Load().snapshot.Services {
+		return max(0, cfg.EntryRank)
+	}
+	return 0
+}
+
 // Ready reports whether the entry should get calls: it has a configuration and is not stopping.
 func (co *Core) Ready() bool { return co.ready.Load() && !co.stopping.Load() }
 
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -21,6 +21,7 @@
 	"github.com/balsamvale/balsamvale/internal/claims"
 	"github.com/balsamvale/balsamvale/internal/core"
 	"github.com/balsamvale/balsamvale/internal/demux"
+	"github.com/balsamvale/balsamvale/internal/duty"
 	"github.com/balsamvale/balsamvale/internal/flight"
 	pb "github.com/balsamvale/balsamvale/internal/gen/balsamvale/v1"
 	"github.com/balsamvale/balsamvale/internal/logs"
@@ -46,11 +47,13 @@
 	// Build describes the program and its process; New sets it to that of the running process.
 	Build *build.Build
 
-	options        *option.Options
-	clock          clock.Clock
-	log            *logs.Log
-	core           *core.Core
-	peers          *peers.Service
+	options *option.Options
+	clock   clock.Clock
+	log     *logs.Log
+	core    *core.Core
+	peers   *peers.Service
+	// duty carries out the duties of the entry; nil if it has none.
+	duty           *duty.Runner
 	metrics        *metrics.Set
 	seams          *seams.Seams
 	inFlight       *flight.Table
@@ -120,6 +123,7 @@
 	handler.Accounts, handler.AccountsAge, handler.MaxKeyAge = d.core.Accounts, d.core.AccountsAge, o.MaxKeyAge
 	handler.SetMetrics(d.metrics)
 	d.initAccountMetrics()
+	d.initDuties(member.Member{Name: o.Name, Domain: o.Domain, Peer: o.Peer, Incarnation: incarnation}, handler)
 	d.onServerAnswer, d.refuseHead = handler.RecordServerAnswer, handler.RefuseHead
 	d.metrics.NewGauge("balsamvale_store_reads_total", func() float64 { return float64(d.seams.StoreReads()) })
 	d.metrics.NewGauge("balsamvale_store_writes_total", func() float64 { return float64(d.seams.StoreWrites()) })
@@ -248,6 +252,9 @@
 		return err
 	}
 	d.core.Start(ctx)
+	if d.duty != nil {
+		d.duty.Start(ctx)
+	}
 	if err := d.listenCallers(); err != nil {
 		return err
 	}
@@ -382,12 +389,15 @@
 // attempts that have begun by then need the time.
 const refusalPart = 3
 
-// awaitHandover waits until this entry has released its shards to other entries, for at most the handover timeout.
+// awaitHandover waits until this entry has released its duties and shards to other entries, for at most the handover timeout.
 //
 // It returns at once if there is no other entry, or if control has ended.
 func (d *Daemon) awaitHandover() {
 	ctx, cancel := context.WithTimeout(context.Background(), d.options.HandoverTimeout)
 	defer cancel()
+	if d.duty != nil {
+		d.duty.Stop(ctx)
+	}
 	for ctx.Err() == nil {
 		s, err := d.core.Status(ctx)
 		if err != nil || len(s.OwnedShards) == 0 || s.Members < 2 {
--- a/internal/gen/balsamvale/v1/balsamvalev1connect/peer.connect.go
+++ b/internal/gen/balsamvale/v1/balsamvalev1connect/peer.connect.go
@@ -40,6 +40,8 @@
 	PeerCreditProcedure = "/balsamvale.v1.Peer/Credit"
 	// PeerStatusProcedure is the fully-qualified name of the Peer's Status RPC.
 	PeerStatusProcedure = "/balsamvale.v1.Peer/Status"
+	// PeerUsageProcedure is the fully-qualified name of the Peer's Usage RPC.
+	PeerUsageProcedure = "/balsamvale.v1.Peer/Usage"
 )
 
 // PeerClient is a client for the balsamvale.v1.Peer service.
@@ -50,6 +52,9 @@
 	Credit(context.Context, *connect.Request[v1.CreditRequest]) (*connect.Response[v1.CreditResponse], error)
 	// Status returns the state of the entry.
 	Status(context.Context, *connect.Request[v1.StatusRequest]) (*connect.Response[v1.StatusResponse], error)
+	// Usage hands the counts of an entry over to the holder of the usage reports. The answer comes when they are kept, or after a
+	// while without that.
+	Usage(context.Context, *connect.Request[v1.UsageRequest]) (*connect.Response[v1.UsageResponse], error)
 }
 
 // NewPeerClient constructs a client for the balsamvale.v1.Peer service. By default, it uses the
@@ -81,6 +86,12 @@
 			connect.WithSchema(peerMethods.ByName("Status")),
 			connect.WithClientOptions(opts...),
 		),
+		usage: connect.NewClient[v1.UsageRequest, v1.UsageResponse](
+			httpClient,
+			baseURL+PeerUsageProcedure,
+			connect.WithSchema(peerMethods.ByName("Usage")),
+			connect.WithClientOptions(opts...),
+		),
 	}
 }
 
@@ -89,6 +100,7 @@
 	exchange *connect.Client[v1.Digest, v1.Digest]
 	credit   *connect.Client[v1.CreditRequest, v1.CreditResponse]
 	status   *connect.Client[v1.StatusRequest, v1.StatusResponse]
+	usage    *connect.Client[v1.UsageRequest, v1.UsageResponse]
 }
 
 // Exchange calls balsamvale.v1.Peer.Exchange.
@@ -106,6 +118,11 @@
 	return c.status.CallUnary(ctx, req)
 }
 
+// Usage calls balsamvale.v1.Peer.Usage.
+func (c *peerClient) Usage(ctx context.Context, req *connect.Request[v1.UsageRequest]) (*connect.Response[v1.UsageResponse], error) {
+	return c.usage.CallUnary(ctx, req)
+}
+
 // PeerHandler is an implementation of the balsamvale.v1.Peer service.
 type PeerHandler interface {
 	// Exchange takes in the digest of another entry and returns one with what that entry lacks.
@@ -114,6 +131,9 @@
 	Credit(context.Context, *connect.Request[v1.CreditRequest]) (*connect.Response[v1.CreditResponse], error)
 	// Status returns the state of the entry.
 	Status(context.Context, *connect.Request[v1.StatusRequest]) (*connect.Response[v1.StatusResponse], error)
+	// Usage hands the counts of an entry over to the holder of the usage reports. The answer comes when they are kept, or after a
+	// while without that.
+	Usage(context.Context, *connect.Request[v1.UsageRequest]) (*connect.Response[v1.UsageResponse], error)
 }
 
 // NewPeerHandler builds an HTTP handler from the service implementation. It returns the path on
@@ -141,6 +161,12 @@
 		connect.WithSchema(peerMethods.ByName("Status")),
 		connect.WithHandlerOptions(opts...),
 	)
+	peerUsageHandler := connect.NewUnaryHandler(
+		PeerUsageProcedure,
+		svc.Usage,
+		connect.WithSchema(peerMethods.ByName("Usage")),
+		connect.WithHandlerOptions(opts...),
+	)
 	return "/balsamvale.v1.Peer/", http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		switch r.URL.Path {
 		case PeerExchangeProcedure:
@@ -149,6 +175,8 @@
 			peerCreditHandler.ServeHTTP(w, r)
 		case PeerStatusProcedure:
 			peerStatusHandler.ServeHTTP(w, r)
+		case PeerUsageProcedure:
+			peerUsageHandler.ServeHTTP(w, r)
 		default:
 			http.NotFound(w, r)
 		}
@@ -169,3 +197,7 @@
 func (UnimplementedPeerHandler) Status(context.Context, *connect.Request[v1.StatusRequest]) (*connect.Response[v1.StatusResponse], error) {
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("balsamvale.v1.Peer.Status is not implemented"))
 }
+
+func (UnimplementedPeerHandler) Usage(context.Context, *connect.Request[v1.UsageRequest]) (*connect.Response[v1.UsageResponse], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("balsamvale.v1.Peer.Usage is not implemented"))
+}
--- a/internal/option/options.go
+++ b/internal/option/options.go
@@ -57,6 +57,14 @@
 	MaxConfigAge time.Duration
 	// MaxKeyAge is the age of the configuration up to which calls with keys of client accounts are served; 0 for no limit.
 	MaxKeyAge time.Duration
+	// DutyLease is the lifetime of the lease under which an entry holds a duty. Only settings that name a duty set it.
+	DutyLease time.Duration
+	// DutyRate is the number of calls a second that all entries together may make for duties.
+	DutyRate float64
+	// UsageWindow is the length of the windows of usage reports, and UsageLate the time after the end of a window at which its report
+	// is due; 0 if usage is not reported.
+	UsageWindow time.Duration
+	UsageLate   time.Duration
 	// MaxFiles is the number of descriptors that the process may have; 0 if only the system's limit is known.
 	MaxFiles int
 }
@@ -85,6 +93,7 @@
 		{"stop.handover", o.HandoverTimeout},
 		{"config.age", o.MaxConfigAge},
 		{"keys.age", o.MaxKeyAge},
+		{"duty", []any{o.DutyLease, o.DutyRate, o.UsageWindow, o.UsageLate}},
 		{"limits.memory", o.MemoryLimitBytes},
 		{"limits.files", o.MaxFiles},
 	} {
--- a/internal/peers/service.go
+++ b/internal/peers/service.go
@@ -17,6 +17,8 @@
 	"github.com/balsamvale/balsamvale/internal/stall"
 	"github.com/balsamvale/balsamvale/pkg/calls/credit"
 	"github.com/balsamvale/balsamvale/pkg/calls/demand"
+	"github.com/balsamvale/balsamvale/pkg/duties/ack"
+	"github.com/balsamvale/balsamvale/pkg/duties/handov"
 	"github.com/balsamvale/balsamvale/pkg/events/digest"
 	"github.com/balsamvale/balsamvale/pkg/events/effect"
 	"github.com/balsamvale/balsamvale/pkg/events/event"
@@ -35,6 +37,9 @@
 	// LocalStatus returns the state of this entry and what it has in force.
 	LocalStatus func(ctx context.Context) (*pb.StatusResponse, error)
 
+	// TakeUsage takes in the usage counts of a peer; nil if the entry has no duties.
+	TakeUsage func(ctx context.Context, h handov.Handover) (ack.Ack, error)
+
 	clock clock.Clock
 	http  *http.Client
 }
--- a/internal/proxy/driver.go
+++ b/internal/proxy/driver.go
@@ -79,6 +79,8 @@
 	cancel    context.CancelFunc
 	handler   *Handler
 	memory    *memory.Budget
+	// account is that of the call, if the attempt is counted.
+	account   string
 	responded chan<- *attempt
 	// res is the response; nil if the attempt failed.
 	res *http.Response
@@ -99,6 +101,7 @@
 		}
 	}()
 	a.res, a.result = a.handler.Send(a.ctx, a.req)
+	a.uncount()
 	if a.res != nil && a.result.Cause != cause.Shed {
 		a.bufferResponse()
 	}
@@ -215,6 +218,7 @@
 		case <-ctx.Done():
 		}
 	}
+	a.count(d.call.Account)
 	d.attempts = append(d.attempts, a)
 	d.handler.InFlight.MarkSent(d.call)
 	go a.run()
--- a/internal/proxy/handler.go
+++ b/internal/proxy/handler.go
@@ -19,6 +19,7 @@
 	"github.com/balsamvale/balsamvale/internal/header"
 	"github.com/balsamvale/balsamvale/internal/logs"
 	"github.com/balsamvale/balsamvale/internal/memory"
+	"github.com/balsamvale/balsamvale/internal/meter"
 	"github.com/balsamvale/balsamvale/internal/outreq"
 	"github.com/balsamvale/balsamvale/pkg/calls/call"
 	"github.com/balsamvale/balsamvale/pkg/calls/claim"
@@ -92,6 +93,8 @@
 	// AccountsAge returns the time since Accounts was last known to match the store; negative if it never was. What is looked up in
 	// Accounts later is of that age or newer.
 	AccountsAge func() time.Duration
+	// Usage counts the attempts of calls of client accounts; nil if nothing is counted.
+	Usage *meter.Meter
 	// MaxKeyAge is the age of the accounts up to which keys are accepted; 0 for no limit.
 	MaxKeyAge time.Duration
 
--- a/internal/seams/seams.go
+++ b/internal/seams/seams.go
@@ -4,6 +4,7 @@
 	"context"
 
 	"github.com/balsamvale/balsamvale/internal/header"
+	"github.com/balsamvale/balsamvale/pkg/duties/usage"
 	"github.com/balsamvale/balsamvale/pkg/stored/item"
 	"github.com/balsamvale/balsamvale/pkg/stored/kvreq"
 	"github.com/balsamvale/balsamvale/pkg/stored/kvresp"
@@ -30,6 +31,9 @@
 	Reload func() (changed bool, err error)
 	// Settings returns the settings in force that the options do not hold, as lines of the form key=value.
 	Settings func() []string
+	// ReportUsage sends the usage report of a window in the name of a holder with a fencing token. The status is 0 without an answer:
+	// the report may be taken in all the same, also later. Nil if usage is not reported.
+	ReportUsage func(ctx context.Context, holder string, token int64, u usage.Usage) (status int, err error)
 	// StoreReads returns the number of read requests sent to the store.
 	StoreReads func() uint64
 	// StoreWrites returns the number of write requests sent to the store.
--- a/pkg/control/keys/keys.go
+++ b/pkg/control/keys/keys.go
@@ -21,6 +21,9 @@
 	RolloutPrefix = ControlPrefix + "move/"
 	// ClaimPrefix is the prefix of the buckets that hold the claims of idempotency keys.
 	ClaimPrefix = "claim/"
+	// DutyPrefix is the prefix of the keys of duties that one entry at a time holds. They are not replicated: an entry reads them
+	// when it has to.
+	DutyPrefix = "job/"
 )
 
 // Record returns the key of a record of a kind, such as "service".
@@ -42,6 +45,12 @@
 // Owner returns the key that names the owner of a shard.
 func Owner(s shard.Shard) string { return fmt.Sprintf("%s%02d", OwnerPrefix, int(s)) }
 
+// Holder returns the key that names the holder of a duty, and that expires with its lease.
+func Holder(duty string) string { return DutyPrefix + duty + "/holder" }
+
+// Tenure returns the key of the state of a duty.
+func Tenure(duty string) string { return DutyPrefix + duty + "/state" }
+
 // Rollout returns the key of the progress of a rollout.
 func Rollout(name string) string { return RolloutPrefix + name }
 
--- /dev/null
+++ b/pkg/duties/tenure/doc.go
@@ -0,0 +1,2 @@
+// Package tenure defines the stored state of a duty.
+package tenure
--- /dev/null
+++ b/pkg/duties/usage/doc.go
@@ -0,0 +1,2 @@
+// Package usage defines the counts of calls of one window.
+package usage
