duties: a holder that lost sight of its lease gives its name up at once

It removes its name, which only its own incarnation wrote, and takes the duty again with a higher token.

--- a/pkg/duties/hold/hold.go
+++ b/pkg/duties/hold/hold.go
@@ -305,15 +305,16 @@
 		h.idle()
 		return
 	}
-	if h.isSelf(v.Owner.Entry, v.Owner.Incarnation) && h.leaseID != 0 && clock.Elapsed(now, h.renewedAt) < h.ttl/2 {
+	switch {
+	case !h.isSelf(v.Owner.Entry, v.Owner.Incarnation):
+		h.idle()
+		h.holder = v.Owner
+	case h.leaseID != 0 && clock.Elapsed(now, h.renewedAt) < h.ttl/2:
 		// The write of the name was applied although its response was lost.
 		h.holderRevision, h.seat = it.Revision, seat.Loading
-		return
-	}
-	h.idle()
-	h.holder = v.Owner
-	if h.isSelf(v.Owner.Entry, v.Owner.Incarnation) {
-		h.holder = nil
+	default:
+		// The entry has given the duty up, or has lost sight of its lease: nobody has to wait for the end of that.
+		h.holder, h.holderRevision, h.seat = nil, it.Revision, seat.Leaving
 	}
 }
 
--- a/pkg/duties/hold/hold_test.go
+++ b/pkg/duties/hold/hold_test.go
@@ -50,7 +50,9 @@
 	// carried out up to 4 s later.
 	loss, late float64
 	down       bool
-	delayed    []delayed
+	// forever is set if no lease ends.
+	forever bool
+	delayed []delayed
 }
 
 // entry is one entry; pausedUntil is when it runs again.
@@ -103,7 +105,7 @@
 
 // call carries out a request.
 func (f *fleet) call(req kvreq.Request) kvresp.Response {
-	if f.leased != 0 && f.now.After(f.leases[f.leased]) {
+	if f.leased != 0 && !f.forever && f.now.After(f.leases[f.leased]) {
 		f.leased = 0
 		delete(f.values, keys.Holder(duty))
 		delete(f.revs, keys.Holder(duty))
@@ -115,7 +117,7 @@
 		id := req.LeaseID
 		if id == 0 {
 			id = int64(len(f.leases) + 1)
-		} else if f.now.After(f.leases[id]) {
+		} else if !f.forever && f.now.After(f.leases[id]) {
 			return kvresp.Response{}
 		}
 		f.leases[id] = f.now.Add(req.TTL)
@@ -296,6 +298,17 @@
 		Expect(f.values[keys.Tenure(duty)].Tenure.Work).NotTo(BeEmpty())
 	})
 
+	It("is taken again by its holder after a pause, also while the store still has its lease", func() {
+		for at := range 12 {
+			f := newFleet(1, 1)
+			f.forever = true
+			f.run(16*time.Second, at, 10*time.Second)
+			f.check(fmt.Sprint("step ", at))
+			Expect(f.acts).NotTo(BeEmpty())
+			Expect(f.now.Sub(f.acts[len(f.acts)-1].at)).To(BeNumerically("<", time.Second))
+		}
+	})
+
 	It("is given up after a refusal, and taken with a higher token", func() {
 		f := newFleet(1, 1)
 		f.run(2*time.Second, -1, 0)
