--- a/internal/meter/meter.go
+++ b/internal/counts/meter.go
@@ -1,4 +1,4 @@
-package meter
+package counts
 
 import (
 	"maps"
--- a/internal/meter/meter_test.go
+++ b/internal/counts/meter_test.go
@@ -1,4 +1,4 @@
-package meter_test
+package counts_test
 
 import (
 	"fmt"
@@ -6,7 +6,7 @@
 	"testing"
 	"time"
 
-	"github.com/balsamvale/balsamvale/internal/meter"
+	"github.com/balsamvale/balsamvale/internal/counts"
 	"github.com/balsamvale/balsamvale/pkg/duties/usage"
 )
 
@@ -14,7 +14,7 @@
 
 // caller counts calls of some accounts; its run method is a goroutine.
 type caller struct {
-	meter *meter.Meter
+	meter *counts.Meter
 	at    time.Time
 	wg    *sync.WaitGroup
 }
@@ -33,7 +33,7 @@
 // Guards against counts that are lost among concurrent calls, and against a window that is handed over before it has ended.
 func TestConcurrentCalls(t *testing.T) {
 	start := time.Unix(1000, 0)
-	m := meter.New(start, length)
+	m := counts.New(start, length)
 	var wg sync.WaitGroup
 	for i := range 8 {
 		wg.Add(1)
@@ -81,7 +81,7 @@
 // BenchmarkBegin shows what counting adds to a call.
 func BenchmarkBegin(b *testing.B) {
 	at := time.Unix(1000, 0)
-	m := meter.New(at, length)
+	m := counts.New(at, length)
 	b.RunParallel(func(pb *testing.PB) {
 		for i := 0; pb.Next(); i++ {
 			m.Begin(accounts[i%len(accounts)], at)
--- a/internal/duty/runner.go
+++ b/internal/duty/runner.go
@@ -1,7 +1,7 @@
 package duty
 
 /*
- meter.Meter --Ended--> own counts ----------+                       +--> storeTask.run ----> store
+ counts.Meter --Ended--> own counts ----------+                       +--> storeTask.run ----> store
                                              v                       |
  peers --Take--> requests --> Runner.loop owns hold.Hold, ledger.Ledger --> handoverTask.run --> holder
                                              ^                       |
@@ -21,8 +21,8 @@
 	"go.uber.org/zap"
 
 	"github.com/balsamvale/balsamvale/internal/codec"
+	"github.com/balsamvale/balsamvale/internal/counts"
 	"github.com/balsamvale/balsamvale/internal/logs"
-	"github.com/balsamvale/balsamvale/internal/meter"
 	"github.com/balsamvale/balsamvale/internal/option"
 	"github.com/balsamvale/balsamvale/pkg/duties/ack"
 	"github.com/balsamvale/balsamvale/pkg/duties/decis"
@@ -54,7 +54,7 @@
 	Entries func() int
 	Rank    func() int
 	// Meter counts the calls of this entry.
-	Meter *meter.Meter
+	Meter *counts.Meter
 
 	clock clock.Clock
 	log   *logs.Log
@@ -155,7 +155,7 @@
 func New(c clock.Clock, log *logs.Log, self member.Member, o *option.Options) *Runner {
 	rnd := rand.New(rand.NewPCG(self.Incarnation, uint64(len(self.Name))))
 	r := &Runner{
-		Meter: meter.New(c.Now(), o.UsageWindow),
+		Meter: counts.New(c.Now(), o.UsageWindow),
 		clock: c, log: log, self: self, from: fmt.Sprintf("%s.%d", self.Name, self.Incarnation), lease: o.DutyLease, rand: rnd,
 		reportGap: max(50*time.Millisecond, time.Duration(2*float64(time.Second)/max(1, o.DutyRate))),
 		hold:      hold.New(self, usageDuty, o.DutyLease, rnd), ledger: ledger.New(o.UsageWindow, o.UsageLate),
--- a/internal/meter/doc.go
+++ /dev/null
@@ -1,2 +0,0 @@
-// Package meter counts the calls that upstreams began to run, by client account and window.
-package meter
--- a/internal/proxy/handler.go
+++ b/internal/proxy/handler.go
@@ -14,12 +14,12 @@
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/cespare/xxhash/v2"
 
+	"github.com/balsamvale/balsamvale/internal/counts"
 	"github.com/balsamvale/balsamvale/internal/demux"
 	"github.com/balsamvale/balsamvale/internal/flight"
 	"github.com/balsamvale/balsamvale/internal/header"
 	"github.com/balsamvale/balsamvale/internal/logs"
 	"github.com/balsamvale/balsamvale/internal/memory"
-	"github.com/balsamvale/balsamvale/internal/meter"
 	"github.com/balsamvale/balsamvale/internal/outreq"
 	"github.com/balsamvale/balsamvale/pkg/calls/call"
 	"github.com/balsamvale/balsamvale/pkg/calls/claim"
@@ -94,7 +94,7 @@
 	// Accounts later is of that age or newer.
 	AccountsAge func() time.Duration
 	// Usage counts the attempts of calls of client accounts; nil if nothing is counted.
-	Usage *meter.Meter
+	Usage *counts.Meter
 	// MaxKeyAge is the age of the accounts up to which keys are accepted; 0 for no limit.
 	MaxKeyAge time.Duration
 
