--- a/internal/peers/service.go
+++ b/internal/peers/service.go
@@ -18,6 +18,8 @@
 	"github.com/balsamvale/balsamvale/internal/stall"
 	"github.com/balsamvale/balsamvale/pkg/calls/credit"
 	"github.com/balsamvale/balsamvale/pkg/calls/demand"
+	"github.com/balsamvale/balsamvale/pkg/duties/ack"
+	"github.com/balsamvale/balsamvale/pkg/duties/handov"
 	"github.com/balsamvale/balsamvale/pkg/events/digest"
 	"github.com/balsamvale/balsamvale/pkg/events/effect"
 	"github.com/balsamvale/balsamvale/pkg/events/event"
@@ -39,6 +41,8 @@
 
 	// Meter counts the bytes exchanged with peers; it may be nil.
 	Meter *meter.Meter
+	// TakeUsage takes in the usage counts of a peer; nil if the entry has no duties.
+	TakeUsage func(ctx context.Context, h handov.Handover) (ack.Ack, error)
 
 	clock clock.Clock
 	http  *http.Client
--- a/internal/proxy/handler.go
+++ b/internal/proxy/handler.go
@@ -14,6 +14,7 @@
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/cespare/xxhash/v2"
 
+	"github.com/balsamvale/balsamvale/internal/counts"
 	"github.com/balsamvale/balsamvale/internal/demux"
 	"github.com/balsamvale/balsamvale/internal/flight"
 	"github.com/balsamvale/balsamvale/internal/header"
@@ -92,6 +93,8 @@
 	// AccountsAge returns the time since Accounts was last known to match the store; negative if it never was. What is looked up in
 	// Accounts later is of that age or newer.
 	AccountsAge func() time.Duration
+	// Usage counts the attempts of calls of client accounts; nil if nothing is counted.
+	Usage *counts.Meter
 	// MaxKeyAge is the age of the accounts up to which keys are accepted; 0 for no limit.
 	MaxKeyAge time.Duration
 
