--- a/internal/prior/transport.go
+++ b/internal/prior/transport.go
@@ -53,7 +53,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return &conn{Conn: c, isOld: func() { t.setOld(addr) }}, nil
+	return &conn{Conn: c, clock: t.clock, isOld: func() { t.setOld(addr) }, answered: make(chan struct{})}, nil
 }
 
 // setOld records that a host has answered in HTTP/1.1.
@@ -174,9 +174,17 @@
 	isOld func()
 	// begin has the first bytes of the answer; only the goroutine that reads uses it.
 	begin []byte
-	reads atomic.Uint64
+	// answered is closed once the protocol of the answer is known, or the connection has ended before.
+	answered chan struct{}
+	once     sync.Once
+	clock    clock.Clock
+	reads    atomic.Uint64
 }
 
+// answerWait is how long a failed write waits for the answer that the peer may have sent before it closed the connection. It has crossed
+// the network by then.
+const answerWait = 100 * time.Millisecond
+
 // statusLine is how an answer of HTTP/1.1 begins. The first frame of HTTP/2 cannot begin so: its type would not be that of a
 // SETTINGS frame.
 var statusLine = []byte("HTTP/1.")
@@ -196,5 +204,25 @@
 			c.isOld()
 		}
 	}
+	if len(c.begin) == len(statusLine) || err != nil {
+		c.once.Do(func() { close(c.answered) })
+	}
+	return n, err
+}
+
+// Write writes to the connection; errors are those of the connection.
+//
+// A peer of an older build answers the preface and closes the connection, perhaps before it is sent a request. The error then waits
+// until the answer is read, since net/http closes the connection at once.
+func (c *conn) Write(p []byte) (int, error) {
+	n, err := c.Conn.Write(p)
+	if err != nil {
+		t, stop := c.clock.Timer(answerWait)
+		defer stop()
+		select {
+		case <-c.answered:
+		case <-t:
+		}
+	}
 	return n, err
 }
--- a/internal/prior/transport_test.go
+++ b/internal/prior/transport_test.go
@@ -29,6 +29,8 @@
 	*httptest.Server
 	opened, requests atomic.Int64
 	silent           atomic.Int64
+	// hasty is set if the peer closes a connection with its answer to the preface of HTTP/2.
+	hasty atomic.Bool
 }
 
 // newPeer starts a peer that echoes requests and names their protocol.
@@ -75,6 +77,11 @@
 func (c *peerConn) Read(b []byte) (int, error) {
 	for {
 		n, err := c.Conn.Read(b)
+		if c.peer.hasty.Load() && strings.HasPrefix(string(b[:n]), "PRI ") {
+			_, _ = io.WriteString(c.Conn, "HTTP/1.1 400 Bad Request\r\nConnection: close\r\n\r\n")
+			_ = c.Conn.Close()
+			return 0, io.EOF
+		}
 		if err != nil || c.number > c.peer.silent.Load() {
 			return n, err
 		}
@@ -135,6 +142,19 @@
 		})
 	}
 
+	// Guards against a request that is lost since the older build closes the connection before it is written.
+	It("falls back to HTTP/1.1 for a peer that answers the preface and closes the connection at once", func() {
+		p := newPeer(false)
+		DeferCleanup(p.Close)
+		p.hasty.Store(true)
+		for range 300 {
+			t := prior.New(clock.Wall(), time.Minute)
+			Expect(post(t, p.URL, "a", 5*time.Second)).To(Equal("HTTP/1.1 a"))
+			t.CloseIdleConnections()
+		}
+		Expect(p.requests.Load()).To(Equal(int64(300)))
+	})
+
 	// Guards against exchanges that time out one after the other on a connection that many requests share.
 	It("does not use a silent connection after the first request without an answer", func() {
 		p := newPeer(true)
