--- a/internal/sender/sender.go
+++ b/internal/sender/sender.go
@@ -7,7 +7,6 @@
 	"net/http"
 	"net/netip"
 	"net/url"
-	"strings"
 	"time"
 
 	"github.com/balsamvale/balsamvale/internal/header"
@@ -136,19 +135,15 @@
 		return nil, result.Result{Cause: e.failureCause(), Latency: latency}, e.reused
 	}
 	out := s.headers.ClassifyResponse(res, r.ID)
-	if mergedStatusLines(res) {
-		out = result.Result{Status: res.StatusCode, Cause: cause.AttemptMismatch}
+	if c := noAnswer(res); c != cause.None {
+		out = result.Result{Status: res.StatusCode, Cause: c}
 	}
 	out.Latency = latency
 	out.ConnClose = res.Close && rt == s.pooled
-	if out.Cause == cause.AttemptMismatch {
+	if out.Cause == cause.AttemptMismatch || out.Cause == cause.Invalid {
 		_ = res.Body.Close()
 		e.closeConn()
 		return nil, out, false
 	}
 	return res, out, false
 }
-
-// mergedStatusLines reports whether a part of a status line came before the one of the response, so that the status may be
-// that of another response.
-func mergedStatusLines(res *http.Response) bool { return strings.Contains(res.Status, "HTTP/") }
--- a/pkg/calls/cause/cause.go
+++ b/pkg/calls/cause/cause.go
@@ -25,4 +25,6 @@
 	Canceled // canceled
 	// AttemptMismatch means that the response belonged to another attempt.
 	AttemptMismatch // mismatch
+	// Invalid means that the response has a status that HTTP does not define.
+	Invalid // invalid
 )
--- a/pkg/calls/cause/cause_string.go
+++ b/pkg/calls/cause/cause_string.go
@@ -17,11 +17,12 @@
 	_ = x[Timeout-6]
 	_ = x[Canceled-7]
 	_ = x[AttemptMismatch-8]
+	_ = x[Invalid-9]
 }
 
-const _Cause_name = "noneshederrorunsentdownbrokentimeoutcanceledmismatch"
+const _Cause_name = "noneshederrorunsentdownbrokentimeoutcanceledmismatchinvalid"
 
-var _Cause_index = [...]uint8{0, 4, 8, 13, 19, 23, 29, 36, 44, 52}
+var _Cause_index = [...]uint8{0, 4, 8, 13, 19, 23, 29, 36, 44, 52, 59}
 
 func (i Cause) String() string {
 	idx := int(i) - 0
