--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -159,6 +159,15 @@
 	}
 }
 
+// VisitRoom calls visit for each service with the number of calls that this entry lost at upstreams without room, and the margin
+// that it keeps free there.
+func (co *Core) VisitRoom(visit func(service string, lost int, margin float64)) {
+	for name, p := range co.view.Load().pools {
+		lost, margin := p.RoomStats(co.clock.Now())
+		visit(name, lost, margin)
+	}
+}
+
 // Rule returns the routing rule for a host and path, or nil if none matches; known is false when there are no rules.
 func (co *Core) Rule(host, path string) (r *rulrec.Rule, known bool) {
 	rules := co.view.Load().snapshot.Rules
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -171,6 +171,10 @@
 			d.metrics.GetOrCreateGauge(fmt.Sprintf("balsamvale_waiting_calls{service=%q}", service), nil).Set(float64(waiting))
 			d.metrics.GetOrCreateGauge(fmt.Sprintf("balsamvale_limited_upstreams{service=%q}", service), nil).Set(float64(limited))
 		})
+		d.core.VisitRoom(func(service string, lost int, margin float64) {
+			d.metrics.GetOrCreateGauge(fmt.Sprintf("balsamvale_lost_calls_total{service=%q}", service), nil).Set(float64(lost))
+			d.metrics.GetOrCreateGauge(fmt.Sprintf("balsamvale_room_margin{service=%q}", service), nil).Set(margin)
+		})
 		d.metrics.WritePrometheus(w)
 		d.writeBuildMetric(w)
 		metrics.WriteProcessMetrics(w)
--- a/internal/logs/log.go
+++ b/internal/logs/log.go
@@ -114,7 +114,7 @@
 		zap.Uint64("call", c.ID), zap.String("mark", cut(c.RequestID)), zap.String("service", c.Service), zap.String("route", c.Route),
 		zap.Stringer("step", s.Stage), zap.Stringer("reason", s.Reason), zap.Int("attempt", s.Attempt),
 		zap.String("upstream", upstream), zap.String("domain", domain), zap.String("version", version),
-		zap.Duration("wait", choice.PredictedWait), zap.Float64("load", choice.Load), zap.Float64("pace", choice.Slowdown), zap.Duration("age", choice.ReportAge),
+		zap.Duration("wait", choice.PredictedWait), zap.Float64("load", choice.Load), zap.Float64("room", choice.Free), zap.Float64("pace", choice.Slowdown), zap.Duration("age", choice.ReportAge),
 		zap.Int("limit", choice.AdmitLimit), zap.Int("waiting", choice.AdmitWaiting), zap.Stringer("fate", s.Outcome),
 		zap.Int("out", choice.SkippedUnavailable), zap.Int("leaving", choice.SkippedDraining), zap.Int("cold", choice.SkippedCold), zap.Int("open", choice.SkippedCircuitOpen),
 		zap.Int("conns", choice.SkippedConnLimit), zap.Int("busy", choice.SkippedBusy), zap.Int("limited", choice.SkippedLimited), zap.Int("paused", choice.SkippedPaused), zap.Int("tried", choice.SkippedTried),
--- a/pkg/calls/choice/choice.go
+++ b/pkg/calls/choice/choice.go
@@ -22,6 +22,8 @@
 	// Load is the predicted number of calls at the target; Slowdown is how much longer than usual work takes there, as a
 	// factor.
 	Load, Slowdown float64
+	// Free is the estimated number of free places at the target before the call.
+	Free float64
 	// ReportAge is the age of the target's last load report; negative without one.
 	ReportAge time.Duration
 	// AdmitLimit is the number of calls that this entry admits for the service at once; AdmitWaiting is the number of
--- a/pkg/shared/tune/constants.go
+++ b/pkg/shared/tune/constants.go
@@ -62,6 +62,25 @@
 	MaxBacklog = 8
 )
 
+// Estimate of the free places at upstreams that several entries share.
+const (
+	// RoomGuardLosses is the number of calls lost for lack of room from which no call goes to an upstream without room. One alone
+	// may have another cause.
+	RoomGuardLosses = 2
+	// RoomMaxMargin is the highest margin.
+	RoomMaxMargin = 4
+	// RoomMarginStep is what a call that found no room adds to the margin.
+	RoomMarginStep = 0.5
+	// RoomMarginHalfLife is the time in which what misses have added to the margin falls to half.
+	RoomMarginHalfLife = 20 * time.Second
+	// RoomReportAge is the age from which a report says nothing about the room at an upstream.
+	RoomReportAge = time.Second
+	// RoomTransit is the time that reports and calls are taken to be on their way.
+	RoomTransit = 5 * time.Millisecond
+	// RoomLossGrace is the time for which a report may lack a call that was sent before.
+	RoomLossGrace = 100 * time.Millisecond
+)
+
 // Limit on the admitted calls in one entry, for a service whose calls send probes.
 const (
 	// SharedStartEntries is the number of entries from which initial values are an entry's part of what the fleet may use. The
--- a/pkg/traffic/admit/limit.go
+++ b/pkg/traffic/admit/limit.go
@@ -24,6 +24,9 @@
 // Limit returns the number of calls that may be in flight.
 func (l *Limiter[T]) Limit() int { return int(l.limit) }
 
+// InFlight returns the number of admitted calls that were not released yet.
+func (l *Limiter[T]) InFlight() int { return l.inFlight }
+
 // Adapt adjusts the limit after an answer; overloaded tells whether the upstream that gave it has too much load.
 func (l *Limiter[T]) Adapt(overloaded bool) {
 	l.adapted = true
--- a/pkg/traffic/pool/admission.go
+++ b/pkg/traffic/pool/admission.go
@@ -30,6 +30,7 @@
 	}
 	ch := choice.Choice{At: now, AdmitLimit: p.limiter.Limit(), AdmitWaiting: p.limiter.Len()}
 	ch.Stage, ch.PredictedWait = p.limiter.Acquire(now, c, p.typicalRunTime(), p.config.Service.Queue, &waiter{call: c, wake: wake})
+	p.room.SetInFlight(p.limiter.InFlight())
 	switch ch.Stage {
 	case stage.Wait:
 		ch.Reason = reason.AtCapacity
@@ -82,6 +83,7 @@
 // admitNext admits waiting calls up to the limit and refuses those that can no longer meet their deadline; unlock wakes both.
 func (p *Pool) admitNext(now time.Time) {
 	admitted, expired := p.limiter.AdmitNext(now, p.typicalRunTime())
+	p.room.SetInFlight(p.limiter.InFlight())
 	for _, w := range admitted {
 		w.decision = choice.Choice{Stage: stage.Probe, At: now}
 	}
--- a/pkg/traffic/pool/choose.go
+++ b/pkg/traffic/pool/choose.go
@@ -95,7 +95,7 @@
 	s := best.upstream
 	s.turns.Use(now, p.config.EntryRank, p.config.EntryCount)
 	ch.Stage, ch.Reason, ch.Target, ch.PredictedWait = stage.Send, reason.LowestWait, s.target, best.score
-	ch.Load, ch.Slowdown, ch.ReportAge = best.load, s.predictedSlowdown(p, now), s.reportAge(now)
+	ch.Load, ch.Slowdown, ch.ReportAge, ch.Free = best.load, s.predictedSlowdown(p, now), s.reportAge(now), s.freePlaces(p, now)
 	if p.policy == policy.LeastPredictedWait {
 		ch.HedgeDelay = max(tune.MinHedgeDelay, time.Duration(tune.HedgeDelayFactor*float64(best.score)))
 	}
@@ -254,7 +254,7 @@
 		ch.SkippedConnLimit++
 		return false, false
 	}
-	if p.atCapacity(c, s, load) {
+	if p.atCapacity(now, c, s, load) {
 		ch.SkippedBusy++
 		return false, false
 	}
@@ -267,11 +267,15 @@
 }
 
 // atCapacity reports whether an upstream has as much work as it should get from calls of this class: all slots and
-// tune.MaxBacklog more for interactive calls, all slots but one for bulk calls.
-func (p *Pool) atCapacity(c *call.Call, s *upstreamState, load float64) bool {
+// tune.MaxBacklog more for interactive calls, all slots but one for bulk calls. Where calls without room are lost, interactive
+// calls need a free place.
+func (p *Pool) atCapacity(now time.Time, c *call.Call, s *upstreamState, load float64) bool {
 	if p.policy != policy.LeastPredictedWait {
 		return false
 	}
+	if c.Class == class.Interactive && p.room.Guards() {
+		return s.freePlaces(p, now) < 1
+	}
 	limit := s.slots(p) + tune.MaxBacklog
 	if c.Class == class.Bulk {
 		limit = max(1, s.slots(p)-1)
--- a/pkg/traffic/pool/pool.go
+++ b/pkg/traffic/pool/pool.go
@@ -23,6 +23,7 @@
 	"github.com/balsamvale/balsamvale/pkg/traffic/budget"
 	"github.com/balsamvale/balsamvale/pkg/traffic/canary"
 	"github.com/balsamvale/balsamvale/pkg/traffic/queue"
+	"github.com/balsamvale/balsamvale/pkg/traffic/room"
 )
 
 // Pool is the traffic state of one service in one entry; it is safe for concurrent use.
@@ -54,6 +55,7 @@
 	queue       *queue.Queue[*waiter]
 	limiter     *admit.Limiter[*waiter]
 	retryBudget *budget.Budget
+	room        room.Estimator
 	// avgOtherLoad is the average number of calls from other entries at an upstream.
 	avgOtherLoad float64
 	// avgRunTime is the average run time of the calls of the service, and runTimeSamples the number of run times behind it.
@@ -140,6 +142,7 @@
 	}
 	p.regroup()
 	p.limiter.SetInitial(p.initialLimit())
+	p.room.SetFleet(cfg.EntryCount, len(p.upstreams), p.probers(), p.typicalSlots())
 }
 
 // regroup rebuilds the version groups from the shares of the configuration and from the upstreams.
@@ -265,7 +268,7 @@
 	if s == nil {
 		return false
 	}
-	s.recordReport(p, now, r.Report)
+	s.recordReport(p, now, r.Report, false)
 	if st := r.Statement; st != nil {
 		s.pause(p, now, st.Pause)
 		if st.Leaving {
--- a/pkg/traffic/pool/probe.go
+++ b/pkg/traffic/pool/probe.go
@@ -15,12 +15,12 @@
 // probed names the upstreams that were probed for the call already. The targets are the upstreams without a recent report
 // that have the lowest predicted time, with some random variation, so that entries with the same reports probe different
 // ones. There are none if calls of the service do not probe, if waiting calls go before this one, or if a recent report
-// shows a free slot. If there are no targets, busy reports whether recent reports show that enough upstreams are busy.
+// shows a free slot. Where calls need a free place, probes go out also while others wait, which need their reports. If there are no targets, busy reports whether recent reports show that enough upstreams are busy.
 func (p *Pool) ProbeCandidates(now time.Time, c *call.Call, probed []string) (targets []*target.Target, busy bool) {
 	p.mu.Lock()
 	defer p.unlock()
 	now = p.advanceTime(now)
-	if !p.usesAdmission() || p.hasQueueAhead(c) {
+	if !p.usesAdmission() || p.hasQueueAhead(c) && !p.room.Guards() {
 		return nil, false
 	}
 	gi := p.groupFor(c)
--- a/pkg/traffic/pool/restart.go
+++ b/pkg/traffic/pool/restart.go
@@ -39,6 +39,7 @@
 			return false
 		}
 		known := s.incarnation != 0
+		s.resetAt = time.Time{}
 		s.incarnation, s.startedAt = r.Incarnation, started
 		s.wallet.Clear()
 		if known || s.cold(now) || r.Cold {
--- a/pkg/traffic/pool/start.go
+++ b/pkg/traffic/pool/start.go
@@ -11,13 +11,28 @@
 	if p.config.EntryCount < tune.SharedStartEntries {
 		return tune.AdmitLimitInitial
 	}
-	slots := 0
+	slots, _ := p.totalSlots()
+	return min(max(tune.AdmitLimitMin, slots/p.config.EntryCount), tune.AdmitLimitInitial)
+}
+
+// totalSlots returns the slots of the upstreams that may get new work, and their number.
+func (p *Pool) totalSlots() (slots, upstreams int) {
 	for _, s := range p.upstreams {
 		if s.available() {
 			slots += s.slots(p)
+			upstreams++
 		}
 	}
-	return min(max(tune.AdmitLimitMin, slots/p.config.EntryCount), tune.AdmitLimitInitial)
+	return slots, upstreams
+}
+
+// typicalSlots returns the mean of the slots of an upstream, rounded down, or those of the service if there is none.
+func (p *Pool) typicalSlots() int {
+	slots, upstreams := p.totalSlots()
+	if upstreams == 0 {
+		return p.config.Service.Slots
+	}
+	return slots / upstreams
 }
 
 // retryBurst returns the retries that this entry may save up. Where the service names none, fleets of tune.SharedStartEntries
--- a/pkg/traffic/pool/upstream.go
+++ b/pkg/traffic/pool/upstream.go
@@ -47,6 +47,13 @@
 	ownAtReport      int
 	reportAt         time.Time
 
+	// heldUntil are the times until which calls that ended without an answer may still take a place, since the last report.
+	heldUntil []time.Time
+	// resetAt is when the upstream last broke a connection before the answer, unless a report or a failed dial has told why.
+	resetAt time.Time
+	// unheard is the number of this entry's calls in flight that the upstream has lost by its reports.
+	unheard int
+
 	// keptConn is set once the upstream kept a connection open; consecutiveCloses counts the last answers
 	// in a row with which it closed one.
 	keptConn          bool
@@ -181,6 +188,7 @@
 	if i := slices.Index(s.interactiveStarts, ch.At); i >= 0 {
 		s.interactiveStarts = slices.Delete(s.interactiveStarts, i, i+1)
 	}
+	s.unheard = min(s.unheard, len(s.interactiveStarts))
 	if ch.CreditID != 0 {
 		s.wallet.Return(ch.CreditID)
 	}
@@ -189,11 +197,14 @@
 // load predicts the number of calls at the upstream: those of this entry, and those of other entries by the last report,
 // which approach the average as the report ages.
 func (s *upstreamState) load(p *Pool, now time.Time) float64 {
+	if p.room.Guards() {
+		return float64(s.ownInFlight+s.placesHeld(now)) + p.room.Others(s.reportedOthers(), s.reportAge(now), p.reportDecay())
+	}
 	if s.reportAt.IsZero() {
 		return float64(s.ownInFlight) + p.avgOtherLoad
 	}
 	w := decayWeight(now.Sub(s.reportAt), p.reportDecay())
-	others := float64(max(0, s.reportedInFlight-s.ownAtReport))
+	others := float64(s.reportedOthers())
 	return float64(s.ownInFlight) + w*others + (1-w)*p.avgOtherLoad
 }
 
@@ -255,13 +266,14 @@
 // recordResult updates the state of the upstream from the result of an attempt.
 func (s *upstreamState) recordResult(p *Pool, now time.Time, ch *choice.Choice, r *result.Result) {
 	if r.Report != nil {
-		s.recordReport(p, now, r.Report)
+		s.recordReport(p, now, r.Report, true)
 		s.ownAtReport = s.ownInFlight - 1
 	}
 	if r.Cause != cause.None && r.Cause != cause.Shed && r.Cause != cause.Error {
 		// Without an answer, the upstream is taken to run the call still, so its credit is not returned but has to expire.
 		ch.CreditID = 0
 	}
+	s.recordRoom(p, now, ch, r)
 	s.recordStatement(p, now, ch.At, r)
 	s.trackConnClose(p, now, r)
 	p.recordCanary(now, s, ch, r)
@@ -335,7 +347,8 @@
 }
 
 // recordReport updates the state of the upstream from a load report, unless that is nil or of an earlier incarnation.
-func (s *upstreamState) recordReport(p *Pool, now time.Time, r *report.Report) {
+// It came with the answer to a call if withAnswer is set, and with that to a probe otherwise.
+func (s *upstreamState) recordReport(p *Pool, now time.Time, r *report.Report, withAnswer bool) {
 	if r == nil {
 		return
 	}
@@ -343,6 +356,7 @@
 		return
 	}
 	s.reportedInFlight, s.ownAtReport, s.reportAt = r.InFlight, s.ownInFlight, now
+	s.recordReportedRoom(p, now, withAnswer)
 	if r.Slowdown > 0 {
 		s.slowdown = r.Slowdown
 		p.slowdownSamples++
