--- a/internal/sender/sender_test.go
+++ b/internal/sender/sender_test.go
@@ -133,6 +133,49 @@
 		})
 	}
 
+	// Failure: an upstream without room for a call never answers it, nor anything after it on its connection.
+	for _, tc := range []struct {
+		name   string
+		method string
+		probe  bool
+	}{
+		{"call", http.MethodGet, false},
+		{"call of another method", http.MethodPost, false},
+		{"probe", http.MethodGet, true},
+	} {
+		It("does not use the connection of a call without an answer again, for a "+tc.name, func() {
+			on, err := net.Listen("tcp", "127.0.0.1:0")
+			Expect(err).NotTo(HaveOccurred())
+			u := &upstream{listener: on, answersPerConn: 1}
+			go u.loop()
+			DeferCleanup(on.Close)
+			s := sender.New(clock.Wall(), header.Default())
+			addr := netip.MustParseAddrPort(on.Addr().String())
+			send := func(method string) cause.Cause {
+				ctx, cancel := context.WithTimeout(context.Background(), 300*time.Millisecond)
+				defer cancel()
+				res, out := s.Send(ctx, &outreq.Request{
+					Method: method, RequestURI: "/", Header: http.Header{}, Buffered: true, ID: "1", Idempotent: true, Addr: addr, SentAt: time.Now(),
+				})
+				if res != nil {
+					_, _ = io.Copy(io.Discard, res.Body)
+					_ = res.Body.Close()
+				}
+				return out.Cause
+			}
+			Expect(send(http.MethodGet)).To(Equal(cause.None))
+			Expect(send(http.MethodGet)).To(Equal(cause.Timeout))
+			if tc.probe {
+				Expect(s.Probe(context.Background(), "", addr, "/load").Cause).To(Equal(cause.None))
+			} else {
+				Expect(send(tc.method)).To(Equal(cause.None))
+			}
+			u.mu.Lock()
+			defer u.mu.Unlock()
+			Expect(u.conns).To(Equal(2))
+		})
+	}
+
 	It("reports a failed dial when nothing listens on the address", func() {
 		on, err := net.Listen("tcp", "127.0.0.1:0")
 		Expect(err).NotTo(HaveOccurred())
