--- a/pkg/shared/tune/constants.go
+++ b/pkg/shared/tune/constants.go
@@ -56,6 +56,9 @@
 	SubsetSize = 8
 	// SubsetLocal is how many of these may be in the entry's own failure domain.
 	SubsetLocal = 6
+	// SharedSubsetEntries is the number of entries that send to an upstream where a large fleet shares upstreams of few slots, up
+	// to SubsetThreshold upstreams for an entry. With 5, some upstreams got twice the mean of the calls, and some none.
+	SharedSubsetEntries = 15
 	// TurnOpen is how long an entry's turn to send a call to an upstream with a limit stays open.
 	TurnOpen = 1500 * time.Millisecond
 	// MaxBacklog is how many calls beyond its slots may be predicted at an upstream before it gets no more.
@@ -64,6 +67,9 @@
 
 // Estimate of the free places at upstreams that several entries share.
 const (
+	// SharedSlotEntries is the number of entries for each slot of an upstream that send to it above which entries guard the room
+	// there. Fleets of up to 1.43 lost no calls without that.
+	SharedSlotEntries = 1.5
 	// RoomGuardLosses is the number of calls lost for lack of room from which no call goes to an upstream without room. One alone
 	// may have another cause.
 	RoomGuardLosses = 2
--- a/pkg/traffic/pool/pool.go
+++ b/pkg/traffic/pool/pool.go
@@ -48,10 +48,12 @@
 	resumedAt time.Time
 	config    *svcfg.Config
 	// closed is set once the service has left the configuration.
-	closed      bool
-	upstreams   []*upstreamState
-	byName      map[string]*upstreamState
-	groups      []group
+	closed    bool
+	upstreams []*upstreamState
+	byName    map[string]*upstreamState
+	groups    []group
+	// shared is set if many entries share upstreams of few slots.
+	shared      bool
 	queue       *queue.Queue[*waiter]
 	limiter     *admit.Limiter[*waiter]
 	retryBudget *budget.Budget
@@ -140,9 +142,10 @@
 		p.byName[t.Name] = s
 		p.upstreams = append(p.upstreams, s)
 	}
+	p.shared = p.sharesUpstreams()
 	p.regroup()
 	p.limiter.SetInitial(p.initialLimit())
-	p.room.SetFleet(cfg.EntryCount, len(p.upstreams), p.probers(), p.typicalSlots())
+	p.room.SetFleet(cfg.EntryCount, len(p.upstreams), p.probers(), p.shared)
 }
 
 // regroup rebuilds the version groups from the shares of the configuration and from the upstreams.
--- a/pkg/traffic/pool/probe.go
+++ b/pkg/traffic/pool/probe.go
@@ -101,5 +101,6 @@
 	if p.config.Service.ProbesPerCall == 0 || len(p.upstreams) <= tune.SubsetThreshold {
 		return n
 	}
-	return max(1, n*tune.SubsetSize/float64(len(p.upstreams)))
+	size, _ := p.subsetSizes()
+	return max(1, n*float64(size)/float64(len(p.upstreams)))
 }
--- a/pkg/traffic/pool/subset.go
+++ b/pkg/traffic/pool/subset.go
@@ -23,14 +23,15 @@
 	}
 	ranked := slices.Clone(members)
 	slices.SortFunc(ranked, func(a, b *upstreamState) int { return cmp.Compare(b.subsetWeight, a.subsetWeight) })
+	size, localSize := p.subsetSizes()
 	out := make([]*upstreamState, 0, len(ranked))
 	var rest []*upstreamState
 	local, remote := 0, 0
 	for _, s := range ranked {
 		switch {
-		case s.target.Delay == 0 && local < tune.SubsetLocal:
+		case s.target.Delay == 0 && local < localSize:
 			local++
-		case s.target.Delay > 0 && remote < tune.SubsetSize-tune.SubsetLocal:
+		case s.target.Delay > 0 && remote < size-localSize:
 			remote++
 		default:
 			rest = append(rest, s)
@@ -46,7 +47,29 @@
 	if p.config.Service.ProbesPerCall == 0 || len(g.members) <= tune.SubsetThreshold {
 		return len(g.members)
 	}
-	return tune.SubsetSize
+	size, _ := p.subsetSizes()
+	return size
+}
+
+// subsetSizes returns the number of upstreams of a subset, and how many of them may be in the entry's own failure domain.
+//
+// Where entries share upstreams of few slots, small subsets load the upstreams that many entries happen to prefer with a multiple
+// of the mean, so that subsets are large enough for tune.SharedSubsetEntries entries to send to each upstream.
+func (p *Pool) subsetSizes() (size, local int) {
+	size = tune.SubsetSize
+	if p.shared {
+		size = min(max(size, tune.SharedSubsetEntries*len(p.upstreams)/p.config.EntryCount), tune.SubsetThreshold)
+	}
+	return size, size - (tune.SubsetSize - tune.SubsetLocal)
+}
+
+// sharesUpstreams reports whether, in a large fleet, many more entries send to an upstream than it has slots.
+func (p *Pool) sharesUpstreams() bool {
+	entries := float64(p.config.EntryCount)
+	if len(p.upstreams) > tune.SubsetThreshold {
+		entries *= tune.SubsetSize / float64(len(p.upstreams))
+	}
+	return p.config.EntryCount >= tune.SharedStartEntries && entries > tune.SharedSlotEntries*float64(p.typicalSlots())
 }
 
 // subsetWeight returns the rank of an upstream for this entry, a hash of both names; the highest come first.
--- a/pkg/traffic/room/estimator.go
+++ b/pkg/traffic/room/estimator.go
@@ -24,8 +24,8 @@
 	// upstream.
 	otherEntries, upstreams int
 	senders                 float64
-	// crowded is set while more entries send to an upstream than it has slots, in a large fleet.
-	crowded bool
+	// shared is set while many more entries send to an upstream than it has slots.
+	shared bool
 	// avgOthers is the average number of calls of other entries in an upstream, and samples the number of reports behind it.
 	avgOthers float64
 	samples   int
@@ -37,15 +37,16 @@
 	lost     int
 }
 
-// SetFleet sets the number of entries, of upstreams and of the entries that send to one upstream, and the slots of an upstream.
-func (e *Estimator) SetFleet(entries, upstreams int, senders float64, slots int) {
+// SetFleet sets the number of entries, of upstreams and of the entries that send to one upstream. shared tells whether the last is
+// so large that no call may go to an upstream without room.
+func (e *Estimator) SetFleet(entries, upstreams int, senders float64, shared bool) {
 	e.otherEntries, e.upstreams, e.senders = max(0, entries-1), max(1, upstreams), max(1, senders)
-	e.crowded = entries >= tune.SharedStartEntries && senders > float64(slots)
+	e.shared = shared
 }
 
-// Guards reports whether no call may go to an upstream without room: in a large fleet if more entries send to an upstream
-// than it has slots, and wherever calls were lost.
-func (e *Estimator) Guards() bool { return e.crowded || e.lost >= tune.RoomGuardLosses }
+// Guards reports whether no call may go to an upstream without room: where many entries share upstreams, and where calls were
+// lost.
+func (e *Estimator) Guards() bool { return e.shared || e.lost >= tune.RoomGuardLosses }
 
 // SetInFlight sets the number of calls that this entry has admitted.
 func (e *Estimator) SetInFlight(n int) { e.inFlight = n }
