--- a/internal/option/options_test.go
+++ b/internal/option/options_test.go
@@ -101,7 +101,11 @@
 				continue
 			}
 			f := reflect.ValueOf(o).Elem().Field(i)
-			f.SetInt(f.Int() + 1)
+			if f.CanFloat() {
+				f.SetFloat(f.Float() + 1)
+			} else {
+				f.SetInt(f.Int() + 1)
+			}
 			Expect(seen).NotTo(HaveKey(o.Digest()), name)
 			seen[o.Digest()] = name
 		}
