--- a/review/_rig2/main.go
+++ b/review/_rig2/main.go
@@ -294,7 +294,7 @@
 		finish(2, "interrupted")
 	}()
 	record("case %s, trouble %v", os.Args[1], trouble)
-	cases := map[string]func(){"early": early, "poison": poisonCase, "long": long, "again": again, "ghost": ghost, "regress": regress, "promise": promise, "fuzz": fuzz, "idle": idle}
+	cases := map[string]func(){"early": early, "poison": poisonCase, "long": long, "again": again, "ghost": ghost, "regress": regress, "promise": promise, "fuzz": fuzz, "idle": idle, "trailer": trailer}
 	play, ok := cases[os.Args[1]]
 	if !ok {
 		unable(fmt.Errorf("unknown case %q", os.Args[1]))
