resets: a reset that a write notices is not read as the end of a response

Cause: the end of such a response is the end of its connection. The kernel reports a reset once. If the write of the upload gets the report, the next read returns 0 bytes, which net/http takes for the end of the body.

Change: the connections on which responses are read are wrapped. A read that returns EOF on a socket that has ended waits for the write in progress and returns its error, unless that is EPIPE, the report of a reset behind the regular end. A peer that has only closed its sending side still ends its response. The clients of the store, of peers, of the platform, of status, record, soak and demo go through such connections too, and the relay of soak and demo, which passed a reset on as an end in order.

--- a/internal/child/process.go
+++ b/internal/child/process.go
@@ -11,6 +11,9 @@
 	"time"
 
 	"github.com/rotisserie/eris"
+
+	"github.com/balsamvale/balsamvale/internal/redial"
+	"github.com/balsamvale/balsamvale/pkg/shared/tune"
 )
 
 // ErrStart is matched by the errors of a process that could not be started.
@@ -89,7 +92,7 @@
 func (p *Process) PID() int { return p.cmd.Process.Pid }
 
 // pollClient makes the readiness checks.
-var pollClient = &http.Client{Timeout: time.Second}
+var pollClient = &http.Client{Timeout: time.Second, Transport: redial.New(tune.PeerConnIdle)}
 
 // CheckReady asks the admin address of the entry whether it is ready, as the platform's health checks do.
 func (p *Process) CheckReady() bool {
--- a/internal/cmds/records.go
+++ b/internal/cmds/records.go
@@ -17,10 +17,12 @@
 	"github.com/balsamvale/balsamvale/internal/codec"
 	pb "github.com/balsamvale/balsamvale/internal/gen/balsamvale/v1"
 	"github.com/balsamvale/balsamvale/internal/option"
+	"github.com/balsamvale/balsamvale/internal/redial"
 	"github.com/balsamvale/balsamvale/internal/store"
 	"github.com/balsamvale/balsamvale/internal/tomlpb"
 	"github.com/balsamvale/balsamvale/pkg/control/keys"
 	"github.com/balsamvale/balsamvale/pkg/shared/clock"
+	"github.com/balsamvale/balsamvale/pkg/shared/tune"
 	"github.com/balsamvale/balsamvale/pkg/stored/item"
 	"github.com/balsamvale/balsamvale/pkg/stored/revno"
 )
@@ -40,7 +42,7 @@
 		}
 		addrs = append(addrs, ap)
 	}
-	return store.New(clock.Wall(), &http.Client{}, addrs), nil
+	return store.New(clock.Wall(), &http.Client{Transport: redial.New(tune.StoreConnIdle)}, addrs), nil
 }
 
 func (a *App) check() *cli.Command {
--- a/internal/cmds/status.go
+++ b/internal/cmds/status.go
@@ -18,9 +18,11 @@
 	"github.com/balsamvale/balsamvale/internal/codec"
 	pb "github.com/balsamvale/balsamvale/internal/gen/balsamvale/v1"
 	"github.com/balsamvale/balsamvale/internal/peers"
+	"github.com/balsamvale/balsamvale/internal/redial"
 	"github.com/balsamvale/balsamvale/internal/store"
 	"github.com/balsamvale/balsamvale/pkg/control/keys"
 	"github.com/balsamvale/balsamvale/pkg/shared/clock"
+	"github.com/balsamvale/balsamvale/pkg/shared/tune"
 	"github.com/balsamvale/balsamvale/pkg/stored/phase"
 	"github.com/balsamvale/balsamvale/pkg/stored/progrs"
 	"github.com/balsamvale/balsamvale/pkg/stored/revno"
@@ -95,7 +97,7 @@
 	if err != nil {
 		return nil, err
 	}
-	svc := peers.New(clock.Wall(), &http.Client{})
+	svc := peers.New(clock.Wall(), &http.Client{Transport: redial.New(tune.PeerConnIdle)})
 	var statuses []*pb.StatusResponse
 	for _, addr := range addrs {
 		s, err := svc.FetchStatus(ctx, addr)
--- a/internal/demo/demo.go
+++ b/internal/demo/demo.go
@@ -20,11 +20,13 @@
 	rpc "github.com/balsamvale/balsamvale/internal/gen/balsamvale/v1/balsamvalev1connect"
 	"github.com/balsamvale/balsamvale/internal/kvsim"
 	"github.com/balsamvale/balsamvale/internal/ports"
+	"github.com/balsamvale/balsamvale/internal/redial"
 	"github.com/balsamvale/balsamvale/internal/relay"
 	"github.com/balsamvale/balsamvale/internal/stats"
 	"github.com/balsamvale/balsamvale/internal/store"
 	"github.com/balsamvale/balsamvale/internal/upsim"
 	"github.com/balsamvale/balsamvale/pkg/shared/clock"
+	"github.com/balsamvale/balsamvale/pkg/shared/tune"
 )
 
 // ErrDemo is matched by the errors of a demo that could not run.
@@ -136,7 +138,7 @@
 	if d.kvAddr, err = d.listen(mux); err != nil {
 		return err
 	}
-	d.client = store.New(clock.Wall(), &http.Client{}, []netip.AddrPort{d.kvAddr})
+	d.client = store.New(clock.Wall(), &http.Client{Transport: redial.New(tune.StoreConnIdle)}, []netip.AddrPort{d.kvAddr})
 	for i := range lookupUpstreams + payoutUpstreams {
 		if err := d.addInitialUpstream(i); err != nil {
 			return err
--- a/internal/demo/load.go
+++ b/internal/demo/load.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"math/rand/v2"
+	"net"
 	"net/http"
 	"net/netip"
 	"strings"
@@ -13,6 +14,7 @@
 
 	"github.com/HdrHistogram/hdrhistogram-go"
 
+	"github.com/balsamvale/balsamvale/internal/resets"
 	"github.com/balsamvale/balsamvale/internal/wire"
 	"github.com/balsamvale/balsamvale/pkg/calls/outcom"
 )
@@ -60,7 +62,7 @@
 // newLoadGen returns the load generator of a demo, with a fixed random seed.
 func newLoadGen(d *Demo) *loadGen {
 	l := &loadGen{
-		demo: d, http: &http.Client{Timeout: callTimeout, Transport: &http.Transport{MaxIdleConnsPerHost: d.Callers}},
+		demo: d, http: &http.Client{Timeout: callTimeout, Transport: &http.Transport{DialContext: resets.DialContext(&net.Dialer{}), MaxIdleConnsPerHost: d.Callers}},
 		rand: rand.New(rand.NewPCG(7, 7)), notRun: map[string]bool{},
 		directLatency: hdrhistogram.New(minLatencyMicros, maxLatencyMicros, significantDigits),
 		entryLatency:  hdrhistogram.New(minLatencyMicros, maxLatencyMicros, significantDigits),
--- a/internal/redial/transport.go
+++ b/internal/redial/transport.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"time"
 
+	"github.com/balsamvale/balsamvale/internal/resets"
 	"github.com/balsamvale/balsamvale/pkg/shared/tune"
 )
 
@@ -22,12 +23,12 @@
 
 // New returns a transport that closes connections after they were idle for the given time.
 func New(idle time.Duration) *Transport {
-	d := net.Dialer{
+	d := &net.Dialer{
 		Timeout: tune.DialTimeout,
 		// Keep-alive probes detect a connection that has gone silent while a watch waits on it.
 		KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: tune.KeepAliveIdle, Interval: tune.KeepAliveInterval, Count: tune.KeepAliveCount},
 	}
-	t := &Transport{Dial: d.DialContext}
+	t := &Transport{Dial: resets.DialContext(d)}
 	t.base = &http.Transport{DialContext: t.dial, MaxIdleConns: maxIdleConns, MaxIdleConnsPerHost: maxIdlePerHost, IdleConnTimeout: idle, MaxResponseHeaderBytes: maxHeadBytes}
 	return t
 }
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -9,6 +9,7 @@
 
 	"github.com/rotisserie/eris"
 
+	"github.com/balsamvale/balsamvale/internal/resets"
 	"github.com/balsamvale/balsamvale/pkg/shared/clock"
 )
 
@@ -37,8 +38,8 @@
 // link is one connection from a client to the target.
 type link struct {
 	relay  *Relay
-	client net.Conn
-	server net.Conn
+	client *resets.Conn
+	server *resets.Conn
 	// silent drops the data of both directions for good; closing ends the link.
 	silent bool
 	closed chan struct{}
@@ -132,7 +133,7 @@
 		if err != nil {
 			return
 		}
-		go (&link{relay: r, client: client, closed: make(chan struct{})}).run()
+		go (&link{relay: r, client: resets.New(client), closed: make(chan struct{})}).run()
 	}
 }
 
@@ -140,13 +141,10 @@
 func (l *link) run() {
 	server, err := net.DialTimeout("tcp", l.relay.target.String(), dialTimeout)
 	if err != nil {
-		if t, ok := l.client.(*net.TCPConn); ok {
-			_ = t.SetLinger(0)
-		}
-		_ = l.client.Close()
+		reset(l.client)
 		return
 	}
-	l.server = server
+	l.server = resets.New(server)
 	l.relay.mu.Lock()
 	l.relay.links[l] = struct{}{}
 	l.relay.mu.Unlock()
@@ -159,15 +157,20 @@
 
 // reset closes both connections with a reset.
 func (l *link) reset() {
-	for _, c := range []net.Conn{l.client, l.server} {
-		if t, ok := c.(*net.TCPConn); ok {
-			// Without lingering, Close sends a reset.
-			_ = t.SetLinger(0)
-		}
-	}
+	reset(l.client)
+	reset(l.server)
 	l.close()
 }
 
+// reset closes a connection with a reset.
+func reset(c *resets.Conn) {
+	if t, ok := c.NetConn().(*net.TCPConn); ok {
+		// Without lingering, Close sends a reset.
+		_ = t.SetLinger(0)
+	}
+	_ = c.Close()
+}
+
 func (l *link) close() {
 	l.once.Do(func() {
 		close(l.closed)
@@ -182,8 +185,8 @@
 // pump forwards one direction of a link; its run method is a goroutine.
 type pump struct {
 	link    *link
-	from    net.Conn
-	to      net.Conn
+	from    *resets.Conn
+	to      *resets.Conn
 	replies bool
 	done    chan struct{}
 }
@@ -212,7 +215,7 @@
 			gone = werr != nil
 		}
 		if err == io.EOF {
-			if t, ok := p.to.(*net.TCPConn); ok {
+			if t, ok := p.to.NetConn().(*net.TCPConn); ok {
 				_ = t.CloseWrite()
 			}
 			return
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -1,6 +1,7 @@
 package relay_test
 
 import (
+	"context"
 	"errors"
 	"io"
 	"net"
@@ -13,6 +14,7 @@
 	. "github.com/onsi/gomega"
 
 	"github.com/balsamvale/balsamvale/internal/relay"
+	"github.com/balsamvale/balsamvale/internal/resets"
 	"github.com/balsamvale/balsamvale/pkg/shared/clock"
 )
 
@@ -132,4 +134,39 @@
 		Expect(err).NotTo(HaveOccurred())
 		Expect(data).To(HaveLen(1 << 20))
 	})
+
+	// Guards against a part of a response that looks complete behind a relay.
+	It("passes on a reset while data goes the other way", func() {
+		for range 20 {
+			ln, err := net.Listen("tcp", "127.0.0.1:0")
+			Expect(err).NotTo(HaveOccurred())
+			go (&resetting{ln}).run()
+			front, err := relay.New(clock.Wall(), netip.MustParseAddrPort(ln.Addr().String()))
+			Expect(err).NotTo(HaveOccurred())
+			c, err := resets.DialContext(&net.Dialer{})(context.Background(), "tcp", front.Addr().String())
+			Expect(err).NotTo(HaveOccurred())
+			// Whether the write fails as well depends on when the reset arrives.
+			_, _ = c.Write(make([]byte, 4<<20))
+			_, err = io.ReadAll(c)
+			Expect(err).To(HaveOccurred())
+			_ = c.Close()
+			front.Close()
+			_ = ln.Close()
+		}
+	})
 })
+
+// resetting sends a byte on a connection, reads for a moment and resets the connection.
+type resetting struct{ net.Listener }
+
+func (r *resetting) run() {
+	c, err := r.Accept()
+	if err != nil {
+		return
+	}
+	_, _ = io.WriteString(c, "a")
+	_ = c.SetReadDeadline(time.Now().Add(2 * time.Millisecond))
+	_, _ = io.Copy(io.Discard, c)
+	_ = c.(*net.TCPConn).SetLinger(0)
+	_ = c.Close()
+}
--- a/internal/sender/sender.go
+++ b/internal/sender/sender.go
@@ -11,6 +11,7 @@
 
 	"github.com/balsamvale/balsamvale/internal/header"
 	"github.com/balsamvale/balsamvale/internal/outreq"
+	"github.com/balsamvale/balsamvale/internal/resets"
 	"github.com/balsamvale/balsamvale/pkg/calls/cause"
 	"github.com/balsamvale/balsamvale/pkg/calls/result"
 	"github.com/balsamvale/balsamvale/pkg/shared/clock"
@@ -66,8 +67,7 @@
 
 // dial opens a connection and wraps it in a conn, which records its use.
 func (s *Sender) dial(ctx context.Context, network, addr string) (net.Conn, error) {
-	d := net.Dialer{Timeout: tune.DialTimeout}
-	c, err := d.DialContext(ctx, network, addr)
+	c, err := resets.DialContext(&net.Dialer{Timeout: tune.DialTimeout})(ctx, network, addr)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/soak/caller/connection.go
+++ b/internal/soak/caller/connection.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"context"
 	"errors"
 	"io"
 	"net"
@@ -10,6 +11,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/balsamvale/balsamvale/internal/resets"
 	"github.com/balsamvale/balsamvale/pkg/shared/clock"
 )
 
@@ -42,7 +44,8 @@
 		return nil
 	}
 	opened := c.crowd.Clock.Now()
-	conn, err := net.DialTimeout("tcp", target.Addr.String(), dialTimeout)
+	dialer := &net.Dialer{Timeout: dialTimeout}
+	conn, err := resets.DialContext(dialer)(context.Background(), "tcp", target.Addr.String())
 	if err != nil {
 		return nil
 	}
--- a/internal/soak/caller/pipeline.go
+++ b/internal/soak/caller/pipeline.go
@@ -3,9 +3,12 @@
 import (
 	"context"
 	"io"
+	"net"
 	"net/http"
 	"sync/atomic"
 	"time"
+
+	"github.com/balsamvale/balsamvale/internal/resets"
 )
 
 // maxPipelined bounds the requests of one connection that wait for a response.
@@ -96,7 +99,7 @@
 	}
 	protocols := &http.Protocols{}
 	protocols.SetUnencryptedHTTP2(true)
-	return &streams{caller: c, transport: &http.Transport{Protocols: protocols}, target: t, opened: c.crowd.Clock.Now()}
+	return &streams{caller: c, transport: &http.Transport{DialContext: resets.DialContext(&net.Dialer{}), Protocols: protocols}, target: t, opened: c.crowd.Clock.Now()}
 }
 
 // close closes the connection once its requests have ended.
--- a/internal/soak/fleet/entry.go
+++ b/internal/soak/fleet/entry.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"net/netip"
 	"os"
@@ -18,6 +19,7 @@
 
 	"github.com/balsamvale/balsamvale/internal/child"
 	"github.com/balsamvale/balsamvale/internal/relay"
+	"github.com/balsamvale/balsamvale/internal/resets"
 	"github.com/balsamvale/balsamvale/internal/soak/caller"
 	"github.com/balsamvale/balsamvale/internal/soak/plan"
 	"github.com/balsamvale/balsamvale/internal/soak/trail"
@@ -330,7 +332,7 @@
 }
 
 // metricsClient reads metrics; it keeps no connections, since these would count as the entry's own.
-var metricsClient = &http.Client{Timeout: time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
+var metricsClient = &http.Client{Timeout: time.Second, Transport: &http.Transport{DialContext: resets.DialContext(&net.Dialer{}), DisableKeepAlives: true}}
 
 // stop sends SIGTERM, and kills the process if it outlives its grace time by too much.
 func (e *entry) stop() {
--- a/internal/soak/fleet/fleet.go
+++ b/internal/soak/fleet/fleet.go
@@ -20,6 +20,7 @@
 	rpc "github.com/balsamvale/balsamvale/internal/gen/balsamvale/v1/balsamvalev1connect"
 	"github.com/balsamvale/balsamvale/internal/kvsim"
 	"github.com/balsamvale/balsamvale/internal/ports"
+	"github.com/balsamvale/balsamvale/internal/redial"
 	"github.com/balsamvale/balsamvale/internal/soak/caller"
 	"github.com/balsamvale/balsamvale/internal/soak/check"
 	"github.com/balsamvale/balsamvale/internal/soak/plan"
@@ -27,6 +28,7 @@
 	"github.com/balsamvale/balsamvale/internal/store"
 	"github.com/balsamvale/balsamvale/pkg/control/keys"
 	"github.com/balsamvale/balsamvale/pkg/shared/clock"
+	"github.com/balsamvale/balsamvale/pkg/shared/tune"
 	"github.com/balsamvale/balsamvale/pkg/stored/revno"
 )
 
@@ -105,7 +107,7 @@
 	f.kvAddr = netip.MustParseAddrPort(ln.Addr().String())
 	f.kvServer = &http.Server{Handler: mux, ReadHeaderTimeout: readyTimeout}
 	go (&server{f.kvServer, ln}).run()
-	f.client = store.New(clock.Wall(), &http.Client{}, []netip.AddrPort{f.kvAddr})
+	f.client = store.New(clock.Wall(), &http.Client{Transport: redial.New(tune.StoreConnIdle)}, []netip.AddrPort{f.kvAddr})
 	f.domainText, f.serviceText = f.domainsTOML(), servicesTOML()
 	for _, s := range Services {
 		for i := range upstreamsPerService {
