demux, proxy: an answer that breaks off resets the connection of a caller of HTTP/1.0

Cause: an answer without a length ends with the connection of the caller, and demux closes a connection in order also when an answer is aborted. HTTP/1.1 and HTTP/2 have other marks of the end.

Change: proxy tells demux of such an abort, and the connection ends with a reset.

--- a/internal/demux/closing.go
+++ b/internal/demux/closing.go
@@ -143,11 +143,22 @@
 	c.changed.Broadcast()
 	c.closedAt = c.listener.clock.Now()
 	closer, ok := c.raw.(interface{ CloseWrite() error })
-	if c.loopEnded || c.serverIdle || !ok || closer.CloseWrite() != nil || c.raw.SetReadDeadline(c.deadlineAfter(lingerTime)) != nil {
+	if c.loopEnded || c.serverIdle || c.resets || !ok || closer.CloseWrite() != nil || c.raw.SetReadDeadline(c.deadlineAfter(lingerTime)) != nil {
 		c.release()
 	}
 }
 
+// endWithReset makes the connection end with a reset.
+func (c *conn) endWithReset() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if t, ok := c.raw.(interface{ SetLinger(sec int) error }); ok {
+		// Without lingering, Close sends a reset. If this fails, the connection has ended.
+		_ = t.SetLinger(0)
+		c.resets = true
+	}
+}
+
 // closeInputs signals to the server that the caller sends nothing more. The server then closes the virtual connections, and
 // with the last of them the connection of the caller ends.
 func (c *conn) closeInputs() {
--- a/internal/demux/conn.go
+++ b/internal/demux/conn.go
@@ -53,6 +53,8 @@
 	// set, the connection is closed.
 	closed    bool
 	loopEnded bool
+	// resets is set once the connection is to end with a reset.
+	resets bool
 	// closedAt is when closed was set.
 	closedAt time.Time
 }
--- a/internal/demux/virtual.go
+++ b/internal/demux/virtual.go
@@ -170,6 +170,14 @@
 	return vc.conn.awaitTurnWithin(limit, vc.seq)
 }
 
+// EndWithReset makes the connection of a request with the given context end with a reset once the server closes it, so that a response
+// without a length is not taken for complete. It does nothing if the request did not come through a Listener.
+func EndWithReset(ctx context.Context) {
+	if vc, ok := ctx.Value(virtualConnKey{}).(*virtualConn); ok {
+		vc.conn.endWithReset()
+	}
+}
+
 // CloseWrite waits until all earlier requests are answered and shuts down the writing side of the connection of the
 // caller, which may still send.
 func (vc *virtualConn) CloseWrite() error {
--- a/internal/proxy/deliver.go
+++ b/internal/proxy/deliver.go
@@ -56,7 +56,11 @@
 		}
 		d.handler.countOwn(0, why)
 		d.handler.Log.Abort(d.call, why, d.basis, err)
-		// Aborting the connection keeps the caller from taking a partial response for a complete one.
+		// Aborting the connection keeps the caller from taking a partial response for a complete one. Over HTTP/1.0, the end of a
+		// response without a length is that of the connection.
+		if !d.r.ProtoAtLeast(1, 1) && h.Get("Content-Length") == "" {
+			demux.EndWithReset(d.r.Context())
+		}
 		panic(http.ErrAbortHandler)
 	}
 	for k, v := range a.res.Trailer {
--- a/internal/proxy/early_reset_test.go
+++ b/internal/proxy/early_reset_test.go
@@ -72,10 +72,11 @@
 	const rounds = 10
 	short, long := "part", strings.Repeat("x", 2*tune.MaxBufferedResponse)
 	endless := "HTTP/1.1 200 OK\r\n\r\n"
-	overHTTP1 := func(method string, chunked bool, size int) sendOver {
+	overHTTP1 := func(method, version string, chunked bool, size int) sendOver {
 		return func(entry *httptest.Server) (*http.Response, error) {
 			head, body := framed(chunked, size, "")
 			head = strings.Replace(head, "POST", method, 1)
+			head = strings.Replace(head, "HTTP/1.1", version, 1)
 			return overRaw(head, body, 0)(entry)
 		}
 	}
@@ -84,17 +85,18 @@
 		name string
 		send sendOver
 	}{
-		{"that is buffered", overHTTP1(http.MethodPost, false, tune.MaxReplayBody)},
-		{"in chunks that is buffered", overHTTP1(http.MethodPost, true, 60_000)},
-		{"of known length", overHTTP1(http.MethodPost, false, streamed)},
-		{"in chunks", overHTTP1(http.MethodPost, true, streamed)},
+		{"that is buffered", overHTTP1(http.MethodPost, "HTTP/1.1", false, tune.MaxReplayBody)},
+		{"in chunks that is buffered", overHTTP1(http.MethodPost, "HTTP/1.1", true, 60_000)},
+		{"of known length", overHTTP1(http.MethodPost, "HTTP/1.1", false, streamed)},
+		{"in chunks", overHTTP1(http.MethodPost, "HTTP/1.1", true, streamed)},
 		{"on a kept connection", func(entry *httptest.Server) (*http.Response, error) {
 			res, err := http.Get(entry.URL + "/s/warm")
 			Expect(err).NotTo(HaveOccurred())
 			Expect(res.StatusCode).To(Equal(http.StatusOK))
 			_ = res.Body.Close()
-			return overHTTP1(http.MethodPut, false, streamed)(entry)
+			return overHTTP1(http.MethodPut, "HTTP/1.1", false, streamed)(entry)
 		}},
+		{"over HTTP/1.0", overHTTP1(http.MethodPost, "HTTP/1.0", false, streamed)},
 		{"over HTTP/2", overHTTP2(http.MethodPost, func() io.Reader {
 			return io.MultiReader(bytes.NewReader(make([]byte, streamed)))
 		})},
--- a/internal/proxy/faulty_test.go
+++ b/internal/proxy/faulty_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"context"
 	"fmt"
 	"io"
 	"net"
@@ -13,6 +14,7 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
+	"github.com/balsamvale/balsamvale/internal/resets"
 	"github.com/balsamvale/balsamvale/internal/wire"
 )
 
@@ -66,7 +68,7 @@
 // overRaw makes the call as raw bytes behind a split connection; skip is the number of responses before it.
 func overRaw(head, body string, skip int) sendOver {
 	return func(entry *httptest.Server) (*http.Response, error) {
-		c, err := net.Dial("tcp", serveSplit(entry))
+		c, err := resets.DialContext(&net.Dialer{})(context.Background(), "tcp", serveSplit(entry))
 		Expect(err).NotTo(HaveOccurred())
 		DeferCleanup(c.Close)
 		Expect(c.SetDeadline(time.Now().Add(5 * time.Second))).To(Succeed())
