intact: a status that HTTP does not define is no answer to anyone who reads one

An upstream in trouble that answers a probe with 000 or 600 looked alive and free, and calls were sent to it. A store in trouble that names an era in such a response made the clients refuse its sound responses behind it. Calls did not take these statuses for answers, before or now.

Cause: net/http reads any three digits as a status, and only the attempts of sender checked it.

Change: internal/intact decides whether a response may be an answer, for attempts, probes, the store's clients, watches, peers, the platform's interface and the callers of soak and demo. What it refuses is an error before its head is used, and its connection is closed, also if net/http has put it back as the response has no body.

--- a/internal/demo/load.go
+++ b/internal/demo/load.go
@@ -14,6 +14,7 @@
 
 	"github.com/HdrHistogram/hdrhistogram-go"
 
+	"github.com/balsamvale/balsamvale/internal/intact"
 	"github.com/balsamvale/balsamvale/internal/resets"
 	"github.com/balsamvale/balsamvale/internal/wire"
 	"github.com/balsamvale/balsamvale/pkg/calls/outcom"
@@ -61,8 +62,9 @@
 
 // newLoadGen returns the load generator of a demo, with a fixed random seed.
 func newLoadGen(d *Demo) *loadGen {
+	base := &http.Transport{DialContext: resets.DialContext(&net.Dialer{}), MaxIdleConnsPerHost: d.Callers}
 	l := &loadGen{
-		demo: d, http: &http.Client{Timeout: callTimeout, Transport: &http.Transport{DialContext: resets.DialContext(&net.Dialer{}), MaxIdleConnsPerHost: d.Callers}},
+		demo: d, http: &http.Client{Timeout: callTimeout, Transport: &intact.Transport{Base: base}},
 		rand: rand.New(rand.NewPCG(7, 7)), notRun: map[string]bool{},
 		directLatency: hdrhistogram.New(minLatencyMicros, maxLatencyMicros, significantDigits),
 		entryLatency:  hdrhistogram.New(minLatencyMicros, maxLatencyMicros, significantDigits),
--- a/internal/redial/transport.go
+++ b/internal/redial/transport.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"time"
 
+	"github.com/balsamvale/balsamvale/internal/intact"
 	"github.com/balsamvale/balsamvale/internal/resets"
 	"github.com/balsamvale/balsamvale/pkg/shared/tune"
 )
@@ -60,9 +61,9 @@
 	connBuffer   = 512 << 10
 )
 
-// RoundTrip makes a request; errors are those of http.Transport.
+// RoundTrip makes a request; errors are those of http.Transport, or match intact.ErrBroken.
 func (t *Transport) RoundTrip(r *http.Request) (*http.Response, error) {
-	res, err := t.base.RoundTrip(r)
+	res, err := (&intact.Transport{Base: t.base}).RoundTrip(r)
 	if err != nil {
 		t.base.CloseIdleConnections()
 	}
--- a/internal/sender/answer.go
+++ b/internal/sender/answer.go
@@ -4,22 +4,16 @@
 	"net/http"
 	"strings"
 
+	"github.com/balsamvale/balsamvale/internal/intact"
 	"github.com/balsamvale/balsamvale/pkg/calls/cause"
 )
 
-// Statuses that the final response to a call may have, as RFC 9110 (15) defines them.
-const (
-	minStatus = 200
-	maxStatus = 599
-)
-
-// noAnswer returns why a response is no answer to any call, or cause.None if it may be one. The upstream may have run the call.
+// noAnswer returns why a response is no answer to any request, or cause.None if it may be one. The upstream may have run the call.
 func noAnswer(res *http.Response) cause.Cause {
 	switch {
 	case mergedStatusLines(res):
 		return cause.AttemptMismatch
-	case res.StatusCode < minStatus || res.StatusCode > maxStatus:
-		// net/http reads any three digits as a status, and panics when a server passes on one below 100.
+	case intact.Check(res) != nil:
 		return cause.Invalid
 	}
 	return cause.None
--- a/internal/sender/exchange.go
+++ b/internal/sender/exchange.go
@@ -16,6 +16,7 @@
 
 	"github.com/balsamvale/balsamvale/internal/outreq"
 	"github.com/balsamvale/balsamvale/pkg/calls/cause"
+	"github.com/balsamvale/balsamvale/pkg/calls/result"
 	"github.com/balsamvale/balsamvale/pkg/shared/tune"
 )
 
@@ -43,6 +44,8 @@
 	outOfStep bool
 	// informational counts the 1xx responses.
 	informational int
+	// refused is the result of a response that is no answer to any request; its cause is cause.None if there was none.
+	refused result.Result
 }
 
 var (
@@ -50,6 +53,8 @@
 	errConnLost = eris.New("connection lost before a response")
 	// errOutOfStep is the error of an exchange on a connection that has carried a response to another one.
 	errOutOfStep = eris.New("connection out of step")
+	// errNoAnswer is the error of an exchange whose response is no answer to any request.
+	errNoAnswer = eris.New("response is no answer")
 	// errProtocolSwitch is the error of a 101 response: no upgrade is ever asked for.
 	errProtocolSwitch = eris.New("unexpected switch of protocols")
 	// errTooManyInformational is the error of an exchange with more than maxInformational 1xx responses.
@@ -72,6 +77,13 @@
 	if err == nil && res.StatusCode == http.StatusSwitchingProtocols {
 		err = errProtocolSwitch
 	}
+	if err == nil {
+		if c := noAnswer(res); c != cause.None {
+			e.refused = result.Result{Status: res.StatusCode, Cause: c}
+			e.closeConn()
+			err = errNoAnswer
+		}
+	}
 	if err == nil {
 		return res, nil
 	}
@@ -170,6 +182,14 @@
 	return cause.DialFailed
 }
 
+// failure returns the result of an exchange that failed.
+func (e *exchange) failure() result.Result {
+	if e.refused.Cause != cause.None {
+		return e.refused
+	}
+	return result.Result{Cause: e.failureCause()}
+}
+
 // failureCause returns the cause of an exchange that got no response.
 func (e *exchange) failureCause() cause.Cause {
 	c := e.conn.Load()
--- a/internal/sender/sender.go
+++ b/internal/sender/sender.go
@@ -114,7 +114,7 @@
 	e := newExchange(ctx, &outreq.Request{Method: http.MethodGet, RequestURI: path, Header: http.Header{}, Buffered: true, Idempotent: true, Addr: addr})
 	res, err := e.roundTrip(s.pooled)
 	if err != nil {
-		return result.Result{Cause: e.failureCause()}
+		return e.failure()
 	}
 	defer func() { _ = res.Body.Close() }()
 	if _, err := io.Copy(io.Discard, io.LimitReader(res.Body, maxProbeBody)); err != nil {
@@ -132,15 +132,14 @@
 	res, err := e.roundTrip(rt)
 	latency := s.clock.Now().Sub(r.SentAt)
 	if err != nil {
-		return nil, result.Result{Cause: e.failureCause(), Latency: latency}, e.reused
+		out := e.failure()
+		out.Latency = latency
+		return nil, out, e.reused
 	}
 	out := s.headers.ClassifyResponse(res, r.ID)
-	if c := noAnswer(res); c != cause.None {
-		out = result.Result{Status: res.StatusCode, Cause: c}
-	}
 	out.Latency = latency
 	out.ConnClose = res.Close && rt == s.pooled
-	if out.Cause == cause.AttemptMismatch || out.Cause == cause.Invalid {
+	if out.Cause == cause.AttemptMismatch {
 		_ = res.Body.Close()
 		e.closeConn()
 		return nil, out, false
--- a/internal/sender/status_test.go
+++ b/internal/sender/status_test.go
@@ -28,7 +28,7 @@
 		{"200 OK", true}, {"404 Not Found", true}, {"599 Odd", true},
 		{"600 Odd", false}, {"999 Odd", false}, {"-01 Odd", false}, {"1000 Odd", false}, {"0 Odd", false},
 	} {
-		It("is no answer to the call: "+tc.status, func() {
+		It("is no answer to the call, nor to a probe: "+tc.status, func() {
 			l, err := net.Listen("tcp", "127.0.0.1:0")
 			Expect(err).NotTo(HaveOccurred())
 			DeferCleanup(l.Close)
@@ -42,11 +42,15 @@
 				Method: http.MethodPost, RequestURI: "/", Header: http.Header{}, Body: []byte("x"), Buffered: true,
 				ID: "1", Addr: netip.MustParseAddrPort(l.Addr().String()), SentAt: time.Now(),
 			})
+			u.cuts <- "HTTP/1.1 " + tc.status + "\r\nContent-Length: 2\r\n\r\nok"
+			probed := sender.New(clock.Wall(), header.Default()).Probe(ctx, "u", netip.MustParseAddrPort(l.Addr().String()), "/load")
 			if tc.valid {
+				Expect(probed.Cause).To(Equal(cause.None))
 				Expect(res).NotTo(BeNil())
 				Expect(res.Body.Close()).To(Succeed())
 				return
 			}
+			Expect(probed.Cause).To(BeElementOf(cause.Invalid, cause.ConnBroken))
 			Expect(res).To(BeNil())
 			Expect(out.Cause).To(BeElementOf(cause.Invalid, cause.ConnBroken))
 			Expect(out.MayHaveRun()).To(BeTrue())
--- a/internal/soak/caller/connection.go
+++ b/internal/soak/caller/connection.go
@@ -11,6 +11,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/balsamvale/balsamvale/internal/intact"
 	"github.com/balsamvale/balsamvale/internal/resets"
 	"github.com/balsamvale/balsamvale/pkg/shared/clock"
 )
@@ -103,9 +104,16 @@
 func (n *connection) readResponse(k *call) (*http.Response, error) {
 	for {
 		res, err := http.ReadResponse(n.reader, &http.Request{Method: k.method})
-		if err != nil || res.StatusCode >= http.StatusOK {
-			return res, err
+		switch {
+		case err != nil:
+			return nil, err
+		case res.StatusCode >= http.StatusContinue && res.StatusCode < http.StatusOK:
+			continue
 		}
+		if err := intact.Check(res); err != nil {
+			return nil, err
+		}
+		return res, nil
 	}
 }
 
--- a/internal/soak/caller/pipeline.go
+++ b/internal/soak/caller/pipeline.go
@@ -8,6 +8,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/balsamvale/balsamvale/internal/intact"
 	"github.com/balsamvale/balsamvale/internal/resets"
 )
 
@@ -84,7 +85,7 @@
 // streams are the requests of one caller over one HTTP/2 connection.
 type streams struct {
 	caller    *caller
-	transport *http.Transport
+	transport *intact.Transport
 	target    Target
 	opened    time.Time
 	// failed is set when a request failed.
@@ -99,7 +100,8 @@
 	}
 	protocols := &http.Protocols{}
 	protocols.SetUnencryptedHTTP2(true)
-	return &streams{caller: c, transport: &http.Transport{DialContext: resets.DialContext(&net.Dialer{}), Protocols: protocols}, target: t, opened: c.crowd.Clock.Now()}
+	base := &http.Transport{DialContext: resets.DialContext(&net.Dialer{}), Protocols: protocols}
+	return &streams{caller: c, transport: &intact.Transport{Base: base}, target: t, opened: c.crowd.Clock.Now()}
 }
 
 // close closes the connection once its requests have ended.
--- a/internal/soak/fleet/entry.go
+++ b/internal/soak/fleet/entry.go
@@ -18,6 +18,7 @@
 	"golang.org/x/sys/unix"
 
 	"github.com/balsamvale/balsamvale/internal/child"
+	"github.com/balsamvale/balsamvale/internal/intact"
 	"github.com/balsamvale/balsamvale/internal/relay"
 	"github.com/balsamvale/balsamvale/internal/resets"
 	"github.com/balsamvale/balsamvale/internal/soak/caller"
@@ -332,7 +333,9 @@
 }
 
 // metricsClient reads metrics; it keeps no connections, since these would count as the entry's own.
-var metricsClient = &http.Client{Timeout: time.Second, Transport: &http.Transport{DialContext: resets.DialContext(&net.Dialer{}), DisableKeepAlives: true}}
+var metricsClient = &http.Client{Timeout: time.Second, Transport: &intact.Transport{Base: &http.Transport{
+	DialContext: resets.DialContext(&net.Dialer{}), DisableKeepAlives: true,
+}}}
 
 // stop sends SIGTERM, and kills the process if it outlives its grace time by too much.
 func (e *entry) stop() {
