intact: a response with a field name that HTTP does not allow is refused

Cause: net/http accepts blanks in field names and keeps such a name as it is. It refuses control characters.

Trailers are checked at the end of a body, informational responses before they are passed on. The attempt ends as one with an undefined status: cause "invalid", its connection closed, the upstream may have run the call. Values are not looked at, so folded lines and odd values stay.

--- a/internal/intact/transport.go
+++ b/internal/intact/transport.go
@@ -4,32 +4,36 @@
 	"net"
 	"net/http"
 	"net/http/httptrace"
+	"net/textproto"
 
 	"github.com/rotisserie/eris"
 )
 
-// Transport is an http.RoundTripper that fails on a response that Check refuses, and closes its connection.
+// Transport is an http.RoundTripper that fails on a response that is no answer to any request, and closes its connection.
 type Transport struct {
 	// Base makes the requests.
 	Base http.RoundTripper
 }
 
-// RoundTrip makes a request; errors are those of Base, or match ErrBroken.
+// MaxInformational is the maximum number of 1xx responses to one request.
+const MaxInformational = 16
+
+// RoundTrip makes a request; errors are those of Base, or match ErrBroken. Reads of the body of the response fail like those of
+// NewBody.
 func (t *Transport) RoundTrip(r *http.Request) (*http.Response, error) {
-	var conn net.Conn
-	trace := &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) { conn = info.Conn }}
+	e := &exchange{}
+	trace := &httptrace.ClientTrace{GotConn: e.gotConn, Got1xxResponse: e.got1xx}
 	res, err := t.Base.RoundTrip(r.WithContext(httptrace.WithClientTrace(r.Context(), trace)))
 	if err != nil {
 		return nil, err
 	}
+	e.http1 = res.ProtoMajor == 1
 	if err := Check(res); err != nil {
 		_ = res.Body.Close()
-		if res.ProtoMajor == 1 && conn != nil {
-			// A connection is kept after a response without a body, and what follows on this one may be broken as well.
-			_ = conn.Close()
-		}
+		e.closeConn()
 		return nil, err
 	}
+	res.Body = NewBody(res, e.closeConn)
 	return res, nil
 }
 
@@ -40,21 +44,28 @@
 	}
 }
 
-// ErrBroken is matched by the errors about a response that is no answer to any request.
-var ErrBroken = eris.New("broken response")
+// exchange is one request of a Transport.
+type exchange struct {
+	conn net.Conn
+	// http1 is set if no other request shares the connection.
+	http1 bool
+	// informational counts the 1xx responses.
+	informational int
+}
 
-// Statuses that a final response may have, as RFC 9110 (15) defines them.
-const (
-	minStatus = 200
-	maxStatus = 599
-)
+func (e *exchange) gotConn(info httptrace.GotConnInfo) { e.conn = info.Conn }
+
+// got1xx is the Got1xxResponse hook. With this hook, net/http sets no limit on the number of 1xx responses.
+func (e *exchange) got1xx(_ int, h textproto.MIMEHeader) error {
+	if e.informational++; e.informational > MaxInformational {
+		return eris.Wrapf(ErrBroken, "more than %d informational responses", MaxInformational)
+	}
+	return CheckFields(http.Header(h))
+}
 
-// Check returns an error that matches ErrBroken if a final response is no answer to any request. The request may have been carried out.
-//
-// net/http parses any three digits as a status.
-func Check(res *http.Response) error {
-	if res.StatusCode < minStatus || res.StatusCode > maxStatus {
-		return eris.Wrapf(ErrBroken, "status %03d", res.StatusCode)
+// closeConn closes the connection: net/http keeps it once it has read the end of a response, and what follows may be broken as well.
+func (e *exchange) closeConn() {
+	if e.http1 && e.conn != nil {
+		_ = e.conn.Close()
 	}
-	return nil
 }
--- a/internal/intact/transport_test.go
+++ b/internal/intact/transport_test.go
@@ -2,10 +2,13 @@
 
 import (
 	"bufio"
+	"context"
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"sync/atomic"
+	"time"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
@@ -60,7 +63,9 @@
 
 // get makes a request and reads the response to its end.
 func get(t http.RoundTripper, s *scripted) (*http.Response, string, error) {
-	req, err := http.NewRequest(http.MethodGet, "http://"+s.listener.Addr().String(), nil)
+	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+s.listener.Addr().String(), nil)
 	Expect(err).NotTo(HaveOccurred())
 	res, err := t.RoundTrip(req)
 	if err != nil {
@@ -73,6 +78,7 @@
 
 // Guards against a response that a client of the store, of peers or of the platform takes for an answer although no recipient may.
 var _ = Describe("A transport", func() {
+	const ok = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
 	for _, tc := range []struct {
 		name, answer string
 		// body is that of a sound response; "" if the response is refused.
@@ -85,6 +91,15 @@
 		{"the status 600", "HTTP/1.1 600 OK\r\nContent-Length: 2\r\n\r\nok", ""},
 		{"the status 200", "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok", "ok"},
 		{"the status 299, of no name", "HTTP/1.1 299 \r\nContent-Length: 2\r\n\r\nok", "ok"},
+		{"a blank in a field name", "HTTP/1.1 200 OK\r\nX A: 1\r\nContent-Length: 2\r\n\r\nok", ""},
+		{"a blank in a field name without a body", "HTTP/1.1 204 No Content\r\nX A: 1\r\n\r\n", ""},
+		{"a blank behind Content-Length", "HTTP/1.1 200 OK\r\nContent-Length : 2\r\n\r\nok", ""},
+		{"a blank in a field name of an informational response", "HTTP/1.1 103 Early Hints\r\nX A: 1\r\n\r\n" + ok, ""},
+		{"a blank in the name of a trailer", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\nX A: 1\r\n\r\n", ""},
+		{"too many informational responses", strings.Repeat("HTTP/1.1 103 Early Hints\r\n\r\n", intact.MaxInformational+1) + ok, ""},
+		{"as many informational responses as are allowed", strings.Repeat("HTTP/1.1 103 Early Hints\r\n\r\n", intact.MaxInformational) + ok, "ok"},
+		{"a folded line that looks like another field", "HTTP/1.1 200 OK\r\nX: 1\r\n X A : 2\r\nContent-Length: 2\r\n\r\nok", "ok"},
+		{"trailers", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\nX-A: 1\r\n\r\n", "ok"},
 		{"the status 599", "HTTP/1.1 599 Odd\r\nContent-Length: 2\r\n\r\nok", "ok"},
 	} {
 		It("takes only what may be an answer: "+tc.name, func() {
--- a/internal/proxy/body.go
+++ b/internal/proxy/body.go
@@ -9,8 +9,8 @@
 
 	"github.com/rotisserie/eris"
 
+	"github.com/balsamvale/balsamvale/internal/intact"
 	"github.com/balsamvale/balsamvale/internal/memory"
-	"github.com/balsamvale/balsamvale/pkg/calls/cause"
 	"github.com/balsamvale/balsamvale/pkg/calls/outcom"
 	"github.com/balsamvale/balsamvale/pkg/calls/reason"
 	"github.com/balsamvale/balsamvale/pkg/shared/tune"
@@ -27,7 +27,7 @@
 	body, whole, err := readBuffered(a.res.Body, a.res.ContentLength, tune.MaxBufferedResponse, a.memory)
 	if err != nil {
 		_ = a.res.Body.Close()
-		a.res, a.result.Cause = nil, cause.ConnBroken
+		a.res, a.result.Cause = nil, intact.BodyCause(err)
 		return
 	}
 	if !whole {
--- a/internal/proxy/faulty_test.go
+++ b/internal/proxy/faulty_test.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"net/http/httptest"
 	"strings"
+	"testing/iotest"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -79,14 +80,19 @@
 			if err != nil {
 				return nil, err
 			}
-			_, _ = io.Copy(io.Discard, res.Body)
+			if _, err := io.Copy(io.Discard, res.Body); err != nil {
+				// The connection ends with a response that breaks off, so this is the last one.
+				res.Body = io.NopCloser(iotest.ErrReader(err))
+				return res, nil
+			}
 		}
 		return http.ReadResponse(in, nil)
 	}
 }
 
-// Guards against two answers of an upstream in trouble that reached callers as answers on other systems: a response without a
-// length that ends by a reset while the upload is still being written, and a status that HTTP does not define.
+// Guards against answers of an upstream in trouble that reached callers as answers on other systems: a response without a length that
+// ends by a reset while the upload is still being written, a status that HTTP does not define, and a field name that HTTP does not
+// allow.
 var _ = Describe("An answer of an upstream in trouble", func() {
 	const upload = 400 << 10
 	sized, sizedBody := framed(false, upload, "")
@@ -117,6 +123,14 @@
 			{"a 200 that closes and a reset", "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\npart", 20 * time.Millisecond},
 			{"the status 000", "HTTP/1.1 000 \r\nContent-Length: 2\r\n\r\nok", 20 * time.Millisecond},
 			{"the status 099", "HTTP/1.1 099 Odd\r\nContent-Length: 2\r\n\r\nok", 20 * time.Millisecond},
+			{"a field name with a blank", "HTTP/1.1 200 OK\r\nX A: 1\r\nContent-Length: 2\r\n\r\nok", 20 * time.Millisecond},
+			{"a blank behind a field name", "HTTP/1.1 200 OK\r\nX-A : 1\r\nContent-Length: 2\r\n\r\nok", 20 * time.Millisecond},
+			{"a field name with a blank and no body", "HTTP/1.1 204 No Content\r\nX A: 1\r\n\r\n", 20 * time.Millisecond},
+			{"a field name with a control character", "HTTP/1.1 200 OK\r\nX\x01A: 1\r\nContent-Length: 2\r\n\r\nok", 20 * time.Millisecond},
+			{"such an informational response", "HTTP/1.1 103 Early Hints\r\nX A: 1\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok", 20 * time.Millisecond},
+			{"a trailer with a blank", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\nX A: 1\r\n\r\n", 20 * time.Millisecond},
+			{"a trailer with a blank behind an announced one", "HTTP/1.1 200 OK\r\nTrailer: X-A\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\nX-A: 1\r\nX A: 1\r\n\r\n", 20 * time.Millisecond},
+			{"a long part and a trailer with a blank", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n20000\r\n" + strings.Repeat("x", 0x20000) + "\r\n0\r\nX A: 1\r\n\r\n", 20 * time.Millisecond},
 			{"the status 600", "HTTP/1.1 600 Odd\r\nContent-Length: 2\r\n\r\nok", 20 * time.Millisecond},
 		} {
 			It(fmt.Sprintf("never counts as complete: %s, to %s", fault.name, kind.name), func() {
--- a/internal/sender/exchange.go
+++ b/internal/sender/exchange.go
@@ -14,6 +14,7 @@
 
 	"github.com/rotisserie/eris"
 
+	"github.com/balsamvale/balsamvale/internal/intact"
 	"github.com/balsamvale/balsamvale/internal/outreq"
 	"github.com/balsamvale/balsamvale/pkg/calls/cause"
 	"github.com/balsamvale/balsamvale/pkg/calls/result"
@@ -44,8 +45,9 @@
 	outOfStep bool
 	// informational counts the 1xx responses.
 	informational int
-	// refused is the result of a response that is no answer to any request; its cause is cause.None if there was none.
-	refused result.Result
+	// refused is the result of a response that is no answer to any request; nil if there was none. net/http calls got1xx in a goroutine
+	// that may outlast roundTrip.
+	refused atomic.Pointer[result.Result]
 }
 
 var (
@@ -57,7 +59,7 @@
 	errNoAnswer = eris.New("response is no answer")
 	// errProtocolSwitch is the error of a 101 response: no upgrade is ever asked for.
 	errProtocolSwitch = eris.New("unexpected switch of protocols")
-	// errTooManyInformational is the error of an exchange with more than maxInformational 1xx responses.
+	// errTooManyInformational is the error of an exchange with more than intact.MaxInformational 1xx responses.
 	errTooManyInformational = eris.New("too many informational responses")
 )
 
@@ -78,13 +80,10 @@
 		err = errProtocolSwitch
 	}
 	if err == nil {
-		if c := noAnswer(res); c != cause.None {
-			e.refused = result.Result{Status: res.StatusCode, Cause: c}
-			e.closeConn()
-			err = errNoAnswer
-		}
+		err = e.refuse(res.StatusCode, noAnswer(res))
 	}
 	if err == nil {
+		res.Body = intact.NewBody(res, e.closeConn)
 		return res, nil
 	}
 	if res != nil {
@@ -155,8 +154,11 @@
 // got1xx is the Got1xxResponse hook: it passes informational responses on, except 100 Continue. With this hook, net/http sets
 // no limit on their number.
 func (e *exchange) got1xx(code int, h textproto.MIMEHeader) error {
+	if intact.CheckFields(http.Header(h)) != nil {
+		return e.refuse(code, cause.Invalid)
+	}
 	e.informational++
-	if e.informational > maxInformational {
+	if e.informational > intact.MaxInformational {
 		return errTooManyInformational
 	}
 	if e.req.OnInformational != nil && code != http.StatusContinue {
@@ -165,6 +167,17 @@
 	return nil
 }
 
+// refuse records that a response with the given status is no answer to any request, and why, and closes the connection. The error is
+// errNoAnswer, or nil if why is cause.None.
+func (e *exchange) refuse(status int, why cause.Cause) error {
+	if why == cause.None {
+		return nil
+	}
+	e.refused.Store(&result.Result{Status: status, Cause: why})
+	e.closeConn()
+	return errNoAnswer
+}
+
 // closeConn closes the connection of the exchange. After a response to another attempt, all further responses on it would be
 // out of step.
 func (e *exchange) closeConn() {
@@ -184,8 +197,8 @@
 
 // failure returns the result of an exchange that failed.
 func (e *exchange) failure() result.Result {
-	if e.refused.Cause != cause.None {
-		return e.refused
+	if refused := e.refused.Load(); refused != nil {
+		return *refused
 	}
 	return result.Result{Cause: e.failureCause()}
 }
--- a/internal/sender/sender.go
+++ b/internal/sender/sender.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/balsamvale/balsamvale/internal/header"
+	"github.com/balsamvale/balsamvale/internal/intact"
 	"github.com/balsamvale/balsamvale/internal/outreq"
 	"github.com/balsamvale/balsamvale/internal/resets"
 	"github.com/balsamvale/balsamvale/pkg/calls/cause"
@@ -35,8 +36,6 @@
 	maxIdlePerHost = 32
 	// maxHeadBytes is the maximum size of the head of a response in bytes.
 	maxHeadBytes = 64 << 10
-	// maxInformational is the maximum number of 1xx responses to one attempt.
-	maxInformational = 16
 )
 
 // New returns a Sender without connections. The Codec classifies the responses to attempts and probes.
@@ -118,7 +117,7 @@
 	}
 	defer func() { _ = res.Body.Close() }()
 	if _, err := io.Copy(io.Discard, io.LimitReader(res.Body, maxProbeBody)); err != nil {
-		return result.Result{Cause: cause.ConnBroken}
+		return result.Result{Cause: intact.BodyCause(err)}
 	}
 	return s.headers.ClassifyProbe(res, name)
 }
--- a/internal/soak/caller/connection.go
+++ b/internal/soak/caller/connection.go
@@ -108,11 +108,15 @@
 		case err != nil:
 			return nil, err
 		case res.StatusCode >= http.StatusContinue && res.StatusCode < http.StatusOK:
+			if err := intact.CheckFields(res.Header); err != nil {
+				return nil, err
+			}
 			continue
 		}
 		if err := intact.Check(res); err != nil {
 			return nil, err
 		}
+		res.Body = intact.NewBody(res, n.close)
 		return res, nil
 	}
 }
--- a/pkg/calls/cause/cause.go
+++ b/pkg/calls/cause/cause.go
@@ -25,6 +25,6 @@
 	Canceled // canceled
 	// AttemptMismatch means that the response belonged to another attempt.
 	AttemptMismatch // mismatch
-	// Invalid means that the response has a status that HTTP does not define.
+	// Invalid means that the response has a status that HTTP does not define, or a field whose name HTTP does not allow.
 	Invalid // invalid
 )
