proof, peers: an unknown age of a configuration is no duration that can overflow

Cause: an entry that takes its state from a peer's own digest has a replica and no proof of its age. It gave the age of the zero time, the largest duration. Receivers added the time of the exchange, so that the sum was negative: a proof 292 years ahead, newer than each true one and passed on to all. From then on no entry found its replica too old, and none turned to the store.

Change: proof.Proof is the time up to which a replica is known to match the store, or none, which has no age and is within no bound. Digests hold one, and the codec alone turns it into an age: without a proof 48 h, to which entries of older builds can add, since they take a missing age for 0.

Tests that gave a peer's state without an age meant a fresh peer, as a missing age counted as 0; they say so now, and check what they did.

The age of the configuration counts suspensions of the host, as that of the accounts did.

--- a/internal/codec/digest.go
+++ b/internal/codec/digest.go
@@ -3,11 +3,14 @@
 import (
 	"time"
 
+	"google.golang.org/protobuf/types/known/durationpb"
+
 	pb "github.com/balsamvale/balsamvale/internal/gen/balsamvale/v1"
 	"github.com/balsamvale/balsamvale/pkg/events/digest"
 	"github.com/balsamvale/balsamvale/pkg/events/fact"
 	"github.com/balsamvale/balsamvale/pkg/events/tally"
 	"github.com/balsamvale/balsamvale/pkg/events/topic"
+	"github.com/balsamvale/balsamvale/pkg/shared/proof"
 	"github.com/balsamvale/balsamvale/pkg/shared/tune"
 	"github.com/balsamvale/balsamvale/pkg/stored/delta"
 	"github.com/balsamvale/balsamvale/pkg/stored/item"
@@ -49,9 +52,11 @@
 
 // DigestFromProto converts a digest that a peer sent.
 //
-// The message holds the time left of each fact; it counts from now, so that facts expire by the clock of this entry.
+// The message holds the age of the sender's replica and the time left of each fact; both count from now, so that they are by the clock of
+// this entry.
 func DigestFromProto(now time.Time, d *pb.Digest) digest.Digest {
-	out := digest.Digest{From: d.GetFrom(), Revision: revno.New(d.GetEra(), d.GetRevision()), Age: d.GetAge().AsDuration(), Brief: d.GetBrief(), Offer: d.GetOffer(), WantsKept: d.GetWantsKept(), NoEras: !d.GetEras(),
+	age := ageFromProto(d.GetAge())
+	out := digest.Digest{From: d.GetFrom(), Revision: revno.New(d.GetEra(), d.GetRevision()), Matched: proof.FromAge(now, age), InvalidAge: age < 0, Brief: d.GetBrief(), Offer: d.GetOffer(), WantsKept: d.GetWantsKept(), NoEras: !d.GetEras(),
 		FactsSince: d.GetFactSince(), FactsUpto: d.GetFactUpto(), FactsAck: d.GetFactAck()}
 	if len(d.GetKept()) > 0 {
 		out.Kept, out.KeptFor = ItemsFromProto(d.GetKept()), d.GetKeptFor().AsDuration()
@@ -104,10 +109,28 @@
 	return out
 }
 
-// DigestToProto converts a digest for a peer; the time left of each fact counts from now.
+// ageFromProto returns the age of a peer's replica, which is tune.MaxProofAge if the peer gives none.
+func ageFromProto(age *durationpb.Duration) time.Duration {
+	if age == nil {
+		return tune.MaxProofAge
+	}
+	return age.AsDuration()
+}
+
+// ageToProto returns the age of a replica for a peer. Without a proof it is tune.MaxProofAge, since entries of older builds take a
+// missing age for 0.
+func ageToProto(now time.Time, matched proof.Proof) *durationpb.Duration {
+	age, known := matched.Age(now)
+	if !known {
+		age = tune.MaxProofAge
+	}
+	return duration(min(max(0, age), tune.MaxProofAge))
+}
+
+// DigestToProto converts a digest for a peer; the age of the replica and the time left of each fact count from now.
 func DigestToProto(now time.Time, d digest.Digest) *pb.Digest {
 	out := &pb.Digest{
-		From: d.From, Revision: d.Revision.Number(), Era: d.Revision.Era(), Age: duration(d.Age),
+		From: d.From, Revision: d.Revision.Number(), Era: d.Revision.Era(), Age: ageToProto(now, d.Matched),
 		Base: d.Delta.BaseRevision.Number(), BaseEra: d.Delta.BaseRevision.Era(),
 		Upto: d.Delta.Revision.Number(), UptoEra: d.Delta.Revision.Era(), Full: d.Delta.Full,
 		Brief: d.Brief, Offer: d.Offer, WantsKept: d.WantsKept, Eras: !d.NoEras,
--- a/internal/core/bench_test.go
+++ b/internal/core/bench_test.go
@@ -31,6 +31,7 @@
 	"github.com/balsamvale/balsamvale/pkg/events/topic"
 	"github.com/balsamvale/balsamvale/pkg/records/upsrec"
 	"github.com/balsamvale/balsamvale/pkg/shared/clock"
+	"github.com/balsamvale/balsamvale/pkg/shared/proof"
 	"github.com/balsamvale/balsamvale/pkg/shared/svcfg"
 	"github.com/balsamvale/balsamvale/pkg/shared/target"
 	"github.com/balsamvale/balsamvale/pkg/stored/delta"
@@ -141,7 +142,7 @@
 				}
 				it := item.Item{Key: keys.Record("upstream", r.GetName()), Value: data, Revision: revision + 1}
 				change := delta.Delta{BaseRevision: revision, Revision: revision + 1, Items: []item.Item{it}}
-				c.Step(startTime, event.Event{Kind: evkind.DigestAnswered, Digest: digest.Digest{From: "x", Revision: revision + 1, Delta: change}})
+				c.Step(startTime, event.Event{Kind: evkind.DigestAnswered, Digest: digest.Digest{From: "x", Revision: revision + 1, Matched: proof.At(startTime), Delta: change}})
 				revision++
 			}
 		})
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -33,6 +33,7 @@
 	"github.com/balsamvale/balsamvale/pkg/events/fact"
 	"github.com/balsamvale/balsamvale/pkg/events/topic"
 	"github.com/balsamvale/balsamvale/pkg/shared/clock"
+	"github.com/balsamvale/balsamvale/pkg/shared/proof"
 	"github.com/balsamvale/balsamvale/pkg/shared/snap"
 	"github.com/balsamvale/balsamvale/pkg/shared/tune"
 	"github.com/balsamvale/balsamvale/pkg/stored/item"
@@ -86,8 +87,8 @@
 	ready atomic.Bool
 	// stopping is set by Drain; a snapshot that control publishes before it knows does not make the entry ready again.
 	stopping atomic.Bool
-	// freshAt is when the configuration was last known to match the store, as of the last tick or change.
-	freshAt atomic.Pointer[time.Time]
+	// matched is the latest proof that the configuration matched the store, as of the last tick or change.
+	matched atomic.Pointer[proof.Proof]
 	view    atomic.Pointer[trafficView]
 	// DroppedEvents counts the events that were dropped because the queue of control was full.
 	DroppedEvents atomic.Uint64
@@ -170,12 +171,12 @@
 	}
 }
 
-// tick tells control that time has passed, updates freshAt, forgets poison fingerprints that have expired, and collects
+// tick tells control that time has passed, updates matched, forgets poison fingerprints that have expired, and collects
 // evidence and the demand for credits from the pools.
 func (co *Core) tick(ctx context.Context) {
 	co.step(ctx, event.Event{Kind: evkind.Tick})
 	now := co.clock.Now()
-	co.updateFreshAt()
+	co.updateMatched()
 	co.poison.Sweep(now)
 	for service, p := range co.view.Load().pools {
 		p.PublishEvidence(now)
@@ -186,10 +187,10 @@
 	}
 }
 
-// updateFreshAt takes freshAt over from control. The view must hold all that control had in force by then.
-func (co *Core) updateFreshAt() {
-	fresh := co.control.FreshAt()
-	co.freshAt.Store(&fresh)
+// updateMatched takes matched over from control. The view must hold all that control had in force by then.
+func (co *Core) updateMatched() {
+	matched := co.control.Matched()
+	co.matched.Store(&matched)
 }
 
 // step passes an event to control and carries out the effects that it requests.
@@ -255,7 +256,7 @@
 		}
 	}
 	co.view.Store(next)
-	co.updateFreshAt()
+	co.updateMatched()
 	for name, p := range old.pools {
 		if next.pools[name] == nil {
 			p.Close(now)
@@ -263,7 +264,7 @@
 	}
 	co.ready.Store(co.control.Ready())
 	if old.snapshot.OperatorRevision != e.Snapshot.OperatorRevision || old.snapshot.Revision == 0 {
-		co.log.ConfigInForce(e.Snapshot, now.Sub(co.control.FreshAt()))
+		co.log.ConfigInForce(e.Snapshot, co.Basis())
 	}
 }
 
--- a/internal/core/view.go
+++ b/internal/core/view.go
@@ -8,7 +8,6 @@
 	"github.com/balsamvale/balsamvale/pkg/records/rulrec"
 	"github.com/balsamvale/balsamvale/pkg/records/svcrec"
 	"github.com/balsamvale/balsamvale/pkg/shared/basis"
-	"github.com/balsamvale/balsamvale/pkg/shared/clock"
 	"github.com/balsamvale/balsamvale/pkg/stored/revno"
 	"github.com/balsamvale/balsamvale/pkg/traffic/pool"
 )
@@ -53,21 +52,21 @@
 // ConfigAge returns the time since the configuration was last known to match the store; ok is false until control has
 // received a configuration.
 func (co *Core) ConfigAge() (age time.Duration, ok bool) {
-	at := co.freshAt.Load()
-	if at == nil || at.IsZero() {
+	matched := co.matched.Load()
+	if matched == nil {
 		return 0, false
 	}
-	return co.clock.Now().Sub(*at), true
+	return matched.Age(co.clock.Now())
 }
 
 // AccountsAge returns the time since the client accounts were last known to match the store, in which a pause of the host and a
 // change of its clock count; negative until control has received a configuration.
 func (co *Core) AccountsAge() time.Duration {
-	at := co.freshAt.Load()
-	if at == nil || at.IsZero() {
+	age, ok := co.ConfigAge()
+	if !ok {
 		return -1
 	}
-	return clock.Elapsed(co.clock.Now(), *at)
+	return age
 }
 
 // Accounts returns the table of the client accounts, or nil if there are none.
--- a/internal/logs/log.go
+++ b/internal/logs/log.go
@@ -174,7 +174,7 @@
 }
 
 // ConfigInForce logs that a configuration of the operators has come into force.
-func (l *Log) ConfigInForce(s *snap.Snapshot, age time.Duration) {
+func (l *Log) ConfigInForce(s *snap.Snapshot, b basis.Basis) {
 	ce := l.check("config", false)
 	if ce == nil {
 		return
@@ -187,7 +187,7 @@
 		upstreams += len(cfg.Targets)
 	}
 	ce.Write(zap.Int64("revision", s.Revision.Number()), zap.Int64("version", s.Version), zap.Int("rules", rules),
-		zap.Int("services", len(s.Services)), zap.Int("upstreams", upstreams), zap.Duration("lag", age), zap.String("from", s.Source),
+		zap.Int("services", len(s.Services)), zap.Int("upstreams", upstreams), zap.Duration("lag", b.Age), zap.String("from", s.Source),
 		zap.Int("accounts", s.Accounts.Accounts()), zap.Int("keys", s.Accounts.Keys()))
 }
 
--- a/internal/peers/age_test.go
+++ b/internal/peers/age_test.go
@@ -16,6 +16,7 @@
 	"github.com/balsamvale/balsamvale/pkg/events/effect"
 	"github.com/balsamvale/balsamvale/pkg/events/event"
 	"github.com/balsamvale/balsamvale/pkg/shared/clock"
+	"github.com/balsamvale/balsamvale/pkg/shared/proof"
 	"github.com/balsamvale/balsamvale/pkg/stored/delta"
 	"github.com/balsamvale/balsamvale/pkg/stored/item"
 )
@@ -44,7 +45,7 @@
 			var received digest.Digest
 			s.Submit = func(_ context.Context, ev event.Event) (effect.Effect, error) {
 				received = ev.Digest
-				return effect.Effect{Digest: digest.Digest{From: "p", Revision: 9, Age: age, Delta: tc.answer}}, nil
+				return effect.Effect{Digest: digest.Digest{From: "p", Revision: 9, Matched: proof.FromAge(time.Now(), age), Delta: tc.answer}}, nil
 			}
 			path, h := s.Handler()
 			mux := http.NewServeMux()
@@ -59,12 +60,14 @@
 			srv.Start()
 			DeferCleanup(srv.Close)
 			addr := netip.MustParseAddrPort(strings.TrimPrefix(srv.URL, "http://"))
-			got, err := s.SendDigest(context.Background(), &effect.Effect{Addr: addr, Digest: digest.Digest{From: "e", Age: age, Delta: tc.sent}})
+			got, err := s.SendDigest(context.Background(), &effect.Effect{Addr: addr, Digest: digest.Digest{From: "e", Matched: proof.FromAge(time.Now(), age), Delta: tc.sent}})
 			Expect(err).NotTo(HaveOccurred())
 			if !tc.answered {
 				got = received
 			}
-			Expect(got.Age).To(And(BeNumerically(">=", age+took/2), BeNumerically("<", age+4*took)))
+			gotAge, known := got.Matched.Age(time.Now())
+			Expect(known).To(BeTrue())
+			Expect(gotAge).To(And(BeNumerically(">=", age+took/2), BeNumerically("<", age+4*took)))
 		})
 	}
 })
--- a/internal/peers/service.go
+++ b/internal/peers/service.go
@@ -4,6 +4,7 @@
 	"context"
 	"net/http"
 	"net/netip"
+	"sync/atomic"
 	"time"
 
 	"connectrpc.com/connect"
@@ -44,6 +45,9 @@
 	// TakeUsage takes in the usage counts of a peer; nil if the entry has no duties.
 	TakeUsage func(ctx context.Context, h handov.Handover) (ack.Ack, error)
 
+	// InvalidAges counts the digests of peers whose age no replica can have.
+	InvalidAges atomic.Uint64
+
 	clock clock.Clock
 	http  *http.Client
 }
@@ -71,9 +75,9 @@
 // Exchange passes a peer's digest to control and answers with this entry's facts and the changes that the peer lacks.
 func (s *Service) Exchange(ctx context.Context, req *connect.Request[pb.Digest]) (*connect.Response[pb.Digest], error) {
 	now := s.clock.Now()
-	ev := event.Event{Kind: evkind.DigestReceived, Digest: codec.DigestFromProto(now, req.Msg)}
+	ev := event.Event{Kind: evkind.DigestReceived, Digest: s.decode(now, req.Msg)}
 	if at, ok := ctx.Value(arrivalKey{}).(time.Time); ok {
-		ev.Digest.Age += clock.Elapsed(now, at)
+		ev.Digest.Matched = ev.Digest.Matched.Older(clock.Elapsed(now, at))
 	}
 	e, err := s.Submit(ctx, ev)
 	if err != nil {
@@ -83,6 +87,15 @@
 	return connect.NewResponse(codec.DigestToProto(s.clock.Now(), e.Digest)), nil
 }
 
+// decode converts a digest that arrived at now, and counts invalid ages.
+func (s *Service) decode(now time.Time, msg *pb.Digest) digest.Digest {
+	d := codec.DigestFromProto(now, msg)
+	if d.InvalidAge {
+		s.InvalidAges.Add(1)
+	}
+	return d
+}
+
 // Credit answers a peer's request for credits of a cold upstream.
 func (s *Service) Credit(ctx context.Context, req *connect.Request[pb.CreditRequest]) (*connect.Response[pb.CreditResponse], error) {
 	m := req.Msg
@@ -145,9 +158,8 @@
 		return digest.Digest{}, eris.Wrapf(ErrPeer, "sending a digest to %s: %v", e.Addr, err)
 	}
 	now := s.clock.Now()
-	answer := codec.DigestFromProto(now, res.Msg)
-	answer.Age += clock.Elapsed(now, sent)
-	answer.MatchedAt = now.Add(-answer.Age)
+	answer := s.decode(now, res.Msg)
+	answer.Matched = answer.Matched.Older(clock.Elapsed(now, sent))
 	return answer, nil
 }
 
--- a/internal/prior/transport_test.go
+++ b/internal/prior/transport_test.go
@@ -22,6 +22,7 @@
 	"github.com/balsamvale/balsamvale/pkg/events/effect"
 	"github.com/balsamvale/balsamvale/pkg/events/event"
 	"github.com/balsamvale/balsamvale/pkg/shared/clock"
+	"github.com/balsamvale/balsamvale/pkg/shared/proof"
 )
 
 // peer is a server that may go silent: what arrives on its open connections is then lost, and so is what it sends.
@@ -179,7 +180,7 @@
 			t := prior.New(clock.Wall(), time.Minute)
 			s := peers.New(clock.Wall(), &http.Client{Transport: t})
 			s.Submit = func(context.Context, event.Event) (effect.Effect, error) {
-				return effect.Effect{Digest: digest.Digest{From: "entry-02", Revision: 1234, Age: time.Second}}, nil
+				return effect.Effect{Digest: digest.Digest{From: "entry-02", Revision: 1234, Matched: proof.FromAge(time.Now(), time.Second)}}, nil
 			}
 			mux := http.NewServeMux()
 			mux.Handle(s.Handler())
@@ -189,7 +190,7 @@
 			srv.Config.Protocols.SetUnencryptedHTTP2(http2)
 			srv.Start()
 			defer srv.Close()
-			e := &effect.Effect{Addr: netip.MustParseAddrPort(strings.TrimPrefix(srv.URL, "http://")), Digest: digest.Digest{From: "entry-01", Revision: 1234, Age: time.Second, Brief: true}}
+			e := &effect.Effect{Addr: netip.MustParseAddrPort(strings.TrimPrefix(srv.URL, "http://")), Digest: digest.Digest{From: "entry-01", Revision: 1234, Matched: proof.FromAge(time.Now(), time.Second), Brief: true}}
 			for b.Loop() {
 				if _, err := s.SendDigest(context.Background(), e); err != nil {
 					b.Fatal(err)
--- a/internal/replay/entry.go
+++ b/internal/replay/entry.go
@@ -217,13 +217,17 @@
 		e.schedule(tune.PeerTimeout, func() { e.handleEvent(event.Event{Kind: evkind.PeerUnreachable, Peer: ef.Peer, FetchID: ef.FetchID}) })
 		return
 	}
+	sent := e.now()
 	p.schedule(crossDomainDelay, func() {
+		ef.Digest.Matched = ef.Digest.Matched.Rebase(sent, p.now())
 		for _, out := range p.control.Step(p.now(), event.Event{Kind: evkind.DigestReceived, Digest: ef.Digest}) {
 			if out.Action != action.AnswerDigest {
 				p.perform(out)
 				continue
 			}
+			answered := p.now()
 			e.schedule(crossDomainDelay, func() {
+				out.Digest.Matched = out.Digest.Matched.Rebase(answered, e.now())
 				e.handleEvent(event.Event{Kind: evkind.DigestAnswered, Digest: out.Digest, FetchID: ef.FetchID})
 			})
 		}
--- a/pkg/control/contrl/accounts_test.go
+++ b/pkg/control/contrl/accounts_test.go
@@ -16,6 +16,7 @@
 	"github.com/balsamvale/balsamvale/pkg/events/evkind"
 	"github.com/balsamvale/balsamvale/pkg/records/accrec"
 	"github.com/balsamvale/balsamvale/pkg/records/record"
+	"github.com/balsamvale/balsamvale/pkg/shared/proof"
 	"github.com/balsamvale/balsamvale/pkg/shared/snap"
 	"github.com/balsamvale/balsamvale/pkg/stored/batch"
 	"github.com/balsamvale/balsamvale/pkg/stored/delta"
@@ -39,7 +40,7 @@
 	// answer returns the event of a peer's answer that arrived at a time and says that the keys are as of age before.
 	answer := func(revision revno.Revision, keys string, arrived time.Time, age time.Duration) event.Event {
 		return event.Event{Kind: evkind.DigestAnswered, Digest: digest.Digest{
-			From: "p", Revision: revision, Age: age, MatchedAt: arrived.Add(-age),
+			From: "p", Revision: revision, Matched: proof.At(arrived.Add(-age)),
 			Delta: delta.Delta{Full: true, Revision: revision, Items: []item.Item{{Key: "sys/rec/set/", Value: []byte(keys), Revision: revision}}},
 		}}
 	}
@@ -62,7 +63,7 @@
 			Expect(inForce.Accounts.Keys()).To(Equal(len(tc.keys)))
 			Expect(inForce.Accounts == nil).To(Equal(tc.keys == ""))
 			Expect(inForce.OperatorRevision).To(Equal(tc.revision))
-			Expect(c.FreshAt()).To(Equal(arrived.Add(-100 * time.Millisecond)))
+			Expect(c.Matched()).To(Equal(proof.At(arrived.Add(-100 * time.Millisecond))))
 		}
 	})
 })
--- a/pkg/control/contrl/control.go
+++ b/pkg/control/contrl/control.go
@@ -35,6 +35,7 @@
 	"github.com/balsamvale/balsamvale/pkg/events/fact"
 	"github.com/balsamvale/balsamvale/pkg/events/logmsg"
 	"github.com/balsamvale/balsamvale/pkg/events/msgtyp"
+	"github.com/balsamvale/balsamvale/pkg/shared/proof"
 	"github.com/balsamvale/balsamvale/pkg/shared/snap"
 	"github.com/balsamvale/balsamvale/pkg/shared/svcfg"
 	"github.com/balsamvale/balsamvale/pkg/shared/tune"
@@ -95,10 +96,12 @@
 	heldDelta delta.Delta
 	// heldFrom is the name of the peer that sent heldDelta.
 	heldFrom string
-	// peersFreshAt is the latest time at which the replica is known to have matched the store, from peers' digests.
-	peersFreshAt time.Time
-	// matchedAt is what FreshAt returns, as of the last Step.
-	matchedAt time.Time
+	// invalidAges holds the peers whose last digest gave an age that no replica can have.
+	invalidAges map[string]bool
+	// peersProof is the latest proof that the replica matched the store, from peers' answers.
+	peersProof proof.Proof
+	// matched is what Matched returns, as of the last Step.
+	matched proof.Proof
 	// sweepAt is when the state of upstreams that are gone is discarded next.
 	sweepAt time.Time
 	// gossipAt is when the next exchange with peers is due.
@@ -135,6 +138,7 @@
 		peerRevisions: map[string]revno.Revision{},
 		fetches:       fetches{offers: map[string]revno.Revision{}},
 		peerFacts:     map[string]peerFacts{},
+		invalidAges:   map[string]bool{},
 		rollouts:      rolloutStates{},
 	}
 }
@@ -172,7 +176,7 @@
 		c.self.Draining = true
 	}
 	c.issueRequests()
-	c.updateMatchedAt()
+	c.updateMatched()
 	c.publish()
 	return c.effects
 }
@@ -195,6 +199,7 @@
 	if !c.now.Before(c.sweepAt) {
 		c.issuer.Sweep(c.now)
 		c.scheduler.Sweep(c.now)
+		maps.DeleteFunc(c.invalidAges, func(peer string, _ bool) bool { return c.config.Members[peer] == nil })
 		maps.DeleteFunc(c.peerFacts, func(peer string, _ peerFacts) bool { return c.config.Members[peer] == nil })
 		c.sweepAt = c.now.Add(sweepInterval)
 	}
@@ -202,7 +207,7 @@
 
 // applyDeferred puts in force what was deferred after an outage or a restoration of the store, and is due.
 func (c *Control) applyDeferred() {
-	if c.age() > tune.MaxConfigAge {
+	if !c.proof().Within(c.now, tune.MaxConfigAge) {
 		c.config.ExtendTransition(c.now)
 	}
 	applied := c.config.ApplyDeferred(c.now)
--- a/pkg/control/contrl/cost_test.go
+++ b/pkg/control/contrl/cost_test.go
@@ -51,7 +51,7 @@
 				continue
 			}
 			samples++
-			age := f.now.Sub(e.control.FreshAt())
+			age := f.now.Sub(e.control.Matched().Time())
 			if age > tune.MaxPeerStaleness {
 				cost.stale++
 			}
--- a/pkg/control/contrl/fleet_test.go
+++ b/pkg/control/contrl/fleet_test.go
@@ -269,6 +269,7 @@
 		return
 	}
 	f.after(f.transfer(from, to, ef.Digest), func() {
+		ef.Digest.Matched = ef.Digest.Matched.Rebase(sent, f.now)
 		for _, out := range to.control.Step(f.now, event.Event{Kind: evkind.DigestReceived, Digest: ef.Digest}) {
 			if out.Action != action.AnswerDigest {
 				f.perform(to, out)
@@ -280,8 +281,9 @@
 				})
 				continue
 			}
+			answered := f.now
 			f.after(f.transfer(to, from, out.Digest), func() {
-				out.Digest.Age += f.now.Sub(sent)
+				out.Digest.Matched = out.Digest.Matched.Rebase(answered, f.now).Older(f.now.Sub(sent))
 				f.step(from, event.Event{Kind: evkind.DigestAnswered, Digest: out.Digest, FetchID: ef.FetchID})
 			})
 		}
--- a/pkg/control/contrl/gossip.go
+++ b/pkg/control/contrl/gossip.go
@@ -157,7 +157,7 @@
 // gossip sends digests to the peers of one exchange, and sets the time of the next.
 func (c *Control) gossip() {
 	interval := tune.GossipInterval
-	if c.plan != nil && c.age() > tune.AskWatcherAge {
+	if c.plan != nil && !c.proof().Within(c.now, tune.AskWatcherAge) {
 		interval /= 2
 	}
 	c.gossipAt = c.now.Add(interval/2 + time.Duration(c.rand.Int64N(int64(interval))))
@@ -186,7 +186,7 @@
 	}
 	c.exchanges++
 	var out []string
-	aged := c.age() > tune.AskWatcherAge
+	aged := !c.proof().Within(c.now, tune.AskWatcherAge)
 	if watchers := c.plan.LocalWatchers(c.now); len(watchers) > 0 && (aged || c.exchanges%2 == 0 && !c.plan.WatchesNow(c.now)) {
 		out = append(out, c.oneOf(watchers))
 	} else if partners := c.plan.Partners(c.now); len(partners) > 0 {
@@ -195,7 +195,7 @@
 	if remote := c.plan.Remote(c.now); c.plan.Relays(c.now) && len(remote) > 0 {
 		out = append(out, c.oneOf(remote[c.rand.IntN(len(remote))]))
 	}
-	if (!c.synced || c.age() > tune.FallbackStaleness) && !slices.Contains(out, all[0]) {
+	if (!c.synced || !c.proof().Within(c.now, tune.FallbackStaleness)) && !slices.Contains(out, all[0]) {
 		out = append(out, all[0])
 	}
 	return out
@@ -282,7 +282,7 @@
 	if m == nil {
 		return
 	}
-	d.From, d.Revision, d.Age, d.WantsKept = c.self.Name, c.replica.Revision(), c.age(), c.wantsKept()
+	d.From, d.Revision, d.Matched, d.WantsKept = c.self.Name, c.replica.Revision(), c.proof(), c.wantsKept()
 	d.FactsAck = c.peerFacts[peer].theirs
 	c.emit(effect.Effect{Action: action.SendDigest, Peer: peer, Remote: c.isRemote(peer), Addr: m.Peer, Digest: d, FetchID: fetchID})
 }
@@ -310,7 +310,7 @@
 func (c *Control) handleDigest(ev event.Event) {
 	ev.Digest = c.withEra(ev.Digest)
 	c.mergeDigest(ev.Digest)
-	d := digest.Digest{From: c.self.Name, Revision: c.replica.Revision(), Age: c.age()}
+	d := digest.Digest{From: c.self.Name, Revision: c.replica.Revision(), Matched: c.proof()}
 	c.setFacts(&d, ev.Digest.From)
 	d.FactsAck = c.peerFacts[ev.Digest.From].theirs
 	if ev.Digest.Revision < c.replica.Revision() {
@@ -327,8 +327,8 @@
 	revision, known := c.peerRevisions[ev.Digest.From]
 	c.era.answered = true
 	c.mergeDigest(ev.Digest)
-	c.noteAge(ev.Digest)
-	if c.plan != nil && ev.Digest.Age > tune.MaxPeerStaleness {
+	c.noteProof(ev.Digest)
+	if c.plan != nil && !ev.Digest.Matched.Within(c.now, tune.MaxPeerStaleness) {
 		c.plan.AvoidFirst(c.now, ev.Digest.From, c.now.Add(tune.AvoidTime))
 	}
 	c.fetchDone(ev)
@@ -357,6 +357,7 @@
 	if d.From != "" {
 		c.peerRevisions[d.From] = d.Revision
 	}
+	c.checkAge(d)
 	c.mergeFacts(d)
 	switch {
 	case d.Offer:
@@ -367,7 +368,7 @@
 		c.noteOffer(d)
 	case !c.synced && !d.Delta.Full:
 		// A part of the state, without the operators' configuration for instance, must not come into force.
-	case !c.synced && d.Age > tune.MaxPeerStaleness && !c.watcher.Failing():
+	case !c.synced && !d.Matched.Within(c.now, tune.MaxPeerStaleness) && !c.watcher.Failing():
 		if d.Delta.Revision > c.heldDelta.Revision {
 			c.heldDelta, c.heldFrom = d.Delta, d.From
 		}
@@ -377,18 +378,23 @@
 	c.mergeKept(d)
 }
 
-// noteAge takes over the age in a peer's answer, which includes the time since this entry asked. How long a digest that a peer sent
-// by itself was on its way is not known, and its age would grow less than it should with each entry that passes it on.
-func (c *Control) noteAge(d digest.Digest) {
-	// The sender's replica matched the store d.Age ago. Its revision is not above that of this entry's replica, so this
-	// one is at least as fresh.
-	at := d.MatchedAt
-	if at.IsZero() {
-		at = c.now.Add(-d.Age)
+// checkAge logs when a peer begins to give an age that no replica can have. The digest has no proof then.
+func (c *Control) checkAge(d digest.Digest) {
+	if d.InvalidAge && !c.invalidAges[d.From] {
+		c.log(logmsg.Message{Type: msgtyp.AgeRefused, Subject: d.From, Reason: "its age is negative, so what it has counts as out of date"})
+		c.invalidAges[d.From] = true
+	} else if !d.InvalidAge {
+		delete(c.invalidAges, d.From)
 	}
+}
+
+// noteProof takes over the proof in a peer's answer, whose age includes the time since this entry asked. How long a digest that a peer
+// sent by itself was on its way is not known, and its age would grow less than it should with each entry that passes it on.
+func (c *Control) noteProof(d digest.Digest) {
+	// The sender's revision is not above that of this entry's replica, so this one is at least as fresh.
 	sameEra := d.Revision.Era() == c.replica.Revision().Era() && (!d.NoEras || d.Revision.Era() == 0)
-	if c.synced && sameEra && d.Revision <= c.replica.Revision() && at.After(c.peersFreshAt) && d.Revision > 0 {
-		c.peersFreshAt = at
+	if c.synced && sameEra && d.Revision <= c.replica.Revision() && d.Matched.After(c.peersProof) && d.Revision > 0 {
+		c.peersProof = d.Matched
 	}
 }
 
--- a/pkg/control/contrl/gossip_test.go
+++ b/pkg/control/contrl/gossip_test.go
@@ -22,6 +22,7 @@
 	"github.com/balsamvale/balsamvale/pkg/events/topic"
 	"github.com/balsamvale/balsamvale/pkg/records/record"
 	"github.com/balsamvale/balsamvale/pkg/records/rolrec"
+	"github.com/balsamvale/balsamvale/pkg/shared/proof"
 	"github.com/balsamvale/balsamvale/pkg/shared/tune"
 	"github.com/balsamvale/balsamvale/pkg/stored/delta"
 	"github.com/balsamvale/balsamvale/pkg/stored/item"
@@ -51,7 +52,7 @@
 	}
 	items = append(items, item.Item{Key: keys.Record("move", "m"), Revision: 1})
 	d := delta.Delta{Items: items, Revision: revno.Revision(peers), Full: true}
-	c.Step(now, event.Event{Kind: evkind.DigestAnswered, Digest: digest.Digest{From: "entry-0", Revision: revno.Revision(peers), Delta: d}})
+	c.Step(now, event.Event{Kind: evkind.DigestAnswered, Digest: digest.Digest{From: "entry-0", Revision: revno.Revision(peers), Matched: proof.At(now), Delta: d}})
 	return c
 }
 
--- a/pkg/control/contrl/locality_test.go
+++ b/pkg/control/contrl/locality_test.go
@@ -19,6 +19,7 @@
 	"github.com/balsamvale/balsamvale/pkg/events/evkind"
 	"github.com/balsamvale/balsamvale/pkg/events/fact"
 	"github.com/balsamvale/balsamvale/pkg/events/topic"
+	"github.com/balsamvale/balsamvale/pkg/shared/proof"
 	"github.com/balsamvale/balsamvale/pkg/shared/tune"
 	"github.com/balsamvale/balsamvale/pkg/stored/delta"
 	"github.com/balsamvale/balsamvale/pkg/stored/item"
@@ -42,7 +43,7 @@
 		items = append(items, item.Item{Key: keys.Member(fmt.Sprintf("e%d@zone-%d", i, i%domains)), Revision: revno.Revision(i + 1)})
 	}
 	d := delta.Delta{Items: items, Revision: revno.Revision(entries), Full: true}
-	c.Step(now, event.Event{Kind: evkind.DigestAnswered, Digest: digest.Digest{From: "e1@zone-1", Revision: revno.Revision(entries), Delta: d}})
+	c.Step(now, event.Event{Kind: evkind.DigestAnswered, Digest: digest.Digest{From: "e1@zone-1", Revision: revno.Revision(entries), Matched: proof.At(now), Delta: d}})
 	return c
 }
 
@@ -152,7 +153,7 @@
 			all, remote := 0, 0
 			for n := range times {
 				at := now.Add(time.Duration(n) * 2 * tune.GossipInterval)
-				c.Step(at, event.Event{Kind: evkind.DigestAnswered, Digest: digest.Digest{From: "e6@zone-0", Revision: entries}})
+				c.Step(at, event.Event{Kind: evkind.DigestAnswered, Digest: digest.Digest{From: "e6@zone-0", Revision: entries, Matched: proof.At(at)}})
 				a, r := digests(c.Step(at, event.Event{Kind: evkind.Tick}))
 				all, remote = all+a, remote+r
 			}
--- a/pkg/control/contrl/restart_test.go
+++ b/pkg/control/contrl/restart_test.go
@@ -18,6 +18,7 @@
 	"github.com/balsamvale/balsamvale/pkg/records/record"
 	"github.com/balsamvale/balsamvale/pkg/records/svcrec"
 	"github.com/balsamvale/balsamvale/pkg/records/upsrec"
+	"github.com/balsamvale/balsamvale/pkg/shared/proof"
 	"github.com/balsamvale/balsamvale/pkg/shared/tune"
 	"github.com/balsamvale/balsamvale/pkg/stored/delta"
 	"github.com/balsamvale/balsamvale/pkg/stored/item"
@@ -87,7 +88,7 @@
 
 // peer passes the answer of a peer whose replica of the given revision matched the store age ago.
 func (f *restartFixture) peer(age time.Duration, revision revno.Revision, upstreams ...string) {
-	d := digest.Digest{From: "peer", Revision: revision, Age: age, Delta: delta.Delta{Items: itemsWith(upstreams...), Revision: revision, Full: true}}
+	d := digest.Digest{From: "peer", Revision: revision, Matched: proof.FromAge(f.now, age), Delta: delta.Delta{Items: itemsWith(upstreams...), Revision: revision, Full: true}}
 	f.step(event.Event{Kind: evkind.DigestAnswered, Digest: d})
 }
 
@@ -133,7 +134,7 @@
 			f.peer(stale, 9, "a", "b")
 		}, []string{"a", "b"}},
 		{"does not take a part of the state of a fresh peer", func(f *restartFixture) {
-			d := digest.Digest{From: "peer", Revision: 9, Delta: delta.Delta{Items: itemsWith("a"), Revision: 5}}
+			d := digest.Digest{From: "peer", Revision: 9, Matched: proof.At(f.now), Delta: delta.Delta{Items: itemsWith("a"), Revision: 5}}
 			f.step(event.Event{Kind: evkind.DigestAnswered, Digest: d})
 		}, nil},
 		{"takes the newest state of stale peers once the store does not answer", func(f *restartFixture) {
--- a/pkg/control/contrl/staleness_test.go
+++ b/pkg/control/contrl/staleness_test.go
@@ -8,6 +8,10 @@
 	. "github.com/onsi/gomega"
 
 	"github.com/balsamvale/balsamvale/pkg/control/keys"
+	"github.com/balsamvale/balsamvale/pkg/events/event"
+	"github.com/balsamvale/balsamvale/pkg/events/evkind"
+	"github.com/balsamvale/balsamvale/pkg/events/fact"
+	"github.com/balsamvale/balsamvale/pkg/events/topic"
 	"github.com/balsamvale/balsamvale/pkg/shared/tune"
 	"github.com/balsamvale/balsamvale/pkg/stored/revno"
 )
@@ -59,6 +63,45 @@
 		})
 	}
 
+	// Guards against entries that never notice that they fall behind, because they were told an age that overflowed. An entry that takes
+	// its state from a peer before the store or an answer of a peer has proven it does not know its age, and says so to all that ask it.
+	It("is in force in time after entries have started without the store", func() {
+		const entries, started, alone, settled = 12, 3, 400 * time.Millisecond, 5 * time.Second
+		for seed := range uint64(10) {
+			f := newFleet(entries, seed)
+			for _, e := range f.entries[entries-started:] {
+				e.cut = true
+				f.restart(e)
+				e.control.Seeds = nil
+			}
+			for _, e := range f.entries[:entries-started] {
+				f.step(e, event.Event{Kind: evkind.FactReported, Fact: fact.Fact{Topic: topic.Draining, Subject: e.name, Value: 1, Until: f.now.Add(time.Minute)}})
+			}
+			f.write(keys.Record("domain", "first"))
+			f.run(alone)
+			for _, e := range f.entries {
+				e.cut = false
+			}
+			f.run(settled)
+			for _, e := range f.entries {
+				age, known := e.control.Matched().Age(f.now)
+				Expect(known).To(BeTrue(), fmt.Sprintf("seed %d: %s", seed, e.name))
+				Expect(age).To(And(BeNumerically(">=", 0), BeNumerically("<", bound)), fmt.Sprintf("seed %d: %s", seed, e.name))
+			}
+			for _, e := range f.watchers()[:tune.MinWatchers] {
+				e.cut = true
+			}
+			f.run(time.Second)
+			f.write(keys.Record("domain", "second"))
+			f.run(bound)
+			for _, e := range f.entries {
+				if !e.cut {
+					Expect(e.revision).To(BeNumerically(">=", f.revision), fmt.Sprintf("seed %d: %s", seed, e.name))
+				}
+			}
+		}
+	})
+
 	// Guards against a failure domain that falls behind the fleet when it is cut off from the store, since its entries exchange among
 	// themselves.
 	for _, entries := range []int{24, 41, 96} {
@@ -130,7 +173,7 @@
 					next = f.now.Add(time.Duration(f.rand.Int64N(int64(2 * time.Second))))
 				}
 				for _, e := range f.entries {
-					fresh := e.control.FreshAt()
+					fresh := e.control.Matched().Time()
 					i := len(changes) - 1
 					for ; i >= 0 && !fresh.After(changes[i].at); i-- {
 					}
--- a/pkg/control/contrl/status.go
+++ b/pkg/control/contrl/status.go
@@ -3,10 +3,10 @@
 import (
 	"cmp"
 	"slices"
-	"time"
 
 	"github.com/balsamvale/balsamvale/pkg/control/keys"
 	"github.com/balsamvale/balsamvale/pkg/records/reject"
+	"github.com/balsamvale/balsamvale/pkg/shared/proof"
 	"github.com/balsamvale/balsamvale/pkg/stored/phase"
 	"github.com/balsamvale/balsamvale/pkg/stored/progrs"
 	"github.com/balsamvale/balsamvale/pkg/stored/status"
@@ -50,13 +50,13 @@
 	return p
 }
 
-// FreshAt returns the latest time at which the configuration in force is known to have matched the store, or the zero time
-// before the first sync and while what operators have written was never in force.
-func (c *Control) FreshAt() time.Time { return c.matchedAt }
+// Matched returns the latest proof that the configuration in force matched the store. There is none before the first sync and while what
+// operators have written was never in force.
+func (c *Control) Matched() proof.Proof { return c.matched }
 
-// updateMatchedAt raises matchedAt to that of the replica, unless a record of operators in it is not in force. When such a record
+// updateMatched raises matched to the proof of the replica, unless a record of operators in it is not in force. When such a record
 // arrives, the store may have had it for as long as the replica had not been confirmed.
-func (c *Control) updateMatchedAt() {
+func (c *Control) updateMatched() {
 	if !c.synced {
 		return
 	}
@@ -65,5 +65,5 @@
 			return
 		}
 	}
-	c.matchedAt = c.freshAt()
+	c.matched = c.proof()
 }
--- a/pkg/control/contrl/transfer_test.go
+++ b/pkg/control/contrl/transfer_test.go
@@ -15,6 +15,7 @@
 	"github.com/balsamvale/balsamvale/pkg/events/effect"
 	"github.com/balsamvale/balsamvale/pkg/events/event"
 	"github.com/balsamvale/balsamvale/pkg/events/evkind"
+	"github.com/balsamvale/balsamvale/pkg/shared/proof"
 	"github.com/balsamvale/balsamvale/pkg/shared/tune"
 	"github.com/balsamvale/balsamvale/pkg/stored/delta"
 	"github.com/balsamvale/balsamvale/pkg/stored/item"
@@ -159,7 +160,7 @@
 
 // answer passes the answer of the peer that was asked last, with the changes up to the given revision.
 func (f *fetching) answer(revision revno.Revision) {
-	d := digest.Digest{From: f.last.Peer, Revision: revision, Delta: largeDelta(f.last.Digest.Revision, revision)}
+	d := digest.Digest{From: f.last.Peer, Revision: revision, Matched: proof.At(f.now), Delta: largeDelta(f.last.Digest.Revision, revision)}
 	f.step(event.Event{Kind: evkind.DigestAnswered, FetchID: f.last.FetchID, Digest: d})
 }
 
@@ -225,7 +226,7 @@
 		{"asks the next peer once one has sent as many changes as it may", func(f *fetching) {
 			f.offer("entry-1", 110)
 			f.offer("entry-2", 110)
-			f.step(event.Event{Kind: evkind.DigestAnswered, FetchID: f.last.FetchID, Digest: digest.Digest{From: "entry-1", Revision: 110}})
+			f.step(event.Event{Kind: evkind.DigestAnswered, FetchID: f.last.FetchID, Digest: digest.Digest{From: "entry-1", Revision: 110, Matched: proof.At(f.now)}})
 		}, []string{"entry-1", "entry-2"}},
 		{"asks the same peer again when that offers them again", func(f *fetching) {
 			f.offer("entry-1", 110)
@@ -302,7 +303,7 @@
 			c.Step(now, event.Event{Kind: evkind.DigestReceived, Digest: digest.Digest{From: "entry-0", Revision: 110, Delta: largeDelta(100, 110)}})
 			sends := 0
 			for _, revision := range tc.revisions {
-				for _, e := range c.Step(now, event.Event{Kind: evkind.DigestAnswered, Digest: digest.Digest{From: "entry-1", Revision: revision, Brief: true}}) {
+				for _, e := range c.Step(now, event.Event{Kind: evkind.DigestAnswered, Digest: digest.Digest{From: "entry-1", Revision: revision, Matched: proof.At(now), Brief: true}}) {
 					if e.Action == action.SendDigest && e.Digest.Delta.Full {
 						sends++
 					}
--- a/pkg/control/contrl/watching.go
+++ b/pkg/control/contrl/watching.go
@@ -4,7 +4,7 @@
 	"time"
 
 	"github.com/balsamvale/balsamvale/pkg/control/shard"
-	"github.com/balsamvale/balsamvale/pkg/shared/clock"
+	"github.com/balsamvale/balsamvale/pkg/shared/proof"
 	"github.com/balsamvale/balsamvale/pkg/shared/tune"
 )
 
@@ -13,7 +13,7 @@
 // Besides the chosen watchers (see package spread for fleets that exchange by failure domain), an entry does so before its first sync, while it needs a full list, and while its replica
 // is older than tune.MaxPeerStaleness.
 func (c *Control) watchesStore() bool {
-	if !c.synced || c.watcher.NeedsList() || c.age() > tune.MaxPeerStaleness {
+	if !c.synced || c.watcher.NeedsList() || !c.proof().Within(c.now, tune.MaxPeerStaleness) {
 		return true
 	}
 	if c.plan != nil {
@@ -63,13 +63,11 @@
 	return 0
 }
 
-// freshAt returns the latest time at which this entry's replica is known to have matched the store.
-func (c *Control) freshAt() time.Time {
-	if f := c.watcher.FreshAt(); f.After(c.peersFreshAt) {
-		return f
+// proof returns the latest proof that this entry's replica matched the store: its own, or that of a peer. There is none between a start
+// and the first response of the store, or the first answer of a peer to this entry, although a peer may have sent the state before.
+func (c *Control) proof() proof.Proof {
+	if own := proof.At(c.watcher.FreshAt()); own.After(c.peersProof) {
+		return own
 	}
-	return c.peersFreshAt
+	return c.peersProof
 }
-
-// age returns how long ago this entry's replica is last known to have matched the store.
-func (c *Control) age() time.Duration { return clock.Elapsed(c.now, c.freshAt()) }
--- a/pkg/events/digest/digest.go
+++ b/pkg/events/digest/digest.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/balsamvale/balsamvale/pkg/events/fact"
+	"github.com/balsamvale/balsamvale/pkg/shared/proof"
 	"github.com/balsamvale/balsamvale/pkg/stored/delta"
 	"github.com/balsamvale/balsamvale/pkg/stored/item"
 	"github.com/balsamvale/balsamvale/pkg/stored/revno"
@@ -16,13 +17,13 @@
 	From string
 	// Revision is the store revision up to which the sender's replica is complete.
 	Revision revno.Revision
-	// Age is the time since the sender's replica was last known to match the store.
-	Age time.Duration
-	// MatchedAt is that time by the clock of the receiver, as of the arrival of an answer; zero if it is not known. The time for which
-	// an answer waits in the receiver, for instance because its process is paused, does not make it newer.
-	MatchedAt time.Time
-	Facts     []fact.Fact
-	Delta     delta.Delta
+	// Matched is when the sender's replica was last known to match the store, by the clock of the entry that holds the digest. What the
+	// sender gives is an age, which the receiver counts from the arrival, or for an answer from before it asked.
+	Matched proof.Proof
+	// InvalidAge is set if the sender gave an age that no replica can have.
+	InvalidAge bool
+	Facts      []fact.Fact
+	Delta      delta.Delta
 	// Brief is set if the sender does not ask for large changes: the receiver only offers them in its answer.
 	Brief bool
 	// Offer is set if the receiver lacks changes that are left out because they are large. It gets them if it asks for them.
--- a/pkg/events/msgtyp/type.go
+++ b/pkg/events/msgtyp/type.go
@@ -39,6 +39,8 @@
 	DependencyLost // lost
 	// DependencyRestored means that a dependency answers again.
 	DependencyRestored // regain
+	// AgeRefused means that a peer gives an age that no replica can have, so that its answers prove nothing.
+	AgeRefused // age
 	// StoreRestored means that the store came back from an older copy, in a new era.
 	StoreRestored // restored
 	// Synced means that the entry has received its first configuration.
--- a/pkg/events/msgtyp/type_string.go
+++ b/pkg/events/msgtyp/type_string.go
@@ -24,13 +24,14 @@
 	_ = x[RecordRejected-13]
 	_ = x[DependencyLost-14]
 	_ = x[DependencyRestored-15]
-	_ = x[StoreRestored-16]
-	_ = x[Synced-17]
+	_ = x[AgeRefused-16]
+	_ = x[StoreRestored-17]
+	_ = x[Synced-18]
 }
 
-const _Type_name = "dutyyieldlapsejoindeadoutbacksharereverteddonecoldleavingpoisonrejectlostregainrestoredsynced"
+const _Type_name = "dutyyieldlapsejoindeadoutbacksharereverteddonecoldleavingpoisonrejectlostregainagerestoredsynced"
 
-var _Type_index = [...]uint8{0, 4, 9, 14, 18, 22, 25, 29, 34, 42, 46, 50, 57, 63, 69, 73, 79, 87, 93}
+var _Type_index = [...]uint8{0, 4, 9, 14, 18, 22, 25, 29, 34, 42, 46, 50, 57, 63, 69, 73, 79, 82, 90, 96}
 
 func (i Type) String() string {
 	idx := int(i) - 0
--- a/pkg/shared/tune/constants.go
+++ b/pkg/shared/tune/constants.go
@@ -251,6 +251,9 @@
 	MaxPeerStaleness = 1500 * time.Millisecond
 	// MaxConfigAge is the time within which a change is in force on every entry, unless the settings say otherwise.
 	MaxConfigAge = 2 * time.Second
+	// MaxProofAge is the age that an entry gives a replica which is not known to have matched the store, and above which an age is
+	// not taken for one. It is longer than all ages that settings allow, and entries of all builds can add to it.
+	MaxProofAge = 48 * time.Hour
 	// DefaultLoadPath is the path of the load report, unless the service sets another for the probes that calls send.
 	DefaultLoadPath = "/load"
 	// ProbeReportAge is the age of the last load report from which a healthy upstream is probed.
