codec: times that no entry sends are cut or left out

A fact could last for 292 years, and the smallest duration became the largest. Callers saw nothing of it: no entry sends such values.

Change: each is cut to the longest that an entry sends, and to 0 if it is negative; outcomes with response times that no call has are left out, as those with contradictory numbers were.

--- a/internal/codec/digest.go
+++ b/internal/codec/digest.go
@@ -1,6 +1,7 @@
 package codec
 
 import (
+	"slices"
 	"time"
 
 	"google.golang.org/protobuf/types/known/durationpb"
@@ -59,12 +60,12 @@
 	out := digest.Digest{From: d.GetFrom(), Revision: revno.New(d.GetEra(), d.GetRevision()), Matched: proof.FromAge(now, age), InvalidAge: age < 0, Brief: d.GetBrief(), Offer: d.GetOffer(), WantsKept: d.GetWantsKept(), NoEras: !d.GetEras(),
 		FactsSince: d.GetFactSince(), FactsUpto: d.GetFactUpto(), FactsAck: d.GetFactAck()}
 	if len(d.GetKept()) > 0 {
-		out.Kept, out.KeptFor = ItemsFromProto(d.GetKept()), d.GetKeptFor().AsDuration()
+		out.Kept, out.KeptFor = ItemsFromProto(d.GetKept()), bounded(d.GetKeptFor().AsDuration(), tune.RestoreGrace)
 	}
 	for _, f := range d.GetFact() {
 		out.Facts = append(out.Facts, fact.Fact{
 			Topic: topic.Topic(f.GetTopic()), Subject: f.GetSubject(), Value: f.GetValue(),
-			Origin: f.GetFrom(), Until: now.Add(f.GetLeft().AsDuration()), Detail: f.GetDetail(), Tallies: talliesFromProto(f.GetTally()),
+			Origin: f.GetFrom(), Until: now.Add(bounded(f.GetLeft().AsDuration(), maxFactLife)), Detail: f.GetDetail(), Tallies: talliesFromProto(f.GetTally()),
 		})
 	}
 	out.Delta = delta.Delta{
@@ -74,17 +75,25 @@
 	return out
 }
 
-// talliesFromProto converts the outcomes in a fact. It leaves out those that no entry sends: contradictory or negative values, and
-// more calls than maxTallyCalls, each of which the canary analysis would count one by one.
+// bounded returns a time left that a peer sends, cut to the longest that an entry sends, and to 0 if it is negative.
+func bounded(left, longest time.Duration) time.Duration { return min(max(0, left), longest) }
+
+// maxFactLife is the longest time for which an entry sends a fact.
+const maxFactLife = tune.RollbackTTL
+
+// talliesFromProto converts the outcomes in a fact. It leaves out those that no entry sends: contradictory or negative values, times
+// above maxTallyTime, whose sums could overflow, and more calls than maxTallyCalls, each of which the canary analysis would count one
+// by one.
 func talliesFromProto(list []*pb.Tally) []tally.Tally {
 	var out []tally.Tally
 	for _, t := range list {
 		bad := uint64(t.GetFails())+uint64(t.GetSlows()) > uint64(t.GetCalls()) || t.GetCalls() > maxTallyCalls
-		if bad || len(t.GetTimes()) > tune.MaxUnjudgedTimes || t.GetTotal().AsDuration() < 0 {
+		total := t.GetTotal().AsDuration()
+		if bad || len(t.GetTimes()) > tune.MaxUnjudgedTimes || total < 0 || total > time.Duration(t.GetCalls())*maxTallyTime || slices.ContainsFunc(t.GetTimes(), isNoTallyTime) {
 			continue
 		}
 		in := tally.Tally{
-			Upstream: t.GetUpstream(), Calls: int(t.GetCalls()), Failures: int(t.GetFails()), SlowCalls: int(t.GetSlows()), TotalTime: t.GetTotal().AsDuration(),
+			Upstream: t.GetUpstream(), Calls: int(t.GetCalls()), Failures: int(t.GetFails()), SlowCalls: int(t.GetSlows()), TotalTime: total,
 		}
 		for _, d := range t.GetTimes() {
 			in.UnjudgedTimes = append(in.UnjudgedTimes, d.AsDuration())
@@ -97,6 +106,14 @@
 // maxTallyCalls is the highest number of calls in the outcomes of one upstream.
 const maxTallyCalls = 100_000
 
+// maxTallyTime is the longest response time in the outcomes of one upstream.
+const maxTallyTime = 24 * time.Hour
+
+// isNoTallyTime reports whether no call of an entry has a response time.
+func isNoTallyTime(d *durationpb.Duration) bool {
+	return d.AsDuration() < 0 || d.AsDuration() > maxTallyTime
+}
+
 func talliesToProto(list []tally.Tally) []*pb.Tally {
 	var out []*pb.Tally
 	for _, t := range list {
--- a/internal/codec/digest_test.go
+++ b/internal/codec/digest_test.go
@@ -1,6 +1,7 @@
 package codec_test
 
 import (
+	"math"
 	"testing"
 	"time"
 
@@ -12,6 +13,7 @@
 	"github.com/balsamvale/balsamvale/internal/codec"
 	pb "github.com/balsamvale/balsamvale/internal/gen/balsamvale/v1"
 	"github.com/balsamvale/balsamvale/pkg/events/digest"
+	"github.com/balsamvale/balsamvale/pkg/shared/tune"
 	"github.com/balsamvale/balsamvale/pkg/stored/delta"
 	"github.com/balsamvale/balsamvale/pkg/stored/revno"
 )
@@ -28,13 +30,40 @@
 		}
 		f.Add(data)
 	}
+	// The extreme values of each time.
+	for _, extreme := range []*durationpb.Duration{
+		durationpb.New(math.MaxInt64), durationpb.New(math.MinInt64), durationpb.New(-1), durationpb.New(tune.MaxProofAge), durationpb.New(tune.MaxProofAge - 1),
+		{Seconds: math.MaxInt64, Nanos: math.MaxInt32}, {Seconds: math.MinInt64, Nanos: math.MinInt32}, {Seconds: -1, Nanos: 1},
+	} {
+		data, err := proto.Marshal(&pb.Digest{
+			From: "e", Revision: 3, Eras: true, Age: extreme, Kept: []*pb.Item{{Key: "k"}}, KeptFor: extreme,
+			Fact: []*pb.Fact{
+				{Topic: 1, Subject: "u", Left: extreme, Tally: []*pb.Tally{{Upstream: "u", Calls: 1, Total: extreme}}},
+				{Topic: 4, Subject: "r", Tally: []*pb.Tally{{Upstream: "u", Calls: 2, Times: []*durationpb.Duration{extreme}}}},
+			},
+		})
+		if err != nil {
+			f.Fatal(err)
+		}
+		f.Add(data)
+	}
 	f.Fuzz(func(t *testing.T, data []byte) {
 		var m pb.Digest
 		if proto.Unmarshal(data, &m) != nil {
 			return
 		}
-		d := codec.DigestFromProto(time.Unix(1000, 0), &m)
+		now := time.Unix(1000, 0)
+		d := codec.DigestFromProto(now, &m)
+		if age, known := d.Matched.Age(now); known && (age < 0 || age >= tune.MaxProofAge) {
+			t.Errorf("proof of age %v", age)
+		}
+		if d.KeptFor < 0 || d.KeptFor > tune.RestoreGrace {
+			t.Errorf("kept for %v", d.KeptFor)
+		}
 		for _, fact := range d.Facts {
+			if left := fact.Until.Sub(now); left < 0 || left > tune.RollbackTTL {
+				t.Errorf("time left of a fact: %v", left)
+			}
 			for _, tl := range fact.Tallies {
 				if tl.Calls < 0 || tl.Failures < 0 || tl.SlowCalls < 0 {
 					t.Errorf("negative count in %+v", tl)
@@ -43,6 +72,11 @@
 				if tl.Calls > 1e6 || tl.Failures+tl.SlowCalls > tl.Calls || tl.TotalTime < 0 {
 					t.Errorf("outcomes that no entry sends: %+v", tl)
 				}
+				for _, took := range append(tl.UnjudgedTimes, tl.TotalTime/time.Duration(max(1, tl.Calls))) {
+					if took < 0 || took > 24*time.Hour {
+						t.Errorf("response time %v in %+v", took, tl)
+					}
+				}
 			}
 		}
 		_ = codec.DigestToProto(time.Unix(1000, 0), d)
--- a/internal/peers/service.go
+++ b/internal/peers/service.go
@@ -176,7 +176,7 @@
 	if err != nil {
 		return nil, eris.Wrapf(ErrPeer, "requesting credits of upstream %q from %s: %v", d.Upstream, e.Addr, err)
 	}
-	until := sent.Add(res.Msg.GetTtl().AsDuration())
+	until := sent.Add(min(res.Msg.GetTtl().AsDuration(), tune.CreditTTL))
 	var credits []credit.Credit
 	for _, id := range res.Msg.GetGrant() {
 		credits = append(credits, credit.Credit{ID: id, Until: until})
