config: an order of a rollout that is written again is the same rollout

Cause: the order that operators wrote again had the content of the one in force, but a lower revision than the lost one, and was in the first list of the new era. So it was taken for an older order in the copy, and put in force after 4 s. A rollout's name holds the revision of its order, and progress went over to a new name only within these 4 s. The log of the entries shows it: 4.0 s after the restoration they say of the order "not written again, so its copy is in force".

Change: an order with the content of the one in force does not wait, and its rollout takes over start, progress and a reported rollback from the name that it had. Lost orders, their progress, and an order that the one in force has replaced wait for 1 min instead of 4 s. Progress of a rollout that has ended does not give way to that of one that goes on. One function decides what waits, and until when.

--- a/internal/codec/digest.go
+++ b/internal/codec/digest.go
@@ -60,7 +60,7 @@
 	out := digest.Digest{From: d.GetFrom(), Revision: revno.New(d.GetEra(), d.GetRevision()), Matched: proof.FromAge(now, age), InvalidAge: age < 0, Brief: d.GetBrief(), Offer: d.GetOffer(), WantsKept: d.GetWantsKept(), NoEras: !d.GetEras(),
 		FactsSince: d.GetFactSince(), FactsUpto: d.GetFactUpto(), FactsAck: d.GetFactAck()}
 	if len(d.GetKept()) > 0 {
-		out.Kept, out.KeptFor = ItemsFromProto(d.GetKept()), bounded(d.GetKeptFor().AsDuration(), tune.RestoreGrace)
+		out.Kept, out.KeptFor = ItemsFromProto(d.GetKept()), bounded(d.GetKeptFor().AsDuration(), tune.RestoreMemory)
 	}
 	for _, f := range d.GetFact() {
 		out.Facts = append(out.Facts, fact.Fact{
--- a/internal/codec/digest_test.go
+++ b/internal/codec/digest_test.go
@@ -57,7 +57,7 @@
 		if age, known := d.Matched.Age(now); known && (age < 0 || age >= tune.MaxProofAge) {
 			t.Errorf("proof of age %v", age)
 		}
-		if d.KeptFor < 0 || d.KeptFor > tune.RestoreGrace {
+		if d.KeptFor < 0 || d.KeptFor > tune.RestoreMemory {
 			t.Errorf("kept for %v", d.KeptFor)
 		}
 		for _, fact := range d.Facts {
--- a/pkg/control/config/config.go
+++ b/pkg/control/config/config.go
@@ -90,8 +90,14 @@
 	restored restoration
 	// removed holds the last removals, by store key.
 	removed map[string]removal
-	// carried is the set of store keys of progress that was taken over from a rollout of another name and is not in the store.
-	carried map[string]bool
+	// carried is the progress that was taken over from a rollout of another name and is not in the store, by store key.
+	carried map[string]*progrs.Progress
+	// predecessors holds the names that rollouts had before their orders were written again, by the name they have now.
+	predecessors map[string][]string
+	// replaced holds the order that the one in force has replaced, by store key.
+	replaced map[string]item.Item
+	// rewritten is the set of store keys of orders that were written again in this era although the copy had them.
+	rewritten map[string]bool
 }
 
 // ruleKey tells routing rules apart.
@@ -127,7 +133,11 @@
 		accounts:    map[string]*accrec.Account{},
 		deferred:    map[string]deferredItem{},
 		removed:     map[string]removal{},
-		carried:     map[string]bool{},
+		carried:     map[string]*progrs.Progress{},
+
+		predecessors: map[string][]string{},
+		replaced:     map[string]item.Item{},
+		rewritten:    map[string]bool{},
 	}
 }
 
@@ -139,10 +149,11 @@
 // part of a batch.
 func (c *Config) Apply(now time.Time, it item.Item, warmup bool) {
 	d, waits := c.deferred[it.Key]
+	due, restored := c.waitsAfterRestore(now, it)
 	switch {
-	case c.waitsAfterRestore(now, it):
+	case restored:
 		if !waits || !it.Tombstone {
-			c.deferred[it.Key] = deferredItem{it, c.restoredDue(it.Key, it)}
+			c.deferred[it.Key] = deferredItem{it, due}
 		}
 		return
 	case it.Tombstone && selfAnnounced(c.values[it.Key]) && waits && d.item.Tombstone:
@@ -183,6 +194,9 @@
 		}
 	}
 	delete(c.Rejects, it.Key)
+	old := c.values[it.Key]
+	again := c.reorderOf(now, it, old, v)
+	c.noteOrder(it, old, v, again)
 	if it.Tombstone {
 		c.noteRemoval(now, it)
 		delete(c.items, it.Key)
@@ -190,10 +204,12 @@
 		delete(c.removed, it.Key)
 		c.items[it.Key] = it
 	}
-	old := c.values[it.Key]
 	c.values[it.Key] = v
 	c.drop(now, it.Key, old)
 	c.put(now, it.Key, old, v, warmup)
+	if again != nil {
+		c.takeOver(again, v.Record.Rollout)
+	}
 	c.raiseRevision(it, old, v)
 	if v == (value.Value{}) {
 		delete(c.values, it.Key)
@@ -220,9 +236,7 @@
 }
 
 // selfAnnounced reports whether a value is an upstream that announces itself and is not draining.
-func selfAnnounced(v value.Value) bool {
-	return v.Record != nil && v.Record.Upstream != nil && v.Record.Upstream.Incarnation != 0 && !v.Record.Upstream.Drain
-}
+func selfAnnounced(v value.Value) bool { return isAnnounced(v) && !v.Record.Upstream.Drain }
 
 // DeferRemovals defers the removal of upstreams that announce themselves and are not draining until a time. Removals that are
 // deferred already stay due when they were.
--- a/pkg/control/config/records.go
+++ b/pkg/control/config/records.go
@@ -46,6 +46,7 @@
 		}
 	case r.Rollout != nil:
 		delete(c.Rollouts, r.Rollout.Name)
+		delete(c.predecessors, r.Rollout.Name)
 		c.dirty[r.Rollout.Service] = true
 	case r.Rule != nil:
 		delete(c.rules, keyOf(r.Rule))
@@ -93,9 +94,6 @@
 			c.markDomainCold(now, r.Domain.Name)
 		}
 	case r.Rollout != nil:
-		if old != nil && old.Rollout != nil {
-			c.carryProgress(now, old.Rollout, r.Rollout)
-		}
 		rollout := *r.Rollout
 		if rollout.Duration > 0 {
 			rollout.Start, rollout.Deadline = now, now.Add(rollout.Duration)
--- a/pkg/control/config/restore.go
+++ b/pkg/control/config/restore.go
@@ -8,9 +8,10 @@
 	"time"
 
 	"github.com/balsamvale/balsamvale/pkg/control/keys"
-	"github.com/balsamvale/balsamvale/pkg/records/rolrec"
 	"github.com/balsamvale/balsamvale/pkg/shared/tune"
 	"github.com/balsamvale/balsamvale/pkg/stored/item"
+	"github.com/balsamvale/balsamvale/pkg/stored/phase"
+	"github.com/balsamvale/balsamvale/pkg/stored/progrs"
 	"github.com/balsamvale/balsamvale/pkg/stored/revno"
 	"github.com/balsamvale/balsamvale/pkg/stored/value"
 )
@@ -24,8 +25,14 @@
 	before revno.Revision
 	// copied is the highest number of an item in the list that was known before, so that the copy is no older.
 	copied int64
-	// until is when the transition ends, and lapse when upstreams that announce themselves have to be back.
-	until, lapse time.Time
+	// lapse is when upstreams that announce themselves have to be back, until when the copy is believed of records that do not tell
+	// which is newer, and end when it is believed of all.
+	lapse, until, end time.Time
+}
+
+// begin sets the times of the transition for one that begins now.
+func (r *restoration) begin(now time.Time) {
+	r.lapse, r.until, r.end = now.Add(tune.RestoreReannounce), now.Add(tune.RestoreGrace), now.Add(tune.RestoreMemory)
 }
 
 // deferredItem is an item that is applied at a later time.
@@ -41,13 +48,21 @@
 	at    time.Time
 }
 
+// known is what an entry knows of a key from an earlier era of the store.
+type known struct {
+	// item is what is in force, or the tombstone of what was removed, and value the value that is in force or that was removed.
+	item  item.Item
+	value value.Value
+}
+
 // Restored begins the transition to a later era of the store, whose first list is at a revision and holds the given items.
 //
 // Operators and upstreams write again what the store has lost. So that nothing steps back to the copy and forward again, an item of
-// the new era waits for tune.RestoreGrace at most if it is older than the one in force or than a removal that is known, or if its
-// key is missing. Upstreams that announce themselves wait for tune.RestoreReannounce.
+// the new era may have to wait, see waitsAfterRestore.
 func (c *Config) Restored(now time.Time, revision revno.Revision, list []item.Item) {
-	c.restored = restoration{revision: revision, before: c.restored.revision, until: now.Add(tune.RestoreGrace), lapse: now.Add(tune.RestoreReannounce)}
+	c.restored = restoration{revision: revision, before: c.restored.revision}
+	c.restored.begin(now)
+	clear(c.rewritten)
 	for _, it := range list {
 		if held, ok := c.items[it.Key]; ok && held.Revision.Number() == it.Revision.Number() && bytes.Equal(held.Value, it.Value) {
 			c.restored.copied = max(c.restored.copied, it.Revision.Number())
@@ -56,51 +71,111 @@
 	c.extendDeferred()
 }
 
-// ExtendTransition begins the times of a transition anew. It is meant for an entry that is out of touch with the store, which cannot
-// know what was written again.
+// ExtendTransition begins the times of a transition anew that have not passed. It is meant for an entry that is out of touch with the
+// store, which cannot know what was written again.
 func (c *Config) ExtendTransition(now time.Time) {
-	if now.Before(c.restored.until) {
-		c.restored.until, c.restored.lapse = now.Add(tune.RestoreGrace), now.Add(tune.RestoreReannounce)
-		c.extendDeferred()
+	r := &c.restored
+	switch {
+	case now.Before(r.until):
+		r.begin(now)
+	case now.Before(r.end):
+		r.end = now.Add(tune.RestoreMemory)
+	default:
+		return
 	}
+	c.extendDeferred()
 }
 
 // extendDeferred makes the items that wait because of the transition due at its end.
 func (c *Config) extendDeferred() {
 	for key, d := range c.deferred {
-		if held, ok := c.items[key]; !ok || held.Revision.Era() < c.restored.revision.Era() {
-			c.deferred[key] = deferredItem{d.item, c.restoredDue(key, d.item)}
+		if k, ok := c.knownBefore(key); ok {
+			if due, waits := c.restoredDue(k, d.item); waits {
+				c.deferred[key] = deferredItem{d.item, due}
+			}
 		}
 	}
 }
 
-// restoredDue returns until when an item waits in a transition.
-func (c *Config) restoredDue(key string, it item.Item) time.Time {
-	if it.Tombstone && selfAnnounced(c.values[key]) {
-		return c.restored.lapse
+// knownBefore returns what is known of a key from an earlier era: what is in force, the progress that a rollout has taken over, or the
+// last removal. There is nothing once the key has been applied in this era.
+func (c *Config) knownBefore(key string) (known, bool) {
+	era := c.restored.revision.Era()
+	if held, ok := c.items[key]; ok {
+		return known{held, c.values[key]}, held.Revision.Era() < era
 	}
-	return c.restored.until
+	if p, ok := c.carried[key]; ok {
+		return known{item.Item{Key: key}, value.Value{Progress: p}}, true
+	}
+	r, ok := c.removed[key]
+	return known{r.item, r.value}, ok && r.item.Revision.Era() < era
 }
 
-// waitsAfterRestore reports whether an item waits because the store was restored.
-func (c *Config) waitsAfterRestore(now time.Time, it item.Item) bool {
-	era := c.restored.revision.Era()
-	if !now.Before(c.restored.until) || it.Revision.Era() != era || keys.IsOwner(it.Key) || c.unchanged(it) {
-		return false
+// waitsAfterRestore reports whether an item waits because the store was restored, and until when.
+func (c *Config) waitsAfterRestore(now time.Time, it item.Item) (due time.Time, waits bool) {
+	if !now.Before(c.restored.end) || it.Revision.Era() != c.restored.revision.Era() || keys.IsOwner(it.Key) {
+		return time.Time{}, false
+	}
+	k, ok := c.knownBefore(it.Key)
+	if !ok {
+		return time.Time{}, false
+	}
+	if d, deferred := c.deferred[it.Key]; it.Tombstone && !k.item.Tombstone {
+		// The key was missing in the list, unless the store has held it in this era.
+		if deferred && !d.item.Tombstone || !deferred && c.knownRemoved(k.item) {
+			return time.Time{}, false
+		}
+	}
+	due, waits = c.restoredDue(k, it)
+	return due, waits && now.Before(due)
+}
+
+// restoredDue decides whether an item of a restored store waits, given what is known of its key from before, and until when. It is the
+// one place that does so; docs/design/restored-store.md has the table of its cases.
+//
+// An item that is the same as what is in force does not wait: it was not lost, or is written again. Neither does one that is newer, by
+// the order that its writers gave it or, without such an order, because it is not part of the copy. All others
+// wait: the progress of rollouts and orders that must not run again until the end of the transition, so that they come into force only
+// if nobody writes again; others for tune.RestoreGrace.
+func (c *Config) restoredDue(k known, it item.Item) (due time.Time, waits bool) {
+	if it.Tombstone {
+		return c.missingDue(k), !k.item.Tombstone
 	}
-	if held, ok := c.items[it.Key]; ok {
-		d, waits := c.deferred[it.Key]
-		switch {
-		case held.Revision.Era() == era:
-			return false
-		case it.Tombstone:
-			// The key was missing in the list, unless the store has held it in this era.
-			return waits && d.item.Tombstone || !waits && !c.knownRemoved(held)
+	listed := it.Revision <= c.restored.revision
+	if next, err := c.Decode(it); err == nil {
+		if !k.item.Tombstone && (bytes.Equal(k.item.Value, it.Value) || sameOrder(k.value, next)) {
+			return time.Time{}, false
+		}
+		if order := compareOrder(next, k.value); order != 0 {
+			if next.Progress != nil {
+				return c.restored.end, order < 0
+			}
+			return c.restored.until, order < 0
 		}
-		return c.older(it, held, c.values[it.Key])
 	}
-	r, ok := c.removed[it.Key]
-	return ok && r.item.Revision.Era() < era && !it.Tombstone && c.older(it, r.item, r.value)
+	// What was lost has higher numbers than the copy.
+	older := listed && it.Revision.Number() < k.item.Revision.Number()
+	if isOrder(k.value) && (k.item.Tombstone || c.isReplaced(it)) {
+		return c.restored.end, older
+	}
+	return c.restored.until, older
+}
+
+// isReplaced reports whether an item of a restored store is the order that the one in force has replaced.
+func (c *Config) isReplaced(it item.Item) bool {
+	r, ok := c.replaced[it.Key]
+	return ok && r.Revision.Number() == it.Revision.Number() && bytes.Equal(r.Value, it.Value)
+}
+
+// missingDue returns until when a record stays in force that a restored store lacks.
+func (c *Config) missingDue(k known) time.Time {
+	switch v := k.value; {
+	case selfAnnounced(v):
+		return c.restored.lapse
+	case v.Progress != nil, isOrder(v):
+		return c.restored.end
+	}
+	return c.restored.until
 }
 
 // knownRemoved reports whether a record that is missing in the list was removed before the copy was made, or in the new era: the copy
@@ -108,31 +183,20 @@
 // era before, if the store may have come back from a copy of an earlier one.
 func (c *Config) knownRemoved(held item.Item) bool {
 	v := c.values[held.Key]
-	if !isRecord(v) || v.Record != nil && v.Record.Upstream != nil && v.Record.Upstream.Incarnation != 0 {
+	if !isRecord(v) || isAnnounced(v) {
 		return false
 	}
 	native := c.restored.before != 0 && held.Revision > c.restored.before
 	return !native && held.Revision.Number() <= c.restored.copied
 }
 
-// older reports whether an item of the store is older than one of an earlier era with a value, by their own order if they have one.
-// Otherwise it is older if it may be part of the copy, and its number is lower: what was lost has higher numbers than the copy.
-func (c *Config) older(it, earlier item.Item, v value.Value) bool {
-	if next, err := c.Decode(it); err == nil {
-		if order := compareOrder(next, v); order != 0 {
-			return order < 0
-		}
-	}
-	return it.Revision <= c.restored.revision && it.Revision.Number() < earlier.Revision.Number()
-}
-
 // compareOrder compares two values of a key by the order that their writers gave them; 0 if they have none.
 func compareOrder(a, b value.Value) int {
 	switch {
 	case a.Batch != nil && b.Batch != nil:
 		return cmp.Compare(a.Batch.Version, b.Batch.Version)
 	case a.Progress != nil && b.Progress != nil:
-		return a.Progress.SteppedAt.Compare(b.Progress.SteppedAt)
+		return compareProgress(a.Progress, b.Progress)
 	case a.Record != nil && b.Record != nil && a.Record.Upstream != nil && b.Record.Upstream != nil:
 		x, y := a.Record.Upstream, b.Record.Upstream
 		return cmp.Or(cmp.Compare(x.Incarnation, y.Incarnation), cmp.Compare(x.Sequence, y.Sequence))
@@ -140,6 +204,30 @@
 	return 0
 }
 
+// compareProgress compares how far a rollout has come. One that has ended does not go on, and its share only grows until then.
+func compareProgress(a, b *progrs.Progress) int {
+	switch x, y := hasEnded(a), hasEnded(b); {
+	case x && !y:
+		return 1
+	case !x && y:
+		return -1
+	case !x && a.Permille != b.Permille:
+		return cmp.Compare(a.Permille, b.Permille)
+	}
+	return a.SteppedAt.Compare(b.SteppedAt)
+}
+
+// hasEnded reports whether a rollout is done or rolled back.
+func hasEnded(p *progrs.Progress) bool { return p.Phase == phase.Done || p.Phase == phase.RolledBack }
+
+// isOrder reports whether a value is the order of a rollout.
+func isOrder(v value.Value) bool { return v.Record != nil && v.Record.Rollout != nil }
+
+// isAnnounced reports whether a value is an upstream that announces itself.
+func isAnnounced(v value.Value) bool {
+	return v.Record != nil && v.Record.Upstream != nil && v.Record.Upstream.Incarnation != 0
+}
+
 // unchanged reports whether an item of a later era has the value in force, so that only its revision is new.
 func (c *Config) unchanged(it item.Item) bool {
 	held, ok := c.items[it.Key]
@@ -154,32 +242,33 @@
 // Kept returns what is in force, or removed, although the store holds an older copy, sorted by key. A tombstone holds the value that
 // was removed. It also returns until when, as of now, the last of them stays.
 func (c *Config) Kept(now time.Time) ([]item.Item, time.Time) {
-	if !now.Before(c.restored.until) {
+	if !now.Before(c.restored.end) {
 		return nil, time.Time{}
 	}
 	var kept []item.Item
+	var until time.Time
 	for _, key := range slices.Sorted(maps.Keys(c.deferred)) {
-		if held, ok := c.items[key]; ok {
-			kept = append(kept, held)
-		} else if r, ok := c.removed[key]; ok {
-			kept = append(kept, r.item)
+		if k, ok := c.knownBefore(key); ok && k.item.Key != "" {
+			kept = append(kept, k.item)
+			until = later(until, c.deferred[key].due)
 		}
 	}
-	return kept, c.restored.until
+	return kept, until
 }
 
 // IsKept reports whether the value of a key is in force although the store holds an older one or none.
 func (c *Config) IsKept(key string) bool {
 	_, waits := c.deferred[key]
 	_, inForce := c.items[key]
-	return waits && inForce || c.carried[key]
+	return waits && inForce || c.carried[key] != nil
 }
 
 // Keep takes over what a peer keeps in force until a time although the store holds an older copy, for an entry that knows the copy
 // alone. The revision is that of the entry's replica.
 func (c *Config) Keep(now, until time.Time, revision revno.Revision, kept []item.Item) {
-	until = earlier(until, now.Add(tune.RestoreGrace))
-	c.restored = restoration{revision: revision, until: until, lapse: earlier(until, now.Add(tune.RestoreReannounce))}
+	c.restored = restoration{revision: revision}
+	c.restored.begin(now)
+	c.restored.lapse, c.restored.until, c.restored.end = earlier(until, c.restored.lapse), earlier(until, c.restored.until), earlier(until, c.restored.end)
 	for _, k := range kept {
 		if k.Revision.Era() >= revision.Era() || keys.IsOwner(k.Key) {
 			continue
@@ -188,24 +277,19 @@
 		if !ok {
 			stored = item.Item{Key: k.Key, Revision: revision, Tombstone: true}
 		}
-		live := item.Item{Key: k.Key, Value: k.Value, Revision: k.Revision}
-		v, err := c.Decode(live)
-		if err != nil || ok && !c.older(stored, live, v) {
+		v, err := c.Decode(item.Item{Key: k.Key, Value: k.Value, Revision: k.Revision})
+		if _, deferred := c.deferred[k.Key]; err != nil || deferred {
 			continue
 		}
-		if _, waits := c.deferred[k.Key]; waits {
+		due, waits := c.restoredDue(known{k, v}, stored)
+		if !waits {
 			continue
 		}
+		c.apply(now, k, true)
 		if k.Tombstone {
-			if ok {
-				c.apply(now, k, true)
-				c.removed[k.Key] = removal{item: k, value: v, at: now}
-				c.deferred[k.Key] = deferredItem{stored, c.restoredDue(k.Key, stored)}
-			}
-			continue
+			c.removed[k.Key] = removal{item: k, value: v, at: now}
 		}
-		c.apply(now, live, true)
-		c.deferred[k.Key] = deferredItem{stored, c.restoredDue(k.Key, stored)}
+		c.deferred[k.Key] = deferredItem{stored, due}
 	}
 }
 
@@ -217,6 +301,14 @@
 	return a
 }
 
+// later returns the later of two times.
+func later(a, b time.Time) time.Time {
+	if b.After(a) {
+		return b
+	}
+	return a
+}
+
 // noteRemoval remembers a removal, so that a copy of the store that still has the key is known to be older.
 func (c *Config) noteRemoval(now time.Time, tombstone item.Item) {
 	if held, ok := c.items[tombstone.Key]; ok {
@@ -227,19 +319,8 @@
 
 // sweepRemovals forgets the removals that no copy of the store can be older than.
 func (c *Config) sweepRemovals(now time.Time) {
-	maps.DeleteFunc(c.removed, func(_ string, r removal) bool { return now.Sub(r.at) >= tune.RestoreMemory })
-}
-
-// carryProgress gives a rollout that operators have requested again, after its first request was lost, the progress of the first.
-// Where the name of a rollout holds the revision of the request, the second one has a name of its own.
-func (c *Config) carryProgress(now time.Time, old, next *rolrec.Rollout) {
-	p := c.Progress[old.Name]
-	same := old.Name != next.Name && old.Service == next.Service && old.To == next.To && old.Duration == next.Duration
-	if p == nil || !same || c.Progress[next.Name] != nil || !now.Before(c.restored.until) {
-		return
-	}
-	carried := *p
-	carried.Rollout = next.Name
-	c.Progress[next.Name] = &carried
-	c.carried[keys.Rollout(next.Name)] = true
+	maps.DeleteFunc(c.removed, func(key string, r removal) bool {
+		_, waits := c.deferred[key]
+		return !waits && now.Sub(r.at) >= tune.RestoreMemory
+	})
 }
--- a/pkg/control/config/restore_test.go
+++ b/pkg/control/config/restore_test.go
@@ -48,9 +48,18 @@
 	case "member":
 		return value.Value{Member: &member.Member{Name: name}}, nil
 	case "move":
-		p := &progrs.Progress{Rollout: name, Phase: phase.Shifting}
+		p := &progrs.Progress{Rollout: name, Phase: phase.Shifting, Start: start}
 		var at int64
-		_, err := fmt.Sscan(text, &p.Permille, &at)
+		var end string
+		_, err := fmt.Sscan(text, &p.Permille, &at, &end)
+		switch end {
+		case "done":
+			p.Phase, err = phase.Done, nil
+		case "reverted":
+			p.Phase, err = phase.RolledBack, nil
+		case "":
+			err = nil
+		}
 		p.SteppedAt = start.Add(time.Duration(at) * time.Second)
 		return value.Value{Progress: p}, err
 	}
@@ -89,61 +98,62 @@
 		name string
 		// before are items of era 1, copied those in the first list of era 2 or tombstones of what it lacks, and news what follows.
 		before, copied, news []item.Item
-		// want is in force after the news, and late after the transition; empty for the same.
-		want, late string
+		// want is in force after the news, late once what does not tell which is newer gives way to the copy, and end once all does; empty
+		// for the same as before.
+		want, late, end string
 	}{
 		{"keeps the version, until nobody has written it again",
-			[]item.Item{stored(1, 60, "rec/set/", "8")}, []item.Item{stored(2, 40, "rec/set/", "7")}, nil, "version 8", "version 7"},
+			[]item.Item{stored(1, 60, "rec/set/", "8")}, []item.Item{stored(2, 40, "rec/set/", "7")}, nil, "version 8", "version 7", ""},
 		{"keeps the version while lost ones are written again in order",
-			[]item.Item{stored(1, 60, "rec/set/", "8")}, []item.Item{stored(2, 40, "rec/set/", "6")}, []item.Item{stored(2, 53, "rec/set/", "7")}, "version 8", "version 7"},
+			[]item.Item{stored(1, 60, "rec/set/", "8")}, []item.Item{stored(2, 40, "rec/set/", "6")}, []item.Item{stored(2, 53, "rec/set/", "7")}, "version 8", "version 7", ""},
 		{"has a version that is written again in force for good",
-			[]item.Item{stored(1, 60, "rec/set/", "8")}, []item.Item{stored(2, 40, "rec/set/", "7")}, []item.Item{stored(2, 53, "rec/set/", "8")}, "version 8", ""},
+			[]item.Item{stored(1, 60, "rec/set/", "8")}, []item.Item{stored(2, 40, "rec/set/", "7")}, []item.Item{stored(2, 53, "rec/set/", "8")}, "version 8", "", ""},
 		{"does not delay a further version",
-			[]item.Item{stored(1, 60, "rec/set/", "8")}, []item.Item{stored(2, 40, "rec/set/", "7")}, []item.Item{stored(2, 53, "rec/set/", "9")}, "version 9", ""},
+			[]item.Item{stored(1, 60, "rec/set/", "8")}, []item.Item{stored(2, 40, "rec/set/", "7")}, []item.Item{stored(2, 53, "rec/set/", "9")}, "version 9", "", ""},
 		{"does not delay a further version in the first list",
-			[]item.Item{stored(1, 60, "rec/set/", "8")}, []item.Item{stored(2, 51, "rec/set/", "9")}, nil, "version 9", ""},
+			[]item.Item{stored(1, 60, "rec/set/", "8")}, []item.Item{stored(2, 51, "rec/set/", "9")}, nil, "version 9", "", ""},
 		{"keeps an upstream drained that the copy has ready",
 			[]item.Item{stored(1, 60, "rec/upstream/u", "5 8 true")}, []item.Item{stored(2, 40, "rec/upstream/u", "5 6 false")}, nil,
-			"version 0, upstream u drained true", "version 0, upstream u drained false"},
+			"version 0, upstream u drained true", "version 0, upstream u drained false", ""},
 		{"does not delay a later announcement",
 			[]item.Item{stored(1, 60, "rec/upstream/u", "5 8 false")}, []item.Item{stored(2, 51, "rec/upstream/u", "5 9 true")}, nil,
-			"version 0, upstream u drained true", ""},
+			"version 0, upstream u drained true", "", ""},
 		{"keeps an upstream out that has left, until the copy has to be believed",
 			[]item.Item{stored(1, 40, "rec/upstream/u", "5 6 false"), stored(1, 60, "rec/upstream/u", "")}, []item.Item{stored(2, 40, "rec/upstream/u", "5 6 false")}, nil,
-			"version 0", "version 0, upstream u drained false"},
+			"version 0", "version 0, upstream u drained false", ""},
 		{"keeps an upstream out whose removal is written again",
 			[]item.Item{stored(1, 40, "rec/upstream/u", "5 6 false"), stored(1, 60, "rec/upstream/u", "")}, []item.Item{stored(2, 40, "rec/upstream/u", "5 6 false")},
-			[]item.Item{stored(2, 53, "rec/upstream/u", "")}, "version 0", ""},
+			[]item.Item{stored(2, 53, "rec/upstream/u", "")}, "version 0", "", ""},
 		{"does not delay an upstream that has left and started again",
 			[]item.Item{stored(1, 40, "rec/upstream/u", "5 6 false"), stored(1, 60, "rec/upstream/u", "")}, []item.Item{stored(2, 51, "rec/upstream/u", "7 1 false")}, nil,
-			"version 0, upstream u drained false", ""},
+			"version 0, upstream u drained false", "", ""},
 		{"does not delay the removal of an upstream of the copy",
 			[]item.Item{stored(1, 40, "rec/upstream/u", "5 6 false")}, []item.Item{stored(2, 40, "rec/upstream/u", "5 6 false")},
-			[]item.Item{stored(2, 53, "rec/upstream/u", "")}, "version 0", ""},
+			[]item.Item{stored(2, 53, "rec/upstream/u", "")}, "version 0", "", ""},
 		{"keeps an upstream that the copy lacks, until it should have announced itself",
 			[]item.Item{stored(1, 60, "rec/upstream/u", "5 6 false")}, []item.Item{stored(2, list, "rec/upstream/u", "")}, nil,
-			"version 0, upstream u drained false", "version 0"},
+			"version 0, upstream u drained false", "version 0", ""},
 		{"keeps a failure domain drained that the copy does not know as drained",
-			[]item.Item{stored(1, 60, "rec/domain/z", "drained")}, []item.Item{stored(2, list, "rec/domain/z", "")}, nil, "version 0, domain z drained true", "version 0"},
+			[]item.Item{stored(1, 60, "rec/domain/z", "drained")}, []item.Item{stored(2, list, "rec/domain/z", "")}, nil, "version 0, domain z drained true", "version 0", ""},
 		{"does not keep a failure domain drained that was in use again before the copy",
-			[]item.Item{stored(1, 30, "rec/domain/z", "drained"), stored(1, 40, "rec/set/", "7")}, []item.Item{stored(2, 40, "rec/set/", "7"), stored(2, list, "rec/domain/z", "")}, nil, "version 7", ""},
+			[]item.Item{stored(1, 30, "rec/domain/z", "drained"), stored(1, 40, "rec/set/", "7")}, []item.Item{stored(2, 40, "rec/set/", "7"), stored(2, list, "rec/domain/z", "")}, nil, "version 7", "", ""},
 		{"keeps upstreams that the copy lacks since their leases are gone",
 			[]item.Item{stored(1, 30, "rec/upstream/u", "5 6 false"), stored(1, 40, "rec/set/", "7")}, []item.Item{stored(2, 40, "rec/set/", "7"), stored(2, list, "rec/upstream/u", "")}, nil,
-			"version 7, upstream u drained false", "version 7"},
+			"version 7, upstream u drained false", "version 7", ""},
 		{"keeps a failure domain in use that the copy has drained",
 			[]item.Item{stored(1, 40, "rec/domain/z", "drained"), stored(1, 60, "rec/domain/z", "")}, []item.Item{stored(2, 40, "rec/domain/z", "drained")}, nil,
-			"version 0", "version 0, domain z drained true"},
+			"version 0", "version 0, domain z drained true", ""},
 		{"does not delay a failure domain that is drained anew",
 			[]item.Item{stored(1, 40, "rec/domain/z", "drained"), stored(1, 60, "rec/domain/z", "")}, nil, []item.Item{stored(2, 53, "rec/domain/z", "drained")},
-			"version 0, domain z drained true", ""},
+			"version 0, domain z drained true", "", ""},
 		{"keeps the members, whose leases are gone, until they should be back",
-			[]item.Item{stored(1, 40, "member/a", "x")}, []item.Item{stored(2, list, "member/a", "")}, nil, "version 0, a", "version 0"},
+			[]item.Item{stored(1, 40, "member/a", "x")}, []item.Item{stored(2, list, "member/a", "")}, nil, "version 0, a", "version 0", ""},
 		{"keeps the share of a rollout",
 			[]item.Item{stored(1, 30, "rec/request/s", "v2"), stored(1, 60, "move/s/30", "250 9")}, []item.Item{stored(2, 30, "rec/request/s", "v2"), stored(2, 40, "move/s/30", "40 5")}, nil,
-			"version 0, rollout s/30 at 250", "version 0, rollout s/30 at 40"},
+			"version 0, rollout s/30 at 250", "", "version 0, rollout s/30 at 40"},
 		{"keeps the share of a rollout that is requested again at another revision",
 			[]item.Item{stored(1, 55, "rec/request/s", "v2"), stored(1, 60, "move/s/55", "250 9")}, []item.Item{stored(2, list, "rec/request/s", ""), stored(2, list, "move/s/55", "")},
-			[]item.Item{stored(2, 53, "rec/request/s", "v2")}, "version 0, rollout s/53 at 250", ""},
+			[]item.Item{stored(2, 53, "rec/request/s", "v2")}, "version 0, rollout s/53 at 250", "", ""},
 	} {
 		It(tc.name, func() {
 			c := config.New("e", "za", decodeText)
@@ -156,7 +166,7 @@
 			}
 			c.ApplyDeferred(start.Add(2 * time.Second))
 			Expect(inForce(c)).To(Equal(tc.want))
-			if n := len(tc.news); n > 0 && strings.HasPrefix(tc.news[n-1].Key, keys.RecordPrefix) && tc.late == "" {
+			if n := len(tc.news); n > 0 && strings.HasPrefix(tc.news[n-1].Key, keys.RecordPrefix) && tc.late == "" && tc.end == "" {
 				Expect(c.Revision).To(Equal(tc.news[n-1].Revision), "what is in force")
 			}
 			c.ApplyDeferred(start.Add(tune.RestoreGrace))
@@ -164,6 +174,13 @@
 				tc.late = tc.want
 			}
 			Expect(inForce(c)).To(Equal(tc.late))
+			c.ApplyDeferred(start.Add(tune.RestoreMemory - time.Second))
+			Expect(inForce(c)).To(Equal(tc.late))
+			c.ApplyDeferred(start.Add(tune.RestoreMemory))
+			if tc.end == "" {
+				tc.end = tc.late
+			}
+			Expect(inForce(c)).To(Equal(tc.end))
 		})
 	}
 
--- a/pkg/control/contrl/facts.go
+++ b/pkg/control/contrl/facts.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/binary"
+	"slices"
 
 	"github.com/cespare/xxhash/v2"
 
@@ -98,8 +99,10 @@
 	c.log(logmsg.Message{Type: topicMessageType(f.Topic), Subject: f.Subject, Reason: reasonOf(f)})
 	c.gossipFact(f)
 	if f.Topic == topic.RolledBack {
-		if r := c.config.Rollouts[f.Subject]; r != nil {
-			c.config.MarkDirty(r.Service)
+		for name, r := range c.config.Rollouts {
+			if name == f.Subject || slices.Contains(c.config.Predecessors(name), f.Subject) {
+				c.config.MarkDirty(r.Service)
+			}
 		}
 	}
 }
--- a/pkg/control/contrl/rollout.go
+++ b/pkg/control/contrl/rollout.go
@@ -6,6 +6,7 @@
 
 	"github.com/balsamvale/balsamvale/pkg/control/keys"
 	"github.com/balsamvale/balsamvale/pkg/control/shard"
+	"github.com/balsamvale/balsamvale/pkg/events/fact"
 	"github.com/balsamvale/balsamvale/pkg/events/topic"
 	"github.com/balsamvale/balsamvale/pkg/records/rolrec"
 	"github.com/balsamvale/balsamvale/pkg/shared/tune"
@@ -48,10 +49,24 @@
 
 // rolledBack reports whether a live fact says that a rollout was rolled back.
 func (c *Control) rolledBack(rollout string) bool {
-	_, ok := c.facts.Get(c.now, topic.RolledBack, rollout)
+	_, ok := c.rollbackFact(rollout)
 	return ok
 }
 
+// rollbackFact returns the live fact that says that a rollout was rolled back, under the name that it has or one that it had, and whether
+// there is one.
+func (c *Control) rollbackFact(rollout string) (fact.Fact, bool) {
+	if f, ok := c.facts.Get(c.now, topic.RolledBack, rollout); ok {
+		return f, true
+	}
+	for _, name := range c.config.Predecessors(rollout) {
+		if f, ok := c.facts.Get(c.now, topic.RolledBack, name); ok {
+			return f, true
+		}
+	}
+	return fact.Fact{}, false
+}
+
 // driveRollouts writes the steps of the rollouts that are due.
 //
 // Any entry may write the next step. The writes are conditional, so only the first one takes effect.
@@ -91,16 +106,18 @@
 	if known := c.config.Progress[r.Name]; known != nil {
 		current = *known
 	}
-	if c.config.IsKept(keys.Rollout(r.Name)) {
+	ended := current.Phase == phase.Done || current.Phase == phase.RolledBack
+	rollback, rolledBack := c.rollbackFact(r.Name)
+	if c.config.IsKept(keys.Rollout(r.Name)) && (ended || !rolledBack) {
 		// The store was restored without this step.
 		return current, true
 	}
-	if current.Phase == phase.Done || current.Phase == phase.RolledBack || c.now.Before(r.Start) {
+	if ended || c.now.Before(r.Start) {
 		return current, false
 	}
 	next := progrs.Progress{Rollout: r.Name, Writer: c.self.Name, SteppedAt: c.now, Start: r.Start, Phase: phase.Shifting}
-	if f, ok := c.facts.Get(c.now, topic.RolledBack, r.Name); ok {
-		next.Phase, next.Reason = phase.RolledBack, f.Detail
+	if rolledBack {
+		next.Phase, next.Reason = phase.RolledBack, rollback.Detail
 		return next, true
 	}
 	next.Permille = plannedPermille(r, c.now)
--- a/pkg/shared/tune/constants.go
+++ b/pkg/shared/tune/constants.go
@@ -338,14 +338,14 @@
 	// ReannounceGrace is the time after a store outage in which upstreams whose leases expired can announce themselves
 	// again.
 	ReannounceGrace = 2 * time.Second
-	// RestoreGrace is the time after the store was restored from an older copy in which what was in force stays where the copy is
+	// RestoreGrace is the time after the store was restored from an older copy in which what was in force stays where the copy may be
 	// older, since operators write again what was lost.
 	RestoreGrace = 4 * time.Second
 	// RestoreReannounce is the same time for upstreams that announce themselves and that the store lacks. They write within 2 s, and a
 	// watch may pause for WatchPause before it tells; one that left meanwhile has to be out of use after 2.5 s.
 	RestoreReannounce = 2250 * time.Millisecond
-	// RestoreMemory is how long removals are remembered, to tell that a copy of the store is older. It is far longer than a copy is
-	// old.
+	// RestoreMemory is the same time where the copy is known to be older. Removals are remembered for as long, to tell so. It is far longer
+	// than a copy is old, and than operators take to write again.
 	RestoreMemory = time.Minute
 	// MinLapseOutage is the shortest outage of the store in which the lease of a running upstream may expire. Upstreams renew
 	// three times within the lifetime of a lease, which is 4.5 s on the platform, so two thirds are left at the least.
