config: an older configuration of a restored store waits for a minute

Cause: the 4 s after which the copy is believed also ended what was in force where its version says that the copy is older. Nothing promises that operators write again within 4 s.

Change: a configuration with a lower version than that in force, or that the copy lacks, waits for 1 min (tune.RestoreMemory). There is still an end, for operators who go on from what the restored store holds.

--- a/pkg/control/config/restore.go
+++ b/pkg/control/config/restore.go
@@ -135,8 +135,8 @@
 //
 // An item that is the same as what is in force does not wait: it was not lost, or is written again. Neither does one that is newer, by
 // the order that its writers gave it or, without such an order, because it is not part of the copy. All others
-// wait: the progress of rollouts and orders that must not run again until the end of the transition, so that they come into force only
-// if nobody writes again; others for tune.RestoreGrace.
+// wait: older configurations, the progress of rollouts and orders that must not run again until the end of the transition, so that they
+// come into force only if nobody writes again; others for tune.RestoreGrace.
 func (c *Config) restoredDue(k known, it item.Item) (due time.Time, waits bool) {
 	if it.Tombstone {
 		return c.missingDue(k), !k.item.Tombstone
@@ -147,7 +147,7 @@
 			return time.Time{}, false
 		}
 		if order := compareOrder(next, k.value); order != 0 {
-			if next.Progress != nil {
+			if next.Progress != nil || next.Batch != nil {
 				return c.restored.end, order < 0
 			}
 			return c.restored.until, order < 0
@@ -172,7 +172,7 @@
 	switch v := k.value; {
 	case selfAnnounced(v):
 		return c.restored.lapse
-	case v.Progress != nil, isOrder(v):
+	case v.Batch != nil, v.Progress != nil, isOrder(v):
 		return c.restored.end
 	}
 	return c.restored.until
