config: an upstream that had left is not in use again because a copy lists it

Cause: a known removal was held against the copy for 4 s only. An upstream that lives announces itself within 2 s, so what the copy alone says of it after 4 s is of one that has gone; until the platform removes it, calls go to it.

Change: an announcement in the copy that is older than the removal or than the one in force waits for 1 min. What an upstream writes after the first list is never older, as other writers may leave out start and sequence. The design page has the table of what is kept, for each record and place, and until when.

--- a/pkg/control/config/restore.go
+++ b/pkg/control/config/restore.go
@@ -134,9 +134,9 @@
 // one place that does so; docs/design/restored-store.md has the table of its cases.
 //
 // An item that is the same as what is in force does not wait: it was not lost, or is written again. Neither does one that is newer, by
-// the order that its writers gave it or, without such an order, because it is not part of the copy. All others
-// wait: older configurations, the progress of rollouts and orders that must not run again until the end of the transition, so that they
-// come into force only if nobody writes again; others for tune.RestoreGrace.
+// the order that its writers gave it or, without such an order, because it is not part of the copy. What an upstream writes after the
+// list is never older. All others wait: those that are known to be older, and orders of rollouts that must not run again, until the end
+// of the transition, so that they come into force only if nobody writes again; others for tune.RestoreGrace.
 func (c *Config) restoredDue(k known, it item.Item) (due time.Time, waits bool) {
 	if it.Tombstone {
 		return c.missingDue(k), !k.item.Tombstone
@@ -146,16 +146,13 @@
 		if !k.item.Tombstone && (bytes.Equal(k.item.Value, it.Value) || sameOrder(k.value, next)) {
 			return time.Time{}, false
 		}
-		if order := compareOrder(next, k.value); order != 0 {
-			if next.Progress != nil || next.Batch != nil {
-				return c.restored.end, order < 0
-			}
-			return c.restored.until, order < 0
+		if order := compareOrder(next, k.value); order != 0 && (listed || !isAnnounced(next)) {
+			return c.restored.end, order < 0
 		}
 	}
 	// What was lost has higher numbers than the copy.
 	older := listed && it.Revision.Number() < k.item.Revision.Number()
-	if isOrder(k.value) && (k.item.Tombstone || c.isReplaced(it)) {
+	if isAnnounced(k.value) || isOrder(k.value) && (k.item.Tombstone || c.isReplaced(it)) {
 		return c.restored.end, older
 	}
 	return c.restored.until, older
--- a/pkg/control/contrl/restore_test.go
+++ b/pkg/control/contrl/restore_test.go
@@ -329,19 +329,21 @@
 		w.restoreStore(copied, true)
 		w.run(tune.RestoreMemory - 2*time.Second)
 		Expect(last.Version).To(Equal(int64(2)))
+		Expect(last.Services["s"].Targets).To(HaveLen(5))
 		w.run(4 * time.Second)
 		Expect(last.Version).To(Equal(int64(1)))
 		Expect(last.Services["s"].Targets).To(HaveLen(6))
 	})
 
-	// Guards against a configuration that steps back because operators take longer than tune.RestoreGrace to write again. Entries that
-	// start meanwhile know the copy alone.
+	// Guards against a configuration that steps back, and upstreams that are in use again after they had left, because operators take longer
+	// than tune.RestoreGrace to write again. Entries that start meanwhile know the copy alone.
 	It("makes nothing step back while operators take their time", func() {
 		const late = 20 * time.Second
 		for seed := range uint64(4) {
 			w := newWorld(4+int(seed), seed)
 			copied := w.copyStore()
 			w.configure()
+			w.leave("u1")
 			w.run(3 * time.Second)
 			w.restoreStore(copied, seed%2 == 0)
 			for name := range w.sequence {
@@ -352,7 +354,7 @@
 			w.run(late / 2)
 			started := w.entries[seed]
 			w.restart(started)
-			w.seen[started], w.left[started], w.had[started] = w.version, nil, nil
+			w.seen[started], w.left[started], w.had[started] = w.version, map[string]bool{"u1": true}, nil
 			w.run(late / 2)
 			Expect(w.differences()).To(BeEmpty(), fmt.Sprint("seed ", seed))
 			w.rewrite(time.Second, time.Second)
