config: what a peer keeps after a restoration ends when it ends at the peer

It counted the 2.25 s in which upstreams that the store lacks have to be back from the arrival, so that one that had left could stay in use for up to 4 s after the restoration; 2.5 s is the most. No caller reported it.

Cause: the peer gives one time, and the receiver began a transition of its own.

Change: that time is the end of the peer's transition, from which the receiver has its begin. Transitions of older builds are counted by their 4 s. An entry that is out of touch with the store moves the times of what waits, where it decided anew, decoding each item at each tick.

Evidence: 3 of the 4 rows of "keeps what a peer keeps for as long" in config/restore_test failed on the commit before.

--- a/pkg/control/config/restore.go
+++ b/pkg/control/config/restore.go
@@ -30,9 +30,22 @@
 	lapse, until, end time.Time
 }
 
-// begin sets the times of the transition for one that begins now.
-func (r *restoration) begin(now time.Time) {
-	r.lapse, r.until, r.end = now.Add(tune.RestoreReannounce), now.Add(tune.RestoreGrace), now.Add(tune.RestoreMemory)
+// begin sets the times of the transition for one that begins at a time.
+func (r *restoration) begin(at time.Time) {
+	r.lapse, r.until, r.end = at.Add(tune.RestoreReannounce), at.Add(tune.RestoreGrace), at.Add(tune.RestoreMemory)
+}
+
+// translate returns the time of the transition that stands for the same time of another one.
+func (r *restoration) translate(due time.Time, other restoration) time.Time {
+	switch {
+	case due.Equal(other.lapse):
+		return r.lapse
+	case due.Equal(other.until):
+		return r.until
+	case due.Equal(other.end):
+		return r.end
+	}
+	return due
 }
 
 // deferredItem is an item that is applied at a later time.
@@ -60,7 +73,8 @@
 // Operators and upstreams write again what the store has lost. So that nothing steps back to the copy and forward again, an item of
 // the new era may have to wait, see waitsAfterRestore.
 func (c *Config) Restored(now time.Time, revision revno.Revision, list []item.Item) {
-	c.restored = restoration{revision: revision, before: c.restored.revision}
+	last := c.restored
+	c.restored = restoration{revision: revision, before: last.revision}
 	c.restored.begin(now)
 	clear(c.rewritten)
 	for _, it := range list {
@@ -68,13 +82,13 @@
 			c.restored.copied = max(c.restored.copied, it.Revision.Number())
 		}
 	}
-	c.extendDeferred()
+	c.extendDeferred(last)
 }
 
 // ExtendTransition begins the times of a transition anew that have not passed. It is meant for an entry that is out of touch with the
 // store, which cannot know what was written again.
 func (c *Config) ExtendTransition(now time.Time) {
-	r := &c.restored
+	r, last := &c.restored, c.restored
 	switch {
 	case now.Before(r.until):
 		r.begin(now)
@@ -83,17 +97,13 @@
 	default:
 		return
 	}
-	c.extendDeferred()
+	c.extendDeferred(last)
 }
 
-// extendDeferred makes the items that wait because of the transition due at its end.
-func (c *Config) extendDeferred() {
+// extendDeferred makes the items that wait because of the last transition due at the times of this one.
+func (c *Config) extendDeferred(last restoration) {
 	for key, d := range c.deferred {
-		if k, ok := c.knownBefore(key); ok {
-			if due, waits := c.restoredDue(k, d.item); waits {
-				c.deferred[key] = deferredItem{d.item, due}
-			}
-		}
+		c.deferred[key] = deferredItem{d.item, c.restored.translate(d.due, last)}
 	}
 }
 
@@ -237,20 +247,18 @@
 }
 
 // Kept returns what is in force, or removed, although the store holds an older copy, sorted by key. A tombstone holds the value that
-// was removed. It also returns until when, as of now, the last of them stays.
+// was removed. It also returns when, as of now, the transition ends.
 func (c *Config) Kept(now time.Time) ([]item.Item, time.Time) {
 	if !now.Before(c.restored.end) {
 		return nil, time.Time{}
 	}
 	var kept []item.Item
-	var until time.Time
 	for _, key := range slices.Sorted(maps.Keys(c.deferred)) {
-		if k, ok := c.knownBefore(key); ok && k.item.Key != "" {
+		if k, ok := c.knownBefore(key); ok && c.carried[key] == nil {
 			kept = append(kept, k.item)
-			until = later(until, c.deferred[key].due)
 		}
 	}
-	return kept, until
+	return kept, c.restored.end
 }
 
 // IsKept reports whether the value of a key is in force although the store holds an older one or none.
@@ -260,14 +268,23 @@
 	return waits && inForce || c.carried[key] != nil
 }
 
-// Keep takes over what a peer keeps in force until a time although the store holds an older copy, for an entry that knows the copy
-// alone. The revision is that of the entry's replica.
-func (c *Config) Keep(now, until time.Time, revision revno.Revision, kept []item.Item) {
+// Keep takes over what a peer keeps in force although the store holds an older copy, in a transition that ends at a time, for an entry that
+// knows the copy alone. The revision is that of the entry's replica.
+//
+// A transition of a peer of an older build ends after tune.RestoreGrace.
+func (c *Config) Keep(now, end time.Time, revision revno.Revision, kept []item.Item) {
+	whole := tune.RestoreMemory
+	if end.Sub(now) <= tune.RestoreGrace {
+		whole = tune.RestoreGrace
+	}
+	last := c.restored
 	c.restored = restoration{revision: revision}
-	c.restored.begin(now)
-	c.restored.lapse, c.restored.until, c.restored.end = earlier(until, c.restored.lapse), earlier(until, c.restored.until), earlier(until, c.restored.end)
+	c.restored.begin(earlier(end, now.Add(whole)).Add(-whole))
+	c.restored.end = earlier(end, now.Add(whole))
+	c.extendDeferred(last)
 	for _, k := range kept {
-		if k.Revision.Era() >= revision.Era() || keys.IsOwner(k.Key) {
+		r, gone := c.removed[k.Key]
+		if k.Revision.Era() >= revision.Era() || keys.IsOwner(k.Key) || gone && r.item.Revision.Era() >= revision.Era() {
 			continue
 		}
 		stored, ok := c.items[k.Key]
@@ -279,7 +296,7 @@
 			continue
 		}
 		due, waits := c.restoredDue(known{k, v}, stored)
-		if !waits {
+		if !waits || !now.Before(due) {
 			continue
 		}
 		c.apply(now, k, true)
@@ -298,14 +315,6 @@
 	return a
 }
 
-// later returns the later of two times.
-func later(a, b time.Time) time.Time {
-	if b.After(a) {
-		return b
-	}
-	return a
-}
-
 // noteRemoval remembers a removal, so that a copy of the store that still has the key is known to be older.
 func (c *Config) noteRemoval(now time.Time, tombstone item.Item) {
 	if held, ok := c.items[tombstone.Key]; ok {
--- a/pkg/control/config/restore_test.go
+++ b/pkg/control/config/restore_test.go
@@ -189,6 +189,76 @@
 		})
 	}
 
+	// Guards against an entry that started meanwhile and keeps what a peer kept for longer than the peer, or not as long.
+	for _, tc := range []struct {
+		name string
+		// at is when the entry hears of its peer, older is set if that is of a build whose transitions end after tune.RestoreGrace.
+		at    time.Duration
+		older bool
+		// want is in force then, and late, after tune.RestoreReannounce, tune.RestoreGrace and tune.RestoreMemory.
+		want, lapsed, late, end string
+	}{
+		{"at once", time.Second, false, "version 8, upstream new drained false, domain z drained true, rollout s/55 at 1000",
+			"version 8, domain z drained true, rollout s/55 at 1000", "version 8, rollout s/55 at 1000", "version 7"},
+		{"after upstreams have lapsed", 3 * time.Second, false, "version 8, domain z drained true, rollout s/55 at 1000", "", "version 8, rollout s/55 at 1000", "version 7"},
+		{"late", 20 * time.Second, false, "version 8, rollout s/55 at 1000", "", "", "version 7"},
+		{"at once, from a peer of an older build", time.Second, true, "version 8, upstream new drained false, domain z drained true, rollout s/55 at 1000",
+			"version 8, domain z drained true, rollout s/55 at 1000", "version 7", "version 7"},
+	} {
+		It("keeps what a peer keeps for as long: "+tc.name, func() {
+			peer, c := config.New("e", "za", decodeText), config.New("f", "za", decodeText)
+			for _, it := range []item.Item{
+				stored(1, 55, "rec/request/s", "v2"), stored(1, 56, "move/s/55", "1000 9 done"), stored(1, 60, "rec/set/", "8"), stored(1, 61, "rec/domain/z", "drained"), stored(1, 62, "rec/upstream/new", "5 1 false"),
+			} {
+				peer.Apply(start, it, true)
+			}
+			copied := []item.Item{stored(2, 40, "rec/set/", "7")}
+			peer.Restored(start, revno.New(2, list), copied)
+			for _, it := range append(copied, stored(2, list, "rec/request/s", ""), stored(2, list, "move/s/55", ""), stored(2, list, "rec/domain/z", ""), stored(2, list, "rec/upstream/new", "")) {
+				peer.Apply(start, it, true)
+			}
+			c.Apply(start, copied[0], true)
+			at := start.Add(tc.at)
+			peer.ApplyDeferred(at)
+			kept, end := peer.Kept(at)
+			if tc.older {
+				end = start.Add(tune.RestoreGrace)
+			}
+			c.Keep(at, end, revno.New(2, list), kept)
+			want := tc.want
+			Expect(inForce(c)).To(Equal(want))
+			for _, m := range []struct {
+				at   time.Duration
+				want string
+			}{{tune.RestoreReannounce, tc.lapsed}, {tune.RestoreGrace, tc.late}, {tune.RestoreMemory, tc.end}} {
+				if m.want != "" {
+					want = m.want
+				}
+				if m.at > tc.at {
+					c.ApplyDeferred(start.Add(m.at))
+					Expect(inForce(c)).To(Equal(want), fmt.Sprint("after ", m.at))
+				}
+			}
+		})
+	}
+
+	// The rollout must not begin anew at an entry that has heard of its end from a peer alone.
+	It("has an order in force that a peer keeps and operators write again", func() {
+		peer, c := config.New("e", "za", decodeText), config.New("f", "za", decodeText)
+		for _, it := range []item.Item{stored(1, 55, "rec/request/s", "v2"), stored(1, 56, "move/s/55", "1000 9 done")} {
+			peer.Apply(start, it, true)
+		}
+		peer.Restored(start, revno.New(2, list), nil)
+		for _, it := range []item.Item{stored(2, list, "rec/request/s", ""), stored(2, list, "move/s/55", "")} {
+			peer.Apply(start, it, true)
+		}
+		at := start.Add(10 * time.Second)
+		kept, end := peer.Kept(at)
+		c.Keep(at, end, revno.New(2, list), kept)
+		c.Apply(at.Add(time.Second), stored(2, 53, "rec/request/s", "v2"), true)
+		Expect(inForce(c)).To(Equal("version 0, rollout s/53 at 1000"))
+	})
+
 	// An entry that started meanwhile has the copy in force alone.
 	It("takes over what a peer keeps", func() {
 		before := []item.Item{
--- a/pkg/control/contrl/restore.go
+++ b/pkg/control/contrl/restore.go
@@ -44,7 +44,7 @@
 
 // logEra logs the begin of an era, with what stays in force although the store holds an older copy.
 func (c *Control) logEra(before, era int64) {
-	kept, until := c.config.Kept(c.now)
+	kept, end := c.config.Kept(c.now)
 	removed := 0
 	for _, it := range kept {
 		if it.Tombstone {
@@ -52,7 +52,7 @@
 		}
 	}
 	c.log(logmsg.Message{Type: msgtyp.StoreRestored, Subject: storeSource, Reason: fmt.Sprintf(
-		"store restored: era %d after %d; kept %d newer values and %d removals for %v at most", era, before, len(kept)-removed, removed, max(0, until.Sub(c.now)))})
+		"store restored: era %d after %d; kept %d newer values and %d removals for %v at most", era, before, len(kept)-removed, removed, max(0, end.Sub(c.now)))})
 }
 
 // ownerInForce returns the owner of a shard on which this entry can rely, or nil. In a new era of the store, the owners in the copy
