--- a/pkg/control/config/config.go
+++ b/pkg/control/config/config.go
@@ -195,7 +195,7 @@
 	}
 	delete(c.Rejects, it.Key)
 	old := c.values[it.Key]
-	again := c.reorderOf(now, it, old, v)
+	again := c.resumptionOf(now, it, old, v)
 	c.noteOrder(it, old, v, again)
 	if it.Tombstone {
 		c.noteRemoval(now, it)
@@ -208,7 +208,7 @@
 	c.drop(now, it.Key, old)
 	c.put(now, it.Key, old, v, warmup)
 	if again != nil {
-		c.takeOver(again, v.Record.Rollout)
+		c.resume(again, v.Record.Rollout)
 	}
 	c.raiseRevision(it, old, v)
 	if v == (value.Value{}) {
--- a/pkg/control/config/reorder.go
+++ b/pkg/control/config/resume.go
@@ -10,9 +10,9 @@
 	"github.com/balsamvale/balsamvale/pkg/stored/value"
 )
 
-// reorder is an order of a rollout that operators have written again, or that a restored store holds at another revision. Where the
-// name of a rollout holds the revision of its order, it has another name then, although it is the same rollout.
-type reorder struct {
+// resumption is what a rollout takes over when operators have written its order again, or a restored store holds the order at another
+// revision. Where the name of a rollout holds the revision of its order, it has another name then.
+type resumption struct {
 	// names are those that the rollout had before, the last one first.
 	names []string
 	// start is when it started, and progress how far it has come; nil if it has not.
@@ -30,11 +30,11 @@
 	return x == y
 }
 
-// reorderOf returns what the rollout of an order takes over from the one in force, or nil if the order is a new one.
+// resumptionOf returns what the rollout of an order takes over from the one in force, or nil if the order is a new one.
 //
 // An order is written again if the one in force is of an earlier era, or is part of the copy from which the store was restored less than
 // tune.RestoreMemory ago: operators may also write again what was not lost. The next one with the same content is a new order.
-func (c *Config) reorderOf(now time.Time, it item.Item, old, next value.Value) *reorder {
+func (c *Config) resumptionOf(now time.Time, it item.Item, old, next value.Value) *resumption {
 	if !sameOrder(old, next) || old.Record.Rollout.Name == next.Record.Rollout.Name {
 		return nil
 	}
@@ -44,7 +44,7 @@
 		return nil
 	}
 	name := old.Record.Rollout.Name
-	again := &reorder{names: append([]string{name}, c.predecessors[name]...), progress: c.Progress[name]}
+	again := &resumption{names: append([]string{name}, c.predecessors[name]...), progress: c.Progress[name]}
 	if r := c.Rollouts[name]; r != nil {
 		again.start = r.Start
 	}
@@ -52,7 +52,7 @@
 }
 
 // noteOrder records what an order of a rollout replaces, before it comes into force.
-func (c *Config) noteOrder(it item.Item, old, next value.Value, again *reorder) {
+func (c *Config) noteOrder(it item.Item, old, next value.Value, again *resumption) {
 	switch held := c.items[it.Key]; {
 	case !isOrder(old):
 	case again != nil && held.Revision.Era() == it.Revision.Era():
@@ -62,8 +62,8 @@
 	}
 }
 
-// takeOver gives a rollout the start and the progress of the same one under another name. The entries write the progress again.
-func (c *Config) takeOver(again *reorder, r *rolrec.Rollout) {
+// resume gives a rollout the start and the progress of the same one under another name. The entries write the progress again.
+func (c *Config) resume(again *resumption, r *rolrec.Rollout) {
 	c.predecessors[r.Name] = again.names
 	if p, known := again.progress, c.Progress[r.Name]; p != nil && (known == nil || compareOrder(value.Value{Progress: known}, value.Value{Progress: p}) < 0) {
 		carried := *p
--- a/pkg/events/digest/digest.go
+++ b/pkg/events/digest/digest.go
@@ -32,8 +32,8 @@
 	NoEras bool
 	// WantsKept is set while the sender may know of the store's era only what an older copy holds.
 	WantsKept bool
-	// Kept holds what the sender keeps in force for KeptFor although the store was restored from an older copy, with revisions of
-	// earlier eras. The value of a tombstone is the one that was removed.
+	// Kept holds what the sender keeps in force although the store was restored from an older copy, with revisions of earlier eras. The
+	// value of a tombstone is the one that was removed. KeptFor is the time until the sender's transition to the new era ends.
 	Kept    []item.Item
 	KeptFor time.Duration
 	// FactsUpto is set if the facts are all those that the sender has numbered above FactsSince, up to FactsUpto, but for those that
