config, peers: entries that start after a restoration learn how long peers keep what

An entry that started after the store had come back from an older copy could carry out a completed rollout again when its order was written again.

Cause: the entry knows earlier eras by what its peers keep alone. If they kept nothing, it did not learn that the store had been restored, and took an order that was in the copy and was written again for a new one. If the copy had the order that a lost one had replaced, it could not know that, and gave up the lost one after 4 s, where its peers kept it for 1 min.

Change: peers tell an entry that asks until when their transition lasts, also if they keep nothing, and how much longer they keep each item (kept_left). Entries of older builds send and read the rest as before.

Evidence: contrl/drill_test draws copies, orders, rollbacks, late writes and starts of entries.

--- a/internal/codec/digest.go
+++ b/internal/codec/digest.go
@@ -60,8 +60,14 @@
 	out := digest.Digest{From: d.GetFrom(), Revision: revno.New(d.GetEra(), d.GetRevision()), Matched: proof.FromAge(now, age), InvalidAge: age < 0, Brief: d.GetBrief(), Offer: d.GetOffer(), WantsKept: d.GetWantsKept(), NoEras: !d.GetEras(),
 		FactsSince: d.GetFactSince(), FactsUpto: d.GetFactUpto(), FactsAck: d.GetFactAck()}
 	if len(d.GetKept()) > 0 {
-		out.Kept, out.KeptFor = ItemsFromProto(d.GetKept()), bounded(d.GetKeptFor().AsDuration(), tune.RestoreMemory)
+		out.Kept = ItemsFromProto(d.GetKept())
 	}
+	if len(d.GetKeptLeft()) == len(d.GetKept()) {
+		for _, left := range d.GetKeptLeft() {
+			out.KeptLeft = append(out.KeptLeft, bounded(left.AsDuration(), tune.RestoreMemory))
+		}
+	}
+	out.KeptFor = bounded(d.GetKeptFor().AsDuration(), tune.RestoreMemory)
 	for _, f := range d.GetFact() {
 		out.Facts = append(out.Facts, fact.Fact{
 			Topic: topic.Topic(f.GetTopic()), Subject: f.GetSubject(), Value: f.GetValue(),
@@ -154,7 +160,13 @@
 		FactSince: d.FactsSince, FactUpto: d.FactsUpto, FactAck: d.FactsAck,
 	}
 	for _, it := range d.Kept {
-		out.Kept, out.KeptFor = append(out.Kept, ItemToProto(it)), duration(d.KeptFor)
+		out.Kept = append(out.Kept, ItemToProto(it))
+	}
+	for _, left := range d.KeptLeft {
+		out.KeptLeft = append(out.KeptLeft, duration(left))
+	}
+	if d.KeptFor > 0 {
+		out.KeptFor = duration(d.KeptFor)
 	}
 	for _, f := range d.Facts {
 		out.Fact = append(out.Fact, &pb.Fact{
--- a/internal/codec/digest_test.go
+++ b/internal/codec/digest_test.go
@@ -15,6 +15,7 @@
 	"github.com/balsamvale/balsamvale/pkg/events/digest"
 	"github.com/balsamvale/balsamvale/pkg/shared/tune"
 	"github.com/balsamvale/balsamvale/pkg/stored/delta"
+	"github.com/balsamvale/balsamvale/pkg/stored/item"
 	"github.com/balsamvale/balsamvale/pkg/stored/revno"
 )
 
@@ -36,7 +37,7 @@
 		{Seconds: math.MaxInt64, Nanos: math.MaxInt32}, {Seconds: math.MinInt64, Nanos: math.MinInt32}, {Seconds: -1, Nanos: 1},
 	} {
 		data, err := proto.Marshal(&pb.Digest{
-			From: "e", Revision: 3, Eras: true, Age: extreme, Kept: []*pb.Item{{Key: "k"}}, KeptFor: extreme,
+			From: "e", Revision: 3, Eras: true, Age: extreme, Kept: []*pb.Item{{Key: "k"}}, KeptFor: extreme, KeptLeft: []*durationpb.Duration{extreme},
 			Fact: []*pb.Fact{
 				{Topic: 1, Subject: "u", Left: extreme, Tally: []*pb.Tally{{Upstream: "u", Calls: 1, Total: extreme}}},
 				{Topic: 4, Subject: "r", Tally: []*pb.Tally{{Upstream: "u", Calls: 2, Times: []*durationpb.Duration{extreme}}}},
@@ -57,8 +58,13 @@
 		if age, known := d.Matched.Age(now); known && (age < 0 || age >= tune.MaxProofAge) {
 			t.Errorf("proof of age %v", age)
 		}
-		if d.KeptFor < 0 || d.KeptFor > tune.RestoreMemory {
-			t.Errorf("kept for %v", d.KeptFor)
+		for _, left := range append(d.KeptLeft, d.KeptFor) {
+			if left < 0 || left > tune.RestoreMemory {
+				t.Errorf("kept for %v", left)
+			}
+		}
+		if d.KeptLeft != nil && len(d.KeptLeft) != len(d.Kept) {
+			t.Errorf("%d times for %d kept items", len(d.KeptLeft), len(d.Kept))
 		}
 		for _, fact := range d.Facts {
 			if left := fact.Until.Sub(now); left < 0 || left > tune.RollbackTTL {
@@ -92,6 +98,8 @@
 	}{
 		{"without large changes", digest.Digest{From: "e", Revision: 3, Brief: true}},
 		{"with numbered facts", digest.Digest{From: "e", Revision: 3, FactsSince: 1 << 60, FactsUpto: 1<<60 + 4, FactsAck: 1 << 59}},
+		{"with what is kept", digest.Digest{From: "e", Revision: revno.New(2, 3), Kept: []item.Item{{Key: "k", Value: []byte("v"), Revision: 7}}, KeptFor: time.Minute, KeptLeft: []time.Duration{time.Second}}},
+		{"with a transition in which nothing is kept", digest.Digest{From: "e", Revision: revno.New(2, 3), KeptFor: time.Minute}},
 		{"that offers large changes", digest.Digest{From: "e", Revision: 3, Brief: true, Offer: true}},
 		{"of a store that was restored", digest.Digest{From: "e", Revision: revno.New(2, 3), Delta: delta.Delta{BaseRevision: revno.New(1, 9), Revision: revno.New(2, 3)}}},
 		{"that asks for all changes, as those of older builds do", digest.Digest{From: "e", Revision: 3}},
--- a/pkg/control/config/restore.go
+++ b/pkg/control/config/restore.go
@@ -247,18 +247,17 @@
 }
 
 // Kept returns what is in force, or removed, although the store holds an older copy, sorted by key. A tombstone holds the value that
-// was removed. It also returns when, as of now, the transition ends.
-func (c *Config) Kept(now time.Time) ([]item.Item, time.Time) {
+// was removed. It also returns for how much longer each of them stays, and when the transition ends, as of now.
+func (c *Config) Kept(now time.Time) (kept []item.Item, left []time.Duration, end time.Time) {
 	if !now.Before(c.restored.end) {
-		return nil, time.Time{}
+		return nil, nil, time.Time{}
 	}
-	var kept []item.Item
 	for _, key := range slices.Sorted(maps.Keys(c.deferred)) {
 		if k, ok := c.knownBefore(key); ok && c.carried[key] == nil {
-			kept = append(kept, k.item)
+			kept, left = append(kept, k.item), append(left, c.deferred[key].due.Sub(now))
 		}
 	}
-	return kept, c.restored.end
+	return kept, left, c.restored.end
 }
 
 // IsKept reports whether the value of a key is in force although the store holds an older one or none.
@@ -269,20 +268,22 @@
 }
 
 // Keep takes over what a peer keeps in force although the store holds an older copy, in a transition that ends at a time, for an entry that
-// knows the copy alone. The revision is that of the entry's replica.
-//
-// A transition of a peer of an older build ends after tune.RestoreGrace.
-func (c *Config) Keep(now, end time.Time, revision revno.Revision, kept []item.Item) {
+// knows the copy alone. The revision is that of the entry's replica. The peer knows better for how long, since it knew what was lost; a
+// peer of an older build does not say, and its transition ends after tune.RestoreGrace.
+func (c *Config) Keep(now, end time.Time, revision revno.Revision, kept []item.Item, left []time.Duration) {
 	whole := tune.RestoreMemory
 	if end.Sub(now) <= tune.RestoreGrace {
 		whole = tune.RestoreGrace
 	}
 	last := c.restored
 	c.restored = restoration{revision: revision}
+	if last.revision.Era() == revision.Era() {
+		c.restored.revision = last.revision
+	}
 	c.restored.begin(earlier(end, now.Add(whole)).Add(-whole))
 	c.restored.end = earlier(end, now.Add(whole))
 	c.extendDeferred(last)
-	for _, k := range kept {
+	for i, k := range kept {
 		r, gone := c.removed[k.Key]
 		if k.Revision.Era() >= revision.Era() || keys.IsOwner(k.Key) || gone && r.item.Revision.Era() >= revision.Era() {
 			continue
@@ -296,6 +297,9 @@
 			continue
 		}
 		due, waits := c.restoredDue(known{k, v}, stored)
+		if len(left) == len(kept) {
+			due = now.Add(left[i])
+		}
 		if !waits || !now.Before(due) {
 			continue
 		}
--- a/pkg/control/config/restore_test.go
+++ b/pkg/control/config/restore_test.go
@@ -220,11 +220,11 @@
 			c.Apply(start, copied[0], true)
 			at := start.Add(tc.at)
 			peer.ApplyDeferred(at)
-			kept, end := peer.Kept(at)
+			kept, left, end := peer.Kept(at)
 			if tc.older {
-				end = start.Add(tune.RestoreGrace)
+				end, left = start.Add(tune.RestoreGrace), nil
 			}
-			c.Keep(at, end, revno.New(2, list), kept)
+			c.Keep(at, end, revno.New(2, list), kept, left)
 			want := tc.want
 			Expect(inForce(c)).To(Equal(want))
 			for _, m := range []struct {
@@ -253,8 +253,8 @@
 			peer.Apply(start, it, true)
 		}
 		at := start.Add(10 * time.Second)
-		kept, end := peer.Kept(at)
-		c.Keep(at, end, revno.New(2, list), kept)
+		kept, left, end := peer.Kept(at)
+		c.Keep(at, end, revno.New(2, list), kept, left)
 		c.Apply(at.Add(time.Second), stored(2, 53, "rec/request/s", "v2"), true)
 		Expect(inForce(c)).To(Equal("version 0, rollout s/53 at 1000"))
 	})
@@ -276,8 +276,8 @@
 		for _, it := range copied {
 			c.Apply(start, it, true)
 		}
-		kept, until := peer.Kept(start.Add(time.Second))
-		c.Keep(start.Add(time.Second), until, revno.New(2, list), kept)
+		kept, left, until := peer.Kept(start.Add(time.Second))
+		c.Keep(start.Add(time.Second), until, revno.New(2, list), kept, left)
 		Expect(inForce(c)).To(Equal("version 8, upstream new drained false"))
 		Expect(inForce(c)).To(Equal(inForce(peer)))
 		c.Apply(start.Add(time.Second), stored(2, 53, "rec/set/", "9"), true)
--- a/pkg/control/contrl/fleet_test.go
+++ b/pkg/control/contrl/fleet_test.go
@@ -155,6 +155,9 @@
 	if v, ok := decodeRestored(it); ok {
 		return v, nil
 	}
+	if v, ok := decodeStoredRollout(it); ok {
+		return v, nil
+	}
 	return value.Value{Record: &record.Record{Domain: &domrec.Domain{Name: it.Key}}}, nil
 }
 
@@ -364,6 +367,17 @@
 		r.LeaseID, r.LeaseEra = 1, f.revision.Era()
 		r.Applied = req.LeaseID == 0 || req.LeaseEra == r.LeaseEra
 	case kvop.CompareAndSwap:
+		if p := req.Value.Progress; p != nil {
+			held, ok := f.items[req.Key]
+			if !ok {
+				held.Revision = f.revision.Absent()
+			}
+			if r.Applied = req.ExpectedRevision == held.Revision; r.Applied {
+				f.writeValue(req.Key, encodeProgress(p))
+				r.Revision = f.revision
+			}
+			break
+		}
 		if r.Applied = req.ExpectedRevision.Era() == f.revision.Era() && (req.LeaseID == 0 || req.LeaseEra == f.revision.Era()); r.Applied {
 			f.write(req.Key)
 			r.Revision = f.revision
--- a/pkg/control/contrl/restore.go
+++ b/pkg/control/contrl/restore.go
@@ -44,7 +44,7 @@
 
 // logEra logs the begin of an era, with what stays in force although the store holds an older copy.
 func (c *Control) logEra(before, era int64) {
-	kept, end := c.config.Kept(c.now)
+	kept, _, end := c.config.Kept(c.now)
 	removed := 0
 	for _, it := range kept {
 		if it.Tombstone {
@@ -89,20 +89,20 @@
 	return c.replica.Revision().Era() > 0 && !c.era.answered && c.now.Sub(c.syncedAt) < tune.PeerTimeout
 }
 
-// setKept puts what this entry keeps in force into its answer to a peer that may not know it.
+// setKept puts what this entry keeps in force, and until when its transition lasts, into its answer to a peer that may not know it.
 func (c *Control) setKept(d *digest.Digest, asked digest.Digest) {
 	if !asked.WantsKept {
 		return
 	}
-	kept, until := c.config.Kept(c.now)
-	if len(kept) > 0 {
-		d.Kept, d.KeptFor = kept, until.Sub(c.now)
+	kept, left, end := c.config.Kept(c.now)
+	if end.After(c.now) {
+		d.Kept, d.KeptFor, d.KeptLeft = kept, end.Sub(c.now), left
 	}
 }
 
 // mergeKept takes over what a peer keeps in force, once this entry has a state of the same era.
 func (c *Control) mergeKept(d digest.Digest) {
-	if len(d.Kept) == 0 || d.KeptFor <= 0 || !c.wantsKept() {
+	if d.KeptFor <= 0 || !c.wantsKept() {
 		return
 	}
 	if !c.synced {
@@ -110,7 +110,7 @@
 		return
 	}
 	if d.Revision.Era() == c.replica.Revision().Era() {
-		c.config.Keep(c.now, c.now.Add(d.KeptFor), c.replica.Revision(), d.Kept)
+		c.config.Keep(c.now, c.now.Add(d.KeptFor), c.replica.Revision(), d.Kept, d.KeptLeft)
 		c.updatePlan()
 		c.updateRank()
 	}
@@ -119,7 +119,11 @@
 // mergeHeldKept takes over what a peer kept in force before the first sync.
 func (c *Control) mergeHeldKept() {
 	d := c.era.held
-	d.KeptFor -= c.now.Sub(c.era.keptAt)
+	waited := c.now.Sub(c.era.keptAt)
+	d.KeptFor -= waited
+	for i := range d.KeptLeft {
+		d.KeptLeft[i] -= waited
+	}
 	c.era.held = digest.Digest{}
 	if d.KeptFor > 0 {
 		c.mergeKept(d)
--- a/pkg/events/digest/digest.go
+++ b/pkg/events/digest/digest.go
@@ -33,9 +33,11 @@
 	// WantsKept is set while the sender may know of the store's era only what an older copy holds.
 	WantsKept bool
 	// Kept holds what the sender keeps in force although the store was restored from an older copy, with revisions of earlier eras. The
-	// value of a tombstone is the one that was removed. KeptFor is the time until the sender's transition to the new era ends.
-	Kept    []item.Item
-	KeptFor time.Duration
+	// value of a tombstone is the one that was removed. KeptFor is the time until the sender's transition to the new era ends,
+	// also if it keeps nothing, and KeptLeft the time for which it keeps each item; nil from a build that does not say.
+	Kept     []item.Item
+	KeptFor  time.Duration
+	KeptLeft []time.Duration
 	// FactsUpto is set if the facts are all those that the sender has numbered above FactsSince, up to FactsUpto, but for those that
 	// it knows the receiver to have.
 	FactsSince, FactsUpto uint64
