--- a/pkg/control/config/restore.go
+++ b/pkg/control/config/restore.go
@@ -10,7 +10,6 @@
 	"github.com/balsamvale/balsamvale/pkg/control/keys"
 	"github.com/balsamvale/balsamvale/pkg/shared/tune"
 	"github.com/balsamvale/balsamvale/pkg/stored/item"
-	"github.com/balsamvale/balsamvale/pkg/stored/phase"
 	"github.com/balsamvale/balsamvale/pkg/stored/progrs"
 	"github.com/balsamvale/balsamvale/pkg/stored/revno"
 	"github.com/balsamvale/balsamvale/pkg/stored/value"
@@ -224,9 +223,6 @@
 	return a.SteppedAt.Compare(b.SteppedAt)
 }
 
-// hasEnded reports whether a rollout is done or rolled back.
-func hasEnded(p *progrs.Progress) bool { return p.Phase == phase.Done || p.Phase == phase.RolledBack }
-
 // isOrder reports whether a value is the order of a rollout.
 func isOrder(v value.Value) bool { return v.Record != nil && v.Record.Rollout != nil }
 
--- a/pkg/control/config/rollout.go
+++ b/pkg/control/config/rollout.go
@@ -6,6 +6,7 @@
 	"github.com/balsamvale/balsamvale/pkg/records/rolrec"
 	"github.com/balsamvale/balsamvale/pkg/shared/share"
 	"github.com/balsamvale/balsamvale/pkg/stored/phase"
+	"github.com/balsamvale/balsamvale/pkg/stored/progrs"
 )
 
 // markRolloutDirty marks the service of a rollout as changed.
@@ -51,9 +52,12 @@
 // rolloutEnded reports whether a rollout is done or rolled back, so that its new version is no longer analyzed.
 func (c *Config) rolloutEnded(rollout string) bool {
 	p := c.Progress[rollout]
-	return p != nil && (p.Phase == phase.Done || p.Phase == phase.RolledBack)
+	return p != nil && hasEnded(p)
 }
 
+// hasEnded reports whether a rollout is done or rolled back.
+func hasEnded(p *progrs.Progress) bool { return p.Phase == phase.Done || p.Phase == phase.RolledBack }
+
 // fullPermille is the share of all calls, in thousandths.
 const fullPermille = 1000
 
