relay: the test of passed on resets resets only callers that have connected

Beside six busy loops it failed in 3 of 24 runs.

The upstream now answers and resets once the test's dial has returned; what is checked stays.

--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -140,11 +140,13 @@
 		for range 20 {
 			ln, err := net.Listen("tcp", "127.0.0.1:0")
 			Expect(err).NotTo(HaveOccurred())
-			go (&resetting{ln}).run()
+			upstream := &resetting{ln, make(chan struct{})}
+			go upstream.run()
 			front, err := relay.New(clock.Wall(), netip.MustParseAddrPort(ln.Addr().String()))
 			Expect(err).NotTo(HaveOccurred())
 			c, err := resets.DialContext(&net.Dialer{})(context.Background(), "tcp", front.Addr().String())
 			Expect(err).NotTo(HaveOccurred())
+			close(upstream.connected)
 			// Whether the write fails as well depends on when the reset arrives.
 			_, _ = c.Write(make([]byte, 4<<20))
 			_, err = io.ReadAll(c)
@@ -156,14 +158,19 @@
 	})
 })
 
-// resetting sends a byte on a connection, reads for a moment and resets the connection.
-type resetting struct{ net.Listener }
+// resetting sends a byte on a connection once its caller has connected, reads for a moment and resets the connection. An earlier reset
+// would fail the caller's dial.
+type resetting struct {
+	net.Listener
+	connected chan struct{}
+}
 
 func (r *resetting) run() {
 	c, err := r.Accept()
 	if err != nil {
 		return
 	}
+	<-r.connected
 	_, _ = io.WriteString(c, "a")
 	_ = c.SetReadDeadline(time.Now().Add(2 * time.Millisecond))
 	_, _ = io.Copy(io.Discard, c)
