--- /dev/null
+++ b/review/_rig3/deployment.go
@@ -0,0 +1,74 @@
+package main
+
+import "time"
+
+// route is a route of the configuration.
+type route struct {
+	name, host, prefix, kind, service string
+	timeout, target                   time.Duration
+	priority                          int
+}
+
+// putConfig writes the configuration as the operator.
+func (g *rig) putConfig(version int, services []string, routes ...route) {
+	var rs, ss []any
+	for _, r := range routes {
+		rs = append(rs, map[string]any{
+			"name": r.name, "host": r.host, "path_prefix": r.prefix, "kind": r.kind, "timeout_ms": r.timeout.Milliseconds(),
+			"target_latency_ms": r.target.Milliseconds(), "priority": r.priority, "service": r.service, "max_attempts": 2,
+		})
+	}
+	for _, s := range services {
+		ss = append(ss, map[string]any{
+			"name": s, "health_check_path": "/health", "connection_limit": 260, "protocol": "h1", "tls": false, "warmup_s": 3.0, "warmup_per_s": 18.0,
+		})
+	}
+	g.store.put("op/config", map[string]any{
+		"version": version, "routes": rs, "services": ss,
+		"limits": map[string]any{"max_header_bytes": 16384, "max_body_bytes": 67108864, "header_timeout_ms": 3000, "idle_timeout_ms": 15000},
+	})
+}
+
+// fleet holds the backends of a case.
+type fleet struct {
+	rig      *rig
+	backends []*backend
+}
+
+// add starts backends of a service and version, spread over the zones.
+func (f *fleet) add(count int, service, version string, set func(b *backend)) ([]*backend, error) {
+	var out []*backend
+	for range count {
+		b, err := f.rig.newBackend(service, version, zones[len(f.backends)%len(zones)])
+		if err != nil {
+			return nil, err
+		}
+		if set != nil {
+			set(b)
+		}
+		f.backends = append(f.backends, b)
+		out = append(out, b)
+		b.start()
+	}
+	return out, nil
+}
+
+func (f *fleet) cleanUp() {
+	for _, b := range f.backends {
+		b.cleanUp()
+	}
+}
+
+// startEntries starts entries and waits until they are ready and know each other.
+func (g *rig) startEntries(count int) error {
+	for range count {
+		if err := g.startEntry(); err != nil {
+			return err
+		}
+	}
+	if err := g.awaitReady(); err != nil {
+		return err
+	}
+	time.Sleep(2 * time.Second)
+	return nil
+}
