review: the stand-ins without the cases that earlier ones show, and with that of weights

An upload whose dial fails (DENIED) and one that crashes backends (BUDGET) are those of review/8 and review/9, so the cases that had the numbers 11 and 12 are dropped.

--- a/review/_rig3/deployment.go
+++ b/review/_rig3/deployment.go
@@ -5,18 +5,26 @@
 // route is a route of the configuration.
 type route struct {
 	name, host, prefix, kind, service string
-	timeout, target                   time.Duration
-	priority                          int
+	// split holds the parts of a route that is split, instead of the service.
+	split           []any
+	timeout, target time.Duration
+	priority        int
 }
 
 // putConfig writes the configuration as the operator.
 func (g *rig) putConfig(version int, services []string, routes ...route) {
 	var rs, ss []any
 	for _, r := range routes {
-		rs = append(rs, map[string]any{
+		m := map[string]any{
 			"name": r.name, "host": r.host, "path_prefix": r.prefix, "kind": r.kind, "timeout_ms": r.timeout.Milliseconds(),
-			"target_latency_ms": r.target.Milliseconds(), "priority": r.priority, "service": r.service, "max_attempts": 2,
-		})
+			"target_latency_ms": r.target.Milliseconds(), "priority": r.priority, "max_attempts": 2,
+		}
+		if len(r.split) > 0 {
+			m["traffic_split"] = r.split
+		} else {
+			m["service"] = r.service
+		}
+		rs = append(rs, m)
 	}
 	for _, s := range services {
 		ss = append(ss, map[string]any{
--- a/review/_rig3/giveup.go
+++ b/review/_rig3/giveup.go
@@ -26,7 +26,7 @@
 	if _, err := f.add(16, "tallyview", "v1", func(b *backend) { b.work = func(*httpRequest) time.Duration { return work } }); err != nil {
 		return false, err
 	}
-	g.putConfig(7, []string{"tallyview"}, route{"r-tally", "tally.example", "/tally/", "safe", "tallyview", 5 * time.Second, 2 * time.Second, 2})
+	g.putConfig(7, []string{"tallyview"}, route{name: "r-tally", host: "tally.example", prefix: "/tally/", kind: "safe", service: "tallyview", timeout: 5 * time.Second, target: 2 * time.Second, priority: 2})
 	if err := g.startEntries(3); err != nil {
 		return false, err
 	}
--- a/review/_rig3/main.go
+++ b/review/_rig3/main.go
@@ -16,9 +16,8 @@
 var cases = map[string]func(g *rig, trouble bool) (broken bool, err error){
 	"giveup":   giveUpCase,
 	"pipeline": pipelineCase,
-	"poison":   poisonCase,
 	"rollout":  rolloutCase,
-	"upload":   uploadCase,
+	"weights":  weightsCase,
 }
 
 // Exit codes of a case.
--- a/review/_rig3/pipeline.go
+++ b/review/_rig3/pipeline.go
@@ -42,8 +42,8 @@
 		return false, err
 	}
 	g.putConfig(7, []string{"archive-hall", "stations-desk"},
-		route{"r-pages", "archive.example", "/pages/", "safe", "archive-hall", 5 * time.Second, 2 * time.Second, 2},
-		route{"r-lookup", "stations.example", "/lookup/", "safe", "stations-desk", 5 * time.Second, time.Second, 2})
+		route{name: "r-pages", host: "archive.example", prefix: "/pages/", kind: "safe", service: "archive-hall", timeout: 5 * time.Second, target: 2 * time.Second, priority: 2},
+		route{name: "r-lookup", host: "stations.example", prefix: "/lookup/", kind: "safe", service: "stations-desk", timeout: 5 * time.Second, target: time.Second, priority: 2})
 	if err := g.startEntries(3); err != nil {
 		return false, err
 	}
--- a/review/_rig3/rollout.go
+++ b/review/_rig3/rollout.go
@@ -32,7 +32,7 @@
 	if _, err := f.add(count, "benchdesk", "v1", sound); err != nil {
 		return false, err
 	}
-	g.putConfig(7, []string{"benchdesk"}, route{"r-book", "bench.example", "/book/", "unsafe", "benchdesk", time.Second, 250 * time.Millisecond, 1})
+	g.putConfig(7, []string{"benchdesk"}, route{name: "r-book", host: "bench.example", prefix: "/book/", kind: "unsafe", service: "benchdesk", timeout: time.Second, target: 250 * time.Millisecond, priority: 1})
 	if err := g.startEntries(4); err != nil {
 		return false, err
 	}
--- a/review/build-3.sh
+++ b/review/build-3.sh
@@ -1,5 +1,5 @@
 #!/bin/sh
-# Builds the stand-ins of the cases 11 to 15 as target/review-3/rig. It needs no network.
+# Builds the stand-ins of the cases of this review as target/review-3/rig. It needs no network.
 set -e
 root=$(cd "$(dirname "$0")/.." && pwd)
 mkdir -p "$root/target/review-3"
