--- a/review/14/run.sh
+++ b/review/14/run.sh
@@ -9,4 +9,4 @@
 		exit 2
 	fi
 done
-exec "$root/target/review-3/rig" rollout "$root/target/balsamvale" "$here/record.txt"
+exec "$root/target/review-3/rig" weights "$root/target/balsamvale" "$here/record.txt"
