--- a/review/_rig3/deployment.go
+++ b/review/_rig3/deployment.go
@@ -63,7 +63,7 @@
 
 func (f *fleet) cleanUp() {
 	for _, b := range f.backends {
-		b.cleanUp()
+		b.crash()
 	}
 }
 
--- a/review/_rig3/main.go
+++ b/review/_rig3/main.go
@@ -7,7 +7,6 @@
 	"fmt"
 	"os"
 	"os/signal"
-	"path/filepath"
 	"syscall"
 	"time"
 )
@@ -90,6 +89,3 @@
 	g.logf(format, args...)
 	fmt.Printf(format+"\n", args...)
 }
-
-// path returns the name of a file that the case may use.
-func (g *rig) path(name string) string { return filepath.Join(g.dir, name) }
--- a/review/_rig3/pipeline.go
+++ b/review/_rig3/pipeline.go
@@ -23,7 +23,7 @@
 	defer f.cleanUp()
 	page := []byte(strings.Repeat("0123456789abcdef", 8<<10))
 	faulty := 0
-	pages, err := f.add(8, "archive-hall", "v1", func(b *backend) {
+	if _, err := f.add(8, "archive-hall", "v1", func(b *backend) {
 		breaks := trouble && faulty%2 == 0
 		faulty++
 		b.answer = func(r *httpRequest) answer {
@@ -33,11 +33,9 @@
 			}
 			return answer{200, page, -1}
 		}
-	})
-	if err != nil {
+	}); err != nil {
 		return false, err
 	}
-	_ = pages
 	if _, err := f.add(8, "stations-desk", "v1", nil); err != nil {
 		return false, err
 	}
