--- a/review/_rig3/deployment.go
+++ b/review/_rig3/deployment.go
@@ -80,3 +80,9 @@
 	time.Sleep(2 * time.Second)
 	return nil
 }
+
+// Disruptions of some length come again after a pause.
+const troubleTime, troublePause = 4 * time.Second, 3 * time.Second
+
+// inTrouble reports whether a disruption that comes again and again is there now.
+func (g *rig) inTrouble() bool { return time.Since(g.start)%(troubleTime+troublePause) < troubleTime }
--- a/review/_rig3/giveup.go
+++ b/review/_rig3/giveup.go
@@ -53,7 +53,7 @@
 		mu.Lock()
 		pairs++
 		mu.Unlock()
-		if trouble && rand.Float64() < leaving {
+		if trouble && g.inTrouble() && rand.Float64() < leaving {
 			time.Sleep(patience)
 			_ = c.Close()
 			g.logf("left   the client of %s and %s has closed its connection", first.id, second.id)
--- a/review/_rig3/pipeline.go
+++ b/review/_rig3/pipeline.go
@@ -27,7 +27,7 @@
 		breaks := trouble && faulty%2 == 0
 		faulty++
 		b.answer = func(r *httpRequest) answer {
-			if breaks && rand.Float64() < share {
+			if breaks && g.inTrouble() && rand.Float64() < share {
 				g.logf("fault  %s breaks off its answer to %s", b.id, r.Header.Get("Balsamvale-Request-Id"))
 				return answer{200, page, len(page) * 3 / 4}
 			}
