platform, config, rules, proxy: an unreadable part costs its route or service, not the configuration

Callers: one field that could not be read (a negative timeout, a string as a weight, an unknown kind of route) kept a whole configuration out of force for good. Calls on dropped routes were served on, those on added ones got 503. Operators had a reject line under a key that only entries use.

Cause: decodeConfig returned at the first error, and the item is one value.

Calls of a route that cannot be carried out as it was written get 503 (reason defective), neither a default nor the rule before; so do those of a service, by leaving it out.

--- a/internal/core/decode.go
+++ b/internal/core/decode.go
@@ -5,6 +5,7 @@
 	"go.uber.org/zap"
 
 	"github.com/balsamvale/balsamvale/internal/logs"
+	"github.com/balsamvale/balsamvale/pkg/records/defect"
 	"github.com/balsamvale/balsamvale/pkg/stored/item"
 	"github.com/balsamvale/balsamvale/pkg/stored/value"
 )
@@ -18,7 +19,11 @@
 	log    *logs.Log
 }
 
-// decodeItem decodes an item and logs its warnings and the errors in its client accounts; errors are those of decode, or match errDecodePanic.
+// maxDefectLines is the number of defects of one item that are logged one by one.
+const maxDefectLines = 10
+
+// decodeItem decodes an item and logs its defects, its warnings and the errors in its client accounts; errors are those of decode, or
+// match errDecodePanic.
 func (d *safeDecoder) decodeItem(it item.Item) (v value.Value, err error) {
 	defer func() {
 		if p := recover(); p != nil {
@@ -28,6 +33,7 @@
 	}()
 	v, err = d.decode(it)
 	if v.Batch != nil {
+		d.logDefects(it, v.Batch.Defects)
 		for _, text := range v.Batch.Warnings {
 			d.log.Warn("limit", zap.String("key", it.Key), zap.Int64("revision", it.Revision.Number()), zap.String("text", text))
 		}
@@ -37,3 +43,11 @@
 	}
 	return v, err
 }
+
+// logDefects logs the first defects of an item, and how many there are.
+func (d *safeDecoder) logDefects(it item.Item, defects []defect.Defect) {
+	for _, f := range defects[:min(len(defects), maxDefectLines)] {
+		d.log.Warn("defect", zap.String("key", f.Key), zap.Int64("revision", it.Revision.Number()), zap.String("field", f.Field),
+			zap.String("value", f.Value), zap.String("problem", f.Problem), zap.String("effect", f.Effect), zap.Int("of", len(defects)))
+	}
+}
--- a/internal/core/view.go
+++ b/internal/core/view.go
@@ -72,6 +72,9 @@
 // Accounts returns the table of the client accounts, or nil if there are none.
 func (co *Core) Accounts() *accts.Table { return co.view.Load().snapshot.Accounts }
 
+// NotInForce returns the number of records, and of parts of records, that cannot be read.
+func (co *Core) NotInForce() int { return co.view.Load().snapshot.NotInForce }
+
 // Revision returns the revision of the configuration in force, or 0 while there is none.
 func (co *Core) Revision() revno.Revision { return co.view.Load().snapshot.Revision }
 
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -142,6 +142,7 @@
 	})
 	d.metrics.NewGauge("balsamvale_peer_ages_refused_total", func() float64 { return float64(d.peers.InvalidAges.Load()) })
 	d.metrics.NewGauge("balsamvale_configuration_revision", func() float64 { return float64(d.core.Revision().Number()) })
+	d.metrics.NewGauge("balsamvale_records_not_in_force", func() float64 { return float64(d.core.NotInForce()) })
 	d.metrics.NewGauge("balsamvale_store_era", func() float64 { return float64(d.core.Revision().Era()) })
 	d.metrics.NewGauge("balsamvale_caller_connections_limit", func() float64 { return float64(d.maxConns) })
 	d.metrics.NewGauge("balsamvale_call_memory_bytes", func() float64 { return float64(d.memory.Held()) })
--- a/internal/proxy/handler.go
+++ b/internal/proxy/handler.go
@@ -211,16 +211,20 @@
 		return routeMatch{}, false
 	}
 	m, why, text := h.matchRoute(r)
-	if why != reason.None && h.isOutdated(b) {
+	if why != reason.None && why != reason.Defective && h.isOutdated(b) {
 		h.refuseUnserved(w, r, b, reason.Outdated, text+" in a configuration that may be out of date")
 		return routeMatch{}, false
 	}
+	if why == reason.Defective {
+		h.refuseUnserved(w, r, b, why, text)
+		return routeMatch{}, false
+	}
 	if why != reason.None {
 		h.refuseEarly(w, r, b, http.StatusNotFound, why, text)
 		return routeMatch{}, false
 	}
 	if m.pool == nil {
-		h.refuseUnserved(w, r, b, reason.Unconfigured, "no configuration is in force yet")
+		h.refuseUnserved(w, r, b, reason.Unconfigured, "no service of the route is in force")
 		return routeMatch{}, false
 	}
 	if !h.identifyOrRefuse(w, r, b, &m) {
--- a/internal/proxy/match.go
+++ b/internal/proxy/match.go
@@ -43,6 +43,9 @@
 	if rule == nil {
 		return routeMatch{}, reason.NoRule, "no rule matches the host and path"
 	}
+	if rule.Defect != "" {
+		return routeMatch{}, reason.Defective, "the record of the route is defective"
+	}
 	m = routeMatch{rule: rule, requestURI: uri, timeout: rule.Timeout}
 	random := rand.IntN
 	if key := h.Headers.IdempotencyKey(r.Header); key != "" {
--- a/internal/proxy/own_test.go
+++ b/internal/proxy/own_test.go
@@ -60,6 +60,9 @@
 		{"to an unknown service, with an old configuration", http.MethodGet, "/t/a", [2]string{}, func(h *proxy.Handler) { h.MaxConfigAge = 1499 * time.Millisecond }, "early", 503, reason.Outdated},
 		{"to an unknown service, with a configuration that is new enough", http.MethodGet, "/t/a", [2]string{}, func(h *proxy.Handler) { h.MaxConfigAge = 1500 * time.Millisecond }, "early", 404, reason.UnknownService},
 		{"to an unknown route", http.MethodGet, "/t/a", [2]string{}, func(h *proxy.Handler) { h.Rule = func(string, string) (*rulrec.Rule, bool) { return nil, true } }, "early", 404, reason.NoRule},
+		{"to a route whose record is defective", http.MethodGet, "/t/a", [2]string{}, func(h *proxy.Handler) {
+			h.Rule = func(string, string) (*rulrec.Rule, bool) { return &rulrec.Rule{Defect: "timeout"}, true }
+		}, "early", 503, reason.Defective},
 		{"to a large header", http.MethodGet, "/s/a", [2]string{"X", strings.Repeat("x", headerLimit)}, nil, "early", 431, reason.HeaderTooLarge},
 		{"to a large body", http.MethodPost, "/s/a", [2]string{}, func(h *proxy.Handler) { h.MaxBodyBytes = 1 }, "early", 413, reason.BodyTooLarge},
 		{"to a large header, with an old configuration", http.MethodGet, "/s/a", [2]string{"X", strings.Repeat("x", headerLimit)}, func(h *proxy.Handler) { h.MaxConfigAge = 1499 * time.Millisecond }, "early", 503, reason.Outdated},
--- a/pkg/calls/reason/reason.go
+++ b/pkg/calls/reason/reason.go
@@ -77,4 +77,6 @@
 	ServerOptions // options
 	// UnknownKey means that the call has no key of a client account, or that its key was removed while it waited.
 	UnknownKey // unknownkey
+	// Defective means that the record of the routing rule, or of its service, cannot be carried out as operators wrote it.
+	Defective // defective
 )
--- a/pkg/calls/reason/reason_string.go
+++ b/pkg/calls/reason/reason_string.go
@@ -42,11 +42,12 @@
 	_ = x[Panicked-31]
 	_ = x[ServerOptions-32]
 	_ = x[UnknownKey-33]
+	_ = x[Defective-34]
 }
 
-const _Reason_name = "nonelowestonlycredittrialabsentemptyfullcrowdedlateretriesspentpoisonedonceclaimduplicategonestoppingreusedmemoryunsupportedmalformedheaderheadlatebodybodylatebodycutunconfiguredoutdatednorulecutpanicoptionsunknownkey"
+const _Reason_name = "nonelowestonlycredittrialabsentemptyfullcrowdedlateretriesspentpoisonedonceclaimduplicategonestoppingreusedmemoryunsupportedmalformedheaderheadlatebodybodylatebodycutunconfiguredoutdatednorulecutpanicoptionsunknownkeydefective"
 
-var _Reason_index = [...]uint8{0, 4, 10, 14, 20, 25, 31, 36, 40, 47, 51, 58, 63, 71, 75, 80, 89, 93, 101, 107, 113, 124, 133, 139, 147, 151, 159, 166, 178, 186, 192, 195, 200, 207, 217}
+var _Reason_index = [...]uint8{0, 4, 10, 14, 20, 25, 31, 36, 40, 47, 51, 58, 63, 71, 75, 80, 89, 93, 101, 107, 113, 124, 133, 139, 147, 151, 159, 166, 178, 186, 192, 195, 200, 207, 217, 226}
 
 func (i Reason) String() string {
 	idx := int(i) - 0
--- a/pkg/control/config/config.go
+++ b/pkg/control/config/config.go
@@ -56,6 +56,8 @@
 	// Version is the number that the operators gave the last batch; 0 if there is none.
 	Version int64
 
+	// defects is the number of defects of the records in force.
+	defects int
 	// items holds the item in force of each store key, and values its value.
 	items  map[string]item.Item
 	values map[string]value.Value
@@ -274,6 +276,24 @@
 	return c.ruleTable
 }
 
+// NotInForce returns the items that could not be decoded and the defects of those that are in force, sorted by key.
+func (c *Config) NotInForce() []reject.Reject {
+	out := slices.SortedFunc(maps.Values(c.Rejects), func(a, b reject.Reject) int { return cmp.Compare(a.Key, b.Key) })
+	for key, v := range c.values {
+		if v.Batch == nil {
+			continue
+		}
+		for _, d := range v.Batch.Defects {
+			out = append(out, reject.Reject{Key: key, Revision: c.items[key].Revision, Err: d})
+		}
+	}
+	slices.SortStableFunc(out, func(a, b reject.Reject) int { return cmp.Compare(a.Key, b.Key) })
+	return out
+}
+
+// CountNotInForce returns the length of the list that NotInForce returns.
+func (c *Config) CountNotInForce() int { return len(c.Rejects) + c.defects }
+
 // Accounts returns the table of the client accounts, or nil when there are none.
 func (c *Config) Accounts() *accts.Table {
 	if c.accountTable == nil && len(c.accounts) > 0 {
--- a/pkg/control/config/records.go
+++ b/pkg/control/config/records.go
@@ -22,6 +22,7 @@
 		c.dropRecord(now, v.Record)
 	case v.Batch != nil:
 		c.Version = 0
+		c.defects -= len(v.Batch.Defects)
 		for _, r := range v.Batch.Records {
 			c.dropRecord(now, r)
 		}
@@ -74,6 +75,7 @@
 		c.putRecord(now, old.Record, v.Record, warmup)
 	case v.Batch != nil:
 		c.Version = v.Batch.Version
+		c.defects += len(v.Batch.Defects)
 		for _, r := range v.Batch.Records {
 			c.putRecord(now, nil, r, warmup)
 		}
--- a/pkg/control/contrl/control.go
+++ b/pkg/control/contrl/control.go
@@ -309,18 +309,18 @@
 
 func (c *Control) log(m logmsg.Message) { c.emit(effect.Effect{Action: action.Log, Message: m}) }
 
-// publish puts a new snapshot in force if a service or the revision of the configuration changed.
+// publish puts a new snapshot in force if a service, the revision of the configuration or the number of what is not in force changed.
 func (c *Control) publish() {
 	if !c.bootstrapped {
 		return
 	}
 	changed := c.config.TakeDirty()
-	if len(changed) == 0 && c.snapshot.Revision == c.config.Revision {
+	if len(changed) == 0 && c.snapshot.Revision == c.config.Revision && c.snapshot.NotInForce == c.config.CountNotInForce() {
 		return
 	}
 	next := &snap.Snapshot{
 		Revision: c.config.Revision, Rules: c.config.Rules(), Bounds: c.config.Bounds, Accounts: c.config.Accounts(), Services: make(map[string]*svcfg.Config, len(c.snapshot.Services)),
-		OperatorRevision: c.config.OperatorRevision, Version: c.config.Version, Source: c.source,
+		OperatorRevision: c.config.OperatorRevision, Version: c.config.Version, Source: c.source, NotInForce: c.config.CountNotInForce(),
 	}
 	for name, cfg := range c.snapshot.Services {
 		next.Services[name] = cfg
--- a/pkg/control/contrl/status.go
+++ b/pkg/control/contrl/status.go
@@ -5,14 +5,13 @@
 	"slices"
 
 	"github.com/balsamvale/balsamvale/pkg/control/keys"
-	"github.com/balsamvale/balsamvale/pkg/records/reject"
 	"github.com/balsamvale/balsamvale/pkg/shared/proof"
 	"github.com/balsamvale/balsamvale/pkg/stored/phase"
 	"github.com/balsamvale/balsamvale/pkg/stored/progrs"
 	"github.com/balsamvale/balsamvale/pkg/stored/status"
 )
 
-// Status returns the configuration revision, shards, rejected records and rollouts of this entry. An entry that does not watch the
+// Status returns the configuration revision, shards, rejected and defective records and rollouts of this entry. An entry that does not watch the
 // store, since it gets fresh changes from its peers, counts the store as reachable.
 func (c *Control) Status() status.Status {
 	s := status.Status{
@@ -22,10 +21,7 @@
 	for _, sh := range c.elector.Owned() {
 		s.OwnedShards = append(s.OwnedShards, keys.Owner(sh))
 	}
-	for _, r := range c.config.Rejects {
-		s.Rejects = append(s.Rejects, r)
-	}
-	slices.SortFunc(s.Rejects, func(a, b reject.Reject) int { return cmp.Compare(a.Key, b.Key) })
+	s.Rejects = c.config.NotInForce()
 	for name := range c.config.Rollouts {
 		s.Rollouts = append(s.Rollouts, c.progress(name))
 	}
--- a/pkg/control/rules/rules.go
+++ b/pkg/control/rules/rules.go
@@ -14,10 +14,15 @@
 	size   int
 }
 
-// New returns a table of the given rules. Of several rules with the same host and path, the last one applies.
+// New returns a table of the given rules. Of several rules with the same host and path, the last one applies. Rules without a host or
+// path match no call, unless they are defective.
 func New(list []*rulrec.Rule) *Rules {
 	t := &Rules{byHost: map[string]map[string]*rulrec.Rule{}}
 	for _, r := range list {
+		if r.Defect == "" && (r.Host == "" || r.Path == "") {
+			t.size++
+			continue
+		}
 		host := strings.ToLower(r.Host)
 		if t.byHost[host] == nil {
 			t.byHost[host] = map[string]*rulrec.Rule{}
@@ -31,17 +36,27 @@
 // Len returns the number of rules that were passed to New.
 func (t *Rules) Len() int { return t.size }
 
-// Find returns the rule of the host with the longest prefix that matches the path, or nil if there is none.
+// Find returns the rule of the host with the longest prefix that matches the path, else a defective rule that may be about the call,
+// or nil if there is none.
 //
 // The host may include a port and is compared without regard to case. The rules of a host with its port come before those of
 // the host. Prefixes end with a slash, so they match whole path segments only.
 func (t *Rules) Find(host, path string) *rulrec.Rule {
-	host = strings.ToLower(host)
-	if r := longest(t.byHost[host], path); r != nil {
-		return r
+	hosts := []string{strings.ToLower(host)}
+	if name, _, err := net.SplitHostPort(hosts[0]); err == nil {
+		hosts = append(hosts, name)
+	}
+	// Under "" are the defective rules without a host.
+	hosts = append(hosts, "")
+	for _, h := range hosts {
+		if r := longest(t.byHost[h], path); r != nil {
+			return r
+		}
 	}
-	if name, _, err := net.SplitHostPort(host); err == nil {
-		return longest(t.byHost[name], path)
+	for _, h := range hosts {
+		if r := t.byHost[h][""]; r != nil {
+			return r
+		}
 	}
 	return nil
 }
--- a/pkg/control/rules/rules_test.go
+++ b/pkg/control/rules/rules_test.go
@@ -57,3 +57,35 @@
 		})
 	}
 })
+
+// A call that a defective rule may be about must not get 404, which callers take as final.
+var _ = Describe("A defective rule", func() {
+	defective := func(name, host, path string) *rulrec.Rule {
+		return &rulrec.Rule{Name: name, Host: host, Path: path, Defect: "unreadable"}
+	}
+	for _, tc := range []struct {
+		name             string
+		rule             *rulrec.Rule
+		host, path, want string
+	}{
+		{"applies to its own calls", defective("d", "a.example", "/x/y/"), "a.example", "/x/y/1", "d"},
+		{"leaves the other calls of its host", defective("d", "a.example", "/x/y/"), "a.example", "/x/1", "x"},
+		{"leaves calls that no rule matches", defective("d", "a.example", "/x/y/"), "a.example", "/q", ""},
+		{"without a path applies to calls of its host that no rule matches", defective("d", "a.example", ""), "a.example:80", "/q", "d"},
+		{"without a path leaves the rules of its host", defective("d", "a.example", ""), "a.example", "/x/1", "x"},
+		{"without a path leaves other hosts", defective("d", "a.example", ""), "b.example", "/q", ""},
+		{"without a host applies to calls below its path that no rule matches", defective("d", "", "/q/"), "b.example", "/q/1", "d"},
+		{"without a host leaves calls elsewhere", defective("d", "", "/q/"), "b.example", "/r/1", ""},
+		{"without both applies to all calls that no rule matches", defective("d", "", ""), "b.example", "/q", "d"},
+		{"that is valid and has no path applies to nothing", &rulrec.Rule{Name: "v", Host: "b.example"}, "b.example", "/q", ""},
+	} {
+		It(tc.name, func() {
+			got := rules.New([]*rulrec.Rule{{Name: "x", Host: "a.example", Path: "/x/"}, tc.rule}).Find(tc.host, tc.path)
+			if tc.want == "" {
+				Expect(got).To(BeNil())
+				return
+			}
+			Expect(got.Name).To(Equal(tc.want))
+		})
+	}
+})
--- a/pkg/records/rulrec/rule.go
+++ b/pkg/records/rulrec/rule.go
@@ -29,4 +29,9 @@
 	Splits []split.Split
 	// Public is set if the calls need no key of a client account.
 	Public bool
+	// Defect says why the record cannot be carried out as operators wrote it; its calls are refused then. It is empty for a valid record.
+	//
+	// A defective rule without a path applies to the calls of its host that no other rule matches, and one without a host to those of
+	// all hosts: any of them may be what the rule is about.
+	Defect string
 }
--- a/pkg/shared/snap/snapshot.go
+++ b/pkg/shared/snap/snapshot.go
@@ -24,6 +24,8 @@
 	OperatorRevision revno.Revision
 	// Version is the number that the operators gave their configuration; 0 if it has none.
 	Version int64
+	// NotInForce is the number of records, and of parts of records, that cannot be read.
+	NotInForce int
 	// Source is "store", or the name of the peer from which the latest changes came.
 	Source string
 }
--- a/pkg/stored/status/status.go
+++ b/pkg/stored/status/status.go
@@ -26,7 +26,7 @@
 	Members int
 	// OwnedShards lists the store keys of the shards that the entry owns.
 	OwnedShards []string
-	// Rejects lists the records that are not in force, by key.
+	// Rejects lists the records, and the parts of records, that are not in force, by key.
 	Rejects []reject.Reject
 	// Rollouts lists all rollouts by name, with their progress as this entry acts on it.
 	Rollouts []progrs.Progress
