core, config: no config line for a reject before the first configuration, and tests of what is not in force

While no revision was in force, each logged a config line of revision 0, though no configuration had come. The rows of config_test pin the list and its length, on which the metric rests.

--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -263,7 +263,8 @@
 		}
 	}
 	co.ready.Store(co.control.Ready())
-	if old.snapshot.OperatorRevision != e.Snapshot.OperatorRevision || old.snapshot.Revision == 0 {
+	first := old.snapshot.Revision == 0 && e.Snapshot.Revision != 0
+	if first || old.snapshot.OperatorRevision != e.Snapshot.OperatorRevision {
 		co.log.ConfigInForce(e.Snapshot, co.Basis())
 	}
 }
--- a/pkg/control/config/config_test.go
+++ b/pkg/control/config/config_test.go
@@ -9,6 +9,7 @@
 	"github.com/rotisserie/eris"
 
 	"github.com/balsamvale/balsamvale/pkg/control/config"
+	"github.com/balsamvale/balsamvale/pkg/records/defect"
 	"github.com/balsamvale/balsamvale/pkg/records/domrec"
 	"github.com/balsamvale/balsamvale/pkg/records/record"
 	"github.com/balsamvale/balsamvale/pkg/records/rolrec"
@@ -171,6 +172,55 @@
 	}
 })
 
+// Operators could not see that a part of what they had written was not in force.
+var _ = Describe("What is not in force", func() {
+	flawed := value.Value{Batch: &batch.Batch{Records: []*record.Record{service().Record}, Defects: []defect.Defect{
+		{Key: "k", Field: "a", Value: "-1", Problem: "out of bounds", Effect: "refused"}, {Key: "k", Field: "b"},
+	}}}
+	for _, tc := range []struct {
+		name  string
+		apply func(f *fixture)
+		keys  []string
+	}{
+		{"lists nothing at first", func(*fixture) {}, nil},
+		{"lists each defect", func(f *fixture) { f.put(start, "set", flawed) }, []string{"set", "set"}},
+		{"lists the defects of a batch that replaced another", func(f *fixture) {
+			f.put(start, "set", flawed)
+			f.put(start, "set", flawed)
+		}, []string{"set", "set"}},
+		{"lists nothing of a batch that was replaced", func(f *fixture) {
+			f.put(start, "set", flawed)
+			f.put(start, "set", value.Value{Batch: &batch.Batch{}})
+		}, nil},
+		{"lists nothing of a batch that was removed", func(f *fixture) {
+			f.put(start, "set", flawed)
+			f.remove(start, "set")
+		}, nil},
+		{"lists rejected items too", func(f *fixture) {
+			f.put(start, "set", flawed)
+			f.config.Apply(start, item.Item{Key: "move", Value: []byte("?"), Revision: 9}, true)
+		}, []string{"move", "set", "set"}},
+	} {
+		It(tc.name, func() {
+			f := newFixture()
+			tc.apply(f)
+			var got []string
+			for _, r := range f.config.NotInForce() {
+				got = append(got, r.Key)
+			}
+			Expect(got).To(Equal(tc.keys))
+			Expect(f.config.CountNotInForce()).To(Equal(len(tc.keys)))
+		})
+	}
+
+	It("says what is wrong with a part, and what it costs", func() {
+		f := newFixture()
+		f.put(start, "set", flawed)
+		Expect(f.config.NotInForce()[0].Err).To(MatchError("k: a is -1, out of bounds: refused"))
+		Expect(f.config.NotInForce()[0].Revision).To(Equal(revno.Revision(1)))
+	})
+})
+
 var _ = Describe("A batch of records", func() {
 	It("replaces the one before it as a whole", func() {
 		f := newFixture()
