wire: numbers in a load report are bounded

Fix: a report with more than 1,000,000 calls in flight is no report, and such a number of slots is left out.

Measured: 2 of 2 new rows of wire/header_test fail before and pass.

--- a/internal/wire/header.go
+++ b/internal/wire/header.go
@@ -90,8 +90,11 @@
 	return v.Encode()
 }
 
-// ParseReport parses the value of a Load header. It returns nil if the value is not a URL query or has no valid number of
-// calls in flight; other invalid fields are ignored.
+// maxReported is the highest number of calls or slots in a load report.
+const maxReported = 1_000_000
+
+// ParseReport parses the value of a Load header. It returns nil if the value is not a URL query or has no number of calls in flight
+// from 0 to maxReported; other invalid fields are ignored.
 func ParseReport(s string) *report.Report {
 	if s == "" {
 		return nil
@@ -101,11 +104,11 @@
 		return nil
 	}
 	inFlight, err := strconv.Atoi(v.Get("busy"))
-	if err != nil || inFlight < 0 {
+	if err != nil || inFlight < 0 || inFlight > maxReported {
 		return nil
 	}
 	r := &report.Report{InFlight: inFlight, Cold: v.Get("cold") == "1", Draining: v.Get("leave") == "1"}
-	if n, err := strconv.Atoi(v.Get("slots")); err == nil && n > 0 {
+	if n, err := strconv.Atoi(v.Get("slots")); err == nil && n > 0 && n <= maxReported {
 		r.Slots = n
 	}
 	uptime, err := time.ParseDuration(v.Get("age"))
--- a/internal/wire/header_test.go
+++ b/internal/wire/header_test.go
@@ -43,6 +43,9 @@
 			&report.Report{InFlight: 3, Slots: 4, Incarnation: 7, Uptime: time.Second, Cold: true, Draining: true}},
 		{"rejects a report without busy", "slots=4", nil},
 		{"rejects a negative busy", "busy=-1", nil},
+		// Such a number overflowed where calls were added to it, so that the upstream looked free.
+		{"returns nil for a number of calls that is too large", "busy=9223372036854775807&slots=4", nil},
+		{"ignores a number of slots that is too large", "busy=1&slots=9223372036854775807", &report.Report{InFlight: 1}},
 		{"ignores boot and age if age is invalid", "busy=1&boot=2&age=x", &report.Report{InFlight: 1}},
 		{"rejects an empty value", "", nil},
 	} {
@@ -53,7 +56,7 @@
 func FuzzParseReport(f *testing.F) {
 	f.Add("busy=3&slots=4&boot=7&age=1s&cold=1")
 	f.Fuzz(func(t *testing.T, s string) {
-		if r := wire.ParseReport(s); r != nil && (r.InFlight < 0 || r.Slots < 0 || r.Uptime < 0) {
+		if r := wire.ParseReport(s); r != nil && (r.InFlight < 0 || r.InFlight > 1_000_000 || r.Slots < 0 || r.Slots > 1_000_000 || r.Uptime < 0) {
 			t.Errorf("negative value in %+v", r)
 		}
 		_ = wire.ParseCount(s)
